Start the workspace: packages, loop, HTTP, log client, error table

Cause: an empty repository. Change: five packages, presets, formatter and linter set-up, the core's clock, errors, invariants, fleet data and piece names, and the event loop with HTTP server, HTTP client and log client. Conclusion: the parts can now be built side by side.

--- /dev/null
+++ b/packages/core/include/endivespan/error.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <boost/outcome/basic_result.hpp>
+#include <boost/outcome/policy/terminate.hpp>
+
+#include <span>
+#include <string>
+#include <string_view>
+
+/// The closed list of error kinds, and the answer that each one gives a caller.
+namespace endivespan {
+
+/// Everything that can go wrong with a request, a setting or a call to another process.
+enum class ErrorKind {
+    BadRequest,
+    BodyTooLarge,
+    Unauthorized,
+    NotPermitted,
+    UnknownModel,
+    UnknownService,
+    NotFound,
+    MethodNotAllowed,
+    Overloaded,
+    OrganisationOverLimit,
+    NoServer,
+    DeadlineExceeded,
+    HostNotReady,
+    ConfigurationStale,
+    HostStopping,
+    LogUnavailable,
+    InProgress,
+    OutcomeUnknown,
+    KeyReused,
+    PoisonRequest,
+    BackendFailed,
+    BackendUnreachable,
+    StreamCut,
+    BadSettings,
+    BadNote,
+    NoteConflict,
+    Timeout,
+    ConnectionFailed,
+    ProtocolError,
+    Internal,
+    Count,
+};
+
+/// Whether the request reached a backend server that may have run it.
+enum class RunState {
+    NotRun,
+    Ran,
+    Unknown,
+};
+
+/// The answer that belongs to one error kind.
+struct ErrorAnswer {
+    ErrorKind kind;
+    std::string_view name; ///< Stable identifier in bodies, logs and metrics.
+    int httpStatus;
+    RunState run;
+    bool retryable; ///< True when the same request may succeed later.
+};
+
+/// An error kind with what a person needs to know beside it.
+struct Error {
+    ErrorKind kind = ErrorKind::Internal;
+    std::string detail;
+};
+
+/// A value of type @p T, or an Error.
+template<typename T>
+using Result = boost::outcome_v2::basic_result<T, Error, boost::outcome_v2::policy::terminate>;
+
+/// @returns the answer for @p kind.
+const ErrorAnswer &errorAnswer(ErrorKind kind);
+
+/// @returns the whole table, one entry for each kind in the order of the enumeration.
+std::span<const ErrorAnswer> errorTable();
+
+/// @returns "not-run", "ran" or "unknown".
+std::string_view runStateName(RunState run);
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/core/include/endivespan/handle.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <limits>
+
+/// Small typed handles that stand for pool entries, instead of pointers and strings.
+namespace endivespan {
+
+/// Index into a pool of @p Tag entries; a default-made handle is invalid.
+template<typename Tag>
+struct Handle {
+    static constexpr std::uint32_t Invalid = std::numeric_limits<std::uint32_t>::max();
+
+    std::uint32_t index = Invalid;
+
+    /// @returns true when the handle names an entry.
+    [[nodiscard]] constexpr bool isValid() const
+    {
+        return this->index != Invalid;
+    }
+
+    constexpr auto operator<=>(const Handle &) const = default;
+};
+
+using OrganisationHandle = Handle<struct OrganisationTag>;
+using ModelHandle = Handle<struct ModelTag>;
+using DomainHandle = Handle<struct DomainTag>;
+using ServerHandle = Handle<struct ServerTag>;
+using StoreHandle = Handle<struct StoreTag>;
+using HostHandle = Handle<struct HostTag>;
+
+} // namespace endivespan
+
+template<typename Tag>
+struct std::hash<endivespan::Handle<Tag>> {
+    std::size_t operator()(const endivespan::Handle<Tag> &handle) const noexcept
+    {
+        return std::hash<std::uint32_t> {}(handle.index);
+    }
+};
--- /dev/null
+++ b/packages/core/include/endivespan/prefix.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <endivespan/clock.h>
+
+#include <array>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Names of cache pieces: a hash chain over the prompt, scoped so that no two organisations or weight versions share.
+namespace endivespan {
+
+/// Name of one cache piece; covers the scope, every earlier piece and its own bytes.
+struct PieceKey {
+    std::array<std::uint8_t, 16> bytes {};
+
+    auto operator<=>(const PieceKey &) const = default;
+
+    /// @returns the name as 32 lower-case hexadecimal digits.
+    [[nodiscard]] std::string hex() const;
+
+    /// @returns the key written as 32 hexadecimal digits, or a zero key for any other text.
+    static PieceKey fromHex(std::string_view text);
+};
+
+/// What a cache piece may be used for; two scopes never share a piece.
+struct PieceScope {
+    std::string organisation;
+    std::string model;
+    std::string version;
+    std::string adapter;
+};
+
+/// Splits a prompt into pieces of config::PieceBytes and names each full one.
+/// @param scope Who and which weights the pieces belong to.
+/// @param prompt The whole prompt.
+/// @returns the names in order; the bytes after the last full piece have none.
+std::vector<PieceKey> pieceChain(const PieceScope &scope, std::string_view prompt);
+
+/// @returns the lower-case hexadecimal SHA-256 of @p text.
+std::string sha256Hex(std::string_view text);
+
+} // namespace endivespan
+
+template<>
+struct std::hash<endivespan::PieceKey> {
+    std::size_t operator()(const endivespan::PieceKey &key) const noexcept;
+};
--- /dev/null
+++ b/packages/net/src/http_client.cpp
@@ -0,0 +1,258 @@
+#include "net_p.h"
+
+#include <endivespan/http_client.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace endivespan {
+
+namespace {
+
+evhttp_cmd_type commandOf(const std::string &method)
+{
+    if (method == "POST") {
+        return EVHTTP_REQ_POST;
+    }
+    if (method == "PUT") {
+        return EVHTTP_REQ_PUT;
+    }
+    if (method == "DELETE") {
+        return EVHTTP_REQ_DELETE;
+    }
+    if (method == "HEAD") {
+        return EVHTTP_REQ_HEAD;
+    }
+    if (method == "PATCH") {
+        return EVHTTP_REQ_PATCH;
+    }
+    return EVHTTP_REQ_GET;
+}
+
+class Pending : public HttpPending
+{
+public:
+    Pending(Loop &loop, const HttpCall &call, HttpCallbacks callbacks)
+        : loop(loop)
+        , callbacks(std::move(callbacks))
+        , silenceTimeout(call.silenceTimeout)
+    {
+        this->start(call);
+    }
+
+    ~Pending() override
+    {
+        if (this->connection != nullptr) {
+            evhttp_connection_free(this->connection);
+        }
+    }
+
+    Pending(const Pending &) = delete;
+    Pending &operator=(const Pending &) = delete;
+
+private:
+    void start(const HttpCall &call)
+    {
+        const auto [host, port] = splitAddress(call.address);
+        this->connection
+            = evhttp_connection_base_new(this->loop.base(), nullptr, host.c_str(), static_cast<ev_uint16_t>(port));
+        evhttp_request *request = evhttp_request_new(&Pending::done, this);
+        evhttp_request_set_error_cb(request, &Pending::failed);
+        evhttp_request_set_header_cb(request, &Pending::headReceived);
+        if (this->callbacks.onChunk) {
+            evhttp_request_set_chunked_cb(request, &Pending::chunkReceived);
+        }
+        evkeyvalq *headers = evhttp_request_get_output_headers(request);
+        evhttp_add_header(headers, "Host", call.address.c_str());
+        evhttp_add_header(headers, "Connection", "close");
+        for (const auto &[name, value] : call.headers) {
+            evhttp_add_header(headers, name.c_str(), value.c_str());
+        }
+        evbuffer_add(evhttp_request_get_output_buffer(request), call.body.data(), call.body.size());
+        evhttp_make_request(this->connection, request, commandOf(call.method), call.target.c_str());
+        this->watchConnect(call.connectTimeout);
+    }
+
+    // evhttp has one timeout for all of a call; connecting gets a shorter one of its own.
+    void watchConnect(std::chrono::milliseconds connectTimeout)
+    {
+        bufferevent *stream = evhttp_connection_get_bufferevent(this->connection);
+        this->connectTimer = this->loop.after(connectTimeout, [this, stream] {
+            const int socket = bufferevent_getfd(stream);
+            if (!isConnected(socket)) {
+                this->fail({ErrorKind::ConnectionFailed, "connect timed out"}, false);
+            }
+        });
+        this->watchSilence();
+    }
+
+    void watchSilence()
+    {
+        this->silenceTimer = this->loop.after(this->silenceTimeout, [this] {
+            this->fail({ErrorKind::Timeout, "no byte for too long"}, true);
+        });
+    }
+
+    static bool isConnected(int socket)
+    {
+        sockaddr_storage address {};
+        socklen_t size = sizeof(address);
+        return socket >= 0 && getpeername(socket, reinterpret_cast<sockaddr *>(&address), &size) == 0;
+    }
+
+    static int headReceived(evhttp_request *request, void *context)
+    {
+        auto *self = static_cast<Pending *>(context);
+        self->connectTimer.reset();
+        self->watchSilence();
+        self->answer.status = evhttp_request_get_response_code(request);
+        self->answer.headers = readHeaders(evhttp_request_get_input_headers(request));
+        return 0;
+    }
+
+    static void chunkReceived(evhttp_request *request, void *context)
+    {
+        auto *self = static_cast<Pending *>(context);
+        self->watchSilence();
+        const std::string bytes = takeBuffer(evhttp_request_get_input_buffer(request));
+        // The owner may destroy this call inside the callback, which evhttp does not bear: hand it over later.
+        self->undelivered += bytes;
+        if (!self->deliveryPosted) {
+            self->deliveryPosted = true;
+            self->deliveryTimer = self->loop.after(Duration::zero(), [self] { self->deliver(); });
+        }
+    }
+
+    void deliver()
+    {
+        this->deliveryPosted = false;
+        const std::string bytes = std::exchange(this->undelivered, {});
+        const auto callback = this->callbacks.onChunk;
+        callback(this->answer.status, bytes);
+    }
+
+    static void failed(evhttp_request_error reason, void *context)
+    {
+        auto *self = static_cast<Pending *>(context);
+        self->reason = reason == EVREQ_HTTP_TIMEOUT ? ErrorKind::Timeout : ErrorKind::StreamCut;
+        self->errorSeen = true;
+    }
+
+    static void done(evhttp_request *request, void *context)
+    {
+        auto *self = static_cast<Pending *>(context);
+        self->silenceTimer.reset();
+        self->connectTimer.reset();
+        const bool whole = request != nullptr && !self->errorSeen && evhttp_request_get_response_code(request) != 0;
+        if (!whole) {
+            // Without an error report the connection was never made.
+            const bool sent = self->errorSeen || self->answer.status != 0;
+            self->settleLater(sent ? self->reason : ErrorKind::ConnectionFailed, sent);
+            return;
+        }
+        self->answer.status = evhttp_request_get_response_code(request);
+        self->answer.headers = readHeaders(evhttp_request_get_input_headers(request));
+        const std::string rest = takeBuffer(evhttp_request_get_input_buffer(request));
+        (self->callbacks.onChunk ? self->undelivered : self->answer.body) += rest;
+        self->settleTimer = self->loop.after(Duration::zero(), [self] { self->succeed(); });
+    }
+
+    void settleLater(ErrorKind kind, bool sent)
+    {
+        this->settleTimer = this->loop.after(Duration::zero(), [this, kind, sent] {
+            this->fail({kind, sent ? "connection closed before the answer was whole" : "connection refused"}, sent);
+        });
+    }
+
+    void succeed()
+    {
+        const auto callback = this->callbacks.onDone;
+        const HttpAnswer whole = std::move(this->answer);
+        if (!this->undelivered.empty()) {
+            // The owner must not destroy the call from a chunk that ends it; it gets onDone right after.
+            const auto chunk = this->callbacks.onChunk;
+            const std::string bytes = std::exchange(this->undelivered, {});
+            const std::weak_ptr<int> alive = this->life;
+            chunk(whole.status, bytes);
+            if (alive.expired()) {
+                return;
+            }
+        }
+        callback(whole);
+    }
+
+    void fail(const Error &error, bool sent)
+    {
+        const auto callback = this->callbacks.onFailure;
+        if (this->connection != nullptr) {
+            evhttp_connection_free(std::exchange(this->connection, nullptr));
+        }
+        this->connectTimer.reset();
+        this->silenceTimer.reset();
+        this->settleTimer.reset();
+        if (callback) {
+            callback({error, sent});
+        }
+    }
+
+    Loop &loop;
+    HttpCallbacks callbacks;
+    std::chrono::milliseconds silenceTimeout;
+    HttpAnswer answer;
+    std::string undelivered;
+    bool deliveryPosted = false;
+    bool errorSeen = false;
+    ErrorKind reason = ErrorKind::StreamCut;
+    evhttp_connection *connection = nullptr;
+    std::unique_ptr<Timer> connectTimer;
+    std::unique_ptr<Timer> silenceTimer;
+    std::unique_ptr<Timer> deliveryTimer;
+    std::unique_ptr<Timer> settleTimer;
+    std::shared_ptr<int> life = std::make_shared<int>(0);
+};
+
+} // namespace
+
+std::unique_ptr<HttpPending> startHttpCall(Loop &loop, const HttpCall &call, HttpCallbacks callbacks)
+{
+    return std::make_unique<Pending>(loop, call, std::move(callbacks));
+}
+
+std::vector<EventParser::Event> EventParser::feed(std::string_view bytes)
+{
+    std::vector<Event> events;
+    this->buffer += bytes;
+    std::size_t end = 0;
+    while ((end = this->buffer.find("\n\n")) != std::string::npos) {
+        const std::string block = this->buffer.substr(0, end);
+        this->buffer.erase(0, end + 2);
+        Event event;
+        std::size_t start = 0;
+        while (start < block.size()) {
+            const std::size_t stop = std::min(block.find('\n', start), block.size());
+            const std::string_view line = std::string_view(block).substr(start, stop - start);
+            start = stop + 1;
+            if (line.starts_with(":")) {
+                event.comment = true;
+            } else if (line.starts_with("id: ")) {
+                event.id = line.substr(4);
+            } else if (line.starts_with("event: ")) {
+                event.name = line.substr(7);
+            } else if (line.starts_with("data: ")) {
+                event.data += event.data.empty() ? "" : "\n";
+                event.data += line.substr(6);
+            }
+        }
+        events.push_back(std::move(event));
+    }
+    return events;
+}
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/net/src/net_p.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <endivespan/http_server.h>
+
+#include <string>
+#include <utility>
+
+struct evbuffer;
+struct evkeyvalq;
+
+/// Helpers shared by the parts of this package.
+namespace endivespan {
+
+/// @returns the host and port of "host:port"; port 0 where none is given.
+std::pair<std::string, int> splitAddress(const std::string &address);
+
+/// @returns the port that a bound socket listens on.
+int localPort(int socket);
+
+/// @returns all header fields, names in lower case.
+HttpHeaders readHeaders(const evkeyvalq *fields);
+
+/// @returns everything in @p buffer, which is left empty.
+std::string takeBuffer(evbuffer *buffer);
+
+} // namespace endivespan
--- /dev/null
+++ b/tests/standins/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
