Route prompts by least expected time to first token

Cause: prompts return after gaps; a prefix may be in a runner's memory, in a store behind a limited link, or nowhere.

Conclusion: ready to be wired into the prompt path.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -51,6 +51,18 @@
 // Poison requests
 
 // Routing and directory
+constexpr std::size_t DirectoryServersPerPiece = 6;
+constexpr std::size_t DirectoryStoresPerPiece = 2;
+constexpr std::size_t RouteSampledServers = 16; ///< Pools up to this size are weighed whole.
+constexpr std::size_t RouteListedCandidates = 4;
+constexpr double RouteNearBestShare = 0.05; ///< Candidates within this share of the best are as good.
+constexpr std::chrono::milliseconds RouteNearBestSlack = 2ms;
+constexpr std::chrono::milliseconds LoadReportLag = 100ms; ///< Age of a load report when it arrives, unless known.
+constexpr std::chrono::milliseconds LoadReportMemory = 1000ms; ///< Age at which a report has lost 63% of its weight.
+constexpr double RateSmoothing = 0.1; ///< Share of a new sample in a smoothed rate.
+constexpr double StartPrefillTokensPerSecond = 20'000.0;
+constexpr double StartImportBytesPerSecond = 50e6;
+constexpr std::chrono::milliseconds StartRunTime = 1000ms;
 
 // Keeping pieces
 
--- a/packages/core/include/endivespan/handle.h
+++ b/packages/core/include/endivespan/handle.h
@@ -26,6 +26,7 @@
 
 using OrganisationHandle = Handle<struct OrganisationTag>;
 using ModelHandle = Handle<struct ModelTag>;
+using VersionHandle = Handle<struct VersionTag>; ///< One weight version of one model, with its adapter.
 using DomainHandle = Handle<struct DomainTag>;
 using ServerHandle = Handle<struct ServerTag>;
 using StoreHandle = Handle<struct StoreTag>;
--- /dev/null
+++ b/packages/core/src/directory.cpp
@@ -0,0 +1,346 @@
+#include <endivespan/directory.h>
+
+#include <algorithm>
+#include <bit>
+#include <functional>
+
+namespace endivespan {
+
+namespace {
+
+constexpr std::uint32_t Empty = 0xFFFFFFFF;
+
+std::size_t bucketCountFor(std::size_t pieces)
+{
+    return std::bit_ceil(pieces + pieces / 2 + 1);
+}
+
+} // namespace
+
+Directory::Directory(const DirectoryLimits &limits)
+    : limits(limits)
+    , entries(limits.pieces)
+    , buckets(bucketCountFor(limits.pieces), Empty)
+    , serverSources(limits.servers)
+    , storeSources(limits.stores)
+{
+    this->freeEntries.reserve(limits.pieces);
+    for (std::size_t i = limits.pieces; i > 0; --i) {
+        this->freeEntries.push_back(static_cast<std::uint32_t>(i - 1));
+    }
+}
+
+std::size_t Directory::homeOf(const PieceKey &key) const
+{
+    return std::hash<PieceKey> {}(key) & (this->buckets.size() - 1);
+}
+
+std::uint32_t Directory::locate(const PieceKey &key) const
+{
+    const std::size_t mask = this->buckets.size() - 1;
+    for (std::size_t bucket = this->homeOf(key); this->buckets[bucket] != Empty; bucket = (bucket + 1) & mask) {
+        const std::uint32_t index = this->buckets[bucket];
+        if (this->entries[index].key == key) {
+            return index;
+        }
+    }
+    return Empty;
+}
+
+Directory::Entry *Directory::findEntry(const PieceKey &key)
+{
+    const std::uint32_t index = this->locate(key);
+    return index == Empty ? nullptr : &this->entries[index];
+}
+
+Directory::Entry &Directory::obtainEntry(const PieceKey &key)
+{
+    if (Entry *entry = this->findEntry(key); entry != nullptr) {
+        return *entry;
+    }
+    const std::uint32_t index = this->takeFree();
+    const std::size_t mask = this->buckets.size() - 1;
+    std::size_t bucket = this->homeOf(key);
+    while (this->buckets[bucket] != Empty) {
+        bucket = (bucket + 1) & mask;
+    }
+    this->buckets[bucket] = index;
+    Entry &entry = this->entries[index];
+    entry = Entry {};
+    entry.key = key;
+    entry.used = true;
+    ++this->counters.pieces;
+    return entry;
+}
+
+// Second-chance eviction; entries that no longer name a holder go at once.
+std::uint32_t Directory::takeFree()
+{
+    while (this->freeEntries.empty()) {
+        const auto index = static_cast<std::uint32_t>(this->clockHand);
+        this->clockHand = (this->clockHand + 1) % this->entries.size();
+        Entry &entry = this->entries[index];
+        if (entry.referenced && this->holdsAnything(entry)) {
+            entry.referenced = false;
+            continue;
+        }
+        ++this->counters.evictions;
+        this->removeEntry(index);
+    }
+    const std::uint32_t index = this->freeEntries.back();
+    this->freeEntries.pop_back();
+    return index;
+}
+
+void Directory::removeEntry(std::uint32_t index)
+{
+    const std::size_t mask = this->buckets.size() - 1;
+    std::size_t bucket = this->homeOf(this->entries[index].key);
+    while (this->buckets[bucket] != index) {
+        bucket = (bucket + 1) & mask;
+    }
+    this->unlinkBucket(bucket);
+    this->entries[index].used = false;
+    this->freeEntries.push_back(index);
+    --this->counters.pieces;
+}
+
+// Moves later entries of the probe sequence back, so that no tombstones are needed.
+void Directory::unlinkBucket(std::size_t bucket)
+{
+    const std::size_t mask = this->buckets.size() - 1;
+    std::size_t hole = bucket;
+    for (std::size_t next = (hole + 1) & mask; this->buckets[next] != Empty; next = (next + 1) & mask) {
+        const std::size_t home = this->homeOf(this->entries[this->buckets[next]].key);
+        if (((next - home) & mask) >= ((next - hole) & mask)) {
+            this->buckets[hole] = this->buckets[next];
+            hole = next;
+        }
+    }
+    this->buckets[hole] = Empty;
+}
+
+bool Directory::holdsAnything(const Entry &entry) const
+{
+    const auto current = [](const std::vector<Source> &sources) {
+        return [&sources](const Slot &slot) { return slot.epoch != 0 && sources[slot.index].epoch == slot.epoch; };
+    };
+    return std::any_of(entry.servers.begin(), entry.servers.end(), current(this->serverSources))
+        || std::any_of(entry.stores.begin(), entry.stores.end(), current(this->storeSources));
+}
+
+void Directory::addServer(Entry &entry, ServerHandle server)
+{
+    const std::uint16_t epoch = this->serverSources[server.index].epoch;
+    Slot *place = nullptr;
+    for (Slot &slot : entry.servers) {
+        if (slot.index == server.index && slot.epoch != 0) {
+            slot.epoch = epoch;
+            return;
+        }
+        if (place == nullptr && (slot.epoch == 0 || this->serverSources[slot.index].epoch != slot.epoch)) {
+            place = &slot;
+        }
+    }
+    if (place == nullptr) {
+        place = &entry.servers.at(entry.nextServer);
+        entry.nextServer = static_cast<std::uint8_t>((entry.nextServer + 1) % entry.servers.size());
+    }
+    *place = {static_cast<std::uint16_t>(server.index), epoch};
+}
+
+void Directory::removeServer(Entry &entry, ServerHandle server)
+{
+    for (Slot &slot : entry.servers) {
+        if (slot.index == server.index) {
+            slot.epoch = 0;
+        }
+    }
+}
+
+// Epoch 0 marks an empty slot. When the counter wraps, every slot of the source is cleared first.
+void Directory::nextEpoch(std::vector<Source> &sources, std::uint32_t index, bool servers)
+{
+    Source &source = sources[index];
+    if (source.epoch != 0xFFFF) {
+        ++source.epoch;
+        return;
+    }
+    source.epoch = 1;
+    for (Entry &entry : this->entries) {
+        std::span<Slot> slots = entry.stores;
+        if (servers) {
+            slots = entry.servers;
+        }
+        for (Slot &slot : slots) {
+            slot.epoch = slot.index == index ? std::uint16_t {0} : slot.epoch;
+        }
+    }
+}
+
+void Directory::observeIncarnation(ServerHandle server, std::uint64_t incarnation)
+{
+    Source &source = this->serverSources[server.index];
+    if (source.known && source.incarnation == incarnation) {
+        return;
+    }
+    if (source.known) {
+        ++this->counters.restarts;
+        this->nextEpoch(this->serverSources, server.index, true);
+    }
+    source.known = true;
+    source.incarnation = incarnation;
+    source.nextSequence = 0;
+}
+
+void Directory::applyEvents(ServerHandle server, std::uint64_t incarnation, std::span<const CacheEvent> events)
+{
+    if (server.index >= this->serverSources.size()) {
+        return;
+    }
+    this->observeIncarnation(server, incarnation);
+    Source &source = this->serverSources[server.index];
+    for (const CacheEvent &event : events) {
+        if (event.sequence < source.nextSequence) {
+            continue;
+        }
+        if (event.sequence > source.nextSequence && source.nextSequence != 0) {
+            ++this->counters.gaps;
+            if (this->limits.gapRule == GapRule::Drop) {
+                this->nextEpoch(this->serverSources, server.index, true);
+            }
+        }
+        source.nextSequence = event.sequence + 1;
+        if (event.kind == CacheEventKind::Stored) {
+            this->addServer(this->obtainEntry(event.piece), server);
+        } else if (Entry *entry = this->findEntry(event.piece); entry != nullptr) {
+            this->removeServer(*entry, server);
+        }
+    }
+}
+
+void Directory::applyRun(ServerHandle server,
+                         std::uint64_t incarnation,
+                         const DirectoryScope &scope,
+                         std::span<const PieceKey> pieces)
+{
+    if (server.index >= this->serverSources.size()) {
+        return;
+    }
+    this->observeIncarnation(server, incarnation);
+    for (const PieceKey &piece : pieces) {
+        Entry &entry = this->obtainEntry(piece);
+        entry.scope = scope;
+        entry.referenced = true;
+        this->addServer(entry, server);
+    }
+}
+
+void Directory::forgetPieces(ServerHandle server, std::span<const PieceKey> pieces)
+{
+    for (const PieceKey &piece : pieces) {
+        if (Entry *entry = this->findEntry(piece); entry != nullptr) {
+            this->removeServer(*entry, server);
+        }
+    }
+}
+
+void Directory::forgetServer(ServerHandle server)
+{
+    if (server.index < this->serverSources.size()) {
+        this->nextEpoch(this->serverSources, server.index, true);
+        this->serverSources[server.index].known = false;
+    }
+}
+
+void Directory::applyListing(StoreHandle store, std::span<const StoreListing> listing)
+{
+    if (store.index >= this->storeSources.size()) {
+        return;
+    }
+    const std::uint16_t epoch = this->storeSources[store.index].epoch;
+    for (const StoreListing &item : listing) {
+        Entry &entry = this->obtainEntry(item.piece);
+        std::size_t place = entry.stores.size();
+        for (std::size_t i = 0; i < entry.stores.size(); ++i) {
+            const Slot &slot = entry.stores.at(i);
+            if (slot.epoch != 0 && slot.index == store.index) {
+                place = i;
+                break;
+            }
+            if (slot.epoch == 0 || this->storeSources[slot.index].epoch != slot.epoch) {
+                place = std::min(place, i);
+            }
+        }
+        if (place == entry.stores.size()) {
+            place = entry.nextStore;
+            entry.nextStore = static_cast<std::uint8_t>((entry.nextStore + 1) % entry.stores.size());
+        }
+        entry.stores.at(place) = {static_cast<std::uint16_t>(store.index), epoch};
+        entry.generations.at(place) = item.generation;
+        entry.bytes = item.bytes;
+    }
+}
+
+void Directory::forgetCopy(StoreHandle store, const PieceKey &piece)
+{
+    if (Entry *entry = this->findEntry(piece); entry != nullptr) {
+        for (Slot &slot : entry->stores) {
+            slot.epoch = slot.index == store.index ? std::uint16_t {0} : slot.epoch;
+        }
+    }
+}
+
+void Directory::forgetStore(StoreHandle store)
+{
+    if (store.index < this->storeSources.size()) {
+        this->nextEpoch(this->storeSources, store.index, false);
+    }
+}
+
+PieceHolders Directory::find(const PieceKey &piece, const DirectoryScope &scope) const
+{
+    PieceHolders holders;
+    const std::uint32_t index = this->locate(piece);
+    if (index == Empty) {
+        return holders;
+    }
+    const Entry &entry = this->entries[index];
+    // Scopes are part of the name, so a mismatch is a fault of the caller or a collision; never use the piece then.
+    const bool learned = entry.scope.organisation.isValid();
+    const bool sameOrganisation = !learned || entry.scope.organisation == scope.organisation;
+    const bool sameVersion = !learned || entry.scope.version == scope.version;
+    if (!sameOrganisation || !sameVersion) {
+        ++this->counters.scopeMismatches;
+        return holders;
+    }
+    holders.scope = entry.scope;
+    entry.referenced = true;
+    holders.bytes = entry.bytes;
+    for (const Slot &slot : entry.servers) {
+        if (slot.epoch != 0 && this->serverSources[slot.index].epoch == slot.epoch) {
+            holders.servers.at(holders.serverCount++) = ServerHandle {slot.index};
+        }
+    }
+    for (std::size_t i = 0; i < entry.stores.size(); ++i) {
+        const Slot &slot = entry.stores.at(i);
+        if (slot.epoch != 0 && this->storeSources[slot.index].epoch == slot.epoch) {
+            holders.stores.at(holders.storeCount++) = {StoreHandle {slot.index}, entry.generations.at(i)};
+        }
+    }
+    return holders;
+}
+
+std::size_t Directory::memoryBytes() const
+{
+    return this->entries.capacity() * sizeof(Entry) + this->freeEntries.capacity() * sizeof(std::uint32_t)
+        + this->buckets.capacity() * sizeof(std::uint32_t)
+        + (this->serverSources.capacity() + this->storeSources.capacity()) * sizeof(Source);
+}
+
+const DirectoryStats &Directory::stats() const
+{
+    return this->counters;
+}
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/core/src/route_leastloaded.cpp
@@ -0,0 +1,35 @@
+#include "route_common_p.h"
+
+namespace endivespan {
+
+namespace {
+
+class LeastLoadedRouter : public Router
+{
+public:
+    Decision route(const RouteRequest &request, const RouteView &view, TimePoint now) override
+    {
+        Decision decision;
+        const PromptHolders holders(request, view.directory);
+        if (const ServerHandle server = leastLoaded(request, view, now); server.isValid()) {
+            const Duration wait = view.loads.expectedWait(server, now);
+            offerCandidate(decision, weigh(request, view, holders, server, wait, {}, 0, false, now));
+            choose(decision, 0, holders);
+        }
+        return decision;
+    }
+
+    [[nodiscard]] std::string_view name() const override
+    {
+        return "least_loaded";
+    }
+};
+
+} // namespace
+
+std::unique_ptr<Router> makeLeastLoadedRouter()
+{
+    return std::make_unique<LeastLoadedRouter>();
+}
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/core/src/route_roundrobin.cpp
@@ -0,0 +1,44 @@
+#include "route_common_p.h"
+
+namespace endivespan {
+
+namespace {
+
+class RoundRobinRouter : public Router
+{
+public:
+    Decision route(const RouteRequest &request, const RouteView &view, TimePoint now) override
+    {
+        Decision decision;
+        const PromptHolders holders(request, view.directory);
+        const std::span<const ServerHandle> pool = view.loads.pool(request.model);
+        for (std::size_t i = 0; i < pool.size(); ++i) {
+            const ServerHandle server = pool[this->next++ % pool.size()];
+            if (!isEligible(request, view.loads.server(server), server)) {
+                continue;
+            }
+            const Duration wait = view.loads.expectedWait(server, now);
+            offerCandidate(decision, weigh(request, view, holders, server, wait, {}, 0, false, now));
+            choose(decision, 0, holders);
+            break;
+        }
+        return decision;
+    }
+
+    [[nodiscard]] std::string_view name() const override
+    {
+        return "round_robin";
+    }
+
+private:
+    std::size_t next = 0;
+};
+
+} // namespace
+
+std::unique_ptr<Router> makeRoundRobinRouter()
+{
+    return std::make_unique<RoundRobinRouter>();
+}
+
+} // namespace endivespan
