--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -65,7 +65,23 @@
 constexpr std::chrono::milliseconds StartRunTime = 1000ms;
 
 // Keeping pieces
+constexpr std::chrono::hours KeepHorizon = 24h; ///< A return later than this is worth nothing today.
+constexpr double KeepHighWatermark = 0.95; ///< Share of a store's bytes at which deletion starts.
+constexpr double KeepLowWatermark = 0.90; ///< Share at which it stops.
+constexpr double KeepRoomyShare = 0.85; ///< Below this share every piece of worth is exported.
+constexpr std::chrono::milliseconds ExportLinkWaitBound = 50ms; ///< Exports wait while imports queue longer.
+constexpr std::chrono::seconds StartReturnGap = 3600s;
+constexpr double StartReturnShare = 0.3; ///< Share of pieces that are used again at all.
 
 // Admission
+constexpr std::size_t AdmissionQueueBound = 512; ///< Requests that wait on one host for one model.
+constexpr std::size_t MaxOrganisations = 32'768;
+constexpr std::uint32_t DecodeTokenCost = 50; ///< Prefill tokens that cost a runner as much as one answer token.
+constexpr std::chrono::milliseconds AdmissionPrefillWindow = 250ms; ///< Prefill work sent ahead to each runner.
+constexpr double AdmissionBorrowFactor = 2.0; ///< Times its share of idle capacity that one host may use.
+constexpr double RetryBudgetShare = 0.1; ///< Retries granted for each success.
+constexpr double RetryBudgetMax = 20.0;
+constexpr std::chrono::seconds RetryAfterMin = 1s;
+constexpr std::chrono::seconds RetryAfterMax = 30s;
 
 } // namespace endivespan::config
--- a/packages/core/include/endivespan/handle.h
+++ b/packages/core/include/endivespan/handle.h
@@ -21,7 +21,8 @@
         return this->index != Invalid;
     }
 
-    constexpr auto operator<=>(const Handle &) const = default;
+    // The check takes the comparison with literal 0 for a pointer.
+    constexpr auto operator<=>(const Handle &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 using OrganisationHandle = Handle<struct OrganisationTag>;
--- a/packages/core/include/endivespan/load.h
+++ b/packages/core/include/endivespan/load.h
@@ -80,6 +80,14 @@
     double rateFactor = 1.0; ///< Smoothed ratio of measured to expected transfer time.
 };
 
+/// What the runners of one model offer together.
+struct PoolCapacity {
+    double places = 0; ///< Sum of capacities of the runners that may take work.
+    double freePlaces = 0;
+    double prefillTokensPerSecond = 0;
+    double freePrefillTokens = 0; ///< What fits into config::AdmissionPrefillWindow beside the work reported.
+};
+
 /// Sizes of the pools, fixed for the life of a table.
 struct LoadLimits {
     std::size_t servers = 1024;
@@ -139,6 +147,9 @@
     /// @returns expected time to move @p bytes from @p store to @p server once the transfer has started.
     [[nodiscard]] Duration expectedTransfer(StoreHandle store, ServerHandle server, std::uint64_t bytes) const;
 
+    /// @returns what the runners of @p model that may take work offer, by their reports.
+    [[nodiscard]] PoolCapacity poolCapacity(ModelHandle model) const;
+
     /// @returns the runners that serve @p model.
     [[nodiscard]] std::span<const ServerHandle> pool(ModelHandle model) const;
 
--- a/packages/core/include/endivespan/prefix.h
+++ b/packages/core/include/endivespan/prefix.h
@@ -17,7 +17,8 @@
 struct PieceKey {
     std::array<std::uint8_t, 16> bytes {};
 
-    auto operator<=>(const PieceKey &) const = default;
+    // The check takes the comparison with literal 0 for a pointer.
+    auto operator<=>(const PieceKey &) const = default; // NOLINT(modernize-use-nullptr)
 
     /// @returns the name as 32 lower-case hexadecimal digits.
     [[nodiscard]] std::string hex() const;
--- /dev/null
+++ b/packages/core/src/admit.cpp
@@ -0,0 +1,364 @@
+#include <endivespan/admit.h>
+#include <endivespan/invariant.h>
+
+#include <algorithm>
+
+namespace endivespan {
+
+namespace {
+
+constexpr double MinQueueSeconds = 1.0; // A queue shorter than this would refuse ordinary bursts.
+
+double costOf(std::uint32_t prefillTokens, std::uint32_t maxTokens)
+{
+    return static_cast<double>(prefillTokens) + static_cast<double>(maxTokens) * config::DecodeTokenCost;
+}
+
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+AdmissionCapacity capacityOfHost(const PoolCapacity &pool, std::size_t hosts)
+{
+    const double window = toSeconds(config::AdmissionPrefillWindow);
+    const double share = 1.0 / static_cast<double>(std::max<std::size_t>(hosts, 1));
+    AdmissionCapacity capacity;
+    capacity.runs = share * (pool.places + config::AdmissionBorrowFactor * pool.freePlaces);
+    capacity.prefillTokens
+        = share * (pool.prefillTokensPerSecond * window + config::AdmissionBorrowFactor * pool.freePrefillTokens);
+    capacity.tokensPerSecond = share * pool.prefillTokensPerSecond;
+    return capacity;
+}
+
+Admission::Admission(const AdmissionLimits &limits)
+    : limits(limits)
+    , waiting(limits.queueBound)
+    , organisations(limits.organisations)
+{
+    this->freeWaiting.reserve(limits.queueBound);
+    for (std::size_t i = limits.queueBound; i > 0; --i) {
+        this->freeWaiting.push_back(static_cast<Index>(i - 1));
+    }
+    this->running.reserve(limits.inFlight);
+    this->active.reserve(limits.queueBound);
+}
+
+void Admission::setOrganisation(OrganisationHandle organisation, std::uint32_t weight, std::uint32_t inFlight)
+{
+    Organisation &state = this->organisations.at(organisation.index);
+    state.weight = std::max<std::uint32_t>(weight, 1);
+    state.limit = std::max<std::uint32_t>(inFlight, 1);
+}
+
+void Admission::setCapacity(const AdmissionCapacity &capacity, TimePoint now, AdmissionActions &actions)
+{
+    this->capacity = capacity;
+    while (this->counters.queued > this->bound()) {
+        this->shedOne(actions);
+    }
+    this->startWaiting(now, actions);
+    this->checkBound();
+}
+
+void Admission::offer(const AdmissionRequest &request, TimePoint now, AdmissionActions &actions)
+{
+    const Organisation &organisation = this->organisations.at(request.organisation.index);
+    if (organisation.running + organisation.queued >= organisation.limit) {
+        ++this->counters.refusedOrganisation;
+        this->refuse(request, ErrorKind::OrganisationOverLimit, actions);
+        return;
+    }
+    if (!this->meetsDeadline(request, now)) {
+        ++this->counters.refusedDeadline;
+        this->refuse(request, ErrorKind::Overloaded, actions);
+        return;
+    }
+    if (this->freeWaiting.empty()) {
+        this->shedOne(actions);
+    }
+    this->enqueue(request);
+    this->startWaiting(now, actions);
+    while (this->counters.queued > this->bound()) {
+        this->shedOne(actions);
+    }
+    this->checkBound();
+}
+
+void Admission::planned(std::uint64_t id, std::uint32_t recomputeTokens)
+{
+    Running *run = this->findRunning(id);
+    if (run == nullptr) {
+        return;
+    }
+    const double change = recomputeTokens - run->prefillTokens;
+    Organisation &organisation = this->organisations[run->organisation.index];
+    run->prefillTokens += change;
+    run->cost += change;
+    this->prefillInFlight += change;
+    organisation.finishTag += change / organisation.weight;
+}
+
+void Admission::firstToken(std::uint64_t id, TimePoint now, AdmissionActions &actions)
+{
+    if (Running *run = this->findRunning(id); run != nullptr) {
+        this->prefillInFlight -= run->prefillTokens;
+        run->prefillTokens = 0;
+        this->startWaiting(now, actions);
+    }
+}
+
+void Admission::finished(std::uint64_t id, TimePoint now, AdmissionActions &actions)
+{
+    Running *run = this->findRunning(id);
+    if (run == nullptr) {
+        return;
+    }
+    this->prefillInFlight -= run->prefillTokens;
+    --this->organisations[run->organisation.index].running;
+    *run = this->running.back();
+    this->running.pop_back();
+    this->startWaiting(now, actions);
+}
+
+void Admission::abandon(std::uint64_t id)
+{
+    for (Index i = 0; i < this->waiting.size(); ++i) {
+        if (this->waiting[i].used && this->waiting[i].request.id == id) {
+            this->remove(i);
+            return;
+        }
+    }
+}
+
+void Admission::tick(TimePoint now, AdmissionActions &actions)
+{
+    for (Index i = 0; i < this->waiting.size(); ++i) {
+        const Waiting &entry = this->waiting[i];
+        if (entry.used && entry.request.deadline <= now) {
+            ++this->counters.refusedDeadline;
+            this->refuse(entry.request, ErrorKind::DeadlineExceeded, actions);
+            this->remove(i);
+        }
+    }
+    this->startWaiting(now, actions);
+    this->checkBound();
+}
+
+AdmissionStats Admission::stats() const
+{
+    AdmissionStats stats = this->counters;
+    stats.inFlight = this->running.size();
+    stats.activeOrganisations = this->active.size();
+    return stats;
+}
+
+std::size_t Admission::memoryBytes() const
+{
+    return this->waiting.capacity() * sizeof(Waiting) + this->organisations.capacity() * sizeof(Organisation)
+        + this->running.capacity() * sizeof(Running)
+        + (this->freeWaiting.capacity() + this->active.capacity()) * sizeof(Index);
+}
+
+void Admission::refuse(const AdmissionRequest &request, ErrorKind kind, AdmissionActions &actions)
+{
+    actions.refuse.push_back({request.id, kind, this->retryAfter(request.random)});
+}
+
+// The time to work off what waits, and as much again at random, so that callers do not return together.
+Duration Admission::retryAfter(std::uint64_t random) const
+{
+    const double rate = this->capacity.tokensPerSecond;
+    const double drain = rate > 0 ? this->queuedCost / rate : toSeconds(config::RetryAfterMax);
+    const double base = std::clamp(drain, toSeconds(config::RetryAfterMin), toSeconds(config::RetryAfterMax));
+    const double jitter = base * static_cast<double>(random >> 11U) / static_cast<double>(1ULL << 53U);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(base + jitter));
+}
+
+bool Admission::mayStart() const
+{
+    const bool place = static_cast<double>(this->running.size()) < this->capacity.runs;
+    const bool prefill = this->prefillInFlight < this->capacity.prefillTokens;
+    return place && prefill && this->running.size() < this->limits.inFlight;
+}
+
+// The queue is as long as its capacity can serve in a few seconds, and at most the pool of entries.
+std::size_t Admission::bound() const
+{
+    const double runs = std::max(this->capacity.runs, 1.0) * 4 * MinQueueSeconds;
+    return std::min(this->limits.queueBound, static_cast<std::size_t>(runs));
+}
+
+// Within its share an organisation passes the others, so only the work of those that come before it counts.
+bool Admission::meetsDeadline(const AdmissionRequest &request, TimePoint now) const
+{
+    if (request.deadline <= now) {
+        return false;
+    }
+    const double rate = this->capacity.tokensPerSecond;
+    if (rate <= 0) {
+        return true;
+    }
+    const Organisation &own = this->organisations[request.organisation.index];
+    const double others = static_cast<double>(this->active.size()) + (own.queued == 0 ? 1 : 0);
+    const double ahead
+        = this->limits.fairShare ? std::min(this->queuedCost, own.queuedCost * others) : this->queuedCost;
+    return ahead / rate <= toSeconds(request.deadline - now);
+}
+
+void Admission::enqueue(const AdmissionRequest &request)
+{
+    const Index index = this->freeWaiting.back();
+    this->freeWaiting.pop_back();
+    Organisation &organisation = this->organisations[request.organisation.index];
+    Waiting &entry = this->waiting[index];
+    entry
+        = {request, costOf(request.prefillTokens, request.maxTokens), this->arrivals++, organisation.last, None, true};
+    if (organisation.last != None) {
+        this->waiting[organisation.last].next = index;
+    } else {
+        organisation.first = index;
+        organisation.finishTag = std::max(organisation.finishTag, this->virtualTime);
+        this->activate(request.organisation.index);
+    }
+    organisation.last = index;
+    ++organisation.queued;
+    organisation.queuedCost += entry.cost;
+    this->queuedCost += entry.cost;
+    ++this->counters.queued;
+}
+
+void Admission::remove(Index index)
+{
+    Waiting &entry = this->waiting[index];
+    Organisation &organisation = this->organisations[entry.request.organisation.index];
+    (entry.previous != None ? this->waiting[entry.previous].next : organisation.first) = entry.next;
+    (entry.next != None ? this->waiting[entry.next].previous : organisation.last) = entry.previous;
+    --organisation.queued;
+    organisation.queuedCost -= entry.cost;
+    this->queuedCost -= entry.cost;
+    --this->counters.queued;
+    entry.used = false;
+    this->freeWaiting.push_back(index);
+    if (organisation.queued == 0) {
+        this->deactivate(entry.request.organisation.index);
+    }
+}
+
+// Refuses the newest request of the organisation that has most waiting for its weight.
+void Admission::shedOne(AdmissionActions &actions)
+{
+    const Index organisation = this->longestOrganisation();
+    if (organisation == None) {
+        return;
+    }
+    const Index index = this->organisations[organisation].last;
+    ++this->counters.refusedQueueFull;
+    this->refuse(this->waiting[index].request, ErrorKind::Overloaded, actions);
+    this->remove(index);
+}
+
+Admission::Index Admission::nextOrganisation() const
+{
+    const auto before = [this](Index left, Index right) {
+        const Organisation &one = this->organisations[left];
+        const Organisation &other = this->organisations[right];
+        if (!this->limits.fairShare) {
+            return this->waiting[one.first].arrival < this->waiting[other.first].arrival;
+        }
+        return one.finishTag < other.finishTag;
+    };
+    const auto best = std::min_element(this->active.begin(), this->active.end(), before);
+    return best == this->active.end() ? None : *best;
+}
+
+Admission::Index Admission::longestOrganisation() const
+{
+    const auto shorter = [this](Index left, Index right) {
+        const Organisation &one = this->organisations[left];
+        const Organisation &other = this->organisations[right];
+        if (!this->limits.fairShare) {
+            return this->waiting[one.last].arrival < this->waiting[other.last].arrival;
+        }
+        return one.queuedCost / one.weight < other.queuedCost / other.weight;
+    };
+    const auto longest = std::max_element(this->active.begin(), this->active.end(), shorter);
+    return longest == this->active.end() ? None : *longest;
+}
+
+void Admission::startWaiting(TimePoint now, AdmissionActions &actions)
+{
+    while (!this->active.empty() && this->mayStart()) {
+        const Index index = this->organisations[this->nextOrganisation()].first;
+        const AdmissionRequest request = this->waiting[index].request;
+        const double cost = this->waiting[index].cost;
+        this->remove(index);
+        if (request.deadline <= now) {
+            ++this->counters.refusedDeadline;
+            this->refuse(request, ErrorKind::DeadlineExceeded, actions);
+            continue;
+        }
+        this->start(request, cost, actions);
+    }
+}
+
+void Admission::start(const AdmissionRequest &request, double cost, AdmissionActions &actions)
+{
+    Organisation &organisation = this->organisations[request.organisation.index];
+    const double startTag = std::max(organisation.finishTag, this->virtualTime);
+    this->virtualTime = std::max(this->virtualTime, startTag);
+    organisation.finishTag = startTag + cost / organisation.weight;
+    ++organisation.running;
+    this->prefillInFlight += request.prefillTokens;
+    this->running.push_back({request.id, request.organisation, static_cast<double>(request.prefillTokens), cost});
+    ++this->counters.started;
+    // An organisation that still has requests waiting here asks for more than its share.
+    const std::uint32_t priority = organisation.queued > 0 ? 1 : 0;
+    actions.start.push_back({request.id, priority});
+}
+
+void Admission::activate(Index organisation)
+{
+    this->organisations[organisation].activePlace = static_cast<Index>(this->active.size());
+    this->active.push_back(organisation);
+}
+
+void Admission::deactivate(Index organisation)
+{
+    const Index place = this->organisations[organisation].activePlace;
+    const Index moved = this->active.back();
+    this->active[place] = moved;
+    this->organisations[moved].activePlace = place;
+    this->active.pop_back();
+    this->organisations[organisation].activePlace = None;
+}
+
+void Admission::checkBound() const
+{
+    checkInvariant(Invariant::QueueWithinBound, this->counters.queued <= this->bound(), "admission queue");
+}
+
+Admission::Running *Admission::findRunning(std::uint64_t id)
+{
+    const auto found
+        = std::find_if(this->running.begin(), this->running.end(), [id](const Running &run) { return run.id == id; });
+    return found == this->running.end() ? nullptr : &*found;
+}
+
+void RetryBudget::onSuccess()
+{
+    this->tokens = std::min(config::RetryBudgetMax, this->tokens + config::RetryBudgetShare);
+}
+
+bool RetryBudget::tryTake()
+{
+    if (this->tokens < 1) {
+        return false;
+    }
+    this->tokens -= 1;
+    return true;
+}
+
+} // namespace endivespan
--- a/packages/core/src/load.cpp
+++ b/packages/core/src/load.cpp
@@ -290,6 +290,26 @@
     return fromSeconds(static_cast<double>(bytes) / rate * link.rateFactor);
 }
 
+PoolCapacity LoadTable::poolCapacity(ModelHandle model) const
+{
+    PoolCapacity capacity;
+    for (const ServerHandle server : this->pool(model)) {
+        const ServerLoad &load = this->servers[server.index];
+        if (!load.mayTakeWork || !load.reported) {
+            continue;
+        }
+        const double places = load.report.capacity;
+        const double taken = static_cast<double>(load.report.running) + load.report.queued;
+        const double rate = this->prefillRate(load);
+        const double window = rate * toSeconds(config::AdmissionPrefillWindow);
+        capacity.places += places;
+        capacity.freePlaces += std::max(0.0, places - taken);
+        capacity.prefillTokensPerSecond += rate;
+        capacity.freePrefillTokens += std::max(0.0, window - load.report.queuedPrefillTokens);
+    }
+    return capacity;
+}
+
 std::span<const ServerHandle> LoadTable::pool(ModelHandle model) const
 {
     if (model.index >= this->pools.size()) {
