Add engine and store clients, request parsing and answers

Cause: the prompt path needs its edges first. Change: HTTP adapters of engines and stores, the OpenAI-compatible request reader, the answer writer, metrics and the decision book. Conclusion: ready for wiring.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -19,10 +19,24 @@
 constexpr std::chrono::seconds DefaultDeadline = 30s;
 constexpr std::chrono::milliseconds StreamHeartbeatPeriod = 1000ms;
 
+constexpr std::chrono::milliseconds RetryHintBase = 500ms;
+constexpr std::chrono::milliseconds RetryHintSpread = 1000ms;
+constexpr std::size_t CallerBacklogBytes = 1024 * 1024;
+constexpr std::uint32_t DefaultMaxTokens = 64;
+constexpr std::uint32_t MaxTokensLimit = 8192;
+constexpr std::size_t ExplainRequests = 4096;
+constexpr std::size_t ExplainDecisionsPerRequest = 32;
+
 // Backend servers
+constexpr std::uint32_t PromptAttempts = 6;
+constexpr std::chrono::milliseconds AttemptPause = 20ms;
 constexpr std::chrono::milliseconds ConnectTimeout = 500ms;
 constexpr std::chrono::milliseconds StreamSilenceTimeout = 3000ms;
 constexpr std::chrono::milliseconds LoadReportPeriod = 200ms;
+constexpr std::chrono::milliseconds StoreListPeriod = 500ms;
+constexpr std::size_t StoreListPieces = 1000;
+constexpr std::size_t MaxVersionNames = 256;
+constexpr std::size_t MaxOrganisationNames = 65536;
 constexpr std::chrono::milliseconds LoadReportStaleAfter = 1500ms;
 
 // Prefix pieces
--- a/packages/net/src/log_client.cpp
+++ b/packages/net/src/log_client.cpp
@@ -1,11 +1,10 @@
 #include <endivespan/base64.h>
+#include <endivespan/call_group.h>
 #include <endivespan/config.h>
-#include <endivespan/http_client.h>
 #include <endivespan/log_client.h>
 
 #include <nlohmann/json.hpp>
 
-#include <map>
 #include <utility>
 
 namespace endivespan {
@@ -64,8 +63,8 @@
 {
 public:
     HttpLogClient(Loop &loop, std::string address)
-        : loop(loop)
-        , address(std::move(address))
+        : address(std::move(address))
+        , calls(loop)
     {
     }
 
@@ -79,13 +78,14 @@
         }
         HttpCall call = this->callTo("POST", "/streams/" + stream + "/append");
         call.body = json {{"records", encoded}}.dump();
-        HttpCallbacks callbacks;
-        callbacks.onDone = [done](const HttpAnswer &answer) { done(parseAck(answer)); };
-        callbacks.onFailure = [done](const HttpFailure &failure) {
-            const ErrorKind kind = failure.requestSent ? ErrorKind::OutcomeUnknown : ErrorKind::LogUnavailable;
-            done(Error {kind, failure.error.detail});
-        };
-        this->start(call, std::move(callbacks));
+        this->calls.start(call, [done](const auto &answer, const auto &failure) {
+            if (answer) {
+                done(parseAck(*answer));
+                return;
+            }
+            const ErrorKind kind = failure->requestSent ? ErrorKind::OutcomeUnknown : ErrorKind::LogUnavailable;
+            done(Error {kind, failure->error.detail});
+        });
     }
 
     void read(const std::string &stream,
@@ -98,12 +98,13 @@
                                      "/streams/" + stream + "/read?from=" + std::to_string(from) + "&max="
                                          + std::to_string(maxRecords) + "&wait_ms=" + std::to_string(wait.count()));
         call.silenceTimeout += wait;
-        HttpCallbacks callbacks;
-        callbacks.onDone = [done](const HttpAnswer &answer) { done(parseBatch(answer)); };
-        callbacks.onFailure = [done](const HttpFailure &failure) {
-            done(Error {ErrorKind::LogUnavailable, failure.error.detail});
-        };
-        this->start(call, std::move(callbacks));
+        this->calls.start(call, [done](const auto &answer, const auto &failure) {
+            if (answer) {
+                done(parseBatch(*answer));
+            } else {
+                done(Error {ErrorKind::LogUnavailable, failure->error.detail});
+            }
+        });
     }
 
 private:
@@ -118,26 +119,8 @@
         return call;
     }
 
-    void start(const HttpCall &call, HttpCallbacks callbacks)
-    {
-        const std::uint64_t id = this->nextId++;
-        auto onDone = std::move(callbacks.onDone);
-        auto onFailure = std::move(callbacks.onFailure);
-        callbacks.onDone = [this, id, onDone](const HttpAnswer &answer) {
-            const auto finished = this->calls.extract(id);
-            onDone(answer);
-        };
-        callbacks.onFailure = [this, id, onFailure](const HttpFailure &failure) {
-            const auto finished = this->calls.extract(id);
-            onFailure(failure);
-        };
-        this->calls[id] = startHttpCall(this->loop, call, std::move(callbacks));
-    }
-
-    Loop &loop;
     std::string address;
-    std::uint64_t nextId = 0;
-    std::map<std::uint64_t, std::unique_ptr<HttpPending>> calls;
+    CallGroup calls;
 };
 
 } // namespace
--- /dev/null
+++ b/packages/node/src/backends.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "fleet_source.h"
+
+#include <endivespan/directory.h>
+#include <endivespan/engine_client.h>
+#include <endivespan/load.h>
+#include <endivespan/names.h>
+#include <endivespan/store_client.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+/// The backend servers as this host sees them: configuration, load reports, cache hints.
+namespace endivespan {
+
+/// One runner or plain server of the fleet.
+struct Backend {
+    std::string name;
+    ServerKind kind = ServerKind::Runner;
+    std::string address;
+    std::string domain;
+    std::string pool;
+    std::string incarnation; ///< As last reported; empty when unheard of.
+    std::uint32_t coldConcurrency = 1;
+    std::uint32_t warmConcurrency = 1;
+    std::uint32_t inFlight = 0; ///< Own requests under way.
+    bool configured = false; ///< Part of the configuration in force.
+    bool mayTakeWork = false;
+    std::uint64_t nextEvent = 0;
+    bool loadAsked = false;
+    bool eventsAsked = false;
+};
+
+/// One store host of the fleet.
+struct StoreHost {
+    std::string name;
+    std::string address;
+    std::string domain;
+    std::string incarnation;
+    std::string listAfter;
+    bool configured = false;
+    bool loadAsked = false;
+    bool listAsked = false;
+};
+
+/// Says whether work that is not configured away may still go to a server, and is told what happened there.
+class ServerGate
+{
+public:
+    virtual ~ServerGate() = default;
+
+    /// @returns false for a server that is leaving.
+    [[nodiscard]] virtual bool mayTakeWork(const Backend &server) const = 0;
+
+    /// @returns false while a cold server has no credit left for this host.
+    [[nodiscard]] virtual bool hasCredit(const Backend &server) const = 0;
+
+    /// A load report came.
+    virtual void onLoad(const Backend &server, const EngineLoad &load) = 0;
+
+    /// A server refused a connection or did not answer in time.
+    virtual void onUnreachable(const Backend &server) = 0;
+};
+
+/// Follows the configuration and polls the servers.
+class Backends
+{
+public:
+    /// @param fleet Where the configuration comes from; must outlive this object, as must @p engines.
+    Backends(Loop &loop, const FleetSource &fleet, EngineClient &engines);
+
+    /// Sets who may veto work; none by default.
+    void setGate(ServerGate *newGate);
+
+    /// Takes over a changed configuration and starts the polls that are due.
+    void tick(TimePoint now);
+
+    /// @returns the runners and plain servers that were ever seen, indexed by handle.
+    [[nodiscard]] const std::vector<Backend> &servers() const;
+
+    [[nodiscard]] Backend &server(ServerHandle handle);
+    [[nodiscard]] StoreHost &store(StoreHandle handle);
+    [[nodiscard]] const std::vector<StoreHost> &stores() const;
+
+    /// @returns the handle of a weight version; it stands for model, version and adapter.
+    VersionHandle versionOf(const std::string &model, const std::string &version, const std::string &adapter);
+
+    /// @returns the handle of an organisation.
+    OrganisationHandle organisationOf(const std::string &name);
+
+    /// @returns the handle of a model.
+    ModelHandle modelOf(const std::string &name);
+
+    LoadTable loads;
+    Directory directory;
+
+private:
+    void sync();
+    void syncServer(const Fleet &fleet, const BackendServer &server);
+    void syncStore(const BackendServer &server);
+    void serveVersions(ServerHandle handle, const std::vector<std::string> &versions);
+    void refreshService();
+    void pollServer(ServerHandle handle);
+    void pollEvents(ServerHandle handle);
+    void pollStore(StoreHandle handle);
+    void onLoad(ServerHandle handle, const Result<EngineLoad> &load, TimePoint askedAt);
+    void onEvents(ServerHandle handle, const Result<EngineCacheEvents> &events);
+    void onStorePage(StoreHandle handle, const Result<StorePage> &page);
+
+    Loop &loop;
+    const FleetSource &fleet;
+    EngineClient &engines;
+    std::unique_ptr<StoreClient> storeClient;
+    ServerGate *gate = nullptr;
+    std::uint64_t syncedRevision = 0;
+    TimePoint nextPoll;
+    TimePoint nextList;
+    NameTable<ServerHandle> serverNames;
+    NameTable<StoreHandle> storeNames;
+    NameTable<ModelHandle> modelNames;
+    NameTable<VersionHandle> versionNames;
+    NameTable<OrganisationHandle> organisationNames;
+    std::vector<Backend> serverList;
+    std::vector<StoreHost> storeList;
+};
+
+} // namespace endivespan
