--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -12,6 +12,8 @@
 // Frame
 constexpr std::chrono::milliseconds TickPeriod = 20ms;
 
+constexpr std::chrono::milliseconds StopAcceptDelay = 1000ms;
+
 // Callers
 constexpr std::size_t MaxBodyBytes = 4 * 1024 * 1024;
 constexpr std::size_t MaxHeaderBytes = 32 * 1024;
--- a/packages/node/src/backends.cpp
+++ b/packages/node/src/backends.cpp
@@ -56,9 +56,9 @@
     return this->storeList;
 }
 
-VersionHandle Backends::versionOf(const std::string &model, const std::string &version, const std::string &adapter)
+VersionHandle Backends::versionOf(const std::string &model, const std::string &version)
 {
-    return this->versionNames.intern(model + '\n' + version + '\n' + adapter);
+    return this->versionNames.intern(model + '\n' + version);
 }
 
 OrganisationHandle Backends::organisationOf(const std::string &name)
@@ -175,7 +175,7 @@
     std::vector<VersionHandle> handles;
     for (const std::string &version : versions) {
         if (handles.size() < ServerLoad::MaxVersions) {
-            handles.push_back(this->versionOf(model, version, ""));
+            handles.push_back(this->versionOf(model, version));
         }
     }
     this->loads.setServer(handle, this->modelOf(model), handles);
--- a/packages/node/src/backends.h
+++ b/packages/node/src/backends.h
@@ -85,8 +85,8 @@
     [[nodiscard]] StoreHost &store(StoreHandle handle);
     [[nodiscard]] const std::vector<StoreHost> &stores() const;
 
-    /// @returns the handle of a weight version; it stands for model, version and adapter.
-    VersionHandle versionOf(const std::string &model, const std::string &version, const std::string &adapter);
+    /// @returns the handle of a weight version; it stands for model and version.
+    VersionHandle versionOf(const std::string &model, const std::string &version);
 
     /// @returns the handle of an organisation.
     OrganisationHandle organisationOf(const std::string &name);
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -1,4 +1,62 @@
-int main()
+#include "node.h"
+
+#include <endivespan/log.h>
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace {
+
+constexpr int ExitBadSettings = 2;
+constexpr int ExitCannotStart = 1;
+
+std::optional<std::string> readFile(const std::string &path)
 {
+    std::ifstream file(path);
+    if (!file) {
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+int serve(endivespan::Settings settings)
+{
+    endivespan::Loop loop;
+    endivespan::Node node(loop, std::move(settings), [&loop] { loop.stop(); });
+    const auto onTerminate = loop.onSignal(SIGTERM, [&node] { node.beginStop(); });
+    const auto onInterrupt = loop.onSignal(SIGINT, [&node] { node.beginStop(); });
+    if (const auto started = node.start(); !started) {
+        endivespan::logLine("node", "cannot start: {}", started.error().detail);
+        return ExitCannotStart;
+    }
+    loop.run();
     return 0;
 }
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app {"Serves prompts that return after long gaps: one host of endivespan."};
+    std::string path;
+    app.add_option("settings", path, "Settings of this host, in YAML")->required();
+    CLI11_PARSE(app, argc, argv);
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto text = readFile(path);
+    if (!text) {
+        std::cerr << path << ": cannot be read\n";
+        return ExitBadSettings;
+    }
+    auto settings = endivespan::parseSettings(*text, path);
+    if (!settings) {
+        std::cerr << endivespan::problemTexts(settings.error());
+        return ExitBadSettings;
+    }
+    return serve(std::move(settings.value()));
+}
--- /dev/null
+++ b/packages/node/src/node.cpp
@@ -0,0 +1,119 @@
+#include "node.h"
+
+#include "config_task.h"
+#include "operator_pages.h"
+
+#include <endivespan/config.h>
+#include <endivespan/invariant.h>
+#include <endivespan/log.h>
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace endivespan {
+
+Node::Node(Loop &loop, Settings settings, std::function<void()> onStopped)
+    : loop(loop)
+    , settings(std::move(settings))
+    , onStopped(std::move(onStopped))
+    , random(std::random_device {}())
+    , engines(EngineClient::create(loop))
+    , log(LogClient::create(loop, this->settings.logAddress))
+    , config(std::make_unique<ConfigTask>(loop, *this->log, this->settings))
+    , backends(std::make_unique<Backends>(loop, *this->config, *this->engines))
+    , context(std::make_unique<NodeContext>(NodeContext {loop,
+                                                         this->settings,
+                                                         *this->config,
+                                                         this->metrics,
+                                                         this->explain,
+                                                         *this->engines,
+                                                         *this->backends,
+                                                         this->random}))
+    , front(std::make_unique<Front>(*this->context))
+    , prompts(std::make_unique<PromptTask>(*this->context))
+{
+    setViolationHandler([](Invariant invariant, std::string_view detail) {
+        logLine("invariant", "{} violated: {}", invariantName(invariant), detail);
+    });
+}
+
+Node::~Node()
+{
+    setViolationHandler({});
+}
+
+Result<void> Node::start()
+{
+    this->front->addCallerPath("POST", "/v1/completions", [this](const auto &exchange, const Caller &caller) {
+        this->prompts->serve(PromptApi::Completions, exchange, caller);
+    });
+    this->front->addCallerPath("POST", "/v1/chat/completions", [this](const auto &exchange, const Caller &caller) {
+        this->prompts->serve(PromptApi::Chat, exchange, caller);
+    });
+    this->front->addCallerPath("GET", "/v1/models", [this](const auto &exchange, const Caller &caller) {
+        this->serveModels(*exchange, caller);
+    });
+    addOperatorPages(*this->front, *this->context, [this] {
+        return NodeStatus {this->prompts->inFlight(), this->stopping};
+    });
+    if (auto listening = this->front->listen(); !listening) {
+        return listening.error();
+    }
+    this->config->start();
+    this->ticker = this->loop.every(config::TickPeriod, [this] { this->tick(); });
+    logLine("node", "{} serves callers on port {}", this->settings.host, this->front->port());
+    return boost::outcome_v2::success();
+}
+
+void Node::tick()
+{
+    const TimePoint now = this->loop.now();
+    this->backends->tick(now);
+    this->prompts->tick();
+    if (this->stopping) {
+        this->continueStop(now);
+    }
+}
+
+void Node::serveModels(HttpExchange &exchange, const Caller &caller) const
+{
+    nlohmann::json models = nlohmann::json::array();
+    const Fleet &fleet = this->config->fleet();
+    for (const std::string &name : fleet.organisations.at(caller.organisation).models) {
+        models.push_back({{"id", name}, {"object", "model"}, {"version", fleet.models.at(name).version}});
+    }
+    replyJson(exchange, 200, nlohmann::json {{"object", "list"}, {"data", std::move(models)}}.dump());
+}
+
+void Node::beginStop()
+{
+    if (this->stopping) {
+        return;
+    }
+    logLine("node", "{} stops: {} answers under way", this->settings.host, this->front->openExchanges());
+    this->stopping = true;
+    this->front->refuseNew();
+    // The balancer needs a moment to see that this host is not ready; until then callers get a truthful refusal.
+    this->stopAcceptingAt = this->loop.now() + config::StopAcceptDelay;
+}
+
+void Node::continueStop(TimePoint now)
+{
+    if (!this->acceptingStopped) {
+        if (now >= this->stopAcceptingAt) {
+            this->acceptingStopped = true;
+            this->front->stopAccepting();
+        }
+        return;
+    }
+    if (this->front->openExchanges() > 0) {
+        return;
+    }
+    checkInvariant(Invariant::StopCutsNothing, this->prompts->inFlight() == 0, this->settings.host);
+    logLine("node", "{} stopped", this->settings.host);
+    this->ticker.reset();
+    this->onStopped();
+}
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/node/src/node.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "backends.h"
+#include "context.h"
+#include "explain.h"
+#include "fleet_source.h"
+#include "front.h"
+#include "metrics.h"
+#include "prompt_task.h"
+
+#include <endivespan/engine_client.h>
+#include <endivespan/log_client.h>
+#include <endivespan/loop.h>
+#include <endivespan/settings.h>
+
+#include <functional>
+#include <memory>
+#include <random>
+
+/// One host of the system: its tasks, their wiring, and its start and stop.
+namespace endivespan {
+
+class ConfigTask;
+
+/// Owns every task of the process.
+class Node
+{
+public:
+    /// @param onStopped Called once when a stop that was asked for is complete.
+    Node(Loop &loop, Settings settings, std::function<void()> onStopped);
+    ~Node();
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
+
+    /// Starts to listen and to follow the log.
+    Result<void> start();
+
+    /// Begins a graceful stop: refuses new work, finishes what is under way.
+    void beginStop();
+
+private:
+    void tick();
+    void serveModels(HttpExchange &exchange, const Caller &caller) const;
+    void continueStop(TimePoint now);
+
+    Loop &loop;
+    Settings settings;
+    std::function<void()> onStopped;
+    std::mt19937_64 random;
+    Metrics metrics;
+    ExplainBook explain;
+    std::unique_ptr<EngineClient> engines;
+    std::unique_ptr<LogClient> log;
+    std::unique_ptr<ConfigTask> config;
+    std::unique_ptr<Backends> backends;
+    std::unique_ptr<NodeContext> context;
+    std::unique_ptr<Front> front;
+    std::unique_ptr<PromptTask> prompts;
+    std::unique_ptr<Timer> ticker;
+    bool stopping = false;
+    bool acceptingStopped = false;
+    TimePoint stopAcceptingAt;
+};
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/node/src/operator_pages.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "context.h"
+#include "front.h"
+
+#include <functional>
+#include <string>
+
+/// Pages for operators: health, readiness, metrics, status and the decisions of one request.
+namespace endivespan {
+
+/// What the status page shows beside the configuration.
+struct NodeStatus {
+    std::size_t promptsInFlight = 0;
+    bool stopping = false;
+};
+
+/// Adds the operators' pages to @p front.
+/// @param status Asked for each status page.
+void addOperatorPages(Front &front, NodeContext &context, std::function<NodeStatus()> status);
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/node/src/prompt_run.cpp
@@ -0,0 +1,311 @@
+#include "prompt_run.h"
+
+#include <endivespan/config.h>
+#include <endivespan/invariant.h>
+#include <endivespan/log.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace endivespan {
+
+namespace {
+
+std::uint32_t tokensOf(const std::string &prompt)
+{
+    return static_cast<std::uint32_t>((prompt.size() + config::BytesPerToken - 1) / config::BytesPerToken);
+}
+
+std::chrono::milliseconds inMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
+} // namespace
+
+PromptRun::PromptRun(NodeContext &context, Router &router, PromptJob job, std::function<void(PromptEnd)> onEnd)
+    : context(context)
+    , router(router)
+    , job(std::move(job))
+    , onEnd(std::move(onEnd))
+    , writer(this->job.exchange, this->job.request, this->job.caller.requestId, this->job.model.version)
+    , arrivedAt(context.loop.now())
+    , deadline(this->arrivedAt + this->job.request.deadline)
+    , nextIndex(this->job.firstIndex)
+{
+    const PieceScope scope {
+        this->job.caller.organisation, this->job.model.name, this->job.model.version, this->job.request.adapter};
+    this->pieces = pieceChain(scope, this->job.request.prompt);
+}
+
+PromptRun::~PromptRun()
+{
+    if (this->run) {
+        this->context.engines.cancel(this->context.backends.server(this->server).address, this->attemptId);
+        this->endAttempt(false);
+    }
+}
+
+const std::string &PromptRun::model() const
+{
+    return this->job.model.name;
+}
+
+void PromptRun::start()
+{
+    this->job.exchange->onClosed([this] { this->end(PromptEnd::CallerGone); });
+    this->deadlineTimer = this->context.loop.after(this->job.request.deadline, [this] {
+        this->fail({ErrorKind::DeadlineExceeded, "the deadline of the request has passed"});
+    });
+    this->heartbeatTimer = this->context.loop.every(config::StreamHeartbeatPeriod, [this] { this->writer.heartbeat(); });
+    // The first attempt waits for the next turn of the loop, so that the caller of start() is done with its own state.
+    this->retryTimer = this->context.loop.after(Duration::zero(), [this] { this->attempt(); });
+}
+
+void PromptRun::attempt()
+{
+    ++this->attempts;
+    RouteRequest request;
+    request.organisation = this->context.backends.organisationOf(this->job.caller.organisation);
+    request.model = this->context.backends.modelOf(this->job.model.name);
+    request.version = this->context.backends.versionOf(this->job.model.name, this->job.model.version);
+    request.pieces = this->pieces;
+    request.promptTokens = tokensOf(this->job.request.prompt);
+    request.maxTokens = this->job.request.maxTokens;
+    request.excluded = this->excluded;
+    request.random = this->context.random();
+    const RouteView view {this->context.backends.loads, this->context.backends.directory};
+    this->decision = this->router.route(request, view, this->context.loop.now());
+    this->explain(this->decision);
+    if (this->decision.isValid()) {
+        this->dispatch(this->decision);
+        return;
+    }
+    this->excluded.clear();
+    this->retry({ErrorKind::NoServer, "no runner of '" + this->job.model.name + "' may take work"});
+}
+
+void PromptRun::explain(const Decision &choice)
+{
+    Backends &backends = this->context.backends;
+    if (!choice.isValid()) {
+        const std::string line = fmt::format("attempt {}: no runner, {} excluded", this->attempts, this->excluded.size());
+        logLine("route", "{} {}", this->job.caller.requestId, line);
+        this->context.explain.add(this->job.caller.requestId, line);
+        return;
+    }
+    const RoutePlan &plan = choice.plan;
+    const std::string store = plan.importPieces > 0 ? backends.store(plan.store).name : "-";
+    const std::string line = fmt::format("attempt {}: {} to {}, {} pieces in memory, {} imported from {}, {} tokens recomputed, "
+                                         "first token expected in {} ms",
+                                         this->attempts,
+                                         this->router.name(),
+                                         backends.server(choice.server).name,
+                                         plan.hitPieces,
+                                         plan.importPieces,
+                                         store,
+                                         plan.recomputeTokens,
+                                         inMilliseconds(choice.expected).count());
+    logLine("route", "{} {}", this->job.caller.requestId, line);
+    this->context.explain.add(this->job.caller.requestId, line);
+    for (std::uint8_t i = 0; i < choice.candidateCount; ++i) {
+        const RouteCandidate &candidate = choice.candidates.at(i);
+        this->context.explain.add(this->job.caller.requestId,
+                                  fmt::format("candidate {}: {} ms = wait {} + transfer {} + prefill {}, {} hit, {} imported",
+                                              backends.server(candidate.server).name,
+                                              inMilliseconds(candidate.expected).count(),
+                                              inMilliseconds(candidate.wait).count(),
+                                              inMilliseconds(candidate.transfer).count(),
+                                              inMilliseconds(candidate.prefill).count(),
+                                              candidate.plan.hitPieces,
+                                              candidate.plan.importPieces));
+    }
+}
+
+void PromptRun::dispatch(const Decision &choice)
+{
+    Backends &backends = this->context.backends;
+    this->server = choice.server;
+    Backend &backend = backends.server(this->server);
+    this->attemptId = this->job.caller.requestId + "-" + std::to_string(this->attempts);
+    EngineRequest request;
+    request.address = backend.address;
+    request.attemptId = this->attemptId;
+    request.scope = {
+        this->job.caller.organisation, this->job.model.name, this->job.model.version, this->job.request.adapter};
+    request.prompt = this->job.request.prompt;
+    request.pieces = this->pieces;
+    for (std::uint16_t i = 0; i < choice.plan.importPieces; ++i) {
+        const PieceKey &piece = this->pieces.at(choice.plan.hitPieces + i);
+        request.imports.push_back({piece, backends.store(choice.plan.store).address, choice.generations.at(i)});
+    }
+    request.maxTokens = this->job.request.maxTokens;
+    request.resumeFrom = this->nextIndex;
+    request.priority = this->job.request.priority;
+    this->dispatchedAt = this->context.loop.now();
+    request.deadline = std::max(std::chrono::milliseconds(1), inMilliseconds(this->deadline - this->dispatchedAt));
+    EngineCallbacks callbacks;
+    callbacks.onToken = [this](const EngineToken &token) { this->onToken(token); };
+    callbacks.onDone = [this](const EngineSummary &summary) { this->onDone(summary); };
+    callbacks.onRefused = [this](EngineRefusal refusal, const std::string &) { this->onRefused(refusal); };
+    callbacks.onFailure = [this](const Error &error, bool requestSent) { this->onFailure(error, requestSent); };
+    checkInvariant(Invariant::NoWorkForTakenOutDomain, backend.mayTakeWork, backend.name);
+    ++backend.inFlight;
+    this->firstTokenOfAttempt = false;
+    this->load = backends.loads.onDispatch(
+        {this->server, choice.plan.store, choice.plan.recomputeTokens, choice.plan.importBytes}, this->dispatchedAt);
+    this->run = this->context.engines.run(request, std::move(callbacks));
+    this->context.metrics.count("prompt_attempts");
+}
+
+void PromptRun::onToken(const EngineToken &token)
+{
+    if (token.index != this->nextIndex) {
+        this->onFailure({ErrorKind::ProtocolError, "token " + std::to_string(token.index) + " came out of order"}, true);
+        return;
+    }
+    this->noteFirstToken();
+    ++this->nextIndex;
+    this->writer.token(token);
+    if (this->job.exchange->backlogBytes() > config::CallerBacklogBytes) {
+        this->context.metrics.count("callers_too_slow");
+        this->job.exchange->abort();
+        this->end(PromptEnd::CallerGone);
+    }
+}
+
+void PromptRun::noteFirstToken()
+{
+    const TimePoint now = this->context.loop.now();
+    if (!this->firstTokenSeen) {
+        this->firstTokenSeen = true;
+        this->context.metrics.observe("first_token_seconds", now - this->arrivedAt);
+    }
+    this->firstTokenOfAttempt = true;
+}
+
+void PromptRun::onDone(const EngineSummary &summary)
+{
+    const bool whole = summary.count == this->nextIndex;
+    if (!whole) {
+        this->onFailure({ErrorKind::StreamCut, "the answer is shorter than its own count"}, true);
+        return;
+    }
+    if (summary.version != this->job.model.version) {
+        checkInvariant(Invariant::WeightVersionScope, false, this->attemptId);
+        this->fail({ErrorKind::ProtocolError, "the answer came from weight version " + summary.version});
+        return;
+    }
+    checkInvariant(Invariant::AnswerWhole, this->nextIndex <= this->job.request.maxTokens, this->attemptId);
+    this->learn(summary);
+    this->endAttempt(true);
+    this->exportPieces();
+    this->context.explain.add(this->job.caller.requestId,
+                              fmt::format("answered: {} tokens, {} cached, {} imported, {} recomputed, queued {} ms",
+                                          summary.count,
+                                          summary.cachedTokens,
+                                          summary.importedTokens,
+                                          summary.recomputedTokens,
+                                          summary.queueTime.count()));
+    this->writer.done(summary);
+    this->end(PromptEnd::Answered);
+}
+
+void PromptRun::learn(const EngineSummary &summary)
+{
+    Backends &backends = this->context.backends;
+    this->context.metrics.count("prompt_tokens", "source=\"memory\"", summary.cachedTokens);
+    this->context.metrics.count("prompt_tokens", "source=\"import\"", summary.importedTokens);
+    this->context.metrics.count("prompt_tokens", "source=\"recompute\"", summary.recomputedTokens);
+    if (summary.incarnation == backends.server(this->server).incarnation) {
+        const DirectoryScope scope {
+            backends.organisationOf(this->job.caller.organisation),
+            backends.versionOf(this->job.model.name, this->job.model.version),
+        };
+        backends.directory.applyRun(this->server, std::hash<std::string> {}(summary.incarnation), scope, this->pieces);
+    }
+}
+
+void PromptRun::exportPieces()
+{
+}
+
+void PromptRun::onRefused(EngineRefusal refusal)
+{
+    this->endAttempt(false);
+    this->excluded.push_back(this->server);
+    this->context.metrics.count("engine_refusals");
+    const bool busy = refusal == EngineRefusal::QueueFull || refusal == EngineRefusal::Cold;
+    this->retry({busy ? ErrorKind::Overloaded : ErrorKind::NoServer, "the last runner refused"});
+}
+
+void PromptRun::onFailure(const Error &error, bool requestSent)
+{
+    logLine("prompt", "{} lost {}: {}", this->attemptId, this->context.backends.server(this->server).name, error.detail);
+    this->context.explain.add(this->job.caller.requestId,
+                              this->context.backends.server(this->server).name + " failed: " + error.detail);
+    if (requestSent) {
+        // The engine may still be at it; what it sends is no longer wanted.
+        this->context.engines.cancel(this->context.backends.server(this->server).address, this->attemptId);
+    }
+    this->endAttempt(false);
+    this->excluded.push_back(this->server);
+    this->context.metrics.count("prompt_resumes");
+    this->retry({ErrorKind::BackendFailed, error.detail});
+}
+
+void PromptRun::endAttempt(bool completed)
+{
+    if (!this->run) {
+        return;
+    }
+    Backends &backends = this->context.backends;
+    --backends.server(this->server).inFlight;
+    if (this->load.isValid()) {
+        backends.loads.onEnd(this->load, completed, this->context.loop.now());
+        this->load = {};
+    }
+    this->run.reset();
+}
+
+void PromptRun::retry(const Error &error)
+{
+    this->lastError = error;
+    if (this->attempts >= config::PromptAttempts) {
+        this->fail(error);
+        return;
+    }
+    this->retryTimer = this->context.loop.after(config::AttemptPause * this->attempts, [this] { this->attempt(); });
+}
+
+void PromptRun::fail(const Error &error)
+{
+    if (this->ended) {
+        return;
+    }
+    this->context.metrics.count("prompt_failures", fmt::format("kind=\"{}\"", errorAnswer(error.kind).name));
+    logLine("prompt", "{} failed: {}", this->job.caller.requestId, error.detail);
+    ErrorContext answer {this->context.settings.host, this->job.caller.requestId, retryHint(error.kind, this->context.random())};
+    if (this->run) {
+        this->context.engines.cancel(this->context.backends.server(this->server).address, this->attemptId);
+        this->endAttempt(false);
+    }
+    this->writer.fail(error, answer);
+    this->end(PromptEnd::Failed);
+}
+
+void PromptRun::end(PromptEnd how)
+{
+    if (this->ended) {
+        return;
+    }
+    this->ended = true;
+    this->deadlineTimer.reset();
+    this->heartbeatTimer.reset();
+    this->retryTimer.reset();
+    this->context.metrics.observe("prompt_seconds", this->context.loop.now() - this->arrivedAt);
+    const auto callback = this->onEnd;
+    callback(how);
+}
+
+} // namespace endivespan
