--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -17,6 +17,7 @@
 constexpr std::size_t MaxHeaderBytes = 32 * 1024;
 constexpr std::chrono::seconds CallerReadTimeout = 10s;
 constexpr std::chrono::seconds DefaultDeadline = 30s;
+constexpr std::uint32_t DefaultRequestsInFlight = 4096;
 constexpr std::chrono::milliseconds StreamHeartbeatPeriod = 1000ms;
 
 // Backend servers
