--- a/packages/node/src/backends.h
+++ b/packages/node/src/backends.h
@@ -5,7 +5,7 @@
 #include <endivespan/directory.h>
 #include <endivespan/engine_client.h>
 #include <endivespan/load.h>
-#include <endivespan/names.h>
+#include <endivespan/name_table.h>
 #include <endivespan/store_client.h>
 
 #include <functional>
