--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -41,6 +41,13 @@
 constexpr std::chrono::seconds LeavingBound = 5s;
 
 // Claims
+constexpr std::uint32_t ClaimShards = 16;
+constexpr std::chrono::hours ClaimWindow = 24h;
+constexpr std::size_t MaxClaimsPerShard = 65'536;
+constexpr std::size_t MaxClaimAnswerBytes = 64 * 1024;
+constexpr std::size_t MaxShardAnswerBytes = 8 * 1024 * 1024;
+constexpr std::size_t MaxPendingSnapshots = 4;
+constexpr std::size_t ClaimSnapshotChunkBytes = 256 * 1024;
 
 // Membership and peer links
 
