--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -47,8 +47,19 @@
 // Leases and ownership
 
 // Credits of cold servers
+constexpr std::chrono::seconds CreditTtl = 2s;
+constexpr std::chrono::seconds CreditRunBound = 30s;
+constexpr std::chrono::milliseconds CreditClockMargin = 200ms;
+constexpr std::chrono::milliseconds CreditAskTimeout = 500ms;
+constexpr unsigned CreditEpochBits = 20;
 
 // Poison requests
+constexpr std::size_t SuspectTableSize = 4096;
+constexpr std::chrono::minutes SuspectRetention = 10min;
+constexpr std::size_t DeathsUntilRefused = 2;
+constexpr std::size_t DeathsKept = 4;
+constexpr std::chrono::seconds SuspectPermitTtl = 2s;
+constexpr std::chrono::seconds SuspectRunBound = 30s;
 
 // Routing and directory
 
