Test late grants, earlier owners' work and unreturned credits

Cause: three mutations of credit.cpp survived the random runs. Change: one directed test for each, and a lint exemption for a false positive of clang-tidy 14 on defaulted comparisons.

--- a/packages/core/include/endivespan/handle.h
+++ b/packages/core/include/endivespan/handle.h
@@ -21,7 +21,7 @@
         return this->index != Invalid;
     }
 
-    constexpr auto operator<=>(const Handle &) const = default;
+    constexpr auto operator<=>(const Handle &) const = default; // NOLINT(modernize-use-nullptr): false positive
 };
 
 using OrganisationHandle = Handle<struct OrganisationTag>;
--- a/tests/core/credit.cpp
+++ b/tests/core/credit.cpp
@@ -282,6 +282,47 @@
     CHECK(world.owner.request({Server, 3, 1}, world.now).count == 1);
 }
 
+TEST_CASE("a grant counts from the sending of its request")
+{
+    World world = readyWorld();
+    world.ask(0);
+    world.deliverToOwner(0, false);
+    world.advance(config::CreditTtl - 100ms);
+    world.deliverToHost(0, true);
+    CHECK(world.purses[0].usable(Server, world.now) == 1);
+    world.deliverToHost(0, false);
+    CHECK(world.purses[0].usable(Server, world.now) == 1);
+    CHECK(world.purses[0].usable(Server, world.now + 100ms) == 0);
+}
+
+TEST_CASE("work under an earlier owner's credit counts until the server's report shows it gone")
+{
+    World world = readyWorld();
+    world.ask(0);
+    world.deliverToOwner(0, false);
+    world.deliverToHost(0, false);
+    world.dispatch(0);
+    REQUIRE(world.runs.size() == 1);
+    world.changeOwner(false);
+    world.advance(5s);
+    world.report();
+    CHECK(world.owner.request({Server, 1, 1}, world.now).count == 0);
+    world.finish(0, CreditOutcome::Completed);
+    world.report();
+    CHECK(world.owner.request({Server, 2, 1}, world.now).count == 1);
+}
+
+TEST_CASE("a credit that is never returned counts as long as its run may last")
+{
+    World world = readyWorld();
+    CHECK(world.owner.request({Server, 1, 1}, world.now).count == 1);
+    world.advance(config::CreditTtl + config::CreditRunBound);
+    CHECK(world.owner.request({Server, 2, 1}, world.now).count == 0);
+    world.advance(config::CreditClockMargin);
+    CHECK(world.owner.request({Server, 3, 1}, world.now).count == 1);
+    CHECK(world.owner.stats().reclaimed == 1);
+}
+
 TEST_CASE("dispatch without a credit breaks the invariant")
 {
     const auto before = invariantCount(Invariant::ColdServerWithinCredit).violated;
