--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -100,6 +100,8 @@
 constexpr std::chrono::milliseconds StartRunTime = 1000ms;
 
 // Keeping pieces
+constexpr std::size_t ExportQueue = 4096;
+constexpr std::size_t ExportsUnderWay = 4;
 
 // Admission
 
--- a/packages/node/src/backends.cpp
+++ b/packages/node/src/backends.cpp
@@ -284,7 +284,8 @@
         this->storeClient->load(store.address, [this, handle, askedAt](const Result<StoreLoad> &load) {
             this->store(handle).loadAsked = false;
             if (load) {
-                this->loads.onLinkReport(handle, {load.value().linkQueuedBytes, load.value().linkBytesPerSecond, askedAt});
+                this->loads.onLinkReport(handle,
+                                         {load.value().linkQueuedBytes, load.value().linkBytesPerSecond, askedAt});
             }
         });
     }
--- a/packages/node/src/front.cpp
+++ b/packages/node/src/front.cpp
@@ -31,10 +31,10 @@
 {
     HttpServerLimits limits = defaultHttpServerLimits();
     limits.maxBodyBytes = this->context.settings.limits.maxBodyBytes;
-    auto listening = HttpServer::listen(
-        this->context.loop, this->context.settings.listen.callers, limits, [this](const auto &exchange) {
-            this->receive(exchange);
-        });
+    auto listening = HttpServer::listen(this->context.loop,
+                                        this->context.settings.listen.callers,
+                                        limits,
+                                        [this](const auto &exchange) { this->receive(exchange); });
     if (!listening) {
         return listening.error();
     }
@@ -123,9 +123,8 @@
 {
     this->context.metrics.count("refusals", fmt::format("kind=\"{}\"", errorAnswer(error.kind).name));
     logLine("front", "{} refused: {}", requestId.empty() ? exchange.request().path : requestId, error.detail);
-    replyError(exchange,
-               error,
-               {this->context.settings.host, requestId, retryHint(error.kind, this->context.random())});
+    replyError(
+        exchange, error, {this->context.settings.host, requestId, retryHint(error.kind, this->context.random())});
 }
 
 } // namespace endivespan
--- a/packages/node/src/operator_pages.cpp
+++ b/packages/node/src/operator_pages.cpp
@@ -53,7 +53,9 @@
                    {context.settings.host, requestId, std::chrono::milliseconds::zero()});
         return;
     }
-    replyJson(exchange, 200, json {{"request", requestId}, {"host", context.settings.host}, {"decisions", *decisions}}.dump());
+    replyJson(exchange,
+              200,
+              json {{"request", requestId}, {"host", context.settings.host}, {"decisions", *decisions}}.dump());
 }
 
 } // namespace
--- a/packages/node/src/prompt_run.cpp
+++ b/packages/node/src/prompt_run.cpp
@@ -23,9 +23,11 @@
 
 } // namespace
 
-PromptRun::PromptRun(NodeContext &context, Router &router, PromptJob job, std::function<void(PromptEnd)> onEnd)
+PromptRun::PromptRun(
+    NodeContext &context, Router &router, ExportTask &exports, PromptJob job, std::function<void(PromptEnd)> onEnd)
     : context(context)
     , router(router)
+    , exports(exports)
     , job(std::move(job))
     , onEnd(std::move(onEnd))
     , writer(this->job.exchange, this->job.request, this->job.caller.requestId, this->job.model.version)
@@ -57,7 +59,8 @@
     this->deadlineTimer = this->context.loop.after(this->job.request.deadline, [this] {
         this->fail({ErrorKind::DeadlineExceeded, "the deadline of the request has passed"});
     });
-    this->heartbeatTimer = this->context.loop.every(config::StreamHeartbeatPeriod, [this] { this->writer.heartbeat(); });
+    this->heartbeatTimer
+        = this->context.loop.every(config::StreamHeartbeatPeriod, [this] { this->writer.heartbeat(); });
     // The first attempt waits for the next turn of the loop, so that the caller of start() is done with its own state.
     this->retryTimer = this->context.loop.after(Duration::zero(), [this] { this->attempt(); });
 }
@@ -89,36 +92,39 @@
 {
     Backends &backends = this->context.backends;
     if (!choice.isValid()) {
-        const std::string line = fmt::format("attempt {}: no runner, {} excluded", this->attempts, this->excluded.size());
+        const std::string line
+            = fmt::format("attempt {}: no runner, {} excluded", this->attempts, this->excluded.size());
         logLine("route", "{} {}", this->job.caller.requestId, line);
         this->context.explain.add(this->job.caller.requestId, line);
         return;
     }
     const RoutePlan &plan = choice.plan;
     const std::string store = plan.importPieces > 0 ? backends.store(plan.store).name : "-";
-    const std::string line = fmt::format("attempt {}: {} to {}, {} pieces in memory, {} imported from {}, {} tokens recomputed, "
-                                         "first token expected in {} ms",
-                                         this->attempts,
-                                         this->router.name(),
-                                         backends.server(choice.server).name,
-                                         plan.hitPieces,
-                                         plan.importPieces,
-                                         store,
-                                         plan.recomputeTokens,
-                                         inMilliseconds(choice.expected).count());
+    const std::string line
+        = fmt::format("attempt {}: {} to {}, {} pieces in memory, {} imported from {}, {} tokens recomputed, "
+                      "first token expected in {} ms",
+                      this->attempts,
+                      this->router.name(),
+                      backends.server(choice.server).name,
+                      plan.hitPieces,
+                      plan.importPieces,
+                      store,
+                      plan.recomputeTokens,
+                      inMilliseconds(choice.expected).count());
     logLine("route", "{} {}", this->job.caller.requestId, line);
     this->context.explain.add(this->job.caller.requestId, line);
     for (std::uint8_t i = 0; i < choice.candidateCount; ++i) {
         const RouteCandidate &candidate = choice.candidates.at(i);
-        this->context.explain.add(this->job.caller.requestId,
-                                  fmt::format("candidate {}: {} ms = wait {} + transfer {} + prefill {}, {} hit, {} imported",
-                                              backends.server(candidate.server).name,
-                                              inMilliseconds(candidate.expected).count(),
-                                              inMilliseconds(candidate.wait).count(),
-                                              inMilliseconds(candidate.transfer).count(),
-                                              inMilliseconds(candidate.prefill).count(),
-                                              candidate.plan.hitPieces,
-                                              candidate.plan.importPieces));
+        this->context.explain.add(
+            this->job.caller.requestId,
+            fmt::format("candidate {}: {} ms = wait {} + transfer {} + prefill {}, {} hit, {} imported",
+                        backends.server(candidate.server).name,
+                        inMilliseconds(candidate.expected).count(),
+                        inMilliseconds(candidate.wait).count(),
+                        inMilliseconds(candidate.transfer).count(),
+                        inMilliseconds(candidate.prefill).count(),
+                        candidate.plan.hitPieces,
+                        candidate.plan.importPieces));
     }
 }
 
@@ -131,8 +137,8 @@
     EngineRequest request;
     request.address = backend.address;
     request.attemptId = this->attemptId;
-    request.scope = {
-        this->job.caller.organisation, this->job.model.name, this->job.model.version, this->job.request.adapter};
+    request.scope
+        = {this->job.caller.organisation, this->job.model.name, this->job.model.version, this->job.request.adapter};
     request.prompt = this->job.request.prompt;
     request.pieces = this->pieces;
     for (std::uint16_t i = 0; i < choice.plan.importPieces; ++i) {
@@ -161,7 +167,8 @@
 void PromptRun::onToken(const EngineToken &token)
 {
     if (token.index != this->nextIndex) {
-        this->onFailure({ErrorKind::ProtocolError, "token " + std::to_string(token.index) + " came out of order"}, true);
+        this->onFailure({ErrorKind::ProtocolError, "token " + std::to_string(token.index) + " came out of order"},
+                        true);
         return;
     }
     this->noteFirstToken();
@@ -199,7 +206,6 @@
     checkInvariant(Invariant::AnswerWhole, this->nextIndex <= this->job.request.maxTokens, this->attemptId);
     this->learn(summary);
     this->endAttempt(true);
-    this->exportPieces();
     this->context.explain.add(this->job.caller.requestId,
                               fmt::format("answered: {} tokens, {} cached, {} imported, {} recomputed, queued {} ms",
                                           summary.count,
@@ -223,13 +229,10 @@
             backends.versionOf(this->job.model.name, this->job.model.version),
         };
         backends.directory.applyRun(this->server, std::hash<std::string> {}(summary.incarnation), scope, this->pieces);
+        this->exports.offer(this->server, scope, this->pieces);
     }
 }
 
-void PromptRun::exportPieces()
-{
-}
-
 void PromptRun::onRefused(EngineRefusal refusal)
 {
     this->endAttempt(false);
@@ -241,7 +244,8 @@
 
 void PromptRun::onFailure(const Error &error, bool requestSent)
 {
-    logLine("prompt", "{} lost {}: {}", this->attemptId, this->context.backends.server(this->server).name, error.detail);
+    logLine(
+        "prompt", "{} lost {}: {}", this->attemptId, this->context.backends.server(this->server).name, error.detail);
     this->context.explain.add(this->job.caller.requestId,
                               this->context.backends.server(this->server).name + " failed: " + error.detail);
     if (requestSent) {
@@ -285,7 +289,8 @@
     }
     this->context.metrics.count("prompt_failures", fmt::format("kind=\"{}\"", errorAnswer(error.kind).name));
     logLine("prompt", "{} failed: {}", this->job.caller.requestId, error.detail);
-    ErrorContext answer {this->context.settings.host, this->job.caller.requestId, retryHint(error.kind, this->context.random())};
+    ErrorContext answer {
+        this->context.settings.host, this->job.caller.requestId, retryHint(error.kind, this->context.random())};
     if (this->run) {
         this->context.engines.cancel(this->context.backends.server(this->server).address, this->attemptId);
         this->endAttempt(false);
--- a/packages/node/src/prompt_run.h
+++ b/packages/node/src/prompt_run.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context.h"
+#include "export_task.h"
 #include "prompt_request.h"
 #include "prompt_writer.h"
 
@@ -35,7 +36,8 @@
 {
 public:
     /// @param onEnd Called once, when the answer is complete, has failed, or the caller has gone; never inside start().
-    PromptRun(NodeContext &context, Router &router, PromptJob job, std::function<void(PromptEnd)> onEnd);
+    PromptRun(
+        NodeContext &context, Router &router, ExportTask &exports, PromptJob job, std::function<void(PromptEnd)> onEnd);
     ~PromptRun();
     PromptRun(const PromptRun &) = delete;
     PromptRun &operator=(const PromptRun &) = delete;
@@ -56,7 +58,6 @@
     void onFailure(const Error &error, bool requestSent);
     void noteFirstToken();
     void learn(const EngineSummary &summary);
-    void exportPieces();
     void endAttempt(bool completed);
     void retry(const Error &error);
     void fail(const Error &error);
@@ -64,6 +65,7 @@
 
     NodeContext &context;
     Router &router;
+    ExportTask &exports;
     PromptJob job;
     std::function<void(PromptEnd)> onEnd;
     PromptWriter writer;
--- a/packages/node/src/prompt_task.cpp
+++ b/packages/node/src/prompt_task.cpp
@@ -34,6 +34,7 @@
 PromptTask::PromptTask(NodeContext &context)
     : context(context)
     , router(makeRouter(context.settings.routing))
+    , exports(context)
 {
 }
 
@@ -57,7 +58,9 @@
     }
     const std::uint64_t id = this->nextId++;
     auto run = std::make_unique<PromptRun>(
-        this->context, *this->router, std::move(job.value()), [this, id](PromptEnd how) { this->onEnd(id, how); });
+        this->context, *this->router, this->exports, std::move(job.value()), [this, id](PromptEnd how) {
+            this->onEnd(id, how);
+        });
     PromptRun &started = *run;
     this->runs.emplace(id, std::move(run));
     started.start();
@@ -69,8 +72,8 @@
     if (this->runs.size() >= this->context.settings.limits.requestsInFlight) {
         return Error {ErrorKind::Overloaded, "this host has as many prompts under way as it bears"};
     }
-    const auto request =
-        parsePromptRequest(api, exchange->request().body, this->context.settings.limits.defaultDeadline);
+    const auto request
+        = parsePromptRequest(api, exchange->request().body, this->context.settings.limits.defaultDeadline);
     if (!request) {
         return request.error();
     }
@@ -105,6 +108,7 @@
 {
     // Destroying a run may cancel its attempt, which must not see this list change.
     const auto freed = std::exchange(this->ended, {});
+    this->exports.tick();
 }
 
 } // namespace endivespan
--- a/packages/node/src/prompt_task.h
+++ b/packages/node/src/prompt_task.h
@@ -22,7 +22,7 @@
     /// Takes one request of an authenticated caller; the answer or an error is sent on its exchange.
     void serve(PromptApi api, const std::shared_ptr<HttpExchange> &exchange, const Caller &caller);
 
-    /// Frees the runs that have ended; call each tick.
+    /// Frees the runs that have ended and starts exports; call each tick.
     void tick();
 
     /// @returns the prompts under way.
@@ -35,9 +35,11 @@
 
     NodeContext &context;
     std::unique_ptr<Router> router;
+    ExportTask exports;
     std::uint64_t nextId = 0;
     std::map<std::uint64_t, std::unique_ptr<PromptRun>> runs;
-    std::vector<std::unique_ptr<PromptRun>> ended; ///< Freed at the next tick: their callbacks may still be on the stack.
+    std::vector<std::unique_ptr<PromptRun>>
+        ended; ///< Freed at the next tick: their callbacks may still be on the stack.
 };
 
 } // namespace endivespan
