Add the stand-ins for the outside systems

Cause: nothing answered at the interfaces, so no path could be run. Each answers /control and /counts; one further address controls them also while they are down. Conclusion: the contracts of docs/INTERFACES.md can be called.

--- /dev/null
+++ b/tests/standins/deployment.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "standin.h"
+
+#include <vector>
+
+namespace endivespan::standins {
+
+/// What to start in one process.
+struct DeploymentPlan {
+    std::string model = "puhuja";
+    std::string version = "v1";
+    std::string service = "verstas";
+    std::vector<std::string> domains {"hame-a", "hame-b", "hame-c"};
+    std::vector<std::string> storeNames {"muisti-a", "muisti-b"};
+    std::uint64_t runners = 20;
+    std::uint64_t orderRunners = 3;
+    std::uint64_t stores = 2;
+    bool startCold = false; ///< Backend servers begin cold instead of warm.
+    std::map<std::string, json> settings; ///< Settings to apply at the start, by kind.
+};
+
+/// @returns the plan of one of the two users' deployments, or nothing for another name.
+std::unique_ptr<DeploymentPlan> namedPlan(const std::string &name);
+
+/// One backend server of a deployment, for the release note.
+struct DeployedServer {
+    std::string name;
+    std::string kind; ///< "runner", "plain" or "store".
+    std::string address;
+    std::string domain;
+    std::string pool;
+    bool checksOrders = false;
+};
+
+/// All stand-ins of one process, and one address from which each can be controlled also while it is down.
+class Deployment
+{
+public:
+    explicit Deployment(Loop &loop)
+        : loop(loop)
+    {
+    }
+
+    /// Starts everything in @p plan.
+    /// @returns an empty text, or what went wrong.
+    std::string start(const DeploymentPlan &plan);
+
+    [[nodiscard]] const std::vector<std::unique_ptr<StandIn>> &standIns() const
+    {
+        return this->started;
+    }
+
+    [[nodiscard]] const std::vector<DeployedServer> &servers() const
+    {
+        return this->backendServers;
+    }
+
+    /// @returns the address for control; "/NAME/control" and "/NAME/counts" reach one stand-in.
+    [[nodiscard]] std::string controlAddress() const;
+
+private:
+    StandIn *add(std::unique_ptr<StandIn> standIn, const DeploymentPlan &plan);
+    void startPlatform(const DeploymentPlan &plan);
+    void startServers(const DeploymentPlan &plan);
+    void startControl();
+    void control(const ExchangePtr &exchange);
+    StandIn *find(const std::string &name);
+
+    Loop &loop;
+    std::vector<std::unique_ptr<StandIn>> started;
+    std::vector<DeployedServer> backendServers;
+    std::unique_ptr<HttpServer> controlServer;
+    std::string problem;
+    std::string weightStore;
+};
+
+} // namespace endivespan::standins
