--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -12,17 +12,34 @@
 // Frame
 constexpr std::chrono::milliseconds TickPeriod = 20ms;
 
+constexpr std::chrono::milliseconds StopAcceptDelay = 1000ms;
+
 // Callers
 constexpr std::size_t MaxBodyBytes = 4 * 1024 * 1024;
 constexpr std::size_t MaxHeaderBytes = 32 * 1024;
 constexpr std::chrono::seconds CallerReadTimeout = 10s;
 constexpr std::chrono::seconds DefaultDeadline = 30s;
+constexpr std::uint32_t DefaultRequestsInFlight = 4096;
 constexpr std::chrono::milliseconds StreamHeartbeatPeriod = 1000ms;
 
+constexpr std::chrono::milliseconds RetryHintBase = 500ms;
+constexpr std::chrono::milliseconds RetryHintSpread = 1000ms;
+constexpr std::size_t CallerBacklogBytes = 1024 * 1024;
+constexpr std::uint32_t DefaultMaxTokens = 64;
+constexpr std::uint32_t MaxTokensLimit = 8192;
+constexpr std::size_t ExplainRequests = 4096;
+constexpr std::size_t ExplainDecisionsPerRequest = 32;
+
 // Backend servers
+constexpr std::uint32_t PromptAttempts = 6;
+constexpr std::chrono::milliseconds AttemptPause = 20ms;
 constexpr std::chrono::milliseconds ConnectTimeout = 500ms;
 constexpr std::chrono::milliseconds StreamSilenceTimeout = 3000ms;
 constexpr std::chrono::milliseconds LoadReportPeriod = 200ms;
+constexpr std::chrono::milliseconds StoreListPeriod = 500ms;
+constexpr std::size_t StoreListPieces = 1000;
+constexpr std::size_t MaxVersionNames = 256;
+constexpr std::size_t MaxOrganisationNames = 65536;
 constexpr std::chrono::milliseconds LoadReportStaleAfter = 1500ms;
 
 // Prefix pieces
@@ -41,14 +58,32 @@
 constexpr std::chrono::seconds LeavingBound = 5s;
 
 // Claims
+constexpr std::uint32_t ClaimShards = 16;
+constexpr std::chrono::hours ClaimWindow = 24h;
+constexpr std::size_t MaxClaimsPerShard = 65'536;
+constexpr std::size_t MaxClaimAnswerBytes = 64 * 1024;
+constexpr std::size_t MaxShardAnswerBytes = 8 * 1024 * 1024;
+constexpr std::size_t MaxPendingSnapshots = 4;
+constexpr std::size_t ClaimSnapshotChunkBytes = 256 * 1024;
 
 // Membership and peer links
 
 // Leases and ownership
 
 // Credits of cold servers
+constexpr std::chrono::seconds CreditTtl = 2s;
+constexpr std::chrono::seconds CreditRunBound = 30s;
+constexpr std::chrono::milliseconds CreditClockMargin = 200ms;
+constexpr std::chrono::milliseconds CreditAskTimeout = 500ms;
+constexpr unsigned CreditEpochBits = 20;
 
 // Poison requests
+constexpr std::size_t SuspectTableSize = 4096;
+constexpr std::chrono::minutes SuspectRetention = 10min;
+constexpr std::size_t DeathsUntilRefused = 2;
+constexpr std::size_t DeathsKept = 4;
+constexpr std::chrono::seconds SuspectPermitTtl = 2s;
+constexpr std::chrono::seconds SuspectRunBound = 30s;
 
 // Routing and directory
 constexpr std::size_t DirectoryServersPerPiece = 6;
@@ -72,6 +107,8 @@
 constexpr std::chrono::milliseconds ExportLinkWaitBound = 50ms; ///< Exports wait while imports queue longer.
 constexpr std::chrono::seconds StartReturnGap = 3600s;
 constexpr double StartReturnShare = 0.3; ///< Share of pieces that are used again at all.
+constexpr std::size_t ExportQueue = 4096;
+constexpr std::size_t ExportsUnderWay = 4;
 
 // Admission
 constexpr std::size_t AdmissionQueueBound = 512; ///< Requests that wait on one host for one model.
--- a/packages/core/include/endivespan/handle.h
+++ b/packages/core/include/endivespan/handle.h
@@ -21,8 +21,7 @@
         return this->index != Invalid;
     }
 
-    // The check takes the comparison with literal 0 for a pointer.
-    constexpr auto operator<=>(const Handle &) const = default; // NOLINT(modernize-use-nullptr)
+    constexpr auto operator<=>(const Handle &) const = default; // NOLINT(modernize-use-nullptr): false positive
 };
 
 using OrganisationHandle = Handle<struct OrganisationTag>;
