Fold the configuration stream deterministically

Cause: operators race each other, an append can be repeated, and a host can start after the log has dropped old records; all hosts must still hold the same configuration at the same offset.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -40,6 +40,27 @@
 // Configuration
 constexpr std::chrono::seconds ConfigurationStalenessBound = 4s;
 constexpr std::chrono::seconds LeavingBound = 5s;
+constexpr std::chrono::milliseconds ConfigurationLongPoll = 1000ms;
+constexpr std::chrono::milliseconds ConfigurationReadOverdue = 500ms; // A second read starts on a new connection.
+constexpr std::chrono::milliseconds ConfigurationBackoffLeast = 100ms;
+constexpr std::chrono::milliseconds ConfigurationBackoffMost = 1000ms;
+constexpr std::size_t MaxNoteBytes = 1024 * 1024;
+constexpr std::size_t MaxNoteReasonBytes = 512;
+constexpr std::size_t NoteOutcomesKept = 1024;
+constexpr std::size_t DigestHistoryKept = 64;
+constexpr std::size_t MaxOrganisations = 65536;
+constexpr std::size_t MaxModels = 256;
+constexpr std::size_t MaxServices = 256;
+constexpr std::size_t MaxDomains = 64;
+constexpr std::size_t MaxServers = 4096;
+constexpr std::size_t MaxKeysPerOrganisation = 16;
+constexpr std::size_t SnapshotPartEntries = 256;
+constexpr std::size_t SnapshotAppendParts = 8;
+constexpr std::size_t SnapshotsInAssembly = 4;
+constexpr std::uint64_t SnapshotRecords = 2048;
+constexpr std::chrono::hours SnapshotPeriod = 12h;
+constexpr std::chrono::seconds SnapshotSpread = 30s;
+constexpr std::chrono::seconds SnapshotCheckPeriod = 1s;
 
 // Claims
 
--- a/packages/core/src/prefix.cpp
+++ b/packages/core/src/prefix.cpp
@@ -1,8 +1,7 @@
 #include <endivespan/config.h>
+#include <endivespan/digest.h>
 #include <endivespan/prefix.h>
 
-#include <openssl/sha.h>
-
 #include <algorithm>
 #include <cstring>
 #include <functional>
@@ -11,27 +10,6 @@
 
 namespace {
 
-using Digest = std::array<std::uint8_t, SHA256_DIGEST_LENGTH>;
-
-Digest sha256(std::string_view text)
-{
-    Digest digest;
-    SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data());
-    return digest;
-}
-
-std::string toHex(const std::uint8_t *bytes, std::size_t size)
-{
-    constexpr std::string_view Digits = "0123456789abcdef";
-    std::string text;
-    text.reserve(size * 2);
-    for (std::size_t i = 0; i < size; ++i) {
-        text.push_back(Digits[bytes[i] >> 4U]);
-        text.push_back(Digits[bytes[i] & 15U]);
-    }
-    return text;
-}
-
 int hexDigit(char digit)
 {
     if (digit >= '0' && digit <= '9') {
@@ -43,19 +21,13 @@
     return -1;
 }
 
-// Each field goes in with its length, so that ("ab", "c") and ("a", "bc") differ.
-void appendField(std::string &buffer, std::string_view field)
-{
-    buffer += std::to_string(field.size());
-    buffer += ':';
-    buffer += field;
-}
-
 } // namespace
 
 std::string PieceKey::hex() const
 {
-    return toHex(this->bytes.data(), this->bytes.size());
+    Digest digest {};
+    std::copy(this->bytes.begin(), this->bytes.end(), digest.begin());
+    return digestHex(digest).substr(0, this->bytes.size() * 2);
 }
 
 PieceKey PieceKey::fromHex(std::string_view text)
@@ -77,12 +49,9 @@
 
 std::vector<PieceKey> pieceChain(const PieceScope &scope, std::string_view prompt)
 {
-    std::string seed;
-    appendField(seed, scope.organisation);
-    appendField(seed, scope.model);
-    appendField(seed, scope.version);
-    appendField(seed, scope.adapter);
-    Digest link = sha256(seed);
+    CanonicalBytes seed;
+    seed.add(scope.organisation).add(scope.model).add(scope.version).add(scope.adapter);
+    Digest link = sha256(seed.bytes());
     std::vector<PieceKey> keys;
     const std::size_t pieces = std::min(prompt.size() / config::PieceBytes, config::MaxPieces);
     keys.reserve(pieces);
@@ -99,8 +68,7 @@
 
 std::string sha256Hex(std::string_view text)
 {
-    const Digest digest = sha256(text);
-    return toHex(digest.data(), digest.size());
+    return digestHex(sha256(text));
 }
 
 } // namespace endivespan
