Let stand-ins die whole and hold less

Cause: a run kept its prompt for the length of its deadline, a dying stand-in still took requests, and no answer to an order could be lost. Conclusion: a crash of a stand-in looks the same to every caller.

--- a/tests/standins/engine_run.cpp
+++ b/tests/standins/engine_run.cpp
@@ -1,11 +1,15 @@
 #include "engine_run.h"
 
+#include <endivespan/config.h>
+
 #include <utility>
 
 namespace endivespan::standins {
 
 namespace {
 
+constexpr std::string_view PoisonMarker = "POISON";
+
 std::string eventOf(const json &data)
 {
     return "data: " + data.dump() + "\n\n";
@@ -61,10 +65,15 @@
     , exchange(std::move(caller))
     , text(this->request.scope.model, this->request.scope.version, this->request.prompt)
     , chain(pieceChain(this->request.scope, this->request.prompt))
+    , promptTokens((this->request.prompt.size() + config::BytesPerToken - 1) / config::BytesPerToken)
+    , poison(this->request.prompt.find(PoisonMarker) != std::string::npos)
     , arrived(now)
+    , expires(this->request.deadline > Duration::zero() ? now + this->request.deadline : TimePoint::max())
     , lastSent(now)
     , nextToken(this->request.resumeFrom)
 {
+    // Prompts are large, and runs can be held long.
+    this->request.prompt = {};
 }
 
 void Run::sendTokens(std::uint64_t due, TimePoint now)
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -42,6 +42,7 @@
     this->setting("check_fences", this->checksFences);
     this->setting("poison", this->poisonCrashes);
     this->setting("stopping", this->stopping);
+    this->setting("lose_answers", this->loseAnswers);
     this->action("cold", [this](const json &value) { value.get<bool>() ? this->gate.chill() : this->gate.heat(); });
     this->action("silent_streams", [this](const json &) { this->silenceStreams(); });
 }
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -93,6 +93,12 @@
         return this->loop.now();
     }
 
+    /// @returns whether the stand-in accepts connections and sends nothing.
+    [[nodiscard]] bool isFrozen() const
+    {
+        return this->frozen;
+    }
+
     [[nodiscard]] const std::string &incarnation() const
     {
         return this->incarnationName;
@@ -113,6 +119,7 @@
     void receive(const ExchangePtr &exchange);
     void receiveControl(const ExchangePtr &exchange);
     bool listen();
+    void dieAfter(Duration delay);
     void goDown();
     void comeBack();
     void newIncarnation();
@@ -125,6 +132,7 @@
     int reservedSocket = -1;
     bool frozen = false;
     bool down = false;
+    bool dying = false; ///< The next turn of the loop cuts every connection.
     Duration answerDelay {};
     Duration restartTime = std::chrono::milliseconds(300);
     std::map<std::string, std::function<void(const json &)>> settings;
