Add suspicion of requests that crash backend servers

Cause: now and then one request crashes each server that runs it, and its caller sends it again through another host. Change: SuspicionTable keeps deaths by fingerprint and merges by union; SuspectOwner lets each suspect, and one suspect a server, run alone across hosts; SuspectHolder counts a permit from the sending of its request.

--- /dev/null
+++ b/packages/core/src/suspect.cpp
@@ -0,0 +1,286 @@
+#include <endivespan/config.h>
+#include <endivespan/invariant.h>
+#include <endivespan/suspect.h>
+
+#include <openssl/sha.h>
+
+#include <algorithm>
+#include <cstring>
+#include <set>
+
+namespace endivespan {
+
+namespace {
+
+using Digest = std::array<std::uint8_t, SHA256_DIGEST_LENGTH>;
+
+Digest digestOf(std::initializer_list<std::string_view> fields)
+{
+    std::string buffer;
+    for (const std::string_view field : fields) {
+        buffer += std::to_string(field.size());
+        buffer += ':';
+        buffer += field;
+    }
+    Digest digest;
+    SHA256(reinterpret_cast<const unsigned char *>(buffer.data()), buffer.size(), digest.data());
+    return digest;
+}
+
+bool insertSorted(std::vector<DeathId> &ids, DeathId id)
+{
+    const auto place = std::lower_bound(ids.begin(), ids.end(), id);
+    if ((place != ids.end() && *place == id) || ids.size() >= config::DeathsKept) {
+        return false;
+    }
+    ids.insert(place, id);
+    return true;
+}
+
+} // namespace
+
+Fingerprint fingerprintOf(std::string_view organisation, std::string_view target, std::string_view body)
+{
+    const Digest digest = digestOf({organisation, target, body});
+    Fingerprint fingerprint;
+    std::copy_n(digest.begin(), fingerprint.bytes.size(), fingerprint.bytes.begin());
+    return fingerprint;
+}
+
+DeathId deathIdOf(std::string_view server, std::string_view incarnation)
+{
+    const Digest digest = digestOf({server, incarnation});
+    DeathId id = 0;
+    std::memcpy(&id, digest.data(), sizeof(id));
+    return id;
+}
+
+Verdict SuspicionTable::verdictOf(const Entry &entry)
+{
+    const auto open = std::count_if(entry.deaths.begin(), entry.deaths.end(), [&entry](DeathId death) {
+        return !std::binary_search(entry.cleared.begin(), entry.cleared.end(), death);
+    });
+    if (open == 0) {
+        return Verdict::Free;
+    }
+    return static_cast<std::size_t>(open) < config::DeathsUntilRefused ? Verdict::Suspect : Verdict::Refused;
+}
+
+SuspicionTable::Entry &SuspicionTable::entryOf(const Fingerprint &fingerprint)
+{
+    if (this->entries.size() >= config::SuspectTableSize && !this->entries.contains(fingerprint)) {
+        this->evictOldest();
+    }
+    return this->entries[fingerprint];
+}
+
+void SuspicionTable::evictOldest()
+{
+    const auto oldest = this->byVersion.begin();
+    this->entries.erase(oldest->second);
+    this->byVersion.erase(oldest);
+    ++this->counters.evicted;
+}
+
+void SuspicionTable::touch(const Fingerprint &fingerprint, Entry &entry, Verdict before, TimePoint at)
+{
+    this->byVersion.erase(entry.version);
+    entry.version = ++this->lastVersion;
+    entry.changedAt = std::max(entry.changedAt, at);
+    this->byVersion[entry.version] = fingerprint;
+    const Verdict after = SuspicionTable::verdictOf(entry);
+    this->counters.refused += before != Verdict::Refused && after == Verdict::Refused ? 1 : 0;
+}
+
+void SuspicionTable::died(DeathId death, std::span<const Fingerprint> running, TimePoint now)
+{
+    for (const Fingerprint &fingerprint : running) {
+        Entry &entry = this->entryOf(fingerprint);
+        const Verdict before = SuspicionTable::verdictOf(entry);
+        if (before == Verdict::Free && entry.deaths.size() >= config::DeathsKept) {
+            entry.deaths.clear();
+            entry.cleared.clear();
+        }
+        if (insertSorted(entry.deaths, death)) {
+            ++this->counters.accused;
+            this->touch(fingerprint, entry, before, now);
+        }
+    }
+}
+
+void SuspicionTable::clear(const Fingerprint &fingerprint, TimePoint now)
+{
+    const auto found = this->entries.find(fingerprint);
+    if (found == this->entries.end() || SuspicionTable::verdictOf(found->second) == Verdict::Free) {
+        return;
+    }
+    Entry &entry = found->second;
+    const Verdict before = SuspicionTable::verdictOf(entry);
+    entry.cleared = entry.deaths;
+    ++this->counters.cleared;
+    this->touch(fingerprint, entry, before, now);
+}
+
+bool SuspicionTable::merge(const Suspicion &suspicion, TimePoint now)
+{
+    if (suspicion.age >= config::SuspectRetention || suspicion.deaths.empty()) {
+        return false;
+    }
+    Entry &entry = this->entryOf(suspicion.fingerprint);
+    const Verdict before = SuspicionTable::verdictOf(entry);
+    bool news = false;
+    for (const DeathId death : suspicion.deaths) {
+        news = insertSorted(entry.deaths, death) || news;
+    }
+    for (const DeathId death : suspicion.cleared) {
+        news = insertSorted(entry.cleared, death) || news;
+    }
+    if (news) {
+        this->touch(suspicion.fingerprint, entry, before, now - suspicion.age);
+    }
+    return news;
+}
+
+Verdict SuspicionTable::verdict(const Fingerprint &fingerprint) const
+{
+    const auto found = this->entries.find(fingerprint);
+    return found == this->entries.end() ? Verdict::Free : SuspicionTable::verdictOf(found->second);
+}
+
+std::vector<Suspicion> SuspicionTable::changedSince(std::uint64_t version, std::size_t limit, TimePoint now) const
+{
+    std::vector<Suspicion> changed;
+    for (auto next = this->byVersion.upper_bound(version); next != this->byVersion.end() && changed.size() < limit;
+         ++next) {
+        const Entry &entry = this->entries.at(next->second);
+        changed.push_back({next->second, entry.deaths, entry.cleared, now - entry.changedAt});
+    }
+    return changed;
+}
+
+std::uint64_t SuspicionTable::version() const
+{
+    return this->lastVersion;
+}
+
+void SuspicionTable::tick(TimePoint now)
+{
+    std::erase_if(this->entries, [this, now](const auto &item) {
+        const bool expired = now - item.second.changedAt >= config::SuspectRetention;
+        if (expired) {
+            this->byVersion.erase(item.second.version);
+        }
+        return expired;
+    });
+}
+
+SuspicionStats SuspicionTable::stats() const
+{
+    SuspicionStats stats = this->counters;
+    stats.entries = this->entries.size();
+    return stats;
+}
+
+void SuspectOwner::own(std::uint64_t fence, TimePoint now)
+{
+    this->fence = fence;
+    this->permits.clear();
+    this->grantableFrom = now + config::SuspectPermitTtl + config::SuspectRunBound + config::CreditClockMargin;
+}
+
+void SuspectOwner::disown()
+{
+    this->fence.reset();
+    this->permits.clear();
+}
+
+bool SuspectOwner::isFree(const SuspectRequest &request) const
+{
+    return std::none_of(this->permits.begin(), this->permits.end(), [&request](const auto &item) {
+        return item.second.fingerprint == request.fingerprint || item.second.server == request.server;
+    });
+}
+
+bool SuspectOwner::areAllAlone() const
+{
+    std::set<Fingerprint> fingerprints;
+    std::set<ServerHandle> servers;
+    for (const auto &[id, permit] : this->permits) {
+        fingerprints.insert(permit.fingerprint);
+        servers.insert(permit.server);
+    }
+    return fingerprints.size() == this->permits.size() && servers.size() == this->permits.size();
+}
+
+SuspectPermit SuspectOwner::request(const SuspectRequest &request, TimePoint now)
+{
+    SuspectPermit answer {request.requestId, false, this->fence.value_or(0), 0};
+    if (!this->fence || now < this->grantableFrom || !this->isFree(request)) {
+        return answer;
+    }
+    answer.granted = true;
+    answer.id = this->nextId++;
+    const TimePoint endsBy = now + config::SuspectPermitTtl + config::SuspectRunBound + config::CreditClockMargin;
+    this->permits[answer.id] = {request.fingerprint, request.server, endsBy};
+    checkInvariant(Invariant::SuspectRunsAlone, this->areAllAlone(), "two permits for one suspect or server");
+    return answer;
+}
+
+void SuspectOwner::giveBack(const SuspectReturn &permit)
+{
+    if (this->fence == permit.fence) {
+        this->permits.erase(permit.id);
+    }
+}
+
+void SuspectOwner::tick(TimePoint now)
+{
+    std::erase_if(this->permits, [now](const auto &item) { return item.second.endsBy <= now; });
+}
+
+std::size_t SuspectOwner::outstanding() const
+{
+    return this->permits.size();
+}
+
+SuspectRequest SuspectHolder::ask(const Fingerprint &fingerprint, ServerHandle server, TimePoint now)
+{
+    const SuspectRequest request {this->nextRequestId++, fingerprint, server};
+    this->pending[request.requestId] = {request, now};
+    return request;
+}
+
+std::optional<SuspectUse> SuspectHolder::answered(const SuspectPermit &permit, TimePoint now)
+{
+    const auto item = this->pending.extract(permit.requestId);
+    if (item.empty() || !permit.granted) {
+        return {};
+    }
+    // Counted from the sending of the request, so that no run outlives the owner's own count.
+    const TimePoint expires = item.mapped().sentAt + config::SuspectPermitTtl;
+    if (expires <= now) {
+        return {};
+    }
+    return SuspectUse {item.mapped().request, permit.fence, permit.id, expires, expires + config::SuspectRunBound};
+}
+
+void SuspectHolder::tick(TimePoint now)
+{
+    std::erase_if(this->pending,
+                  [now](const auto &item) { return now - item.second.sentAt >= config::SuspectPermitTtl; });
+}
+
+bool SuspectHolder::checkDispatch(const SuspicionTable &table,
+                                  const Fingerprint &fingerprint,
+                                  ServerHandle server,
+                                  const std::optional<SuspectUse> &use,
+                                  TimePoint now)
+{
+    const Verdict verdict = table.verdict(fingerprint);
+    const bool permitted
+        = use && use->request.fingerprint == fingerprint && use->request.server == server && now < use->expires;
+    const bool holds = verdict == Verdict::Free || (verdict == Verdict::Suspect && permitted);
+    return checkInvariant(Invariant::SuspectRunsAlone, holds, "suspect dispatched without a permit");
+}
+
+} // namespace endivespan
