--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -12,17 +12,34 @@
 // Frame
 constexpr std::chrono::milliseconds TickPeriod = 20ms;
 
+constexpr std::chrono::milliseconds StopAcceptDelay = 1000ms;
+
 // Callers
 constexpr std::size_t MaxBodyBytes = 4 * 1024 * 1024;
 constexpr std::size_t MaxHeaderBytes = 32 * 1024;
 constexpr std::chrono::seconds CallerReadTimeout = 10s;
 constexpr std::chrono::seconds DefaultDeadline = 30s;
+constexpr std::uint32_t DefaultRequestsInFlight = 4096;
 constexpr std::chrono::milliseconds StreamHeartbeatPeriod = 1000ms;
 
+constexpr std::chrono::milliseconds RetryHintBase = 500ms;
+constexpr std::chrono::milliseconds RetryHintSpread = 1000ms;
+constexpr std::size_t CallerBacklogBytes = 1024 * 1024;
+constexpr std::uint32_t DefaultMaxTokens = 64;
+constexpr std::uint32_t MaxTokensLimit = 8192;
+constexpr std::size_t ExplainRequests = 4096;
+constexpr std::size_t ExplainDecisionsPerRequest = 32;
+
 // Backend servers
+constexpr std::uint32_t PromptAttempts = 6;
+constexpr std::chrono::milliseconds AttemptPause = 20ms;
 constexpr std::chrono::milliseconds ConnectTimeout = 500ms;
 constexpr std::chrono::milliseconds StreamSilenceTimeout = 3000ms;
 constexpr std::chrono::milliseconds LoadReportPeriod = 200ms;
+constexpr std::chrono::milliseconds StoreListPeriod = 500ms;
+constexpr std::size_t StoreListPieces = 1000;
+constexpr std::size_t MaxVersionNames = 256;
+constexpr std::size_t MaxOrganisationNames = 65536;
 constexpr std::chrono::milliseconds LoadReportStaleAfter = 1500ms;
 
 // Prefix pieces
@@ -41,6 +58,13 @@
 constexpr std::chrono::seconds LeavingBound = 5s;
 
 // Claims
+constexpr std::uint32_t ClaimShards = 16;
+constexpr std::chrono::hours ClaimWindow = 24h;
+constexpr std::size_t MaxClaimsPerShard = 65'536;
+constexpr std::size_t MaxClaimAnswerBytes = 64 * 1024;
+constexpr std::size_t MaxShardAnswerBytes = 8 * 1024 * 1024;
+constexpr std::size_t MaxPendingSnapshots = 4;
+constexpr std::size_t ClaimSnapshotChunkBytes = 256 * 1024;
 
 // Membership and peer links
 
@@ -62,8 +86,22 @@
 constexpr std::chrono::seconds SuspectRunBound = 30s;
 
 // Routing and directory
+constexpr std::size_t DirectoryServersPerPiece = 6;
+constexpr std::size_t DirectoryStoresPerPiece = 2;
+constexpr std::size_t RouteSampledServers = 16; ///< Pools up to this size are weighed whole.
+constexpr std::size_t RouteListedCandidates = 4;
+constexpr double RouteNearBestShare = 0.05; ///< Candidates within this share of the best are as good.
+constexpr std::chrono::milliseconds RouteNearBestSlack = 2ms;
+constexpr std::chrono::milliseconds LoadReportLag = 100ms; ///< Age of a load report when it arrives, unless known.
+constexpr std::chrono::milliseconds LoadReportMemory = 1000ms; ///< Age at which a report has lost 63% of its weight.
+constexpr double RateSmoothing = 0.1; ///< Share of a new sample in a smoothed rate.
+constexpr double StartPrefillTokensPerSecond = 20'000.0;
+constexpr double StartImportBytesPerSecond = 50e6;
+constexpr std::chrono::milliseconds StartRunTime = 1000ms;
 
 // Keeping pieces
+constexpr std::size_t ExportQueue = 4096;
+constexpr std::size_t ExportsUnderWay = 4;
 
 // Admission
 
