Admit prompts by fair share

Cause: a host took every prompt at once. Change: prompts wait in the model's admission queue, their cost follows the plan, refusals of runners draw on the retry budget. Conclusion: wired; load figures need the running path.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -39,7 +39,6 @@
 constexpr std::chrono::milliseconds StoreListPeriod = 500ms;
 constexpr std::size_t StoreListPieces = 1000;
 constexpr std::size_t MaxVersionNames = 256;
-constexpr std::size_t MaxOrganisationNames = 65536;
 constexpr std::chrono::milliseconds LoadReportStaleAfter = 1500ms;
 
 // Prefix pieces
@@ -133,7 +132,6 @@
 
 // Admission
 constexpr std::size_t AdmissionQueueBound = 512; ///< Requests that wait on one host for one model.
-constexpr std::size_t MaxOrganisations = 32'768;
 constexpr std::uint32_t DecodeTokenCost = 50; ///< Prefill tokens that cost a runner as much as one answer token.
 constexpr std::chrono::milliseconds AdmissionPrefillWindow = 250ms; ///< Prefill work sent ahead to each runner.
 constexpr double AdmissionBorrowFactor = 2.0; ///< Times its share of idle capacity that one host may use.
--- a/packages/node/src/backends.cpp
+++ b/packages/node/src/backends.cpp
@@ -27,7 +27,7 @@
     , storeNames(LoadLimits {}.stores)
     , modelNames(LoadLimits {}.models)
     , versionNames(config::MaxVersionNames)
-    , organisationNames(config::MaxOrganisationNames)
+    , organisationNames(config::MaxOrganisations)
 {
 }
 
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -70,7 +70,7 @@
 {
     const TimePoint now = this->loop.now();
     this->backends->tick(now);
-    this->prompts->tick();
+    this->prompts->tick(1);
     if (this->stopping) {
         this->continueStop(now);
     }
--- a/packages/node/src/prompt_run.cpp
+++ b/packages/node/src/prompt_run.cpp
@@ -23,13 +23,18 @@
 
 } // namespace
 
-PromptRun::PromptRun(
-    NodeContext &context, Router &router, ExportTask &exports, PromptJob job, std::function<void(PromptEnd)> onEnd)
+PromptRun::PromptRun(NodeContext &context,
+                     Router &router,
+                     ExportTask &exports,
+                     PromptJob job,
+                     std::uint64_t id,
+                     PromptObserver &observer)
     : context(context)
     , router(router)
     , exports(exports)
     , job(std::move(job))
-    , onEnd(std::move(onEnd))
+    , id(id)
+    , observer(observer)
     , writer(this->job.exchange, this->job.request, this->job.caller.requestId, this->job.model.version)
     , arrivedAt(context.loop.now())
     , deadline(this->arrivedAt + this->job.request.deadline)
@@ -38,6 +43,10 @@
     const PieceScope scope {
         this->job.caller.organisation, this->job.model.name, this->job.model.version, this->job.request.adapter};
     this->pieces = pieceChain(scope, this->job.request.prompt);
+    this->job.exchange->onClosed([this] { this->end(PromptEnd::CallerGone); });
+    this->deadlineTimer = this->context.loop.after(this->job.request.deadline, [this] {
+        this->fail({ErrorKind::DeadlineExceeded, "the deadline of the request has passed"});
+    });
 }
 
 PromptRun::~PromptRun()
@@ -48,23 +57,41 @@
     }
 }
 
-const std::string &PromptRun::model() const
+const PromptJob &PromptRun::request() const
 {
-    return this->job.model.name;
+    return this->job;
 }
 
-void PromptRun::start()
+bool PromptRun::isStarted() const
 {
-    this->job.exchange->onClosed([this] { this->end(PromptEnd::CallerGone); });
-    this->deadlineTimer = this->context.loop.after(this->job.request.deadline, [this] {
-        this->fail({ErrorKind::DeadlineExceeded, "the deadline of the request has passed"});
-    });
+    return this->started;
+}
+
+TimePoint PromptRun::deadlineAt() const
+{
+    return this->deadline;
+}
+
+std::uint32_t PromptRun::promptTokens() const
+{
+    return tokensOf(this->job.request.prompt);
+}
+
+void PromptRun::start(std::uint32_t unfairness)
+{
+    this->started = true;
+    this->fairness = static_cast<int>(unfairness);
     this->heartbeatTimer
         = this->context.loop.every(config::StreamHeartbeatPeriod, [this] { this->writer.heartbeat(); });
     // The first attempt waits for the next turn of the loop, so that the caller of start() is done with its own state.
     this->retryTimer = this->context.loop.after(Duration::zero(), [this] { this->attempt(); });
 }
 
+void PromptRun::refuse(ErrorKind kind, std::chrono::milliseconds retryAfter)
+{
+    this->failWith({kind, "this host cannot serve the prompt in time; come back later"}, retryAfter);
+}
+
 void PromptRun::attempt()
 {
     ++this->attempts;
@@ -147,7 +174,7 @@
     }
     request.maxTokens = this->job.request.maxTokens;
     request.resumeFrom = this->nextIndex;
-    request.priority = this->job.request.priority;
+    request.priority = this->job.request.priority + this->fairness;
     this->dispatchedAt = this->context.loop.now();
     request.deadline = std::max(std::chrono::milliseconds(1), inMilliseconds(this->deadline - this->dispatchedAt));
     EngineCallbacks callbacks;
@@ -157,10 +184,10 @@
     callbacks.onFailure = [this](const Error &error, bool requestSent) { this->onFailure(error, requestSent); };
     checkInvariant(Invariant::NoWorkForTakenOutDomain, backend.mayTakeWork, backend.name);
     ++backend.inFlight;
-    this->firstTokenOfAttempt = false;
     this->load = backends.loads.onDispatch(
         {this->server, choice.plan.store, choice.plan.recomputeTokens, choice.plan.importBytes}, this->dispatchedAt);
     this->run = this->context.engines.run(request, std::move(callbacks));
+    this->observer.onPlanned(this->id, choice.plan.recomputeTokens);
     this->context.metrics.count("prompt_attempts");
 }
 
@@ -183,12 +210,12 @@
 
 void PromptRun::noteFirstToken()
 {
-    const TimePoint now = this->context.loop.now();
-    if (!this->firstTokenSeen) {
-        this->firstTokenSeen = true;
-        this->context.metrics.observe("first_token_seconds", now - this->arrivedAt);
+    if (this->firstTokenSeen) {
+        return;
     }
-    this->firstTokenOfAttempt = true;
+    this->firstTokenSeen = true;
+    this->context.metrics.observe("first_token_seconds", this->context.loop.now() - this->arrivedAt);
+    this->observer.onFirstToken(this->id);
 }
 
 void PromptRun::onDone(const EngineSummary &summary)
@@ -239,6 +266,10 @@
     this->excluded.push_back(this->server);
     this->context.metrics.count("engine_refusals");
     const bool busy = refusal == EngineRefusal::QueueFull || refusal == EngineRefusal::Cold;
+    if (busy && !this->observer.mayRetryRefusal()) {
+        this->fail({ErrorKind::Overloaded, "the runners have no room"});
+        return;
+    }
     this->retry({busy ? ErrorKind::Overloaded : ErrorKind::NoServer, "the last runner refused"});
 }
 
@@ -274,7 +305,6 @@
 
 void PromptRun::retry(const Error &error)
 {
-    this->lastError = error;
     if (this->attempts >= config::PromptAttempts) {
         this->fail(error);
         return;
@@ -283,14 +313,18 @@
 }
 
 void PromptRun::fail(const Error &error)
+{
+    this->failWith(error, retryHint(error.kind, this->context.random()));
+}
+
+void PromptRun::failWith(const Error &error, std::chrono::milliseconds retryAfter)
 {
     if (this->ended) {
         return;
     }
     this->context.metrics.count("prompt_failures", fmt::format("kind=\"{}\"", errorAnswer(error.kind).name));
     logLine("prompt", "{} failed: {}", this->job.caller.requestId, error.detail);
-    ErrorContext answer {
-        this->context.settings.host, this->job.caller.requestId, retryHint(error.kind, this->context.random())};
+    const ErrorContext answer {this->context.settings.host, this->job.caller.requestId, retryAfter};
     if (this->run) {
         this->context.engines.cancel(this->context.backends.server(this->server).address, this->attemptId);
         this->endAttempt(false);
@@ -309,8 +343,7 @@
     this->heartbeatTimer.reset();
     this->retryTimer.reset();
     this->context.metrics.observe("prompt_seconds", this->context.loop.now() - this->arrivedAt);
-    const auto callback = this->onEnd;
-    callback(how);
+    this->observer.onEnd(this->id, how);
 }
 
 } // namespace endivespan
--- a/packages/node/src/prompt_run.h
+++ b/packages/node/src/prompt_run.h
@@ -7,7 +7,6 @@
 
 #include <endivespan/route.h>
 
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -31,22 +30,54 @@
     CallerGone,
 };
 
+/// Is told what becomes of a run, by the id that it was made with.
+class PromptObserver
+{
+public:
+    virtual ~PromptObserver() = default;
+
+    /// An attempt was placed and @p recomputeTokens of its prompt must be recomputed.
+    virtual void onPlanned(std::uint64_t id, std::uint32_t recomputeTokens) = 0;
+
+    /// The first token of the run came.
+    virtual void onFirstToken(std::uint64_t id) = 0;
+
+    /// The runner had no room; @returns true when the run may try another one at once.
+    virtual bool mayRetryRefusal() = 0;
+
+    /// The answer is complete, has failed, or the caller has gone. Called once, never inside a call of the run.
+    virtual void onEnd(std::uint64_t id, PromptEnd how) = 0;
+};
+
 /// Routes a prompt, follows its stream, and resumes it elsewhere when a server fails.
 class PromptRun
 {
 public:
-    /// @param onEnd Called once, when the answer is complete, has failed, or the caller has gone; never inside start().
-    PromptRun(
-        NodeContext &context, Router &router, ExportTask &exports, PromptJob job, std::function<void(PromptEnd)> onEnd);
+    /// The run waits for start(); while it does, it ends by itself when its caller goes or its deadline passes.
+    /// @param id Identifies the run to @p observer, which must outlive it.
+    PromptRun(NodeContext &context,
+              Router &router,
+              ExportTask &exports,
+              PromptJob job,
+              std::uint64_t id,
+              PromptObserver &observer);
     ~PromptRun();
     PromptRun(const PromptRun &) = delete;
     PromptRun &operator=(const PromptRun &) = delete;
 
     /// Starts the first attempt.
-    void start();
+    /// @param fairness Added to the caller's priority; 0 while the organisation is within its share.
+    void start(std::uint32_t fairness);
+
+    /// Ends a run that was never started with a refusal.
+    void refuse(ErrorKind kind, std::chrono::milliseconds retryAfter);
+
+    [[nodiscard]] const PromptJob &request() const;
+    [[nodiscard]] bool isStarted() const;
+    [[nodiscard]] TimePoint deadlineAt() const;
 
-    /// @returns the model that answers.
-    [[nodiscard]] const std::string &model() const;
+    /// @returns the prompt's size in tokens.
+    [[nodiscard]] std::uint32_t promptTokens() const;
 
 private:
     void attempt();
@@ -61,13 +92,15 @@
     void endAttempt(bool completed);
     void retry(const Error &error);
     void fail(const Error &error);
+    void failWith(const Error &error, std::chrono::milliseconds retryAfter);
     void end(PromptEnd how);
 
     NodeContext &context;
     Router &router;
     ExportTask &exports;
     PromptJob job;
-    std::function<void(PromptEnd)> onEnd;
+    std::uint64_t id;
+    PromptObserver &observer;
     PromptWriter writer;
     std::vector<PieceKey> pieces;
     std::vector<ServerHandle> excluded;
@@ -77,9 +110,9 @@
     std::uint32_t attempts = 0;
     std::uint32_t nextIndex;
     bool firstTokenSeen = false;
-    bool firstTokenOfAttempt = false;
+    bool started = false;
     bool ended = false;
-    Error lastError;
+    int fairness = 0;
     std::string attemptId;
     ServerHandle server;
     Decision decision;
--- a/packages/node/src/prompt_task.cpp
+++ b/packages/node/src/prompt_task.cpp
@@ -4,6 +4,8 @@
 #include <endivespan/config.h>
 #include <endivespan/log.h>
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 namespace endivespan {
@@ -58,12 +60,56 @@
     }
     const std::uint64_t id = this->nextId++;
     auto run = std::make_unique<PromptRun>(
-        this->context, *this->router, this->exports, std::move(job.value()), [this, id](PromptEnd how) {
-            this->onEnd(id, how);
-        });
-    PromptRun &started = *run;
+        this->context, *this->router, this->exports, std::move(job.value()), id, static_cast<PromptObserver &>(*this));
+    const PromptRun &waiting = *run;
     this->runs.emplace(id, std::move(run));
-    started.start();
+    this->enqueue(id, waiting);
+}
+
+void PromptTask::enqueue(std::uint64_t id, const PromptRun &run)
+{
+    const PromptJob &job = run.request();
+    const Organisation &organisation = this->context.fleet.fleet().organisations.at(job.caller.organisation);
+    AdmissionRequest request;
+    request.id = id;
+    request.organisation = this->context.backends.organisationOf(job.caller.organisation);
+    request.prefillTokens = run.promptTokens();
+    request.maxTokens = job.request.maxTokens;
+    request.deadline = run.deadlineAt();
+    request.random = this->context.random();
+    // Callers are spread over the hosts by the balancer; twice an even part leaves room for an uneven spread.
+    const std::size_t share = (2 * organisation.limits.requestsInFlight + this->liveHosts - 1) / this->liveHosts;
+    Admission &queue = this->queueOf(job.model.name);
+    queue.setOrganisation(request.organisation, organisation.limits.weight, static_cast<std::uint32_t>(share));
+    AdmissionActions actions;
+    queue.offer(request, this->context.loop.now(), actions);
+    this->carryOut(actions);
+}
+
+void PromptTask::carryOut(const AdmissionActions &actions)
+{
+    for (const AdmissionStart &start : actions.start) {
+        this->runs.at(start.id)->start(start.priority);
+    }
+    for (const AdmissionRefusal &refusal : actions.refuse) {
+        const auto retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(refusal.retryAfter);
+        this->runs.at(refusal.id)->refuse(refusal.kind, retryAfter);
+    }
+}
+
+Admission &PromptTask::queueOf(const std::string &model)
+{
+    std::unique_ptr<Admission> &queue = this->queues[model];
+    if (!queue) {
+        queue = std::make_unique<Admission>();
+    }
+    return *queue;
+}
+
+Admission *PromptTask::queueOfRun(std::uint64_t id)
+{
+    const auto run = this->runs.find(id);
+    return run == this->runs.end() ? nullptr : &this->queueOf(run->second->request().model.name);
 }
 
 Result<PromptJob>
@@ -95,19 +141,62 @@
     return job;
 }
 
+void PromptTask::onPlanned(std::uint64_t id, std::uint32_t recomputeTokens)
+{
+    if (Admission *queue = this->queueOfRun(id); queue != nullptr) {
+        queue->planned(id, recomputeTokens);
+    }
+}
+
+void PromptTask::onFirstToken(std::uint64_t id)
+{
+    if (Admission *queue = this->queueOfRun(id); queue != nullptr) {
+        AdmissionActions actions;
+        queue->firstToken(id, this->context.loop.now(), actions);
+        this->carryOut(actions);
+    }
+}
+
+bool PromptTask::mayRetryRefusal()
+{
+    return this->retries.tryTake();
+}
+
 void PromptTask::onEnd(std::uint64_t id, PromptEnd how)
 {
     constexpr std::array<std::string_view, 3> Names {"answered", "failed", "caller_gone"};
     this->context.metrics.count("prompts", fmt::format("end=\"{}\"", Names.at(static_cast<std::size_t>(how))));
-    if (auto found = this->runs.extract(id); !found.empty()) {
-        this->ended.push_back(std::move(found.mapped()));
+    if (how == PromptEnd::Answered) {
+        this->retries.onSuccess();
     }
+    Admission *queue = this->queueOfRun(id);
+    auto found = this->runs.extract(id);
+    if (queue == nullptr || found.empty()) {
+        return;
+    }
+    AdmissionActions actions;
+    if (found.mapped()->isStarted()) {
+        queue->finished(id, this->context.loop.now(), actions);
+    } else {
+        queue->abandon(id);
+    }
+    this->ended.push_back(std::move(found.mapped()));
+    this->carryOut(actions);
 }
 
-void PromptTask::tick()
+void PromptTask::tick(std::size_t hosts)
 {
     // Destroying a run may cancel its attempt, which must not see this list change.
     const auto freed = std::exchange(this->ended, {});
+    this->liveHosts = std::max<std::size_t>(hosts, 1);
+    const TimePoint now = this->context.loop.now();
+    for (const auto &[model, queue] : this->queues) {
+        const PoolCapacity pool = this->context.backends.loads.poolCapacity(this->context.backends.modelOf(model));
+        AdmissionActions actions;
+        queue->setCapacity(capacityOfHost(pool, this->liveHosts), now, actions);
+        queue->tick(now, actions);
+        this->carryOut(actions);
+    }
     this->exports.tick();
 }
 
--- a/packages/node/src/prompt_task.h
+++ b/packages/node/src/prompt_task.h
@@ -3,40 +3,56 @@
 #include "context.h"
 #include "prompt_run.h"
 
+#include <endivespan/admit.h>
+
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <string>
+#include <vector>
 
 /// Serves the prompt APIs: admits requests and owns their runs.
 namespace endivespan {
 
-/// All prompts under way on this host.
-class PromptTask
+/// All prompts of this host, waiting or under way.
+class PromptTask : private PromptObserver
 {
 public:
     explicit PromptTask(NodeContext &context);
-    ~PromptTask();
+    ~PromptTask() override;
     PromptTask(const PromptTask &) = delete;
     PromptTask &operator=(const PromptTask &) = delete;
 
     /// Takes one request of an authenticated caller; the answer or an error is sent on its exchange.
     void serve(PromptApi api, const std::shared_ptr<HttpExchange> &exchange, const Caller &caller);
 
-    /// Frees the runs that have ended and starts exports; call each tick.
-    void tick();
+    /// Follows the capacity, frees the runs that have ended and starts exports; call each tick.
+    /// @param liveHosts Hosts that share the runners, this one included.
+    void tick(std::size_t liveHosts);
 
-    /// @returns the prompts under way.
+    /// @returns the prompts waiting or under way.
     [[nodiscard]] std::size_t inFlight() const;
 
 private:
     [[nodiscard]] Result<PromptJob>
     admit(PromptApi api, const std::shared_ptr<HttpExchange> &exchange, const Caller &caller) const;
-    void onEnd(std::uint64_t id, PromptEnd how);
+    void enqueue(std::uint64_t id, const PromptRun &run);
+    void carryOut(const AdmissionActions &actions);
+    Admission &queueOf(const std::string &model);
+    Admission *queueOfRun(std::uint64_t id);
+
+    void onPlanned(std::uint64_t id, std::uint32_t recomputeTokens) override;
+    void onFirstToken(std::uint64_t id) override;
+    bool mayRetryRefusal() override;
+    void onEnd(std::uint64_t id, PromptEnd how) override;
 
     NodeContext &context;
     std::unique_ptr<Router> router;
     ExportTask exports;
     std::uint64_t nextId = 0;
+    std::size_t liveHosts = 1;
+    RetryBudget retries;
+    std::map<std::string, std::unique_ptr<Admission>> queues; ///< By model.
     std::map<std::uint64_t, std::unique_ptr<PromptRun>> runs;
     std::vector<std::unique_ptr<PromptRun>>
         ended; ///< Freed at the next tick: their callbacks may still be on the stack.
