Import each piece from its own store, listed from the first piece on

Cause: stores hold pieces by their names, so one prompt's pieces lie on several stores; an engine takes an import list only as a prefix of the prompt's pieces.

Change: a decision names a source for each of its first pieces, weighs imports piece by piece and stops where recompute is faster; own import bytes count on each link until the first token.

Conclusion: partial imports and mixed stores work behind the same Router interface.

--- a/packages/core/include/endivespan/load.h
+++ b/packages/core/include/endivespan/load.h
@@ -35,12 +35,20 @@
 /// A dispatch under way, as named by the load table.
 using DispatchHandle = Handle<struct DispatchTag>;
 
+/// Bytes that one run imports from one store.
+struct LinkUse {
+    StoreHandle store;
+    std::uint64_t bytes = 0;
+};
+
+/// Stores that one run imports from.
+constexpr std::size_t MaxLinksPerRun = 4;
+
 /// One dispatch that this host makes.
 struct Dispatch {
     ServerHandle server;
-    StoreHandle store; ///< Invalid when nothing is imported.
     std::uint32_t prefillTokens = 0;
-    std::uint64_t importBytes = 0;
+    std::array<LinkUse, MaxLinksPerRun> links {}; ///< Unused ones have no store.
 };
 
 /// What the engine said of a run, with the time that this host measured.
@@ -76,7 +84,7 @@
     LinkReport report;
     bool usable = false;
     bool reported = false;
-    std::uint64_t unreportedBytes = 0; ///< Own imports that the report cannot contain yet.
+    std::uint64_t ownBytes = 0; ///< Own imports under way; runners ask for them piece by piece.
     double rateFactor = 1.0; ///< Smoothed ratio of measured to expected transfer time.
 };
 
@@ -144,8 +152,8 @@
     /// @returns expected time until a new transfer on the link of @p store starts.
     [[nodiscard]] Duration expectedLinkWait(StoreHandle store, TimePoint now) const;
 
-    /// @returns expected time to move @p bytes from @p store to @p server once the transfer has started.
-    [[nodiscard]] Duration expectedTransfer(StoreHandle store, ServerHandle server, std::uint64_t bytes) const;
+    /// @returns expected rate in bytes a second from @p store to @p server once the transfer has started.
+    [[nodiscard]] double transferRate(StoreHandle store, ServerHandle server) const;
 
     /// @returns what the runners of @p model that may take work offer, by their reports.
     [[nodiscard]] PoolCapacity poolCapacity(ModelHandle model) const;
@@ -166,7 +174,7 @@
         TimePoint at;
         bool inUse = false;
         bool counted = false; ///< Still part of the unreported sums.
-        bool linkCounted = false;
+        bool linksCounted = false;
     };
 
     struct Pool {
@@ -176,8 +184,9 @@
 
     [[nodiscard]] double reportedWaitSeconds(const ServerLoad &load) const;
     [[nodiscard]] double prefillRate(const ServerLoad &load) const;
+    [[nodiscard]] double linkRate(const LinkLoad &link) const;
     void uncount(Pending &pending);
-    void uncountLink(Pending &pending);
+    void uncountLinks(Pending &pending);
     void learnPrefill(const Pending &pending, const FirstTokenSample &sample);
     void learnTransfer(const Pending &pending, const FirstTokenSample &sample);
     void leavePool(ServerHandle server);
--- a/packages/core/include/endivespan/route.h
+++ b/packages/core/include/endivespan/route.h
@@ -38,9 +38,9 @@
 struct RoutePlan {
     std::uint16_t hitPieces = 0;
     std::uint16_t importPieces = 0;
-    StoreHandle store; ///< Where the imported pieces come from; invalid without an import.
     std::uint32_t recomputeTokens = 0;
     std::uint64_t importBytes = 0;
+    std::array<LinkUse, MaxLinksPerRun> links {}; ///< Where the bytes come from.
 };
 
 /// One weighed way to run the prompt.
@@ -57,7 +57,9 @@
 struct Decision {
     ServerHandle server; ///< Invalid when no runner may take it.
     RoutePlan plan;
-    std::array<std::uint64_t, config::MaxPieces> generations; ///< Of the imported pieces, from hitPieces on.
+    /// A copy of each of the first hitPieces + importPieces pieces. Those in memory come first and are a fallback; one
+    /// without a copy has generation 0 in the store of the first import.
+    std::array<StoreCopy, config::MaxPieces> sources;
     Duration expected {};
     std::array<RouteCandidate, config::RouteListedCandidates> candidates; ///< Best first.
     std::uint8_t candidateCount = 0;
--- a/packages/core/src/load.cpp
+++ b/packages/core/src/load.cpp
@@ -116,11 +116,6 @@
     LinkLoad &link = this->links.at(store.index);
     link.report = report;
     link.reported = true;
-    for (Pending &pending : this->pendings) {
-        if (pending.linkCounted && pending.dispatch.store == store && pending.at <= report.observedAt) {
-            this->uncountLink(pending);
-        }
-    }
 }
 
 DispatchHandle LoadTable::onDispatch(const Dispatch &dispatch, TimePoint now)
@@ -130,13 +125,15 @@
     }
     const std::uint32_t index = this->freePendings.back();
     this->freePendings.pop_back();
-    this->pendings[index] = {dispatch, now, true, true, dispatch.store.isValid()};
+    this->pendings[index] = {dispatch, now, true, true, true};
     this->pendingOfServer.at(dispatch.server.index).push_back(index);
     ServerLoad &load = this->servers.at(dispatch.server.index);
     ++load.unreportedRequests;
     load.unreportedTokens += dispatch.prefillTokens;
-    if (dispatch.store.isValid()) {
-        this->links.at(dispatch.store.index).unreportedBytes += dispatch.importBytes;
+    for (const LinkUse &use : dispatch.links) {
+        if (use.store.isValid()) {
+            this->links.at(use.store.index).ownBytes += use.bytes;
+        }
     }
     return {index};
 }
@@ -154,11 +151,16 @@
     std::erase(this->pendingOfServer.at(pending.dispatch.server.index), index);
 }
 
-void LoadTable::uncountLink(Pending &pending)
+void LoadTable::uncountLinks(Pending &pending)
 {
-    if (pending.linkCounted) {
-        pending.linkCounted = false;
-        this->links.at(pending.dispatch.store.index).unreportedBytes -= pending.dispatch.importBytes;
+    if (!pending.linksCounted) {
+        return;
+    }
+    pending.linksCounted = false;
+    for (const LinkUse &use : pending.dispatch.links) {
+        if (use.store.isValid()) {
+            this->links.at(use.store.index).ownBytes -= use.bytes;
+        }
     }
 }
 
@@ -168,7 +170,7 @@
         return;
     }
     Pending &pending = this->pendings.at(dispatch.index);
-    this->uncountLink(pending);
+    this->uncountLinks(pending);
     if (sample.importedBytes == 0) {
         this->learnPrefill(pending, sample);
     } else {
@@ -187,19 +189,30 @@
     smooth(load.prefillFactor, bounded(load.prefillFactor * actual / expected));
 }
 
+// The links of one run share what was measured, in proportion to what was expected of each.
 void LoadTable::learnTransfer(const Pending &pending, const FirstTokenSample &sample)
 {
-    if (sample.importedBytes < MinSampleBytes || !pending.dispatch.store.isValid()) {
+    if (sample.importedBytes < MinSampleBytes) {
         return;
     }
     const ServerHandle server = pending.dispatch.server;
-    const StoreHandle store = pending.dispatch.store;
-    LinkLoad &link = this->links.at(store.index);
     const Duration prefill = this->expectedPrefill(server, sample.recomputedTokens);
     const double actual = std::max(0.0, toSeconds(sample.timeToFirstToken - sample.queueTime - prefill));
-    const Duration moved = this->expectedTransfer(store, server, sample.importedBytes);
-    const double expected = toSeconds(moved + this->expectedLinkWait(store, pending.at));
-    smooth(link.rateFactor, bounded(link.rateFactor * actual / expected));
+    double expected = 0;
+    for (const LinkUse &use : pending.dispatch.links) {
+        if (use.store.isValid()) {
+            expected += static_cast<double>(use.bytes) / this->transferRate(use.store, server);
+        }
+    }
+    if (expected <= 0) {
+        return;
+    }
+    for (const LinkUse &use : pending.dispatch.links) {
+        if (use.store.isValid()) {
+            LinkLoad &link = this->links.at(use.store.index);
+            smooth(link.rateFactor, bounded(link.rateFactor * actual / expected));
+        }
+    }
 }
 
 void LoadTable::onEnd(DispatchHandle dispatch, bool completed, TimePoint now)
@@ -215,7 +228,7 @@
         smooth(load.runSeconds, seconds);
     }
     this->uncount(pending);
-    this->uncountLink(pending);
+    this->uncountLinks(pending);
     pending.inUse = false;
     this->freePendings.push_back(dispatch.index);
 }
@@ -268,26 +281,29 @@
     return fromSeconds(static_cast<double>(tokens) / this->prefillRate(this->servers.at(server.index)));
 }
 
+double LoadTable::linkRate(const LinkLoad &link) const
+{
+    return link.report.bytesPerSecond > 0 ? link.report.bytesPerSecond : config::StartImportBytesPerSecond;
+}
+
 Duration LoadTable::expectedLinkWait(StoreHandle store, TimePoint now) const
 {
     const LinkLoad &link = this->links.at(store.index);
-    const double rate = link.report.bytesPerSecond > 0 ? link.report.bytesPerSecond : config::StartImportBytesPerSecond;
-    const double age = std::max(0.0, toSeconds(now - link.report.observedAt));
-    const double drained = link.reported ? age * rate : 0;
-    const double queued
-        = static_cast<double>(link.report.queuedBytes) + static_cast<double>(link.unreportedBytes) - drained;
-    return fromSeconds(std::max(0.0, queued) / rate * link.rateFactor);
+    const double rate = this->linkRate(link);
+    const double drained = std::max(0.0, toSeconds(now - link.report.observedAt)) * rate;
+    const double reported = std::max(0.0, static_cast<double>(link.report.queuedBytes) - drained);
+    return fromSeconds(std::max(reported, static_cast<double>(link.ownBytes)) / rate);
 }
 
-Duration LoadTable::expectedTransfer(StoreHandle store, ServerHandle server, std::uint64_t bytes) const
+double LoadTable::transferRate(StoreHandle store, ServerHandle server) const
 {
     const LinkLoad &link = this->links.at(store.index);
     const ServerLoad &load = this->servers.at(server.index);
-    double rate = link.report.bytesPerSecond > 0 ? link.report.bytesPerSecond : config::StartImportBytesPerSecond;
+    double rate = this->linkRate(link);
     if (load.report.importBytesPerSecond > 0) {
         rate = std::min(rate, load.report.importBytesPerSecond);
     }
-    return fromSeconds(static_cast<double>(bytes) / rate * link.rateFactor);
+    return rate / link.rateFactor;
 }
 
 PoolCapacity LoadTable::poolCapacity(ModelHandle model) const
--- a/packages/core/src/route_affinity.cpp
+++ b/packages/core/src/route_affinity.cpp
@@ -9,8 +9,7 @@
 public:
     Decision route(const RouteRequest &request, const RouteView &view, TimePoint now) override
     {
-        Decision decision;
-        const PromptHolders holders(request, view.directory);
+        const PromptHolders holders(request, view, now);
         ServerHandle server;
         std::uint16_t most = 0;
         for (const PromptHolders::Hit &hit : holders.hits()) {
@@ -20,12 +19,7 @@
             }
         }
         server = server.isValid() ? server : leastLoaded(request, view, now);
-        if (server.isValid()) {
-            const Duration wait = view.loads.expectedWait(server, now);
-            offerCandidate(decision, weigh(request, view, holders, server, wait, {}, 0, false, now));
-            choose(decision, 0, holders);
-        }
-        return decision;
+        return decideFor({request, view, holders, now}, server, ImportRule::None);
     }
 
     [[nodiscard]] std::string_view name() const override
--- a/packages/core/src/route_common.cpp
+++ b/packages/core/src/route_common.cpp
@@ -8,7 +8,30 @@
 
 namespace {
 
-constexpr std::uint64_t UnknownPieceBytes = 1'000'000;
+constexpr std::uint32_t UnknownPieceBytes = 1'000'000;
+
+void addTimes(RouteCandidate &candidate, const Weighing &weighing, Duration transfer)
+{
+    RoutePlan &plan = candidate.plan;
+    const std::uint64_t reused = std::uint64_t {config::PieceTokens} * (plan.hitPieces + plan.importPieces);
+    const std::uint32_t prompt = weighing.request.promptTokens;
+    plan.recomputeTokens = prompt > reused ? prompt - static_cast<std::uint32_t>(reused) : 0;
+    candidate.transfer = transfer;
+    candidate.prefill = weighing.view.loads.expectedPrefill(candidate.server, plan.recomputeTokens);
+    candidate.expected = candidate.wait + candidate.transfer + candidate.prefill;
+}
+
+bool addLink(RoutePlan &plan, const PromptHolders::Copy &piece)
+{
+    for (LinkUse &use : plan.links) {
+        if (!use.store.isValid() || use.store == piece.copy.store) {
+            use.store = piece.copy.store;
+            use.bytes += piece.bytes;
+            return true;
+        }
+    }
+    return false;
+}
 
 bool inScope(const PieceHolders &holders, const DirectoryScope &scope)
 {
@@ -21,20 +44,17 @@
 
 } // namespace
 
-PromptHolders::PromptHolders(const RouteRequest &request, const Directory &directory)
+PromptHolders::PromptHolders(const RouteRequest &request, const RouteView &view, TimePoint now)
 {
     const DirectoryScope scope {request.organisation, request.version};
     const std::size_t count = std::min(request.pieces.size(), config::MaxPieces);
     for (std::uint16_t i = 0; i < count; ++i) {
-        const PieceHolders holders = directory.find(request.pieces[i], scope);
+        const PieceHolders holders = view.directory.find(request.pieces[i], scope);
         if ((holders.serverCount == 0 && holders.storeCount == 0) || !inScope(holders, scope)) {
             return;
         }
         this->addServers(holders, i);
-        this->addStores(holders);
-        this->copies.at(i) = holders.stores;
-        this->sizes.at(i) = holders.bytes;
-        this->known = i + 1;
+        this->addCopy(holders, view, now);
     }
 }
 
@@ -55,13 +75,20 @@
     }
 }
 
-void PromptHolders::addStores(const PieceHolders &holders)
+// Of several copies the one behind the shortest queue is used.
+void PromptHolders::addCopy(const PieceHolders &holders, const RouteView &view, TimePoint now)
 {
+    Copy &best = this->copyList.at(this->copyCount++);
+    best.bytes = holders.bytes != 0 ? holders.bytes : UnknownPieceBytes;
     for (std::uint8_t s = 0; s < holders.storeCount; ++s) {
-        const StoreHandle store = holders.stores.at(s).store;
-        const std::span<const StoreHandle> listed = this->stores();
-        if (std::find(listed.begin(), listed.end(), store) == listed.end() && this->storeCountUsed < MaxStores) {
-            this->storeList.at(this->storeCountUsed++) = store;
+        const StoreCopy &copy = holders.stores.at(s);
+        if (!view.loads.link(copy.store).usable) {
+            continue;
+        }
+        const Duration wait = view.loads.expectedLinkWait(copy.store, now);
+        if (!best.copy.store.isValid() || wait < best.linkWait) {
+            best.copy = copy;
+            best.linkWait = wait;
         }
     }
 }
@@ -76,32 +103,9 @@
     return 0;
 }
 
-std::uint16_t PromptHolders::copiesFrom(StoreHandle store, std::uint16_t first) const
-{
-    std::uint16_t index = first;
-    while (index < this->known) {
-        const auto &copy = this->copies.at(index);
-        if (std::none_of(copy.begin(), copy.end(), [&](const StoreCopy &one) { return one.store == store; })) {
-            break;
-        }
-        ++index;
-    }
-    return index - first;
-}
-
-std::uint64_t PromptHolders::generation(StoreHandle store, std::uint16_t index) const
-{
-    for (const StoreCopy &copy : this->copies.at(index)) {
-        if (copy.store == store) {
-            return copy.generation;
-        }
-    }
-    return 0;
-}
-
-std::uint64_t PromptHolders::bytes(std::uint16_t index) const
+std::span<const PromptHolders::Copy> PromptHolders::copies() const
 {
-    return this->sizes.at(index) != 0 ? this->sizes.at(index) : UnknownPieceBytes;
+    return {this->copyList.data(), this->copyCount};
 }
 
 std::span<const PromptHolders::Hit> PromptHolders::hits() const
@@ -109,11 +113,6 @@
     return {this->hitList.data(), this->hitCount};
 }
 
-std::span<const StoreHandle> PromptHolders::stores() const
-{
-    return {this->storeList.data(), this->storeCountUsed};
-}
-
 bool isEligible(const RouteRequest &request, const ServerLoad &load, ServerHandle server)
 {
     if (!load.mayTakeWork || !load.creditAvailable || load.model != request.model || !load.serves(request.version)) {
@@ -122,36 +121,35 @@
     return std::find(request.excluded.begin(), request.excluded.end(), server) == request.excluded.end();
 }
 
-RouteCandidate weigh(const RouteRequest &request,
-                     const RouteView &view,
-                     const PromptHolders &holders,
-                     ServerHandle server,
-                     Duration wait,
-                     StoreHandle store,
-                     std::uint16_t importPieces,
-                     bool linkQueue,
-                     TimePoint now)
+RouteCandidate weigh(const Weighing &weighing, ServerHandle server, ImportRule rule)
 {
+    const LoadTable &loads = weighing.view.loads;
     RouteCandidate candidate;
     candidate.server = server;
-    candidate.wait = wait;
-    RoutePlan &plan = candidate.plan;
-    plan.hitPieces = holders.hitPieces(server);
-    plan.importPieces = importPieces;
-    for (std::uint16_t i = 0; i < importPieces; ++i) {
-        plan.importBytes += holders.bytes(plan.hitPieces + i);
+    candidate.wait = loads.expectedWait(server, weighing.now);
+    candidate.plan.hitPieces = weighing.holders.hitPieces(server);
+    addTimes(candidate, weighing, Duration::zero());
+    RouteCandidate best = candidate;
+    if (rule == ImportRule::None) {
+        return best;
     }
-    if (importPieces > 0) {
-        plan.store = store;
-        candidate.transfer = view.loads.expectedTransfer(store, server, plan.importBytes);
-        candidate.transfer += linkQueue ? view.loads.expectedLinkWait(store, now) : Duration::zero();
+    Duration moving {};
+    Duration linkWait {};
+    for (const PromptHolders::Copy &piece : weighing.holders.copies().subspan(candidate.plan.hitPieces)) {
+        if (!piece.copy.store.isValid() || !addLink(candidate.plan, piece)) {
+            break;
+        }
+        ++candidate.plan.importPieces;
+        candidate.plan.importBytes += piece.bytes;
+        const double seconds = piece.bytes / loads.transferRate(piece.copy.store, server);
+        moving += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+        linkWait = weighing.linkQueue ? std::max(linkWait, piece.linkWait) : linkWait;
+        addTimes(candidate, weighing, linkWait + moving);
+        if (rule == ImportRule::All || candidate.expected < best.expected) {
+            best = candidate;
+        }
     }
-    const std::uint64_t reused = std::uint64_t {config::PieceTokens} * (plan.hitPieces + importPieces);
-    plan.recomputeTokens
-        = request.promptTokens > reused ? request.promptTokens - static_cast<std::uint32_t>(reused) : 0;
-    candidate.prefill = view.loads.expectedPrefill(server, plan.recomputeTokens);
-    candidate.expected = candidate.wait + candidate.transfer + candidate.prefill;
-    return candidate;
+    return best;
 }
 
 void offerCandidate(Decision &decision, const RouteCandidate &candidate)
@@ -178,9 +176,21 @@
     decision.server = best.server;
     decision.plan = best.plan;
     decision.expected = best.expected;
-    for (std::uint16_t i = 0; i < best.plan.importPieces; ++i) {
-        decision.generations.at(i) = holders.generation(best.plan.store, best.plan.hitPieces + i);
+    const std::size_t count = best.plan.importPieces > 0 ? best.plan.hitPieces + best.plan.importPieces : 0;
+    for (std::size_t i = 0; i < count; ++i) {
+        const StoreCopy &copy = holders.copies()[i].copy;
+        decision.sources.at(i) = copy.store.isValid() ? copy : StoreCopy {best.plan.links.front().store, 0};
+    }
+}
+
+Decision decideFor(const Weighing &weighing, ServerHandle server, ImportRule rule)
+{
+    Decision decision;
+    if (server.isValid()) {
+        offerCandidate(decision, weigh(weighing, server, rule));
+        choose(decision, 0, weighing.holders);
     }
+    return decision;
 }
 
 std::uint64_t nextRandom(std::uint64_t &state)
--- a/packages/core/src/route_common_p.h
+++ b/packages/core/src/route_common_p.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <span>
 
 /// Steps shared by the routing policies.
 namespace endivespan {
@@ -19,66 +20,66 @@
         std::uint16_t pieces = 0;
     };
 
-    /// The pieces of the prompt that one store holds, without a gap.
+    /// The best copy of one piece.
     struct Copy {
-        StoreHandle store;
-        std::uint16_t first = 0;
-        std::uint16_t end = 0;
+        StoreCopy copy; ///< Without a store when no usable one has the piece.
+        std::uint32_t bytes = 0;
+        Duration linkWait {};
     };
 
-    PromptHolders(const RouteRequest &request, const Directory &directory);
+    PromptHolders(const RouteRequest &request, const RouteView &view, TimePoint now);
 
     /// @returns pieces that @p server holds from the start of the prompt on.
     [[nodiscard]] std::uint16_t hitPieces(ServerHandle server) const;
 
-    /// @returns pieces of @p store from @p first on, without a gap.
-    [[nodiscard]] std::uint16_t copiesFrom(StoreHandle store, std::uint16_t first) const;
-
-    /// @returns the generation of piece @p index in @p store.
-    [[nodiscard]] std::uint64_t generation(StoreHandle store, std::uint16_t index) const;
-
-    /// @returns the size of piece @p index in a store.
-    [[nodiscard]] std::uint64_t bytes(std::uint16_t index) const;
+    /// @returns the copies of the pieces that the directory knows, in order of the prompt.
+    [[nodiscard]] std::span<const Copy> copies() const;
 
     [[nodiscard]] std::span<const Hit> hits() const;
-    [[nodiscard]] std::span<const StoreHandle> stores() const;
 
 private:
     static constexpr std::size_t MaxHits = 16;
-    static constexpr std::size_t MaxStores = 8;
 
     void addServers(const PieceHolders &holders, std::uint16_t index);
-    void addStores(const PieceHolders &holders);
+    void addCopy(const PieceHolders &holders, const RouteView &view, TimePoint now);
 
     std::array<Hit, MaxHits> hitList;
-    std::array<StoreHandle, MaxStores> storeList;
-    std::array<std::array<StoreCopy, config::DirectoryStoresPerPiece>, config::MaxPieces> copies;
-    std::array<std::uint32_t, config::MaxPieces> sizes;
+    std::array<Copy, config::MaxPieces> copyList;
     std::uint8_t hitCount = 0;
-    std::uint8_t storeCountUsed = 0;
-    std::uint16_t known = 0;
+    std::uint16_t copyCount = 0;
+};
+
+/// How many of the pieces that stores hold a candidate imports.
+enum class ImportRule {
+    None,
+    Fastest, ///< As many as make the first token come soonest.
+    All,
+};
+
+/// One prompt with all that is needed to weigh candidates for it.
+struct Weighing {
+    const RouteRequest &request;
+    const RouteView &view;
+    const PromptHolders &holders;
+    TimePoint now;
+    bool linkQueue = true; ///< Count the queue of the link.
 };
 
 /// @returns true when @p server may be given this request.
 bool isEligible(const RouteRequest &request, const ServerLoad &load, ServerHandle server);
 
-/// Fills times and plan of the way that takes @p hitPieces from memory and imports @p importPieces from @p store.
-RouteCandidate weigh(const RouteRequest &request,
-                     const RouteView &view,
-                     const PromptHolders &holders,
-                     ServerHandle server,
-                     Duration wait,
-                     StoreHandle store,
-                     std::uint16_t importPieces,
-                     bool linkQueue,
-                     TimePoint now);
+/// @returns the way to run the prompt on @p server.
+RouteCandidate weigh(const Weighing &weighing, ServerHandle server, ImportRule rule);
 
 /// Keeps the best candidates of a decision in order.
 void offerCandidate(Decision &decision, const RouteCandidate &candidate);
 
-/// Makes candidate @p index the choice, with the generations of what it imports.
+/// Makes candidate @p index the choice, with the sources of its pieces.
 void choose(Decision &decision, std::size_t index, const PromptHolders &holders);
 
+/// @returns the decision to run the prompt on @p server; an empty one when the handle is invalid.
+Decision decideFor(const Weighing &weighing, ServerHandle server, ImportRule rule);
+
 /// @returns the eligible runner with the shortest expected wait, weighing a sample of large pools; invalid if none.
 ServerHandle leastLoaded(const RouteRequest &request, const RouteView &view, TimePoint now);
 
--- a/packages/core/src/route_expected.cpp
+++ b/packages/core/src/route_expected.cpp
@@ -17,13 +17,14 @@
     Decision route(const RouteRequest &request, const RouteView &view, TimePoint now) override
     {
         Decision decision;
-        const PromptHolders holders(request, view.directory);
+        const PromptHolders holders(request, view, now);
+        const Weighing weighing {request, view, holders, now, this->options.linkQueue};
         if (this->options.memoryHits) {
             for (const PromptHolders::Hit &hit : holders.hits()) {
-                this->weighServer(decision, request, view, holders, hit.server, now);
+                this->weighServer(decision, weighing, hit.server);
             }
         }
-        this->weighSample(decision, request, view, holders, now);
+        this->weighSample(decision, weighing);
         if (decision.candidateCount > 0) {
             choose(decision, this->pick(decision, request.random), holders);
         }
@@ -36,54 +37,31 @@
     }
 
 private:
-    void weighSample(Decision &decision,
-                     const RouteRequest &request,
-                     const RouteView &view,
-                     const PromptHolders &holders,
-                     TimePoint now) const
+    void weighSample(Decision &decision, const Weighing &weighing) const
     {
-        const std::span<const ServerHandle> pool = view.loads.pool(request.model);
+        const std::span<const ServerHandle> pool = weighing.view.loads.pool(weighing.request.model);
         if (pool.empty()) {
             return;
         }
-        std::uint64_t random = request.random;
+        std::uint64_t random = weighing.request.random;
         const std::size_t first = nextRandom(random) % pool.size();
         std::size_t weighed = 0;
         for (std::size_t i = 0; i < pool.size() && weighed < config::RouteSampledServers; ++i) {
             const ServerHandle server = pool[(first + i) % pool.size()];
-            if (this->options.memoryHits && holders.hitPieces(server) > 0) {
+            if (this->options.memoryHits && weighing.holders.hitPieces(server) > 0) {
                 continue;
             }
-            weighed += this->weighServer(decision, request, view, holders, server, now) ? 1 : 0;
+            weighed += this->weighServer(decision, weighing, server) ? 1 : 0;
         }
     }
 
-    // Transfer and prefill both grow in step with their pieces, so for one store either nothing or all it holds is
-    // best.
-    bool weighServer(Decision &decision,
-                     const RouteRequest &request,
-                     const RouteView &view,
-                     const PromptHolders &holders,
-                     ServerHandle server,
-                     TimePoint now) const
+    bool weighServer(Decision &decision, const Weighing &weighing, ServerHandle server) const
     {
-        if (!isEligible(request, view.loads.server(server), server)) {
+        if (!isEligible(weighing.request, weighing.view.loads.server(server), server)) {
             return false;
         }
-        const Duration wait = view.loads.expectedWait(server, now);
-        const bool linkQueue = this->options.linkQueue;
-        RouteCandidate best = weigh(request, view, holders, server, wait, {}, 0, linkQueue, now);
-        if (this->options.imports) {
-            for (const StoreHandle store : holders.stores()) {
-                const std::uint16_t pieces = holders.copiesFrom(store, best.plan.hitPieces);
-                if (pieces == 0 || !view.loads.link(store).usable) {
-                    continue;
-                }
-                const RouteCandidate other = weigh(request, view, holders, server, wait, store, pieces, linkQueue, now);
-                best = other.expected < best.expected ? other : best;
-            }
-        }
-        offerCandidate(decision, best);
+        const ImportRule rule = this->options.imports ? ImportRule::Fastest : ImportRule::None;
+        offerCandidate(decision, weigh(weighing, server, rule));
         return true;
     }
 
--- a/packages/core/src/route_leastloaded.cpp
+++ b/packages/core/src/route_leastloaded.cpp
@@ -9,14 +9,8 @@
 public:
     Decision route(const RouteRequest &request, const RouteView &view, TimePoint now) override
     {
-        Decision decision;
-        const PromptHolders holders(request, view.directory);
-        if (const ServerHandle server = leastLoaded(request, view, now); server.isValid()) {
-            const Duration wait = view.loads.expectedWait(server, now);
-            offerCandidate(decision, weigh(request, view, holders, server, wait, {}, 0, false, now));
-            choose(decision, 0, holders);
-        }
-        return decision;
+        const PromptHolders holders(request, view, now);
+        return decideFor({request, view, holders, now}, leastLoaded(request, view, now), ImportRule::None);
     }
 
     [[nodiscard]] std::string_view name() const override
--- a/packages/core/src/route_recompute.cpp
+++ b/packages/core/src/route_recompute.cpp
@@ -9,16 +9,10 @@
 public:
     Decision route(const RouteRequest &request, const RouteView &view, TimePoint now) override
     {
-        Decision decision;
         RouteRequest bare = request;
         bare.pieces = {};
-        const PromptHolders holders(bare, view.directory);
-        if (const ServerHandle server = leastLoaded(request, view, now); server.isValid()) {
-            const Duration wait = view.loads.expectedWait(server, now);
-            offerCandidate(decision, weigh(request, view, holders, server, wait, {}, 0, false, now));
-            choose(decision, 0, holders);
-        }
-        return decision;
+        const PromptHolders holders(bare, view, now);
+        return decideFor({bare, view, holders, now}, leastLoaded(bare, view, now), ImportRule::None);
     }
 
     [[nodiscard]] std::string_view name() const override
--- a/packages/core/src/route_roundrobin.cpp
+++ b/packages/core/src/route_roundrobin.cpp
@@ -9,20 +9,15 @@
 public:
     Decision route(const RouteRequest &request, const RouteView &view, TimePoint now) override
     {
-        Decision decision;
-        const PromptHolders holders(request, view.directory);
+        const PromptHolders holders(request, view, now);
         const std::span<const ServerHandle> pool = view.loads.pool(request.model);
         for (std::size_t i = 0; i < pool.size(); ++i) {
             const ServerHandle server = pool[this->next++ % pool.size()];
-            if (!isEligible(request, view.loads.server(server), server)) {
-                continue;
+            if (isEligible(request, view.loads.server(server), server)) {
+                return decideFor({request, view, holders, now}, server, ImportRule::None);
             }
-            const Duration wait = view.loads.expectedWait(server, now);
-            offerCandidate(decision, weigh(request, view, holders, server, wait, {}, 0, false, now));
-            choose(decision, 0, holders);
-            break;
         }
-        return decision;
+        return {};
     }
 
     [[nodiscard]] std::string_view name() const override
--- a/packages/node/src/prompt_run.cpp
+++ b/packages/node/src/prompt_run.cpp
@@ -21,6 +21,17 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
 }
 
+std::string storeNames(Backends &backends, const RoutePlan &plan)
+{
+    std::string names;
+    for (const LinkUse &use : plan.links) {
+        if (use.store.isValid()) {
+            names += (names.empty() ? "" : ",") + backends.store(use.store).name;
+        }
+    }
+    return names.empty() ? "-" : names;
+}
+
 } // namespace
 
 PromptRun::PromptRun(
@@ -99,7 +110,7 @@
         return;
     }
     const RoutePlan &plan = choice.plan;
-    const std::string store = plan.importPieces > 0 ? backends.store(plan.store).name : "-";
+    const std::string stores = storeNames(backends, plan);
     const std::string line
         = fmt::format("attempt {}: {} to {}, {} pieces in memory, {} imported from {}, {} tokens recomputed, "
                       "first token expected in {} ms",
@@ -108,7 +119,7 @@
                       backends.server(choice.server).name,
                       plan.hitPieces,
                       plan.importPieces,
-                      store,
+                      stores,
                       plan.recomputeTokens,
                       inMilliseconds(choice.expected).count());
     logLine("route", "{} {}", this->job.caller.requestId, line);
@@ -141,9 +152,11 @@
         = {this->job.caller.organisation, this->job.model.name, this->job.model.version, this->job.request.adapter};
     request.prompt = this->job.request.prompt;
     request.pieces = this->pieces;
-    for (std::uint16_t i = 0; i < choice.plan.importPieces; ++i) {
-        const PieceKey &piece = this->pieces.at(choice.plan.hitPieces + i);
-        request.imports.push_back({piece, backends.store(choice.plan.store).address, choice.generations.at(i)});
+    // The list starts at the first piece: the runner passes over those that it does hold.
+    const std::size_t listed = choice.plan.importPieces > 0 ? choice.plan.hitPieces + choice.plan.importPieces : 0;
+    for (std::size_t i = 0; i < listed; ++i) {
+        const StoreCopy &source = choice.sources.at(i);
+        request.imports.push_back({this->pieces.at(i), backends.store(source.store).address, source.generation});
     }
     request.maxTokens = this->job.request.maxTokens;
     request.resumeFrom = this->nextIndex;
@@ -158,8 +171,8 @@
     checkInvariant(Invariant::NoWorkForTakenOutDomain, backend.mayTakeWork, backend.name);
     ++backend.inFlight;
     this->firstTokenOfAttempt = false;
-    this->load = backends.loads.onDispatch(
-        {this->server, choice.plan.store, choice.plan.recomputeTokens, choice.plan.importBytes}, this->dispatchedAt);
+    this->load
+        = backends.loads.onDispatch({this->server, choice.plan.recomputeTokens, choice.plan.links}, this->dispatchedAt);
     this->run = this->context.engines.run(request, std::move(callbacks));
     this->context.metrics.count("prompt_attempts");
 }
--- a/tests/core/route.cpp
+++ b/tests/core/route.cpp
@@ -113,19 +113,34 @@
     fixture.addCopies({0}, pieces, 100e6);
     const Decision fast = fixture.route(fixture.request(pieces));
     CHECK(fast.plan.importPieces == 3);
-    CHECK(fast.plan.store == StoreHandle {0});
-    CHECK(fast.generations[2] == 5);
+    CHECK(fast.plan.links[0].store == StoreHandle {0});
+    CHECK(fast.sources[2].generation == 5);
     CHECK(fast.plan.importBytes == 3'000'000);
 
     fixture.loads.onLinkReport({0}, {900'000'000, 100e6, TimePoint {}});
     CHECK(fixture.route(fixture.request(pieces)).plan.importPieces == 0);
 }
 
+TEST_CASE("an import stops before the pieces whose link is too slow, and lists what memory should hold first")
+{
+    Fixture fixture(1);
+    const auto pieces = piecesOf("v1", 4);
+    const std::vector<PieceKey> quick(pieces.begin(), pieces.begin() + 3);
+    fixture.addCopies({0}, quick, 100e6);
+    fixture.addCopies({1}, {pieces[3]}, 1e6);
+    fixture.directory.applyRun({0}, 1, {Puuseppa, V1}, std::span(pieces).first(1));
+    const Decision decision = fixture.route(fixture.request(pieces));
+    CHECK(decision.plan.hitPieces == 1);
+    CHECK(decision.plan.importPieces == 2);
+    CHECK(decision.plan.recomputeTokens == config::PieceTokens + 100);
+    CHECK(decision.sources[0].generation == 5);
+}
+
 TEST_CASE("own dispatches that no report contains yet count against a runner")
 {
     Fixture fixture(2);
     const auto pieces = piecesOf("v1", 1);
-    const DispatchHandle dispatch = fixture.loads.onDispatch({{0}, {}, 100'000, 0}, TimePoint {1s});
+    const DispatchHandle dispatch = fixture.loads.onDispatch({{0}, 100'000, {}}, TimePoint {1s});
     for (std::uint64_t random = 0; random < 20; ++random) {
         CHECK(fixture.route(fixture.request(pieces, random)).server == ServerHandle {1});
     }
@@ -149,7 +164,7 @@
 {
     Fixture fixture(1);
     for (int i = 0; i < 100; ++i) {
-        const DispatchHandle dispatch = fixture.loads.onDispatch({{0}, {}, 20'000, 0}, TimePoint {});
+        const DispatchHandle dispatch = fixture.loads.onDispatch({{0}, 20'000, {}}, TimePoint {});
         fixture.loads.onFirstToken(dispatch, {2s, 0s, 20'000, 0});
         fixture.loads.onEnd(dispatch, true, TimePoint {3s});
     }
