--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -133,7 +133,6 @@
 
 // Admission
 constexpr std::size_t AdmissionQueueBound = 512; ///< Requests that wait on one host for one model.
-constexpr std::size_t MaxOrganisations = 32'768;
 constexpr std::uint32_t DecodeTokenCost = 50; ///< Prefill tokens that cost a runner as much as one answer token.
 constexpr std::chrono::milliseconds AdmissionPrefillWindow = 250ms; ///< Prefill work sent ahead to each runner.
 constexpr double AdmissionBorrowFactor = 2.0; ///< Times its share of idle capacity that one host may use.
