--- a/tests/core/config_fold.cpp
+++ b/tests/core/config_fold.cpp
@@ -251,7 +251,7 @@
         while (startsEarly && late.readFrom() < stop) {
             log.feed(late, late.readFrom());
         }
-        const Fleet before = late.fleet();
+        const Fleet unchanged = late.fleet();
         late.startAt(*rc::gen::inRange<std::uint64_t>(stop, log.records.size()));
         while (late.readFrom() < log.records.size()) {
             log.feed(late, late.readFrom());
@@ -263,7 +263,7 @@
         if (late.isContiguous()) {
             RC_ASSERT(fleetOf(late) == fleetOf(whole));
         } else {
-            RC_ASSERT(late.fleet() == before);
+            RC_ASSERT(late.fleet() == unchanged);
         }
         RC_ASSERT(whole.stats().snapshotsRefused == 0U);
     }));
