--- a/packages/core/include/endivespan/prefix.h
+++ b/packages/core/include/endivespan/prefix.h
@@ -17,7 +17,7 @@
 struct PieceKey {
     std::array<std::uint8_t, 16> bytes {};
 
-    auto operator<=>(const PieceKey &) const = default;
+    auto operator<=>(const PieceKey &) const = default; // NOLINT(modernize-use-nullptr): false positive
 
     /// @returns the name as 32 lower-case hexadecimal digits.
     [[nodiscard]] std::string hex() const;
