Learn a runner's rates from each answer

Cause: the router's rates stayed at their start values. Change: each answered attempt reports its time to first token. Conclusion: wired.

--- a/packages/node/src/prompt_run.cpp
+++ b/packages/node/src/prompt_run.cpp
@@ -197,6 +197,7 @@
     callbacks.onFailure = [this](const Error &error, bool requestSent) { this->onFailure(error, requestSent); };
     checkInvariant(Invariant::NoWorkForTakenOutDomain, backend.mayTakeWork, backend.name);
     ++backend.inFlight;
+    this->firstTokenAfter = Duration::zero();
     this->load
         = backends.loads.onDispatch({this->server, choice.plan.recomputeTokens, choice.plan.links}, this->dispatchedAt);
     this->run = this->context.engines.run(request, std::move(callbacks));
@@ -223,6 +224,9 @@
 
 void PromptRun::noteFirstToken()
 {
+    if (this->firstTokenAfter == Duration::zero()) {
+        this->firstTokenAfter = this->context.loop.now() - this->dispatchedAt;
+    }
     if (this->firstTokenSeen) {
         return;
     }
@@ -263,6 +267,11 @@
     this->context.metrics.count("prompt_tokens", "source=\"memory\"", summary.cachedTokens);
     this->context.metrics.count("prompt_tokens", "source=\"import\"", summary.importedTokens);
     this->context.metrics.count("prompt_tokens", "source=\"recompute\"", summary.recomputedTokens);
+    if (this->load.isValid()) {
+        const std::uint64_t imported = summary.importedTokens > 0 ? this->decision.plan.importBytes : 0;
+        backends.loads.onFirstToken(
+            this->load, {this->firstTokenAfter, summary.queueTime, summary.recomputedTokens, imported});
+    }
     if (summary.incarnation == backends.server(this->server).incarnation) {
         const DirectoryScope scope {
             backends.organisationOf(this->job.caller.organisation),
--- a/packages/node/src/prompt_run.h
+++ b/packages/node/src/prompt_run.h
@@ -107,6 +107,7 @@
     TimePoint arrivedAt;
     TimePoint deadline;
     TimePoint dispatchedAt;
+    Duration firstTokenAfter {}; ///< Of the attempt under way; zero until its first token.
     std::uint32_t attempts = 0;
     std::uint32_t nextIndex;
     bool firstTokenSeen = false;
