--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -12,17 +12,33 @@
 // Frame
 constexpr std::chrono::milliseconds TickPeriod = 20ms;
 
+constexpr std::chrono::milliseconds StopAcceptDelay = 1000ms;
+
 // Callers
 constexpr std::size_t MaxBodyBytes = 4 * 1024 * 1024;
 constexpr std::size_t MaxHeaderBytes = 32 * 1024;
 constexpr std::chrono::seconds CallerReadTimeout = 10s;
 constexpr std::chrono::seconds DefaultDeadline = 30s;
+constexpr std::uint32_t DefaultRequestsInFlight = 4096;
 constexpr std::chrono::milliseconds StreamHeartbeatPeriod = 1000ms;
 
+constexpr std::chrono::milliseconds RetryHintBase = 500ms;
+constexpr std::chrono::milliseconds RetryHintSpread = 1000ms;
+constexpr std::size_t CallerBacklogBytes = 1024 * 1024;
+constexpr std::uint32_t DefaultMaxTokens = 64;
+constexpr std::uint32_t MaxTokensLimit = 8192;
+constexpr std::size_t ExplainRequests = 4096;
+constexpr std::size_t ExplainDecisionsPerRequest = 32;
+
 // Backend servers
+constexpr std::uint32_t PromptAttempts = 6;
+constexpr std::chrono::milliseconds AttemptPause = 20ms;
 constexpr std::chrono::milliseconds ConnectTimeout = 500ms;
 constexpr std::chrono::milliseconds StreamSilenceTimeout = 3000ms;
 constexpr std::chrono::milliseconds LoadReportPeriod = 200ms;
+constexpr std::chrono::milliseconds StoreListPeriod = 500ms;
+constexpr std::size_t StoreListPieces = 1000;
+constexpr std::size_t MaxVersionNames = 256;
 constexpr std::chrono::milliseconds LoadReportStaleAfter = 1500ms;
 
 // Prefix pieces
@@ -39,21 +55,89 @@
 // Configuration
 constexpr std::chrono::seconds ConfigurationStalenessBound = 4s;
 constexpr std::chrono::seconds LeavingBound = 5s;
+constexpr std::chrono::milliseconds ConfigurationLongPoll = 1000ms;
+constexpr std::chrono::milliseconds ConfigurationReadOverdue = 500ms; // A second read starts on a new connection.
+constexpr std::chrono::milliseconds ConfigurationBackoffLeast = 100ms;
+constexpr std::chrono::milliseconds ConfigurationBackoffMost = 1000ms;
+constexpr std::size_t MaxNoteBytes = 1024 * 1024;
+constexpr std::size_t MaxNoteReasonBytes = 512;
+constexpr std::size_t NoteOutcomesKept = 1024;
+constexpr std::size_t DigestHistoryKept = 64;
+constexpr std::size_t MaxOrganisations = 65536;
+constexpr std::size_t MaxModels = 256;
+constexpr std::size_t MaxServices = 256;
+constexpr std::size_t MaxDomains = 64;
+constexpr std::size_t MaxServers = 4096;
+constexpr std::size_t MaxKeysPerOrganisation = 16;
+constexpr std::size_t SnapshotPartEntries = 256;
+constexpr std::size_t SnapshotAppendParts = 8;
+constexpr std::size_t SnapshotsInAssembly = 4;
+constexpr std::uint64_t SnapshotRecords = 2048;
+constexpr std::chrono::hours SnapshotPeriod = 12h;
+constexpr std::chrono::seconds SnapshotSpread = 30s;
+constexpr std::chrono::seconds SnapshotCheckPeriod = 1s;
 
 // Claims
+constexpr std::uint32_t ClaimShards = 16;
+constexpr std::chrono::hours ClaimWindow = 24h;
+constexpr std::size_t MaxClaimsPerShard = 65'536;
+constexpr std::size_t MaxClaimAnswerBytes = 64 * 1024;
+constexpr std::size_t MaxShardAnswerBytes = 8 * 1024 * 1024;
+constexpr std::size_t MaxPendingSnapshots = 4;
+constexpr std::size_t ClaimSnapshotChunkBytes = 256 * 1024;
 
 // Membership and peer links
 
 // Leases and ownership
 
 // Credits of cold servers
+constexpr std::chrono::seconds CreditTtl = 2s;
+constexpr std::chrono::seconds CreditRunBound = 30s;
+constexpr std::chrono::milliseconds CreditClockMargin = 200ms;
+constexpr std::chrono::milliseconds CreditAskTimeout = 500ms;
+constexpr unsigned CreditEpochBits = 20;
 
 // Poison requests
+constexpr std::size_t SuspectTableSize = 4096;
+constexpr std::chrono::minutes SuspectRetention = 10min;
+constexpr std::size_t DeathsUntilRefused = 2;
+constexpr std::size_t DeathsKept = 4;
+constexpr std::chrono::seconds SuspectPermitTtl = 2s;
+constexpr std::chrono::seconds SuspectRunBound = 30s;
 
 // Routing and directory
+constexpr std::size_t DirectoryServersPerPiece = 6;
+constexpr std::size_t DirectoryStoresPerPiece = 2;
+constexpr std::size_t RouteSampledServers = 16; ///< Pools up to this size are weighed whole.
+constexpr std::size_t RouteListedCandidates = 4;
+constexpr double RouteNearBestShare = 0.05; ///< Candidates within this share of the best are as good.
+constexpr std::chrono::milliseconds RouteNearBestSlack = 2ms;
+constexpr std::chrono::milliseconds LoadReportLag = 100ms; ///< Age of a load report when it arrives, unless known.
+constexpr std::chrono::milliseconds LoadReportMemory = 1000ms; ///< Age at which a report has lost 63% of its weight.
+constexpr double RateSmoothing = 0.1; ///< Share of a new sample in a smoothed rate.
+constexpr double StartPrefillTokensPerSecond = 20'000.0;
+constexpr double StartImportBytesPerSecond = 50e6;
+constexpr std::chrono::milliseconds StartRunTime = 1000ms;
 
 // Keeping pieces
+constexpr std::chrono::hours KeepHorizon = 24h; ///< A return later than this is worth nothing today.
+constexpr double KeepHighWatermark = 0.95; ///< Share of a store's bytes at which deletion starts.
+constexpr double KeepLowWatermark = 0.90; ///< Share at which it stops.
+constexpr double KeepRoomyShare = 0.85; ///< Below this share every piece of worth is exported.
+constexpr std::chrono::milliseconds ExportLinkWaitBound = 50ms; ///< Exports wait while imports queue longer.
+constexpr std::chrono::seconds StartReturnGap = 3600s;
+constexpr double StartReturnShare = 0.3; ///< Share of pieces that are used again at all.
+constexpr std::size_t ExportQueue = 4096;
+constexpr std::size_t ExportsUnderWay = 4;
 
 // Admission
+constexpr std::size_t AdmissionQueueBound = 512; ///< Requests that wait on one host for one model.
+constexpr std::uint32_t DecodeTokenCost = 50; ///< Prefill tokens that cost a runner as much as one answer token.
+constexpr std::chrono::milliseconds AdmissionPrefillWindow = 250ms; ///< Prefill work sent ahead to each runner.
+constexpr double AdmissionBorrowFactor = 2.0; ///< Times its share of idle capacity that one host may use.
+constexpr double RetryBudgetShare = 0.1; ///< Retries granted for each success.
+constexpr double RetryBudgetMax = 20.0;
+constexpr std::chrono::seconds RetryAfterMin = 1s;
+constexpr std::chrono::seconds RetryAfterMax = 30s;
 
 } // namespace endivespan::config
