Free runs of the engine stand-in when it ends

Cause: a run and its exchange held each other through the close callback; the address sanitizer reported the leak when a deployment ended with runs open. Conclusion: leaks of the stand-ins now fail the process tests under the sanitizer.

--- a/tests/process/harness.cpp
+++ b/tests/process/harness.cpp
@@ -259,6 +259,13 @@
     FAIL("the stand-ins did not start: ", this->child.errorText());
 }
 
+Standins::~Standins()
+{
+    this->child.signal(SIGCONT);
+    this->child.signal(SIGTERM);
+    CHECK_MESSAGE(this->child.waitExit() == 0, this->child.errorText());
+}
+
 const std::string &Standins::address(const std::string &name) const
 {
     const auto found = this->addresses.find(name);
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -140,6 +140,11 @@
     /// @param arguments Arguments after the name of the program.
     explicit Standins(std::vector<std::string> arguments);
 
+    /// Stops the process and checks that it ends in order.
+    ~Standins();
+    Standins(const Standins &) = delete;
+    Standins &operator=(const Standins &) = delete;
+
     /// @returns the address of the stand-in @p name.
     [[nodiscard]] const std::string &address(const std::string &name) const;
 
--- a/tests/standins/engine_runs.cpp
+++ b/tests/standins/engine_runs.cpp
@@ -26,8 +26,10 @@
     this->runs[run->number] = run;
     ++this->counted.accepted;
     exchange->startStream(200, {{"Content-Type", "text/event-stream"}});
-    exchange->onClosed([this, run] {
-        if (this->forget(run)) {
+    // The number instead of the run: a run holds its exchange.
+    exchange->onClosed([this, number = run->number] {
+        if (const RunPtr gone = this->find(number); gone != nullptr) {
+            this->forget(gone);
             ++this->counted.disconnected;
             this->startRuns();
         }
@@ -163,17 +165,20 @@
     this->startRuns();
 }
 
-bool EngineStandIn::forget(const RunPtr &run)
+EngineStandIn::RunPtr EngineStandIn::find(std::uint64_t number) const
 {
-    if (this->runs.erase(run->number) == 0) {
-        return false;
-    }
+    const auto found = this->runs.find(number);
+    return found == this->runs.end() ? nullptr : found->second;
+}
+
+void EngineStandIn::forget(const RunPtr &run)
+{
+    this->runs.erase(run->number);
     run->fetch.reset();
     run->exchange->onClosed(nullptr);
     for (const PieceKey &piece : run->pinned) {
         this->cache.unpin(piece, this->now());
     }
-    return true;
 }
 
 void EngineStandIn::finish(const RunPtr &run)
--- a/tests/standins/engine_standin.h
+++ b/tests/standins/engine_standin.h
@@ -80,7 +80,8 @@
     void pinFor(const RunPtr &run, const PieceKey &piece);
     void step();
     void beat();
-    bool forget(const RunPtr &run);
+    [[nodiscard]] RunPtr find(std::uint64_t number) const;
+    void forget(const RunPtr &run);
     void finish(const RunPtr &run);
     void silenceStreams();
     [[nodiscard]] std::size_t count(bool queued) const;
--- a/tests/standins/engine_transfers.cpp
+++ b/tests/standins/engine_transfers.cpp
@@ -38,10 +38,13 @@
     call.target = "/pieces/" + item.piece.hex() + "?generation=" + std::to_string(item.generation);
     call.silenceTimeout = TransferTimeout;
     HttpCallbacks callbacks;
-    callbacks.onDone = [this, run, item](const HttpAnswer &answer) { this->imported(run, item, answer); };
-    callbacks.onFailure = [this, run](const HttpFailure &) {
+    // The number instead of the run: a run holds its transfer, and drops it when it ends.
+    callbacks.onDone = [this, number = run->number, item](const HttpAnswer &answer) {
+        this->imported(this->runs.at(number), item, answer);
+    };
+    callbacks.onFailure = [this, number = run->number](const HttpFailure &) {
         ++this->counted.importFailed;
-        this->stopImporting(run);
+        this->stopImporting(this->runs.at(number));
     };
     run->fetch = startHttpCall(this->loop, call, std::move(callbacks));
 }
