--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -39,7 +39,6 @@
 constexpr std::chrono::milliseconds StoreListPeriod = 500ms;
 constexpr std::size_t StoreListPieces = 1000;
 constexpr std::size_t MaxVersionNames = 256;
-constexpr std::size_t MaxOrganisationNames = 65536;
 constexpr std::chrono::milliseconds LoadReportStaleAfter = 1500ms;
 
 // Prefix pieces
@@ -56,6 +55,27 @@
 // Configuration
 constexpr std::chrono::seconds ConfigurationStalenessBound = 4s;
 constexpr std::chrono::seconds LeavingBound = 5s;
+constexpr std::chrono::milliseconds ConfigurationLongPoll = 1000ms;
+constexpr std::chrono::milliseconds ConfigurationReadOverdue = 500ms; // A second read starts on a new connection.
+constexpr std::chrono::milliseconds ConfigurationBackoffLeast = 100ms;
+constexpr std::chrono::milliseconds ConfigurationBackoffMost = 1000ms;
+constexpr std::size_t MaxNoteBytes = 1024 * 1024;
+constexpr std::size_t MaxNoteReasonBytes = 512;
+constexpr std::size_t NoteOutcomesKept = 1024;
+constexpr std::size_t DigestHistoryKept = 64;
+constexpr std::size_t MaxOrganisations = 65536;
+constexpr std::size_t MaxModels = 256;
+constexpr std::size_t MaxServices = 256;
+constexpr std::size_t MaxDomains = 64;
+constexpr std::size_t MaxServers = 4096;
+constexpr std::size_t MaxKeysPerOrganisation = 16;
+constexpr std::size_t SnapshotPartEntries = 256;
+constexpr std::size_t SnapshotAppendParts = 8;
+constexpr std::size_t SnapshotsInAssembly = 4;
+constexpr std::uint64_t SnapshotRecords = 2048;
+constexpr std::chrono::hours SnapshotPeriod = 12h;
+constexpr std::chrono::seconds SnapshotSpread = 30s;
+constexpr std::chrono::seconds SnapshotCheckPeriod = 1s;
 
 // Claims
 constexpr std::uint32_t ClaimShards = 16;
@@ -123,9 +143,24 @@
 constexpr std::chrono::milliseconds StartRunTime = 1000ms;
 
 // Keeping pieces
+constexpr std::chrono::hours KeepHorizon = 24h; ///< A return later than this is worth nothing today.
+constexpr double KeepHighWatermark = 0.95; ///< Share of a store's bytes at which deletion starts.
+constexpr double KeepLowWatermark = 0.90; ///< Share at which it stops.
+constexpr double KeepRoomyShare = 0.85; ///< Below this share every piece of worth is exported.
+constexpr std::chrono::milliseconds ExportLinkWaitBound = 50ms; ///< Exports wait while imports queue longer.
+constexpr std::chrono::seconds StartReturnGap = 3600s;
+constexpr double StartReturnShare = 0.3; ///< Share of pieces that are used again at all.
 constexpr std::size_t ExportQueue = 4096;
 constexpr std::size_t ExportsUnderWay = 4;
 
 // Admission
+constexpr std::size_t AdmissionQueueBound = 512; ///< Requests that wait on one host for one model.
+constexpr std::uint32_t DecodeTokenCost = 50; ///< Prefill tokens that cost a runner as much as one answer token.
+constexpr std::chrono::milliseconds AdmissionPrefillWindow = 250ms; ///< Prefill work sent ahead to each runner.
+constexpr double AdmissionBorrowFactor = 2.0; ///< Times its share of idle capacity that one host may use.
+constexpr double RetryBudgetShare = 0.1; ///< Retries granted for each success.
+constexpr double RetryBudgetMax = 20.0;
+constexpr std::chrono::seconds RetryAfterMin = 1s;
+constexpr std::chrono::seconds RetryAfterMax = 30s;
 
 } // namespace endivespan::config
