--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -143,6 +143,7 @@
 constexpr std::chrono::milliseconds StartRunTime = 1000ms;
 
 // Keeping pieces
+constexpr std::chrono::seconds ImportPinTime = 10s;
 constexpr std::chrono::hours KeepHorizon = 24h; ///< A return later than this is worth nothing today.
 constexpr double KeepHighWatermark = 0.95; ///< Share of a store's bytes at which deletion starts.
 constexpr double KeepLowWatermark = 0.90; ///< Share at which it stops.
--- a/packages/net/include/endivespan/call_group.h
+++ b/packages/net/include/endivespan/call_group.h
@@ -16,7 +16,7 @@
 
     /// Starts a call whose whole answer or failure goes to @p done; exactly one of the two is set.
     void start(const HttpCall &call,
-               std::function<void(const std::optional<HttpAnswer> &, const std::optional<HttpFailure> &)> done);
+               const std::function<void(const std::optional<HttpAnswer> &, const std::optional<HttpFailure> &)> &done);
 
 private:
     Loop &loop;
--- a/packages/net/src/call_group.cpp
+++ b/packages/net/src/call_group.cpp
@@ -9,8 +9,9 @@
 {
 }
 
-void CallGroup::start(const HttpCall &call,
-                      std::function<void(const std::optional<HttpAnswer> &, const std::optional<HttpFailure> &)> done)
+void CallGroup::start(
+    const HttpCall &call,
+    const std::function<void(const std::optional<HttpAnswer> &, const std::optional<HttpFailure> &)> &done)
 {
     const std::uint64_t id = this->nextId++;
     HttpCallbacks callbacks;
--- a/packages/node/src/backends.cpp
+++ b/packages/node/src/backends.cpp
@@ -56,6 +56,17 @@
     return this->storeList;
 }
 
+void Backends::pin(const StoreCopy &copy, const PieceKey &piece, std::chrono::milliseconds time)
+{
+    const StoreHandle store = copy.store;
+    this->storeClient->pin(
+        this->store(store).address, piece, copy.generation, time, [this, store, piece](const Result<void> &pinned) {
+            if (!pinned && pinned.error().kind == ErrorKind::NotFound) {
+                this->directory.forgetCopy(store, piece);
+            }
+        });
+}
+
 VersionHandle Backends::versionOf(const std::string &model, const std::string &version)
 {
     return this->versionNames.intern(model + '\n' + version);
--- a/packages/node/src/backends.h
+++ b/packages/node/src/backends.h
@@ -85,6 +85,9 @@
     [[nodiscard]] StoreHost &store(StoreHandle handle);
     [[nodiscard]] const std::vector<StoreHost> &stores() const;
 
+    /// Asks a store not to free a piece while a runner imports it; nobody waits for the answer.
+    void pin(const StoreCopy &copy, const PieceKey &piece, std::chrono::milliseconds time);
+
     /// @returns the handle of a weight version; it stands for model and version.
     VersionHandle versionOf(const std::string &model, const std::string &version);
 
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -9,6 +9,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdio>
 #include <utility>
 
 namespace endivespan {
@@ -63,9 +64,19 @@
     this->config->start();
     this->ticker = this->loop.every(config::TickPeriod, [this] { this->tick(); });
     logLine("node", "{} serves callers on port {}", this->settings.host, this->front->port());
+    this->announce();
     return boost::outcome_v2::success();
 }
 
+// Whoever starts the process with port 0 learns the ports from these lines.
+void Node::announce() const
+{
+    const std::string &address = this->settings.listen.callers;
+    fmt::print("listening callers {}:{}\n", address.substr(0, address.rfind(':')), this->front->port());
+    fmt::print("ready\n");
+    std::fflush(stdout);
+}
+
 void Node::tick()
 {
     const TimePoint now = this->loop.now();
--- a/packages/node/src/node.h
+++ b/packages/node/src/node.h
@@ -39,6 +39,7 @@
     void beginStop();
 
 private:
+    void announce() const;
     void tick();
     void serveModels(HttpExchange &exchange, const Caller &caller) const;
     void continueStop(TimePoint now);
--- a/packages/node/src/operator_pages.cpp
+++ b/packages/node/src/operator_pages.cpp
@@ -60,7 +60,7 @@
 
 } // namespace
 
-void addOperatorPages(Front &front, NodeContext &context, std::function<NodeStatus()> status)
+void addOperatorPages(Front &front, NodeContext &context, const std::function<NodeStatus()> &status)
 {
     front.addOperatorPath("/healthz", [](const auto &exchange) { replyJson(*exchange, 200, R"({"alive":true})"); });
     front.addOperatorPath("/readyz", [&front, &context](const auto &exchange) {
--- a/packages/node/src/operator_pages.h
+++ b/packages/node/src/operator_pages.h
@@ -17,6 +17,6 @@
 
 /// Adds the operators' pages to @p front.
 /// @param status Asked for each status page.
-void addOperatorPages(Front &front, NodeContext &context, std::function<NodeStatus()> status);
+void addOperatorPages(Front &front, NodeContext &context, const std::function<NodeStatus()> &status);
 
 } // namespace endivespan
--- a/packages/node/src/prompt_run.cpp
+++ b/packages/node/src/prompt_run.cpp
@@ -184,6 +184,7 @@
     for (std::size_t i = 0; i < listed; ++i) {
         const StoreCopy &source = choice.sources.at(i);
         request.imports.push_back({this->pieces.at(i), backends.store(source.store).address, source.generation});
+        backends.pin(source, this->pieces.at(i), config::ImportPinTime);
     }
     request.maxTokens = this->job.request.maxTokens;
     request.resumeFrom = this->nextIndex;
@@ -269,8 +270,8 @@
     this->context.metrics.count("prompt_tokens", "source=\"recompute\"", summary.recomputedTokens);
     if (this->load.isValid()) {
         const std::uint64_t imported = summary.importedTokens > 0 ? this->decision.plan.importBytes : 0;
-        backends.loads.onFirstToken(
-            this->load, {this->firstTokenAfter, summary.queueTime, summary.recomputedTokens, imported});
+        backends.loads.onFirstToken(this->load,
+                                    {this->firstTokenAfter, summary.queueTime, summary.recomputedTokens, imported});
     }
     if (summary.incarnation == backends.server(this->server).incarnation) {
         const DirectoryScope scope {
