--- /dev/null
+++ b/tests/process/host_process.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "harness.h"
+
+#include <endivespan/fleet.h>
+
+/// Starts hosts of the system against a deployment of stand-ins.
+namespace endivespan::harness {
+
+/// A loopback port that nobody else gets while this lives; one process at a time may listen on it.
+class ReservedPort
+{
+public:
+    ReservedPort();
+    ~ReservedPort();
+    ReservedPort(const ReservedPort &) = delete;
+    ReservedPort &operator=(const ReservedPort &) = delete;
+
+    /// @returns "127.0.0.1:port".
+    [[nodiscard]] const std::string &address() const
+    {
+        return this->text;
+    }
+
+private:
+    int socket;
+    std::string text;
+};
+
+/// What one host is told, besides the addresses of the stand-ins.
+struct HostOptions {
+    std::string name;
+    std::string domain;
+    std::string peerAddress; ///< Where this host listens for peers.
+    std::vector<std::string> peers;
+    std::string limits; ///< YAML flow map with limits, such as "{max_body: 64KiB}"; empty for the defaults.
+};
+
+/// One running endivespand.
+class HostProcess
+{
+public:
+    HostProcess(const Standins &standins, const HostOptions &options);
+
+    /// @returns the address for callers.
+    [[nodiscard]] const std::string &address() const
+    {
+        return this->callerAddress;
+    }
+
+    [[nodiscard]] Process &process()
+    {
+        return *this->child;
+    }
+
+    /// @returns what GET /status says.
+    [[nodiscard]] json status() const;
+
+    /// Waits until the host serves with at least @p revision of the configuration.
+    void awaitReady(std::uint64_t revision) const;
+
+private:
+    TempDir directory;
+    std::unique_ptr<Process> child;
+    std::string callerAddress;
+};
+
+/// Three hosts, one in each failure domain of a deployment, that know each other.
+class HostGroup
+{
+public:
+    explicit HostGroup(const Standins &standins, const std::string &limits = {});
+
+    /// @returns host @p index.
+    [[nodiscard]] HostProcess &at(std::size_t index)
+    {
+        return *this->hosts.at(index);
+    }
+
+    /// Starts host @p index anew, in the place of the process that ended.
+    void restart(std::size_t index);
+
+    /// Waits until all hosts serve with at least @p revision.
+    void awaitReady(std::uint64_t revision) const;
+
+    /// Checks that no host has seen an invariant violated.
+    void checkInvariants() const;
+
+private:
+    [[nodiscard]] std::unique_ptr<HostProcess> startHost(std::size_t index) const;
+
+    const Standins &standins;
+    std::string limits;
+    std::vector<std::unique_ptr<ReservedPort>> ports;
+    std::vector<std::unique_ptr<HostProcess>> hosts;
+};
+
+/// @returns the release note that adds everything in the deployment.
+ReleaseNote deploymentNote(const Standins &standins);
+
+/// Appends @p note to the stream of the configuration.
+void publish(const Standins &standins, const ReleaseNote &note);
+
+/// @returns the API key of organisation "workshop-N" in a deployment.
+std::string keyOf(std::size_t number);
+
+} // namespace endivespan::harness
--- /dev/null
+++ b/tests/process/prompt_path.cpp
@@ -0,0 +1,224 @@
+#include "../standins/answer_text.h"
+#include "host_process.h"
+
+#include <endivespan/config.h>
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+
+using namespace endivespan;
+using namespace endivespan::harness;
+
+namespace {
+
+const std::string FastEngines = R"(engine={"decode_ms":1,"prefill_tokens_per_s":1000000,"load_lag_ms":20})";
+
+std::vector<std::string> deployment(const std::string &engines)
+{
+    return {"--runners", "6", "--order-runners", "1", "--stores", "1", "--set", engines};
+}
+
+json prompt(const std::string &text, std::uint64_t tokens)
+{
+    return {{"model", "puhuja"}, {"prompt", text}, {"max_tokens", tokens}};
+}
+
+HttpCall promptCall(const HostProcess &host, const json &body, const std::string &key = keyOf(1))
+{
+    HttpCall wanted;
+    wanted.address = host.address();
+    wanted.method = "POST";
+    wanted.target = "/v1/completions";
+    wanted.headers = {{"Authorization", "Bearer " + key}};
+    wanted.body = body.dump();
+    wanted.connectTimeout = Patience;
+    wanted.silenceTimeout = Patience;
+    return wanted;
+}
+
+std::string answerTo(const std::string &text, std::uint64_t tokens)
+{
+    return standins::AnswerText("puhuja", "v1", text).tokens(0, tokens);
+}
+
+std::string textOf(const CallResult &result)
+{
+    const json body = result.parsed();
+    return result.status == 200 && body.is_object() ? body["choices"][0]["text"].get<std::string>() : "";
+}
+
+/// Text of a streamed answer; empty unless it ended whole.
+std::string streamedText(const CallResult &result)
+{
+    std::string text;
+    bool whole = false;
+    EventParser parser;
+    for (const EventParser::Event &event : parser.feed(result.body)) {
+        const json data = json::parse(event.data, nullptr, false);
+        whole = whole || event.data == "[DONE]";
+        if (data.is_object() && data.contains("choices")) {
+            text += data["choices"][0]["text"].get<std::string>();
+        }
+    }
+    return whole && !result.failure ? text : "";
+}
+
+/// A deployment with three hosts that all serve the first release note.
+struct Fixture {
+    explicit Fixture(const std::string &engines = FastEngines, const std::string &limits = {})
+        : standins(deployment(engines))
+        , hosts(this->standins, limits)
+    {
+        publish(this->standins, deploymentNote(this->standins));
+        this->hosts.awaitReady(1);
+    }
+
+    Standins standins;
+    HostGroup hosts;
+};
+
+} // namespace
+
+TEST_CASE("a prompt gets its whole answer through any host, streamed or not")
+{
+    Fixture fixture;
+    for (std::size_t host = 0; host < 3; ++host) {
+        const std::string text = "catalogue " + std::to_string(host);
+        const CallResult whole = call(promptCall(fixture.hosts.at(host), prompt(text, 12)));
+        CHECK_MESSAGE(textOf(whole) == answerTo(text, 12), whole.body);
+        json streamed = prompt(text, 12);
+        streamed["stream"] = true;
+        CHECK(streamedText(call(promptCall(fixture.hosts.at(host), streamed))) == answerTo(text, 12));
+    }
+    fixture.hosts.checkInvariants();
+}
+
+TEST_CASE("crossing answers each reach their own caller")
+{
+    Fixture fixture;
+    CallGroup group;
+    std::vector<std::string> texts;
+    for (std::size_t i = 0; i < 30; ++i) {
+        texts.push_back("sheet " + std::to_string(i));
+        const HostProcess &host = fixture.hosts.at(i % 3);
+        group.start(promptCall(host, prompt(texts.back(), 5 + i % 7), keyOf(1 + i % 10)));
+    }
+    const auto &results = group.finish();
+    for (std::size_t i = 0; i < texts.size(); ++i) {
+        CHECK_MESSAGE(textOf(results[i]) == answerTo(texts[i], 5 + i % 7), results[i].body);
+    }
+    fixture.hosts.checkInvariants();
+}
+
+TEST_CASE("SIGTERM under load cuts no answer and exits with 0")
+{
+    Fixture fixture(R"(engine={"decode_ms":20})");
+    HostProcess &host = fixture.hosts.at(0);
+    CallGroup group;
+    for (std::size_t i = 0; i < 12; ++i) {
+        json body = prompt("pattern " + std::to_string(i), 40);
+        body["stream"] = i % 2 == 0;
+        group.start(promptCall(host, body));
+    }
+    group.awaitBytes(0, 1);
+    REQUIRE(eventually([&] { return host.status()["prompts_in_flight"] == 12; }));
+    host.process().signal(SIGTERM);
+    const auto &results = group.finish();
+    for (std::size_t i = 0; i < results.size(); ++i) {
+        const std::string text = i % 2 == 0 ? streamedText(results[i]) : textOf(results[i]);
+        CHECK_MESSAGE(text == answerTo("pattern " + std::to_string(i), 40), results[i].body);
+    }
+    CHECK(host.process().waitExit() == 0);
+    CHECK(host.process().errorText().find("violated") == std::string::npos);
+}
+
+TEST_CASE("a host that is killed comes back to the same configuration")
+{
+    Fixture fixture;
+    const json before = fixture.hosts.at(1).status();
+    fixture.hosts.at(0).process().signal(SIGKILL);
+    CHECK(fixture.hosts.at(0).process().waitExit() == -SIGKILL);
+    fixture.hosts.restart(0);
+    fixture.hosts.at(0).awaitReady(1);
+    CHECK(fixture.hosts.at(0).status()["digest"] == before["digest"]);
+    CHECK(fixture.hosts.at(0).status()["revision"] == before["revision"]);
+    CHECK(textOf(call(promptCall(fixture.hosts.at(0), prompt("again", 3)))) == answerTo("again", 3));
+}
+
+TEST_CASE("bad callers are refused, told that nothing ran, and leave the host serving")
+{
+    Fixture fixture(FastEngines, "{max_body: 64KiB}");
+    const HostProcess &host = fixture.hosts.at(0);
+    const auto refused = [&](const HttpCall &wanted, int status) {
+        const CallResult result = call(wanted);
+        CHECK_MESSAGE(result.status == status, result.body);
+        if (result.status != 413) {
+            CHECK(result.headers.at("x-endivespan-run") == "not-run");
+        }
+    };
+    HttpCall broken = promptCall(host, prompt("x", 1));
+    broken.body = R"({"model": )";
+    refused(broken, 400);
+    refused(promptCall(host, prompt(std::string(128 * 1024, 'x'), 1)), 413);
+    refused(promptCall(host, {{"model", "nobody"}, {"prompt", "x"}}), 404);
+    refused(promptCall(host, prompt("x", 1), "no-such-key"), 401);
+    refused(promptCall(host, {{"model", "puhuja"}, {"prompt", 5}}), 400);
+    HttpCall wrongMethod = promptCall(host, prompt("x", 1));
+    wrongMethod.method = "GET";
+    wrongMethod.body.clear();
+    refused(wrongMethod, 405);
+    CHECK(fixture.standins.sum("accepted") == 0);
+    CHECK(textOf(call(promptCall(host, prompt("fine", 2)))) == answerTo("fine", 2));
+    fixture.hosts.checkInvariants();
+}
+
+TEST_CASE("a caller who goes in the middle frees the engine")
+{
+    Fixture fixture(R"(engine={"decode_ms":50})");
+    json body = prompt("long", 4000);
+    body["stream"] = true;
+    CallGroup group;
+    group.start(promptCall(fixture.hosts.at(0), body));
+    group.awaitBytes(0, 1);
+    CHECK(fixture.standins.sum("running") == 1);
+    group.drop(0);
+    group.runFor(std::chrono::milliseconds(1));
+    CHECK(eventually([&] { return fixture.standins.sum("running") == 0; }));
+    CHECK(eventually([&] { return fixture.hosts.at(0).status()["prompts_in_flight"] == 0; }));
+}
+
+TEST_CASE("a crashed engine's answer goes on elsewhere and stays whole")
+{
+    Fixture fixture(R"(engine={"decode_ms":20})");
+    json body = prompt("fragile", 60);
+    body["stream"] = true;
+    CallGroup group;
+    group.start(promptCall(fixture.hosts.at(0), body));
+    group.awaitBytes(0, 200);
+    for (int i = 1; i <= 6; ++i) {
+        const std::string engine = "puhuja-" + std::to_string(i);
+        if (fixture.standins.counts(engine)["running"] == 1) {
+            fixture.standins.control(engine, {{"restart", true}});
+        }
+    }
+    const CallResult &result = group.finish()[0];
+    CHECK_MESSAGE(streamedText(result) == answerTo("fragile", 60), result.body);
+    fixture.hosts.checkInvariants();
+}
+
+TEST_CASE("an answer whose connection goes silent goes on elsewhere and stays whole")
+{
+    Fixture fixture(R"(engine={"decode_ms":20})");
+    json body = prompt("quiet", 200);
+    body["stream"] = true;
+    CallGroup group;
+    group.start(promptCall(fixture.hosts.at(0), body));
+    group.awaitBytes(0, 200);
+    for (int i = 1; i <= 6; ++i) {
+        fixture.standins.control("puhuja-" + std::to_string(i), {{"silent_streams", true}});
+    }
+    const CallResult &result = group.finish()[0];
+    CHECK_MESSAGE(streamedText(result) == answerTo("quiet", 200), result.body);
+    fixture.hosts.checkInvariants();
+}
--- a/tests/standins/deployment.cpp
+++ b/tests/standins/deployment.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 const std::string AnyPort = "127.0.0.1:0";
+constexpr std::uint64_t LargeOrganisations = 2;
 
 std::string numbered(const std::string &name, std::uint64_t number)
 {
@@ -38,20 +39,21 @@
     return nullptr;
 }
 
-std::string Deployment::start(const DeploymentPlan &plan)
+std::string Deployment::start(const DeploymentPlan &wanted)
 {
-    this->startPlatform(plan);
-    this->startServers(plan);
+    this->plan = wanted;
+    this->startPlatform();
+    this->startServers();
     this->startControl();
     return this->problem;
 }
 
-StandIn *Deployment::add(std::unique_ptr<StandIn> standIn, const DeploymentPlan &plan)
+StandIn *Deployment::add(std::unique_ptr<StandIn> standIn)
 {
     if (!standIn->open(AnyPort)) {
         this->problem = standIn->name() + " cannot listen";
     }
-    if (const auto found = plan.settings.find(standIn->kind()); found != plan.settings.end()) {
+    if (const auto found = this->plan.settings.find(standIn->kind()); found != this->plan.settings.end()) {
         if (const std::string wrong = standIn->control(found->second); !wrong.empty()) {
             this->problem = wrong;
         }
@@ -60,50 +62,79 @@
     return this->started.back().get();
 }
 
-void Deployment::startPlatform(const DeploymentPlan &plan)
+void Deployment::startPlatform()
 {
-    this->add(std::make_unique<LogStandIn>(this->loop, "log"), plan);
-    this->add(std::make_unique<HostListStandIn>(this->loop, "hosts"), plan);
+    this->add(std::make_unique<LogStandIn>(this->loop, "log"));
+    this->add(std::make_unique<HostListStandIn>(this->loop, "hosts"));
     auto weights = std::make_unique<WeightStandIn>(this->loop, "weights");
-    weights->addVersion(plan.model, plan.version);
-    this->weightStore = this->add(std::move(weights), plan)->address();
+    weights->addVersion(this->plan.model, this->plan.version);
+    this->weightStore = this->add(std::move(weights))->address();
 }
 
-void Deployment::startServers(const DeploymentPlan &plan)
+void Deployment::deploy(std::unique_ptr<StandIn> standIn, const std::string &kind, const std::string &pool)
 {
-    const auto deploy
-        = [this, &plan](std::unique_ptr<StandIn> standIn, const std::string &kind, const std::string &pool) {
-              const StandIn *server = this->add(std::move(standIn), plan);
-              const std::string &domain = plan.domains[this->backendServers.size() % plan.domains.size()];
-              this->backendServers.push_back({server->name(), kind, server->address(), domain, pool, false});
-          };
-    for (std::uint64_t i = 1; i <= plan.runners; ++i) {
-        auto engine = std::make_unique<EngineStandIn>(this->loop, numbered(plan.model, i), plan.model, plan.version);
+    const StandIn *server = this->add(std::move(standIn));
+    const std::string &domain = this->plan.domains[this->backendServers.size() % this->plan.domains.size()];
+    this->backendServers.push_back({server->name(), kind, server->address(), domain, pool, false});
+}
+
+void Deployment::startServers()
+{
+    for (std::uint64_t i = 1; i <= this->plan.runners; ++i) {
+        const std::string name = numbered(this->plan.model, i);
+        auto engine = std::make_unique<EngineStandIn>(this->loop, name, this->plan.model, this->plan.version);
         engine->setWeightStore(this->weightStore);
         // Some engines check fencing numbers, others ignore them.
         const bool checksFences = i % 2 == 1;
         engine->control({{"check_fences", checksFences}});
-        deploy(std::move(engine), "runner", plan.model);
+        this->deploy(std::move(engine), "runner", this->plan.model);
         this->backendServers.back().checksOrders = checksFences;
     }
     const auto ledger = std::make_shared<RunLedger>();
-    for (std::uint64_t i = 1; i <= plan.orderRunners; ++i) {
-        const std::string name = numbered(plan.service, i);
-        deploy(std::make_unique<PlainStandIn>(this->loop, name, plan.service, ledger), "plain", plan.service);
+    for (std::uint64_t i = 1; i <= this->plan.orderRunners; ++i) {
+        const std::string name = numbered(this->plan.service, i);
+        this->deploy(
+            std::make_unique<PlainStandIn>(this->loop, name, this->plan.service, ledger), "plain", this->plan.service);
     }
-    for (std::uint64_t i = 0; i < plan.stores; ++i) {
-        const std::string name = i < plan.storeNames.size() ? plan.storeNames[i] : numbered("store", i + 1);
-        deploy(std::make_unique<StoreStandIn>(this->loop, name), "store", "");
+    for (std::uint64_t i = 0; i < this->plan.stores; ++i) {
+        const auto &names = this->plan.storeNames;
+        const std::string name = i < names.size() ? names[i] : numbered("store", i + 1);
+        this->deploy(std::make_unique<StoreStandIn>(this->loop, name), "store", "");
     }
     auto *hosts = dynamic_cast<HostListStandIn *>(this->find("hosts"));
     for (const DeployedServer &server : this->backendServers) {
         hosts->addHost(server.name);
-        if (plan.startCold && server.kind != "store") {
+        if (this->plan.startCold && server.kind != "store") {
             this->find(server.name)->control({{"cold", true}});
         }
     }
 }
 
+json Deployment::fleet() const
+{
+    json organisations = json::array();
+    for (std::uint64_t i = 1; i <= this->plan.organisations; ++i) {
+        const std::string name = numbered("workshop", i);
+        // A few organisations are large.
+        organisations.push_back({{"name", name}, {"key", "key-" + name}, {"weight", i <= LargeOrganisations ? 4 : 1}});
+    }
+    json servers = json::array();
+    for (const DeployedServer &server : this->backendServers) {
+        servers.push_back({{"name", server.name},
+                           {"kind", server.kind},
+                           {"address", server.address},
+                           {"domain", server.domain},
+                           {"pool", server.pool},
+                           {"checks_orders", server.checksOrders}});
+    }
+    return {{"model", this->plan.model},
+            {"version", this->plan.version},
+            {"service", this->plan.service},
+            {"domains", this->plan.domains},
+            {"organisations", organisations},
+            {"servers", servers}};
+}
+
 void Deployment::startControl()
 {
     auto opened
@@ -144,6 +175,8 @@
             all[each->name()] = each->counts();
         }
         replyJson(exchange, 200, all);
+    } else if (path == "/fleet") {
+        replyJson(exchange, 200, this->fleet());
     } else if (standIn != nullptr && verb == "counts") {
         replyJson(exchange, 200, standIn->counts());
     } else if (standIn != nullptr && verb == "control") {
--- a/tests/standins/deployment.h
+++ b/tests/standins/deployment.h
@@ -16,6 +16,7 @@
     std::uint64_t runners = 20;
     std::uint64_t orderRunners = 3;
     std::uint64_t stores = 2;
+    std::uint64_t organisations = 10;
     bool startCold = false; ///< Backend servers begin cold instead of warm.
     std::map<std::string, json> settings; ///< Settings to apply at the start, by kind.
 };
@@ -51,18 +52,17 @@
         return this->started;
     }
 
-    [[nodiscard]] const std::vector<DeployedServer> &servers() const
-    {
-        return this->backendServers;
-    }
+    /// @returns models, domains, backend servers and organisations, as a release note needs them.
+    [[nodiscard]] json fleet() const;
 
-    /// @returns the address for control; "/NAME/control" and "/NAME/counts" reach one stand-in.
+    /// @returns the address for control; "/NAME/control" and "/NAME/counts" reach one stand-in, "/fleet" gives fleet().
     [[nodiscard]] std::string controlAddress() const;
 
 private:
-    StandIn *add(std::unique_ptr<StandIn> standIn, const DeploymentPlan &plan);
-    void startPlatform(const DeploymentPlan &plan);
-    void startServers(const DeploymentPlan &plan);
+    StandIn *add(std::unique_ptr<StandIn> standIn);
+    void startPlatform();
+    void startServers();
+    void deploy(std::unique_ptr<StandIn> standIn, const std::string &kind, const std::string &pool);
     void startControl();
     void control(const ExchangePtr &exchange);
     StandIn *find(const std::string &name);
@@ -73,6 +73,7 @@
     std::unique_ptr<HttpServer> controlServer;
     std::string problem;
     std::string weightStore;
+    DeploymentPlan plan;
 };
 
 } // namespace endivespan::standins
