--- a/packages/core/include/endivespan/confirmation.h
+++ b/packages/core/include/endivespan/confirmation.h
@@ -1,67 +1,75 @@
 #pragma once
 
 #include <endivespan/clock.h>
+#include <endivespan/membership.h>
 
-#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 
-/// Whether the configuration that a host holds is still the one in force.
+/// Whether the configuration held here may still be acted on.
 namespace endivespan {
 
-/// What another host says about its configuration in a heartbeat.
-struct PeerConfiguration {
-    std::uint64_t covers = 0; ///< Offset of the stream "config" that its state covers.
-    std::optional<Duration> confirmedAge; ///< Since the log confirmed that offset, there or further on; empty if never.
+/// What a host says of its configuration when it answers a peer.
+struct ConfigStatement {
+    std::uint64_t offset = 0; ///< Log offset folded up to.
+    std::uint64_t digest = 0;
+    std::optional<Duration> confirmedAge; ///< Since the log itself said that nothing newer exists; absent if never.
+    bool inForce = false;
+    std::uint32_t knownHosts = 0;
+
+    bool operator==(const ConfigStatement &) const = default;
+};
+
+/// Why the configuration is in force, or that it is not.
+enum class ConfigStanding {
+    Confirmed, ///< The log confirmed it within the staleness bound, here or through peers.
+    LogDownForAll, ///< No host can reach the log, so that nothing newer can have been accepted.
+    Stale,
 };
 
-/// Keeps track of who confirmed the configuration last. A host whose configuration is unconfirmed for longer than the
-/// staleness bound takes no new work.
+/// Follows how long ago the log confirmed the configuration held here. Ages add up along the way through peers, so that
+/// hosts which only confirm each other grow stale together.
 class Confirmation
 {
 public:
-    /// @param bound Longest time without a confirmation.
-    explicit Confirmation(Duration bound);
+    /// @param hasPeers False when the settings name no other host to ask.
+    explicit Confirmation(bool hasPeers);
 
-    /// Notes that the log had nothing beyond the own state.
-    /// @param askedAt When the log was asked.
-    void confirmedByLog(TimePoint askedAt);
+    /// Takes that the configuration up to @p offset has been folded.
+    void folded(std::uint64_t offset, std::uint64_t digest);
 
-    /// Notes what @p host says.
-    /// @param covers Offset that the own state covers.
-    void heardPeer(const std::string &host, const PeerConfiguration &peer, std::uint64_t covers, TimePoint now);
+    /// Takes an answer of the log: at @p askedAt nothing beyond @p end existed.
+    void logAnswered(std::uint64_t end, TimePoint askedAt);
 
-    /// Notes that the own state now covers @p covers, so that earlier words of peers may confirm it.
-    void moved(std::uint64_t covers);
+    /// Takes the statement in a peer's answer.
+    /// @param askedAt When the exchange was started here; the age counts from then.
+    /// @param hostsKnown How many hosts this one knows of.
+    /// @returns true when the peer has a newer configuration that should be fetched.
+    bool
+    peerAnswered(const std::string &peer, const ConfigStatement &statement, TimePoint askedAt, std::size_t hostsKnown);
 
-    /// Sets how many hosts the platform's host list names, this one included.
-    void setExpectedHosts(std::size_t hosts);
+    /// Checks a digest against the one folded here at the same offset.
+    /// @returns false when two hosts disagree.
+    bool checkDigest(const std::string &peer, std::uint64_t offset, std::uint64_t digest) const;
 
-    /// @returns when the log last confirmed the own state, as known here or from peers.
-    [[nodiscard]] std::optional<TimePoint> confirmedAt() const;
+    /// @returns whether new work may be accepted under the configuration.
+    [[nodiscard]] ConfigStanding standing(const Membership &membership, TimePoint now) const;
 
-    /// @returns true when neither the log nor a peer confirmed the state within the bound and the log is not down for
-    /// all.
-    /// @param covers Offset that the own state covers.
-    [[nodiscard]] bool isStale(std::uint64_t covers, TimePoint now) const;
-
-    /// @returns true when most hosts were heard from within the bound and none of them reaches the log or covers more.
-    [[nodiscard]] bool isLogDownForAll(std::uint64_t covers, TimePoint now) const;
+    /// @returns what to tell a peer that asks now.
+    [[nodiscard]] ConfigStatement statement(const Membership &membership, TimePoint now) const;
 
 private:
-    struct Heard {
-        PeerConfiguration peer;
-        TimePoint at;
-    };
-
-    void confirm(TimePoint at);
-
-    Duration bound;
-    std::size_t expectedHosts = 1;
-    std::optional<TimePoint> last;
-    std::map<std::string, Heard> peers;
+    [[nodiscard]] bool isLogDownForAll(const Membership &membership) const;
+    void confirm(std::uint64_t offset, TimePoint at);
+
+    std::uint64_t offset = 0;
+    std::map<std::uint64_t, std::uint64_t> digests; ///< Of the last offsets folded.
+    std::optional<TimePoint> confirmedAt;
+    std::map<std::uint64_t, TimePoint> waiting; ///< Confirmations of offsets not folded yet.
+    bool viewComplete; ///< This host has once known as many hosts as a peer that it asked.
+    bool everInForce = false;
 };
 
 } // namespace endivespan
--- a/packages/core/src/confirmation.cpp
+++ b/packages/core/src/confirmation.cpp
@@ -1,77 +1,119 @@
+#include <endivespan/config.h>
 #include <endivespan/confirmation.h>
+#include <endivespan/invariant.h>
 
 #include <algorithm>
 
 namespace endivespan {
 
-Confirmation::Confirmation(Duration bound)
-    : bound(bound)
+Confirmation::Confirmation(bool hasPeers)
+    : viewComplete(!hasPeers)
 {
 }
 
-void Confirmation::confirmedByLog(TimePoint askedAt)
+void Confirmation::folded(std::uint64_t offset, std::uint64_t digest)
 {
-    this->confirm(askedAt);
-}
-
-void Confirmation::heardPeer(const std::string &host,
-                             const PeerConfiguration &peer,
-                             std::uint64_t covers,
-                             TimePoint now)
-{
-    this->peers[host] = {peer, now};
-    std::erase_if(this->peers, [this, now](const auto &entry) { return now - entry.second.at > this->bound; });
-    this->moved(covers);
+    this->offset = std::max(this->offset, offset);
+    this->digests[offset] = digest;
+    while (this->digests.size() > config::DigestsKept) {
+        this->digests.erase(this->digests.begin());
+    }
+    while (!this->waiting.empty() && this->waiting.begin()->first <= this->offset) {
+        this->confirm(this->waiting.begin()->first, this->waiting.begin()->second);
+        this->waiting.erase(this->waiting.begin());
+    }
 }
 
-// At the time of a peer's confirmation the log held nothing beyond the peer's offset, hence nothing beyond an own
-// offset that is as high.
-void Confirmation::moved(std::uint64_t covers)
+void Confirmation::confirm(std::uint64_t offset, TimePoint at)
 {
-    for (const auto &[host, heard] : this->peers) {
-        if (heard.peer.confirmedAge && heard.peer.covers <= covers) {
-            this->confirm(heard.at - *heard.peer.confirmedAge);
-        }
+    if (offset > this->offset) {
+        auto &known = this->waiting[offset];
+        known = std::max(known, at);
+        return;
     }
+    this->confirmedAt = std::max(this->confirmedAt.value_or(at), at);
+    this->everInForce = true;
 }
 
-void Confirmation::setExpectedHosts(std::size_t hosts)
+void Confirmation::logAnswered(std::uint64_t end, TimePoint askedAt)
 {
-    this->expectedHosts = hosts;
+    this->confirm(end, askedAt);
 }
 
-std::optional<TimePoint> Confirmation::confirmedAt() const
+bool Confirmation::peerAnswered(const std::string &peer,
+                                const ConfigStatement &statement,
+                                TimePoint askedAt,
+                                std::size_t hostsKnown)
 {
-    return this->last;
+    this->checkDigest(peer, statement.offset, statement.digest);
+    this->viewComplete = this->viewComplete || hostsKnown >= statement.knownHosts;
+    if (statement.confirmedAge) {
+        this->confirm(statement.offset, askedAt - *statement.confirmedAge);
+    }
+    if (statement.inForce && statement.offset <= this->offset) {
+        this->everInForce = true;
+    }
+    return statement.offset > this->offset;
 }
 
-bool Confirmation::isStale(std::uint64_t covers, TimePoint now) const
+bool Confirmation::checkDigest(const std::string &peer, std::uint64_t offset, std::uint64_t digest) const
 {
-    const bool isFresh = this->last && now - *this->last <= this->bound;
-    return !isFresh && !this->isLogDownForAll(covers, now);
+    const auto known = this->digests.find(offset);
+    if (known == this->digests.end()) {
+        return true;
+    }
+    const std::string detail = peer + " folded offset " + std::to_string(offset) + " to another digest";
+    return checkInvariant(Invariant::SameOffsetSameDigest, known->second == digest, detail);
 }
 
-// A few hosts that are cut off together must not take that for an outage of the log: most of the hosts on the
-// platform's list have to agree. A note can be accepted only by the log, and no host that was heard from reaches it.
-bool Confirmation::isLogDownForAll(std::uint64_t covers, TimePoint now) const
+// A part of the fleet that is cut off from the log and from the others sees their hosts dead, not saying that the log
+// is down: so every failure domain needs the word of more than half of its known hosts, and no live host may say
+// otherwise.
+bool Confirmation::isLogDownForAll(const Membership &membership) const
 {
-    std::size_t heardHosts = 1;
-    for (const auto &[host, heard] : this->peers) {
-        if (now - heard.at > this->bound) {
-            continue;
-        }
-        const bool reachesLog = heard.peer.confirmedAge && *heard.peer.confirmedAge <= this->bound;
-        if (reachesLog || heard.peer.covers > covers) {
+    struct Count {
+        std::size_t known = 0;
+        std::size_t down = 0;
+    };
+    std::map<std::string, Count> domains;
+    for (const auto &[name, host] : membership.hosts()) {
+        const bool heardOf = host.liveness == Liveness::Alive;
+        if (heardOf && host.report.status.logReachable) {
             return false;
         }
-        ++heardHosts;
+        const bool left = host.report.status.state == HostState::Leaving && host.liveness == Liveness::Dead;
+        Count &count = domains[host.report.domain];
+        count.known += left ? 0 : 1;
+        count.down += heardOf ? 1 : 0;
+    }
+    const bool everyDomain = std::all_of(domains.begin(), domains.end(), [](const auto &domain) {
+        return domain.second.known == 0 || 2 * domain.second.down > domain.second.known;
+    });
+    return everyDomain && this->viewComplete;
+}
+
+ConfigStanding Confirmation::standing(const Membership &membership, TimePoint now) const
+{
+    if (this->confirmedAt && now - *this->confirmedAt <= config::ConfigurationStalenessBound) {
+        return ConfigStanding::Confirmed;
     }
-    return heardHosts > 1 && heardHosts * 2 > this->expectedHosts;
+    return this->everInForce && this->isLogDownForAll(membership) ? ConfigStanding::LogDownForAll
+                                                                  : ConfigStanding::Stale;
 }
 
-void Confirmation::confirm(TimePoint at)
+ConfigStatement Confirmation::statement(const Membership &membership, TimePoint now) const
 {
-    this->last = std::max(this->last.value_or(at), at);
+    ConfigStatement statement;
+    statement.offset = this->offset;
+    if (const auto digest = this->digests.find(this->offset); digest != this->digests.end()) {
+        statement.digest = digest->second;
+    }
+    if (this->confirmedAt) {
+        statement.confirmedAge = std::max(now - *this->confirmedAt, Duration::zero());
+    }
+    statement.inForce = this->standing(membership, now) != ConfigStanding::Stale;
+    statement.knownHosts = static_cast<std::uint32_t>(membership.hosts().size());
+    return statement;
 }
 
 } // namespace endivespan
--- a/packages/node/src/config_task.cpp
+++ b/packages/node/src/config_task.cpp
@@ -20,13 +20,14 @@
 
 } // namespace
 
-ConfigTask::ConfigTask(Loop &loop, LogClient &log, const Settings &settings)
+ConfigTask::ConfigTask(
+    Loop &loop, LogClient &log, const Settings &settings, Membership &membership, Confirmation &confirmation)
     : loop(loop)
     , log(log)
-    , settings(settings)
+    , membership(membership)
+    , confirmation(confirmation)
     , random(std::random_device {}())
     , writer(fmt::format("{}-{:016x}", settings.host, this->random()))
-    , confirmation(settings.limits.configurationStaleness)
     , lastAnswer(loop.now())
 {
 }
@@ -49,7 +50,7 @@
 
 bool ConfigTask::isStale() const
 {
-    return this->confirmation.isStale(this->fold.covers(), this->loop.now());
+    return this->confirmation.standing(this->membership, this->loop.now()) == ConfigStanding::Stale;
 }
 
 std::string ConfigTask::digest() const
@@ -70,7 +71,7 @@
     status.covers = this->fold.covers();
     status.ready = this->isReady();
     status.stale = this->isStale();
-    status.confirmedAge = this->own().confirmedAge;
+    status.confirmedAge = this->confirmation.statement(this->membership, this->loop.now()).confirmedAge;
     status.inForceDelay = this->inForceDelay;
     status.fold = this->fold.stats();
     return status;
@@ -81,37 +82,11 @@
     this->listeners.push_back(std::move(callback));
 }
 
-PeerConfiguration ConfigTask::own() const
+bool ConfigTask::wantsPeerState() const
 {
-    PeerConfiguration own;
-    own.covers = this->fold.covers();
-    if (const auto confirmedAt = this->confirmation.confirmedAt()) {
-        own.confirmedAge = this->loop.now() - *confirmedAt;
-    }
-    return own;
-}
-
-Digest ConfigTask::ownDigest() const
-{
-    return this->fold.digest();
-}
-
-bool ConfigTask::heardPeer(const std::string &host, const PeerConfiguration &peer, const Digest &digest)
-{
-    const TimePoint now = this->loop.now();
-    if (!this->fold.agreesWith(peer.covers, digest)) {
-        logLine("config", "{} holds another configuration at offset {}", host, peer.covers);
-        return false;
-    }
-    this->confirmation.heardPeer(host, peer, this->fold.covers(), now);
-    // While the log answers, it brings what the peer has.
-    const bool logAnswers = this->failures == 0 && now - this->lastAnswer < config::ConfigurationPeerFetchAfter;
-    return peer.covers > this->fold.covers() && (!logAnswers || !this->fold.isContiguous());
-}
-
-void ConfigTask::setExpectedHosts(std::size_t hosts)
-{
-    this->confirmation.setExpectedHosts(hosts);
+    const bool logAnswers
+        = this->failures == 0 && this->loop.now() - this->lastAnswer < config::ConfigurationPeerFetchAfter;
+    return !logAnswers || !this->fold.isContiguous();
 }
 
 void ConfigTask::setSnapshotRank(std::function<std::size_t()> rank)
@@ -138,7 +113,7 @@
         logLine("config", "took revision {} at offset {} from a peer", this->fleet().revision, this->fold.covers());
         this->ready = true;
         this->handle(actions.value());
-        this->confirmation.moved(this->fold.covers());
+        this->folded();
     }
     return boost::outcome_v2::success();
 }
@@ -164,6 +139,8 @@
     if (this->reads.size() < config::ConfigurationReadsAtOnce) {
         this->caughtUp = false;
         this->read();
+    } else {
+        this->membership.setLogReachable(false);
     }
 }
 
@@ -188,6 +165,7 @@
         logLine("config", "log answers again");
     }
     this->failures = 0;
+    this->membership.setLogReachable(true);
     this->overdueTimer.reset();
     this->readTimer = this->loop.after(Duration::zero(), [this] { this->read(); });
 }
@@ -212,25 +190,35 @@
         }
         this->handle(decoded ? this->fold.apply(record.offset, record.at, decoded.value())
                              : this->fold.skip(record.offset));
+        this->folded();
     }
     if (batch.end < this->fold.readFrom()) {
         return false;
     }
     this->caughtUp = batch.end == this->fold.readFrom();
-    if (this->caughtUp && this->fold.isContiguous()) {
-        this->ready = true;
-        this->confirmation.confirmedByLog(askedAt);
-    }
-    this->confirmation.moved(this->fold.covers());
+    this->ready = this->ready || (this->caughtUp && this->fold.isContiguous());
+    this->confirmation.logAnswered(batch.end, askedAt);
     return true;
 }
 
+void ConfigTask::folded()
+{
+    const Digest digest = this->fold.digest();
+    std::uint64_t head = 0;
+    for (std::size_t i = 0; i < sizeof(head); ++i) {
+        head = head << 8U | digest[i];
+    }
+    this->confirmation.folded(this->fold.covers(), head);
+    this->membership.setConfigOffset(this->fold.covers());
+}
+
 void ConfigTask::retryLater(std::string_view reason)
 {
     if (this->failures++ == 0) {
         logLine("config", "log does not answer: {}", reason);
     }
     this->caughtUp = false;
+    this->membership.setLogReachable(false);
     this->overdueTimer.reset();
     Duration most = config::ConfigurationBackoffLeast;
     for (unsigned i = 1; i < this->failures && most < config::ConfigurationBackoffMost; ++i) {
@@ -265,7 +253,7 @@
 
 void ConfigTask::handleChanged(const FleetChanged &change)
 {
-    if (this->ready && this->confirmation.confirmedAt()) {
+    if (this->ready) {
         this->inForceDelay = wallClock() - this->fold.origin().at;
     }
     for (const auto &listener : this->listeners) {
--- a/packages/node/src/config_task.h
+++ b/packages/node/src/config_task.h
@@ -39,8 +39,11 @@
 class ConfigTask : public FleetSource
 {
 public:
-    /// @param loop Runs the task; it, @p log and @p settings outlive it.
-    ConfigTask(Loop &loop, LogClient &log, const Settings &settings);
+    /// @param loop Runs the task; it and all others outlive the task.
+    /// @param membership Told what this host has folded and whether it reaches the log.
+    /// @param confirmation Told what was folded and what the log said; peers tell it the rest.
+    ConfigTask(
+        Loop &loop, LogClient &log, const Settings &settings, Membership &membership, Confirmation &confirmation);
 
     /// Starts reading.
     void start();
@@ -58,18 +61,8 @@
     /// Adds a callback that runs after each change of the fleet.
     void onChanged(std::function<void(const FleetChanged &)> callback);
 
-    /// @returns what to tell other hosts in a heartbeat.
-    [[nodiscard]] PeerConfiguration own() const;
-
-    /// @returns the digest that belongs to own().
-    [[nodiscard]] Digest ownDigest() const;
-
-    /// Takes what @p host says in a heartbeat; compares the digests where both offsets are known.
-    /// @returns true when the state of that host should be fetched and given to adoptState().
-    bool heardPeer(const std::string &host, const PeerConfiguration &peer, const Digest &digest);
-
-    /// Sets how many hosts the platform's host list names, this one included.
-    void setExpectedHosts(std::size_t hosts);
+    /// @returns true while the log does not bring what a peer has, so that adoptState() is worth its bytes.
+    [[nodiscard]] bool wantsPeerState() const;
 
     /// Sets the place of this host in the order in which hosts write snapshots, 0 first; makes duplicates rare.
     void setSnapshotRank(std::function<std::size_t()> rank);
@@ -87,6 +80,7 @@
     void readDone(std::uint64_t readId, TimePoint askedAt, const Result<LogBatch> &result);
     bool take(const LogBatch &batch, TimePoint askedAt);
     void retryLater(std::string_view reason);
+    void folded();
     void handle(const std::vector<ConfigAction> &actions);
     void handleSettled(const NoteOutcome &outcome) const;
     void handleChanged(const FleetChanged &change);
@@ -97,12 +91,12 @@
 
     Loop &loop;
     LogClient &log;
-    const Settings &settings;
+    Membership &membership;
+    Confirmation &confirmation;
     std::mt19937_64 random;
     std::string writer;
     std::uint64_t nextSequence = 1;
     ConfigFold fold;
-    Confirmation confirmation;
     std::vector<std::function<void(const FleetChanged &)>> listeners;
     std::function<std::size_t()> snapshotRank;
     std::set<std::uint64_t> reads; ///< Calls whose answer is awaited.
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -13,6 +13,19 @@
 
 namespace endivespan {
 
+namespace {
+
+HostReport reportOf(const Settings &settings)
+{
+    HostReport report {settings.host, settings.listen.peers, settings.failureDomain, settings.region, {}};
+    // Rises with each start under one name.
+    report.status.version.incarnation
+        = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count());
+    return report;
+}
+
+} // namespace
+
 Node::Node(Loop &loop, Settings settings, std::function<void()> onStopped)
     : loop(loop)
     , settings(std::move(settings))
@@ -20,7 +33,9 @@
     , random(std::random_device {}())
     , engines(EngineClient::create(loop))
     , log(LogClient::create(loop, this->settings.logAddress))
-    , config(std::make_unique<ConfigTask>(loop, *this->log, this->settings))
+    , membership(reportOf(this->settings), loop.now())
+    , confirmation(!this->settings.peers.empty())
+    , config(std::make_unique<ConfigTask>(loop, *this->log, this->settings, this->membership, this->confirmation))
     , backends(std::make_unique<Backends>(loop, *this->config, *this->engines))
     , context(std::make_unique<NodeContext>(NodeContext {loop,
                                                          this->settings,
@@ -70,7 +85,7 @@
 {
     const TimePoint now = this->loop.now();
     this->backends->tick(now);
-    this->prompts->tick();
+    this->prompts->tick(1);
     if (this->stopping) {
         this->continueStop(now);
     }
