--- a/packages/node/src/prompt_run.cpp
+++ b/packages/node/src/prompt_run.cpp
@@ -184,6 +184,7 @@
     for (std::size_t i = 0; i < listed; ++i) {
         const StoreCopy &source = choice.sources.at(i);
         request.imports.push_back({this->pieces.at(i), backends.store(source.store).address, source.generation});
+        backends.pin(source, this->pieces.at(i), config::ImportPinTime);
     }
     request.maxTokens = this->job.request.maxTokens;
     request.resumeFrom = this->nextIndex;
