Add leases in the log and proposed ownership

Cause: each backend server needs one owner, and a paused owner must not act when it wakes. Change: LeaseFold decides leases by log order, LeaseHolder fences itself from before each append, rendezvous weights propose owners among a bounded number of hosts. Conclusion: in random runs with lost, late and unanswered appends and pauses no lease has two holders.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -112,6 +112,15 @@
 constexpr std::size_t DigestsKept = 64;
 
 // Leases and ownership
+constexpr std::size_t MaxOwningHosts = 24;
+constexpr std::chrono::milliseconds LeaseTtl = 9000ms;
+constexpr std::chrono::milliseconds LeaseRenewPeriod = 3000ms;
+constexpr std::chrono::milliseconds LeaseRetryPeriod = 500ms;
+constexpr std::chrono::milliseconds LeaseAcquirePeriod = 1000ms;
+constexpr std::chrono::milliseconds LeaseClockMargin = 500ms;
+constexpr std::uint64_t LeaseRenewalsPerListing = 8;
+constexpr std::uint64_t LeaseReplayRecords = 4096;
+constexpr std::chrono::seconds LongestOrderDeadline = 30s;
 
 // Credits of cold servers
 constexpr std::chrono::seconds CreditTtl = 2s;
--- /dev/null
+++ b/packages/core/src/lease_holder.cpp
@@ -0,0 +1,172 @@
+#include <endivespan/config.h>
+#include <endivespan/invariant.h>
+#include <endivespan/lease.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace endivespan {
+
+LeaseHolder::LeaseHolder(LeaseOwner owner, TimePoint now)
+    : owner(std::move(owner))
+    , renewAt(now)
+    , acquireAt(now)
+{
+}
+
+void LeaseHolder::want(std::set<std::string> resources)
+{
+    this->wanted = std::move(resources);
+}
+
+LeaseRecord LeaseHolder::makeRecord(LeaseAction action, std::vector<LeasedResource> resources)
+{
+    return {action, this->owner, ++this->lastNumber, config::LeaseTtl, std::move(resources)};
+}
+
+std::vector<LeasedResource> LeaseHolder::toRelease(const LeaseFold &fold)
+{
+    std::vector<LeasedResource> resources;
+    for (const auto &[resource, fence] : fold.ownedBy(this->owner)) {
+        const auto given = this->givenUp.find(resource);
+        const bool again = given != this->givenUp.end() && given->second == fence;
+        if (again || !this->wanted.contains(resource)) {
+            resources.push_back({resource, 0});
+            // Given up before the record is sent: from then on another host may win it.
+            this->givenUp[resource] = fence;
+            this->leases.erase(resource);
+        }
+    }
+    return resources;
+}
+
+std::vector<LeasedResource> LeaseHolder::toList(TimePoint now)
+{
+    std::vector<LeasedResource> resources;
+    if (this->renewals++ % config::LeaseRenewalsPerListing == 0) {
+        for (const auto &[resource, fence] : this->held(now)) {
+            resources.push_back({resource, fence});
+        }
+    }
+    return resources;
+}
+
+std::vector<LeasedResource> LeaseHolder::toAcquire(const LeaseFold &fold, TimePoint now) const
+{
+    std::vector<LeasedResource> resources;
+    for (const std::string &resource : this->wanted) {
+        if (!this->fence(resource, now) && fold.isFree(resource, now)) {
+            resources.push_back({resource, 0});
+        }
+    }
+    return resources;
+}
+
+std::optional<LeaseRecord> LeaseHolder::choose(const LeaseFold &fold, TimePoint now)
+{
+    if (now >= this->renewAt && !this->held(now).empty()) {
+        this->renewAt = now + config::LeaseRenewPeriod;
+        return this->makeRecord(LeaseAction::Renew, this->toList(now));
+    }
+    if (now < this->acquireAt) {
+        return {};
+    }
+    this->acquireAt = now + config::LeaseAcquirePeriod;
+    if (auto resources = this->toRelease(fold); !resources.empty()) {
+        return this->makeRecord(LeaseAction::Release, std::move(resources));
+    }
+    if (auto resources = this->toAcquire(fold, now); !resources.empty()) {
+        return this->makeRecord(LeaseAction::Acquire, std::move(resources));
+    }
+    return {};
+}
+
+std::optional<LeaseRecord> LeaseHolder::next(const LeaseFold &fold, TimePoint now)
+{
+    if (this->appending) {
+        return {};
+    }
+    auto record = this->choose(fold, now);
+    if (record) {
+        this->appending = true;
+        std::erase_if(this->sent, [now](const auto &item) { return now - item.second >= config::LeaseTtl; });
+        this->sent[record->number] = now;
+    }
+    return record;
+}
+
+void LeaseHolder::appended(bool applied, TimePoint now)
+{
+    this->appending = false;
+    if (!applied) {
+        this->sent.erase(this->lastNumber);
+        this->renewAt = std::min(this->renewAt, now + config::LeaseRetryPeriod);
+    }
+}
+
+void LeaseHolder::dropLost(const LeaseFold &fold)
+{
+    std::erase_if(this->leases, [this, &fold](const auto &item) {
+        const Lease *lease = fold.find(item.first);
+        return lease == nullptr || lease->owner != this->owner || lease->fence != item.second.fence;
+    });
+}
+
+void LeaseHolder::onFolded(const LeaseFold &fold, const LogRecord &record, const LeaseRecord &body)
+{
+    this->dropLost(fold);
+    const auto sent = this->sent.extract(body.owner == this->owner ? body.number : 0);
+    if (sent.empty() || body.action == LeaseAction::Release) {
+        return;
+    }
+    // Counted from before the append, so that this process stops before the log lets anybody else win.
+    const TimePoint validUntil = sent.mapped() + config::LeaseTtl - config::LeaseClockMargin;
+    for (const auto &[resource, fence] : fold.ownedBy(this->owner)) {
+        const auto given = this->givenUp.find(resource);
+        const bool isGivenUp = given != this->givenUp.end() && given->second == fence;
+        // A record that came too late extended nothing.
+        const bool extended = fold.find(resource)->expiresAt == record.at + body.ttl;
+        if (isGivenUp || !extended) {
+            continue;
+        }
+        const auto [place, isNew] = this->leases.try_emplace(resource, Held {fence, sent.mapped(), validUntil});
+        place->second.validUntil = std::max(place->second.validUntil, validUntil);
+    }
+}
+
+std::optional<std::uint64_t> LeaseHolder::fence(const std::string &resource, TimePoint now) const
+{
+    const auto found = this->leases.find(resource);
+    if (found == this->leases.end() || now >= found->second.validUntil) {
+        return {};
+    }
+    return found->second.fence;
+}
+
+bool LeaseHolder::checkUse(const std::string &resource, std::uint64_t fence, TimePoint now) const
+{
+    return checkInvariant(Invariant::LeaseHeldWhenUsed, this->fence(resource, now) == fence, resource);
+}
+
+std::optional<TimePoint> LeaseHolder::mayOrderFrom(const std::string &resource, bool checksOrders) const
+{
+    const auto found = this->leases.find(resource);
+    if (found == this->leases.end()) {
+        return {};
+    }
+    const TimePoint since = found->second.since;
+    return checksOrders ? since : since + config::LongestOrderDeadline;
+}
+
+std::map<std::string, std::uint64_t> LeaseHolder::held(TimePoint now) const
+{
+    std::map<std::string, std::uint64_t> resources;
+    for (const auto &[resource, held] : this->leases) {
+        if (now < held.validUntil) {
+            resources[resource] = held.fence;
+        }
+    }
+    return resources;
+}
+
+} // namespace endivespan
--- a/packages/node/src/prompt_run.cpp
+++ b/packages/node/src/prompt_run.cpp
@@ -269,8 +269,8 @@
     this->context.metrics.count("prompt_tokens", "source=\"recompute\"", summary.recomputedTokens);
     if (this->load.isValid()) {
         const std::uint64_t imported = summary.importedTokens > 0 ? this->decision.plan.importBytes : 0;
-        backends.loads.onFirstToken(
-            this->load, {this->firstTokenAfter, summary.queueTime, summary.recomputedTokens, imported});
+        backends.loads.onFirstToken(this->load,
+                                    {this->firstTokenAfter, summary.queueTime, summary.recomputedTokens, imported});
     }
     if (summary.incarnation == backends.server(this->server).incarnation) {
         const DirectoryScope scope {
--- /dev/null
+++ b/tests/core/lease.cpp
@@ -0,0 +1,288 @@
+#include <endivespan/config.h>
+#include <endivespan/invariant.h>
+#include <endivespan/lease.h>
+#include <endivespan/ownership.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <rapidcheck.h>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace endivespan;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::vector<std::string> Resources {"server/a", "server/b", "suspects"};
+
+struct Host {
+    LeaseOwner owner;
+    LeaseFold fold;
+    LeaseHolder holder;
+    std::size_t read = 0;
+
+    Host(const std::string &name, TimePoint now)
+        : owner {name, 1}
+        , fold(now)
+        , holder(this->owner, now)
+    {
+    }
+};
+
+struct InFlight {
+    std::size_t host;
+    LeaseRecord body;
+};
+
+/// Hosts, the log between them, and appends that are lost, late or applied without an answer.
+struct World {
+    TimePoint now {1h};
+    std::vector<std::pair<LogRecord, LeaseRecord>> log;
+    std::vector<Host> hosts;
+    std::vector<InFlight> inFlight;
+
+    explicit World(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            this->hosts.emplace_back("host-" + std::to_string(i), this->now);
+        }
+    }
+
+    void land(const LeaseRecord &body)
+    {
+        const auto at = std::chrono::floor<std::chrono::milliseconds>(this->now.time_since_epoch());
+        this->log.push_back({{this->log.size(), LogTime(at), ""}, body});
+    }
+
+    void write(std::size_t index)
+    {
+        Host &host = this->hosts[index];
+        if (const auto record = host.holder.next(host.fold, this->now)) {
+            this->inFlight.push_back({index, *record});
+        }
+    }
+
+    /// @param how 0: applied; 1: applied, answer lost; 2: certainly not applied; 3: late, after the caller gave up.
+    void settle(std::size_t pick, std::size_t how)
+    {
+        if (this->inFlight.empty()) {
+            return;
+        }
+        const auto place = this->inFlight.begin() + static_cast<std::ptrdiff_t>(pick % this->inFlight.size());
+        const InFlight item = *place;
+        this->hosts[item.host].holder.appended(how != 2, this->now);
+        if (how != 3) {
+            this->inFlight.erase(place);
+        }
+        if (how < 2) {
+            this->land(item.body);
+        }
+    }
+
+    void read(std::size_t index)
+    {
+        Host &host = this->hosts[index];
+        for (; host.read < this->log.size(); ++host.read) {
+            const auto &[record, body] = this->log[host.read];
+            host.fold.apply(record, body, this->now);
+            host.holder.onFolded(host.fold, record, body);
+        }
+    }
+
+    void settleAll()
+    {
+        for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+            this->read(i);
+            this->write(i);
+        }
+        while (!this->inFlight.empty()) {
+            this->settle(0, 0);
+        }
+        for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+            this->read(i);
+        }
+    }
+
+    void runFor(Duration span)
+    {
+        for (const TimePoint end = this->now + span; this->now < end; this->now += 500ms) {
+            this->settleAll();
+        }
+    }
+
+    [[nodiscard]] std::size_t holders(const std::string &resource) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(this->hosts.begin(), this->hosts.end(), [this, &resource](const Host &host) {
+                return host.holder.fence(resource, this->now).has_value();
+            }));
+    }
+
+    void step(int what, std::size_t pick)
+    {
+        const std::size_t index = pick % this->hosts.size();
+        switch (what) {
+        case 0:
+            return this->write(index);
+        case 1:
+            return this->settle(pick, 0);
+        case 2:
+            return this->settle(pick, pick / 10 % 4);
+        case 3:
+            return this->read(index);
+        case 4: {
+            std::set<std::string> wanted;
+            for (std::size_t i = 0; i < Resources.size(); ++i) {
+                if ((pick >> (4 + i)) % 2 == 0) {
+                    wanted.insert(Resources[i]);
+                }
+            }
+            return this->hosts[index].holder.want(wanted);
+        }
+        default:
+            this->now += std::chrono::milliseconds(pick % 16 == 0 ? pick % 12'000 : pick % 1'200);
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("no two hosts hold one lease at a time, whatever is lost, late or paused")
+{
+    std::size_t held = 0;
+    std::size_t takeovers = 0;
+    CHECK(rc::check([&held, &takeovers] {
+        const auto steps = *rc::gen::container<std::vector<std::pair<int, std::size_t>>>(
+            500, rc::gen::pair(rc::gen::inRange(0, 6), rc::gen::inRange<std::size_t>(0, 100'000)));
+        World world(3);
+        for (Host &host : world.hosts) {
+            host.holder.want({Resources.begin(), Resources.end()});
+        }
+        world.now += 10s;
+        std::set<std::uint64_t> fences;
+        for (const auto &[what, pick] : steps) {
+            world.step(what, pick);
+            for (const std::string &resource : Resources) {
+                RC_ASSERT(world.holders(resource) <= 1U);
+                held += world.holders(resource);
+            }
+            for (const Host &host : world.hosts) {
+                for (const auto &[resource, fence] : host.holder.held(world.now)) {
+                    fences.insert(fence);
+                }
+            }
+        }
+        takeovers += fences.size();
+    }));
+    CHECK(held > 1000);
+    CHECK(takeovers > 100);
+}
+
+TEST_CASE("a lease goes on while it is renewed and passes over after its holder falls silent")
+{
+    World world(2);
+    world.hosts[0].holder.want({Resources[0]});
+    world.runFor(15s);
+    const auto fence = world.hosts[0].holder.fence(Resources[0], world.now);
+    REQUIRE(fence);
+    world.runFor(60s);
+    CHECK(world.hosts[0].holder.fence(Resources[0], world.now) == fence);
+
+    SUBCASE("a holder that is paused longer than its lease may do nothing when it wakes")
+    {
+        const auto before = invariantCount(Invariant::LeaseHeldWhenUsed).violated;
+        CHECK(world.hosts[0].holder.checkUse(Resources[0], *fence, world.now));
+        world.now += config::LeaseTtl;
+        CHECK_FALSE(world.hosts[0].holder.checkUse(Resources[0], *fence, world.now));
+        CHECK(invariantCount(Invariant::LeaseHeldWhenUsed).violated == before + 1);
+    }
+    SUBCASE("a handover is quick, and its fence is greater")
+    {
+        world.hosts[0].holder.want({});
+        world.hosts[1].holder.want({Resources[0]});
+        world.runFor(4s);
+        CHECK_FALSE(world.hosts[0].holder.fence(Resources[0], world.now));
+        CHECK(world.hosts[1].holder.fence(Resources[0], world.now) > fence);
+    }
+    SUBCASE("a server that ignores fences gets orders only after the longest order deadline")
+    {
+        const auto checked = world.hosts[0].holder.mayOrderFrom(Resources[0], true);
+        REQUIRE(checked);
+        CHECK(world.hosts[0].holder.mayOrderFrom(Resources[0], false) == *checked + config::LongestOrderDeadline);
+        CHECK_FALSE(world.hosts[1].holder.mayOrderFrom(Resources[0], true));
+    }
+    SUBCASE("a reader that starts late learns the lease from a renewal that names it")
+    {
+        Host late("late", world.now);
+        late.read = world.log.size();
+        CHECK_FALSE(late.fold.isFree(Resources[0], world.now));
+        world.hosts.push_back(std::move(late));
+        world.runFor(config::LeaseRenewPeriod * (config::LeaseRenewalsPerListing + 1));
+        REQUIRE(world.hosts.back().fold.find(Resources[0]) != nullptr);
+        CHECK(world.hosts.back().fold.find(Resources[0])->fence == *fence);
+    }
+}
+
+TEST_CASE("a renewal that reaches the log after the lease has expired revives nothing")
+{
+    World world(1);
+    Host &host = world.hosts[0];
+    host.holder.want({Resources[0]});
+    world.runFor(12s);
+    REQUIRE(host.holder.fence(Resources[0], world.now));
+    while (world.inFlight.empty()) {
+        world.now += 100ms;
+        world.write(0);
+    }
+    const Lease before = *host.fold.find(Resources[0]);
+    world.now += config::LeaseTtl - 1s;
+    world.settle(0, 0);
+    world.read(0);
+    CHECK(host.fold.find(Resources[0])->expiresAt == before.expiresAt);
+    CHECK_FALSE(host.holder.fence(Resources[0], world.now));
+}
+
+TEST_CASE("a fence that falls breaks the invariant")
+{
+    const auto before = invariantCount(Invariant::FenceNeverFalls).violated;
+    LeaseFold fold(TimePoint {1h});
+    const LeaseRecord body {LeaseAction::Acquire, {"a", 1}, 1, config::LeaseTtl, {{"server/a", 0}}};
+    fold.apply({7, LogTime(0ms), ""}, body, TimePoint {1h});
+    fold.apply({3, LogTime(60s), ""}, body, TimePoint {1h});
+    CHECK(invariantCount(Invariant::FenceNeverFalls).violated == before + 1);
+    CHECK(fold.find("server/a")->fence == 8);
+}
+
+TEST_CASE("each resource has one proposed owner, and few move when a host goes")
+{
+    std::set<std::string> live;
+    for (int i = 0; i < 18; ++i) {
+        live.insert("host-" + std::to_string(i));
+    }
+    std::set<std::string> resources;
+    for (int i = 0; i < 200; ++i) {
+        resources.insert(serverResource("server-" + std::to_string(i)));
+    }
+    std::map<std::string, std::string> owners;
+    for (const std::string &host : live) {
+        for (const std::string &resource : proposedResources(host, live, resources)) {
+            CHECK(owners.emplace(resource, host).second);
+        }
+    }
+    CHECK(owners.size() == resources.size());
+    auto rest = live;
+    rest.erase("host-3");
+    for (const std::string &resource : resources) {
+        const std::string after = proposedOwner(owningHosts(rest), resource);
+        CHECK((after == owners[resource] || owners[resource] == "host-3"));
+    }
+    for (int i = 18; i < 400; ++i) {
+        live.insert("host-" + std::to_string(i));
+    }
+    CHECK(owningHosts(live).size() == config::MaxOwningHosts);
+}
