Add the keeper that claims requests in one stream

Cause: hosts need a verdict on a request although appends are lost, late or refused and hosts die. Conclusion: safety rests on the fold alone, any number of hosts may work on one stream.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -48,6 +48,19 @@
 constexpr std::size_t MaxShardAnswerBytes = 8 * 1024 * 1024;
 constexpr std::size_t MaxPendingSnapshots = 4;
 constexpr std::size_t ClaimSnapshotChunkBytes = 256 * 1024;
+constexpr std::chrono::milliseconds ClaimAppendGap = 50ms;
+constexpr std::size_t MaxClaimBatchRecords = 128;
+constexpr std::size_t MaxClaimBatchBytes = 512 * 1024;
+constexpr std::size_t MaxClaimsWaiting = 1024;
+constexpr std::size_t MaxClaimRecordsOwed = 4096;
+constexpr std::size_t MaxClaimBytesOwed = 4 * 1024 * 1024;
+constexpr std::chrono::milliseconds ClaimWaitLimit = 2500ms;
+constexpr std::chrono::milliseconds ClaimGrantLimit = 2000ms;
+constexpr std::chrono::milliseconds ClaimRetryDelay = 500ms;
+constexpr std::chrono::milliseconds ClaimInProgressRetry = 1000ms;
+constexpr std::chrono::milliseconds ClaimReadPeriod = 5000ms;
+constexpr std::chrono::minutes ClaimSnapshotPeriod = 10min;
+constexpr std::uint32_t ClaimLogFailuresUntilDown = 2;
 
 // Membership and peer links
 
--- /dev/null
+++ b/packages/core/src/claim_commit.cpp
@@ -0,0 +1,368 @@
+// The side of ClaimKeeper that talks to the log: appends, reads and what they settle.
+
+#include <endivespan/claim_keeper.h>
+#include <endivespan/config.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace endivespan {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t RecordBytes = 256;
+
+std::size_t sizeOf(const ClaimRecord &record)
+{
+    const auto *outcome = std::get_if<ClaimOutcome>(&record);
+    return RecordBytes + (outcome == nullptr ? 0 : outcome->answer.bytes());
+}
+
+} // namespace
+
+void ClaimKeeper::owe(ClaimRecord record)
+{
+    auto *outcome = std::get_if<ClaimOutcome>(&record);
+    if (outcome != nullptr && this->owedBytes + sizeOf(record) > this->limits.maxOwedBytes) {
+        outcome->kind = outcome->kind == OutcomeKind::Answered ? OutcomeKind::NotKept : outcome->kind;
+        outcome->answer = {};
+    }
+    this->owedBytes += sizeOf(record);
+    this->owed.push_back(std::move(record));
+    // A dropped record costs answers, not safety: its key reads as of unknown outcome.
+    if (this->owed.size() > this->limits.maxOwed) {
+        this->owedBytes -= sizeOf(this->owed.front());
+        this->owed.pop_front();
+    }
+}
+
+void ClaimKeeper::logFailed(std::uint32_t &failures, TimePoint now)
+{
+    ++failures;
+    this->retryAt = now + this->limits.retryDelay;
+    if (this->isDown(now)) {
+        this->refuseAll(State::Queued, ErrorKind::LogUnavailable, "the log does not answer");
+        this->claimQueue.clear();
+    }
+}
+
+void ClaimKeeper::sendAppend(TimePoint now)
+{
+    const bool empty = this->owed.empty() && this->claimQueue.empty() && this->snapshotQueue.empty();
+    if (this->inFlight || empty || now < this->appendAllowedAt) {
+        return;
+    }
+    if (this->appendFailures > 0 && now < this->retryAt) {
+        return;
+    }
+    Batch batch;
+    batch.id = this->nextBatch++;
+    batch.sentAt = now;
+    std::size_t bytes = 0;
+    this->takeOwed(batch, bytes);
+    this->takeClaims(batch, bytes);
+    this->takeSnapshot(batch);
+    if (batch.records.empty()) {
+        return;
+    }
+    ++this->appendCount;
+    this->appendAllowedAt = now + this->limits.appendGap;
+    this->actions.emplace_back(ClaimAppend {batch.id, batch.records});
+    this->inFlight = std::move(batch);
+}
+
+void ClaimKeeper::takeOwed(Batch &batch, std::size_t &bytes)
+{
+    while (!this->owed.empty() && batch.records.size() < this->limits.maxBatchRecords
+           && bytes < this->limits.maxBatchBytes) {
+        const std::size_t size = sizeOf(this->owed.front());
+        bytes += size;
+        this->owedBytes -= size;
+        batch.records.emplace_back(this->nextId(), std::move(this->owed.front()));
+        this->owed.pop_front();
+    }
+}
+
+void ClaimKeeper::takeClaims(Batch &batch, std::size_t &bytes)
+{
+    while (this->loaded && !this->claimQueue.empty() && batch.records.size() < this->limits.maxBatchRecords
+           && bytes < this->limits.maxBatchBytes) {
+        const ClaimTicket ticket = this->claimQueue.front();
+        this->claimQueue.pop_front();
+        const auto found = this->pending.find(ticket);
+        if (found == this->pending.end() || found->second.state != State::Queued) {
+            continue;
+        }
+        Pending &request = found->second;
+        request.state = State::Sent;
+        request.attempt = this->nextId();
+        this->byAttempt[request.attempt] = ticket;
+        Claim claim;
+        claim.attempt = request.attempt;
+        claim.organisation = request.ask.organisation;
+        claim.key = request.ask.key;
+        claim.fingerprint = request.ask.fingerprint;
+        claim.host = this->host;
+        claim.runLimit = request.ask.runLimit;
+        bytes += RecordBytes;
+        batch.records.emplace_back(request.attempt, std::move(claim));
+    }
+}
+
+void ClaimKeeper::takeSnapshot(Batch &batch)
+{
+    if (this->snapshotQueue.empty()) {
+        return;
+    }
+    batch.records.emplace_back(this->nextId(), std::move(this->snapshotQueue.front()));
+    this->snapshotQueue.pop_front();
+}
+
+ClaimActions ClaimKeeper::appended(std::uint64_t id, const Result<ClaimAck> &result, TimePoint now)
+{
+    if (!this->inFlight || this->inFlight->id != id) {
+        return this->flush(now);
+    }
+    if (result) {
+        this->appendFailures = 0;
+        this->noteLogTime(result.value().at, now);
+        this->awaited = std::max(this->awaited, result.value().first + this->inFlight->records.size());
+        this->inFlight.reset();
+        return this->flush(now);
+    }
+    if (this->inFlight->found) {
+        this->inFlight.reset();
+        return this->flush(now);
+    }
+    if (result.error().kind == ErrorKind::LogUnavailable) {
+        this->unsend();
+    } else {
+        ++this->readBackCount;
+        this->inFlight->lostAt = now;
+    }
+    this->logFailed(this->appendFailures, now);
+    return this->flush(now);
+}
+
+// The append was certainly not applied: everything in it is as if it had never been taken.
+void ClaimKeeper::unsend()
+{
+    this->requeueOwed();
+    for (const auto &[written, record] : this->inFlight->records) {
+        const auto *claim = std::get_if<Claim>(&record);
+        const auto sent = claim == nullptr ? this->byAttempt.end() : this->byAttempt.find(claim->attempt);
+        if (sent != this->byAttempt.end()) {
+            Pending &request = this->pending.at(sent->second);
+            this->queueClaim(sent->second, request);
+            this->byAttempt.erase(sent);
+        }
+    }
+    this->inFlight.reset();
+}
+
+// The append was not found but may still turn up: its claims go on under new names, after their abandonments.
+void ClaimKeeper::reissue()
+{
+    this->requeueOwed();
+    for (const auto &[written, record] : this->inFlight->records) {
+        const auto *claim = std::get_if<Claim>(&record);
+        const auto sent = claim == nullptr ? this->byAttempt.end() : this->byAttempt.find(claim->attempt);
+        if (sent != this->byAttempt.end()) {
+            Pending &request = this->pending.at(sent->second);
+            this->abandon(request.attempt, request.name);
+            this->queueClaim(sent->second, request);
+            this->byAttempt.erase(sent);
+        }
+    }
+    this->inFlight.reset();
+}
+
+// Outcomes, abandonments and snapshot chunks change nothing when they are logged twice.
+void ClaimKeeper::requeueOwed()
+{
+    auto place = this->owed.begin();
+    for (auto &[written, record] : this->inFlight->records) {
+        if (auto *chunk = std::get_if<ClaimSnapshotChunk>(&record)) {
+            this->snapshotQueue.push_front(std::move(*chunk));
+        } else if (!std::holds_alternative<Claim>(record)) {
+            this->owedBytes += sizeOf(record);
+            place = std::next(this->owed.insert(place, std::move(record)));
+        }
+    }
+}
+
+void ClaimKeeper::settleBatch(TimePoint readStarted, bool caughtUp)
+{
+    if (!this->inFlight || !this->inFlight->lostAt) {
+        return;
+    }
+    if (this->inFlight->found) {
+        this->inFlight.reset();
+        this->appendFailures = 0;
+    } else if (caughtUp && readStarted >= *this->inFlight->lostAt) {
+        this->reissue();
+    }
+}
+
+bool ClaimKeeper::wantsRead(TimePoint now) const
+{
+    if (this->readFailures > 0) {
+        return now >= this->retryAt;
+    }
+    const bool unread = this->behind || this->state->position() < this->awaited;
+    const bool lost = this->inFlight && this->inFlight->lostAt;
+    const bool looking = std::any_of(this->pending.begin(), this->pending.end(), [](const auto &entry) {
+        return entry.second.state == State::Looking;
+    });
+    return unread || lost || looking || now - this->lastRead >= this->limits.readPeriod;
+}
+
+void ClaimKeeper::sendRead(TimePoint now)
+{
+    if (this->readStarted || !this->wantsRead(now)) {
+        return;
+    }
+    this->readStarted = now;
+    this->lastRead = now;
+    const bool mustCome = !this->behind && this->state->position() < this->awaited;
+    this->actions.emplace_back(ClaimRead {this->state->position(), mustCome ? config::LogPollPeriod : 0ms});
+}
+
+ClaimActions ClaimKeeper::wasRead(const Result<ClaimBatch> &result, TimePoint now)
+{
+    if (!this->readStarted) {
+        return this->flush(now);
+    }
+    const TimePoint started = *std::exchange(this->readStarted, std::nullopt);
+    if (!result) {
+        this->logFailed(this->readFailures, now);
+        if (this->isDown(now)) {
+            this->refuseAll(State::Looking, ErrorKind::LogUnavailable, "the log does not answer");
+        }
+        return this->flush(now);
+    }
+    this->readFailures = 0;
+    const ClaimBatch &batch = result.value();
+    this->oldestKept = batch.oldest;
+    if (batch.trimmed) {
+        this->startOver(batch.oldest);
+        return this->flush(now);
+    }
+    for (const ClaimLogRecord &record : batch.records) {
+        this->applyRecord(record, now);
+    }
+    this->behind = this->state->position() < batch.end;
+    this->settleBatch(started, !this->behind);
+    if (!this->behind) {
+        this->loaded = this->state->isComplete();
+        this->abandonStrays();
+        this->settleLooking(now);
+    }
+    return this->flush(now);
+}
+
+void ClaimKeeper::applyRecord(const ClaimLogRecord &record, TimePoint now)
+{
+    if (record.offset != this->state->position()) {
+        return;
+    }
+    this->noteLogTime(record.at, now);
+    this->firstRecordAt = this->firstRecordAt.value_or(record.at);
+    if (this->inFlight && record.written == this->inFlight->records.front().first) {
+        this->inFlight->found = true;
+    }
+    const ClaimEffect effect = this->state->apply(record);
+    const auto *claim = std::get_if<Claim>(&record.record);
+    if (claim != nullptr && claim->attempt.writer == this->writer) {
+        this->claimFolded(*claim, effect, now);
+    }
+}
+
+void ClaimKeeper::claimFolded(const Claim &claim, ClaimEffect effect, TimePoint now)
+{
+    const auto sent = this->byAttempt.find(claim.attempt);
+    if (sent == this->byAttempt.end()) {
+        if (effect == ClaimEffect::Won && this->givenUp.count(claim.attempt) != 0) {
+            this->strays[claim.attempt] = this->givenUp.at(claim.attempt);
+        }
+        return;
+    }
+    const ClaimTicket ticket = sent->second;
+    Pending &request = this->pending.at(ticket);
+    if (request.state != State::Sent) {
+        return;
+    }
+    switch (effect) {
+    case ClaimEffect::Won:
+        request.state = State::Granted;
+        request.grantedAt = now;
+        this->give({ticket, ClaimDecision::Granted, this->host, Duration::zero(), nullptr, {}});
+        break;
+    case ClaimEffect::PassedOver:
+        this->answerFromFold(ticket, request, now);
+        break;
+    case ClaimEffect::Full:
+        this->refuse(ticket, ErrorKind::Overloaded, "too many claims are remembered");
+        break;
+    default:
+        break;
+    }
+}
+
+// Records that were not read are gone. What was sent cannot be settled any more.
+void ClaimKeeper::startOver(std::uint64_t oldest)
+{
+    this->state->restart(oldest);
+    this->loaded = false;
+    this->behind = true;
+    if (this->inFlight && this->inFlight->lostAt) {
+        this->reissue();
+    }
+    this->refuseAll(State::Sent, ErrorKind::LogUnavailable, "the log dropped the claim before it was read");
+    for (const ClaimTicket ticket : std::exchange(this->claimQueue, {})) {
+        if (const auto found = this->pending.find(ticket); found != this->pending.end()) {
+            found->second.state = State::Looking;
+        }
+    }
+}
+
+// A claim that was given up has won all the same, perhaps because its append was late.
+void ClaimKeeper::abandonStrays()
+{
+    for (const auto &[attempt, name] : std::exchange(this->strays, {})) {
+        if (this->state->holds(name, attempt)) {
+            this->owe(ClaimAbandon {attempt, name});
+        }
+    }
+}
+
+// Hosts see each other's snapshots, and differ in when they hold one to be due, so that mostly one of them writes it.
+void ClaimKeeper::planSnapshot(TimePoint now)
+{
+    const bool current = this->loaded && !this->behind && this->readFailures == 0;
+    if (!current || this->state->position() == 0 || !this->snapshotQueue.empty()) {
+        return;
+    }
+    constexpr std::uint64_t Spread = 16;
+    const Duration period = this->limits.snapshotPeriod;
+    const Duration due = period + period * static_cast<Duration::rep>(this->writer % Spread) / (2 * Spread);
+    const auto last = this->state->lastSnapshot();
+    const bool unreadable = this->oldestKept > (last ? last->first : 0);
+    const LogTime lastAt = last ? last->second : this->firstRecordAt.value_or(this->state->time());
+    if (!unreadable && this->logNow(now) - lastAt < due) {
+        return;
+    }
+    if (now - this->lastSnapshot < this->limits.readPeriod) {
+        return;
+    }
+    this->lastSnapshot = now;
+    ++this->snapshotCount;
+    for (auto &chunk : this->state->snapshot(this->nextId(), config::ClaimSnapshotChunkBytes)) {
+        this->snapshotQueue.push_back(std::move(chunk));
+    }
+}
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/core/src/claim_keeper.cpp
@@ -0,0 +1,326 @@
+#include <endivespan/claim_keeper.h>
+#include <endivespan/config.h>
+#include <endivespan/invariant.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace endivespan {
+
+ClaimKeeperLimits defaultClaimKeeperLimits()
+{
+    ClaimKeeperLimits limits;
+    limits.appendGap = config::ClaimAppendGap;
+    limits.maxBatchRecords = config::MaxClaimBatchRecords;
+    limits.maxBatchBytes = config::MaxClaimBatchBytes;
+    limits.maxWaiting = config::MaxClaimsWaiting;
+    limits.maxOwed = config::MaxClaimRecordsOwed;
+    limits.maxOwedBytes = config::MaxClaimBytesOwed;
+    limits.waitLimit = config::ClaimWaitLimit;
+    limits.grantLimit = config::ClaimGrantLimit;
+    limits.retryDelay = config::ClaimRetryDelay;
+    limits.readPeriod = config::ClaimReadPeriod;
+    limits.snapshotPeriod = config::ClaimSnapshotPeriod;
+    limits.maxAnswerBytes = config::MaxClaimAnswerBytes;
+    return limits;
+}
+
+ClaimKeeper::ClaimKeeper(std::string host,
+                         std::uint64_t writer,
+                         const ClaimKeeperLimits &limits,
+                         std::unique_ptr<ClaimFold> fold)
+    : host(std::move(host))
+    , writer(writer)
+    , limits(limits)
+    , state(std::move(fold))
+{
+}
+
+ClaimActions ClaimKeeper::begin(ClaimTicket ticket, const ClaimAsk &ask, TimePoint now)
+{
+    Pending &request = this->pending[ticket];
+    request.ask = ask;
+    request.name = claimName(ask.organisation, ask.key);
+    request.since = now;
+    if (this->pending.size() > this->limits.maxWaiting) {
+        this->refuse(ticket, ErrorKind::Overloaded, "too many requests wait for the log");
+        return this->flush(now);
+    }
+    if (const auto [other, first] = this->byName.emplace(request.name, ticket); !first) {
+        const bool same = this->pending.at(other->second).ask.fingerprint == ask.fingerprint;
+        const auto decision = same ? ClaimDecision::InProgress : ClaimDecision::KeyReused;
+        const Duration retry = same ? config::ClaimInProgressRetry : std::chrono::milliseconds::zero();
+        this->give({ticket, decision, this->host, retry, nullptr, {}});
+        return this->flush(now);
+    }
+    const ClaimView view = this->state->look(request.name, ask.fingerprint, this->logNow(now));
+    const bool settled = view.state == ClaimState::Recorded || view.state == ClaimState::AnswerNotKept;
+    const bool stale = this->isDown(now) && view.state != ClaimState::Free;
+    if (this->loaded && (settled || stale)) {
+        this->answerFromFold(ticket, request, now);
+    } else if (this->isDown(now)) {
+        this->refuse(ticket, ErrorKind::LogUnavailable, "the log does not answer");
+    } else if (this->loaded && view.state == ClaimState::Free) {
+        this->queueClaim(ticket, request);
+    }
+    return this->flush(now);
+}
+
+bool ClaimKeeper::startRun(ClaimTicket ticket, TimePoint now)
+{
+    const auto found = this->pending.find(ticket);
+    if (found == this->pending.end()) {
+        return false;
+    }
+    Pending &request = found->second;
+    const bool granted = request.state == State::Granted;
+    if (!checkInvariant(Invariant::AtMostOneRun, granted, "a run was to start without a grant")) {
+        return false;
+    }
+    // The pause between grant and use may be long when the process was suspended.
+    const bool fresh = now - request.grantedAt <= this->limits.grantLimit;
+    if (!fresh || now - request.since > request.ask.runLimit) {
+        this->abandon(request.attempt, request.name);
+        this->forget(ticket);
+        return false;
+    }
+    request.state = State::Running;
+    return true;
+}
+
+ClaimActions ClaimKeeper::finish(ClaimTicket ticket, OutcomeKind kind, const ClaimAnswer &answer, TimePoint now)
+{
+    const auto found = this->pending.find(ticket);
+    if (found == this->pending.end() || found->second.state != State::Running) {
+        return this->flush(now);
+    }
+    ClaimOutcome outcome;
+    outcome.attempt = found->second.attempt;
+    outcome.name = found->second.name;
+    outcome.kind = kind;
+    if (kind == OutcomeKind::Answered && answer.bytes() > this->limits.maxAnswerBytes) {
+        outcome.kind = OutcomeKind::NotKept;
+    } else if (kind == OutcomeKind::Answered) {
+        outcome.answer = answer;
+    }
+    this->owe(std::move(outcome));
+    this->forget(ticket);
+    return this->flush(now);
+}
+
+ClaimActions ClaimKeeper::release(ClaimTicket ticket, TimePoint now)
+{
+    if (const auto found = this->pending.find(ticket); found != this->pending.end()) {
+        const bool mayBeLogged = found->second.state != State::Looking && found->second.state != State::Queued;
+        if (mayBeLogged) {
+            this->abandon(found->second.attempt, found->second.name);
+        }
+        this->forget(ticket);
+    }
+    return this->flush(now);
+}
+
+ClaimActions ClaimKeeper::tick(TimePoint now)
+{
+    this->expireRequests(now);
+    this->planSnapshot(now);
+    return this->flush(now);
+}
+
+bool ClaimKeeper::isIdle() const
+{
+    return this->pending.empty() && this->owed.empty() && !this->inFlight;
+}
+
+bool ClaimKeeper::isLoaded() const
+{
+    return this->loaded;
+}
+
+const ClaimFold &ClaimKeeper::fold() const
+{
+    return *this->state;
+}
+
+ClaimKeeperStats ClaimKeeper::stats() const
+{
+    return {this->state->stats(),
+            this->pending.size(),
+            this->owed.size(),
+            this->appendCount,
+            this->readBackCount,
+            this->abandonCount,
+            this->snapshotCount};
+}
+
+AttemptId ClaimKeeper::nextId()
+{
+    return {this->writer, ++this->sequence};
+}
+
+LogTime ClaimKeeper::logNow(TimePoint now) const
+{
+    if (!this->logOffset) {
+        return this->state->time();
+    }
+    return LogTime(std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch() + *this->logOffset));
+}
+
+// A record is never newer than the moment it was read, so the largest difference seen is the closest.
+void ClaimKeeper::noteLogTime(LogTime at, TimePoint now)
+{
+    const Duration offset = at.time_since_epoch() - now.time_since_epoch();
+    this->logOffset = std::max(this->logOffset.value_or(offset), offset);
+}
+
+bool ClaimKeeper::isDown(TimePoint now) const
+{
+    const std::uint32_t failures = std::max(this->appendFailures, this->readFailures);
+    return failures >= config::ClaimLogFailuresUntilDown && now < this->retryAt;
+}
+
+ClaimActions ClaimKeeper::flush(TimePoint now)
+{
+    this->sendAppend(now);
+    this->sendRead(now);
+    return std::exchange(this->actions, {});
+}
+
+void ClaimKeeper::queueClaim(ClaimTicket ticket, Pending &request)
+{
+    request.state = State::Queued;
+    this->claimQueue.push_back(ticket);
+}
+
+void ClaimKeeper::settleLooking(TimePoint now)
+{
+    std::vector<ClaimTicket> looking;
+    for (const auto &[ticket, request] : this->pending) {
+        if (request.state == State::Looking) {
+            looking.push_back(ticket);
+        }
+    }
+    for (const ClaimTicket ticket : looking) {
+        Pending &request = this->pending.at(ticket);
+        if (!this->state->isComplete()) {
+            this->refuse(ticket, ErrorKind::LogUnavailable, "older claims cannot be read back yet");
+        } else if (!this->answerFromFold(ticket, request, now)) {
+            this->queueClaim(ticket, request);
+        }
+    }
+}
+
+// Gives the verdict unless the name is free.
+bool ClaimKeeper::answerFromFold(ClaimTicket ticket, const Pending &request, TimePoint now)
+{
+    const ClaimView view = this->state->look(request.name, request.ask.fingerprint, this->logNow(now));
+    ClaimVerdict verdict;
+    verdict.ticket = ticket;
+    verdict.host = view.host;
+    verdict.answer = view.answer;
+    switch (view.state) {
+    case ClaimState::Free:
+        return false;
+    case ClaimState::InProgress:
+        verdict.decision = ClaimDecision::InProgress;
+        verdict.retryAfter = std::min(view.remaining, config::ClaimInProgressRetry);
+        break;
+    case ClaimState::Recorded:
+        verdict.decision = ClaimDecision::Recorded;
+        break;
+    case ClaimState::AnswerNotKept:
+        verdict.decision = ClaimDecision::AnswerNotKept;
+        break;
+    case ClaimState::OutcomeUnknown:
+        verdict.decision = ClaimDecision::OutcomeUnknown;
+        break;
+    case ClaimState::KeyReused:
+        verdict.decision = ClaimDecision::KeyReused;
+        break;
+    }
+    this->give(std::move(verdict));
+    return true;
+}
+
+void ClaimKeeper::give(ClaimVerdict verdict)
+{
+    if (verdict.decision != ClaimDecision::Granted) {
+        this->forget(verdict.ticket);
+    }
+    this->actions.emplace_back(std::move(verdict));
+}
+
+void ClaimKeeper::refuse(ClaimTicket ticket, ErrorKind kind, const std::string &detail)
+{
+    const Pending &request = this->pending.at(ticket);
+    checkInvariant(Invariant::NotRunIsTrue, request.state != State::Running, "a running request was to be refused");
+    if (request.state == State::Sent) {
+        this->abandon(request.attempt, request.name);
+    }
+    ClaimVerdict verdict;
+    verdict.ticket = ticket;
+    verdict.retryAfter = this->limits.retryDelay;
+    verdict.error = {kind, detail};
+    this->give(std::move(verdict));
+}
+
+void ClaimKeeper::refuseAll(State state, ErrorKind kind, const std::string &detail)
+{
+    std::vector<ClaimTicket> refused;
+    for (const auto &[ticket, request] : this->pending) {
+        if (request.state == state) {
+            refused.push_back(ticket);
+        }
+    }
+    for (const ClaimTicket ticket : refused) {
+        this->refuse(ticket, kind, detail);
+    }
+}
+
+void ClaimKeeper::forget(ClaimTicket ticket)
+{
+    const auto found = this->pending.find(ticket);
+    if (found == this->pending.end()) {
+        return;
+    }
+    const Pending &request = found->second;
+    if (const auto named = this->byName.find(request.name); named != this->byName.end() && named->second == ticket) {
+        this->byName.erase(named);
+    }
+    this->byAttempt.erase(request.attempt);
+    this->pending.erase(found);
+}
+
+void ClaimKeeper::abandon(const AttemptId &attempt, const ClaimDigest &name)
+{
+    ++this->abandonCount;
+    this->givenUp[attempt] = name;
+    if (this->givenUp.size() > this->limits.maxOwed) {
+        this->givenUp.erase(this->givenUp.begin());
+    }
+    this->owe(ClaimAbandon {attempt, name});
+}
+
+void ClaimKeeper::expireRequests(TimePoint now)
+{
+    std::vector<ClaimTicket> late;
+    std::vector<ClaimTicket> unused;
+    for (const auto &[ticket, request] : this->pending) {
+        const Duration limit = std::min<Duration>(this->limits.waitLimit, request.ask.runLimit);
+        if (request.state < State::Granted && now - request.since > limit) {
+            late.push_back(ticket);
+        }
+        if (request.state == State::Granted && now - request.grantedAt > this->limits.grantLimit) {
+            unused.push_back(ticket);
+        }
+    }
+    for (const ClaimTicket ticket : late) {
+        this->refuse(ticket, ErrorKind::LogUnavailable, "the log did not settle the claim in time");
+    }
+    for (const ClaimTicket ticket : unused) {
+        this->abandon(this->pending.at(ticket).attempt, this->pending.at(ticket).name);
+        this->forget(ticket);
+    }
+}
+
+} // namespace endivespan
--- /dev/null
+++ b/tests/core/claim_keeper.cpp
@@ -0,0 +1,534 @@
+#include <endivespan/claim_keeper.h>
+#include <endivespan/invariant.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <random>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace endivespan;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr ClaimLimits WorldLimits {1h, 10'000, 100'000};
+
+ClaimKeeperLimits keeperLimits()
+{
+    ClaimKeeperLimits limits = defaultClaimKeeperLimits();
+    limits.appendGap = 10ms;
+    limits.waitLimit = 300ms;
+    limits.grantLimit = 200ms;
+    limits.retryDelay = 50ms;
+    limits.readPeriod = 100ms;
+    limits.snapshotPeriod = 400ms;
+    return limits;
+}
+
+/// Which faults may happen, and which part is broken on purpose.
+struct WorldOptions {
+    bool deaths = true;
+    bool faults = true;
+    bool harshTrim = false; ///< Drops records whether or not a snapshot covers them.
+    bool slow = false; ///< Time passes faster than operations end.
+    bool forgetfulFold = false;
+    bool sendsAfterRefusal = false; ///< The executor ignores that startRun() refused.
+};
+
+class ForgetfulFold : public ClaimFold
+{
+public:
+    using ClaimFold::ClaimFold;
+
+protected:
+    bool keepsName(const ClaimEntry &) const override
+    {
+        return false;
+    }
+};
+
+struct Operation {
+    std::size_t host = 0;
+    std::uint64_t writer = 0; ///< Incarnation that asked; a later one gets no answer.
+    ClaimAction action;
+};
+
+struct Run {
+    std::string key;
+    bool started = false;
+    bool executed = false; ///< The backend server has run it.
+    bool refused = false; ///< The caller was told "not run".
+};
+
+struct Host {
+    std::unique_ptr<ClaimKeeper> keeper;
+    std::uint64_t writer = 0;
+    std::vector<ClaimTicket> granted;
+    std::vector<ClaimTicket> running;
+};
+
+/// Several hosts, one log stream and one backend server, driven by random choices.
+class World
+{
+public:
+    World(std::uint32_t seed, const WorldOptions &options)
+        : options(options)
+        , random(seed)
+    {
+        for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+            this->startHost(i);
+        }
+    }
+
+    void step()
+    {
+        this->now += this->chance(this->options.slow ? 3 : 12) ? std::chrono::milliseconds(this->pick(150)) : 1ms;
+        switch (this->pick(14)) {
+        case 0:
+            this->beginSomewhere();
+            break;
+        case 1:
+            this->useGrant(this->pick(this->hosts.size()));
+            break;
+        case 2:
+            this->endRun(this->pick(this->hosts.size()));
+            break;
+        case 3:
+            this->tickAll();
+            break;
+        case 4:
+            this->injectFault();
+            break;
+        default:
+            this->deliverOne(); // Most of the steps, so that requests come to an end.
+        }
+    }
+
+    /// Runs without faults until everything owed is logged and read.
+    void heal()
+    {
+        this->options.faults = false;
+        this->options.deaths = false;
+        this->outage = false;
+        for (int i = 0; i < 120; ++i) {
+            this->now += 20ms;
+            for (std::size_t host = 0; host < this->hosts.size(); ++host) {
+                this->useGrant(host);
+                this->endRun(host);
+            }
+            this->tickAll();
+            while (!this->operations.empty()) {
+                this->deliverOne();
+            }
+            this->applyLate();
+        }
+    }
+
+    /// @returns the verdict that a new request with @p key gets.
+    ClaimDecision probe(const std::string &key)
+    {
+        const ClaimTicket ticket = this->begin(0, key);
+        for (int i = 0; i < 20 && this->verdicts.count(ticket) == 0; ++i) {
+            this->now += 20ms;
+            this->tickAll();
+            while (!this->operations.empty()) {
+                this->deliverOne();
+            }
+        }
+        return this->verdicts.count(ticket) == 0 ? ClaimDecision::Refused : this->verdicts.at(ticket);
+    }
+
+    [[nodiscard]] std::size_t executions(const std::string &key) const
+    {
+        return static_cast<std::size_t>(std::count_if(this->runs.begin(), this->runs.end(), [&key](const auto &entry) {
+            return entry.second.key == key && entry.second.executed;
+        }));
+    }
+
+    [[nodiscard]] bool falseNotRun() const
+    {
+        return std::any_of(this->runs.begin(), this->runs.end(), [](const auto &entry) {
+            return entry.second.executed && entry.second.refused;
+        });
+    }
+
+    [[nodiscard]] std::size_t mostExecutions() const
+    {
+        std::size_t most = 0;
+        for (const std::string &key : this->keys) {
+            most = std::max(most, this->executions(key));
+        }
+        return most;
+    }
+
+    /// @returns false when two hosts at one position hold different states.
+    [[nodiscard]] bool digestsAgree() const
+    {
+        std::map<std::uint64_t, std::string> digests;
+        for (const Host &host : this->hosts) {
+            const ClaimFold &fold = host.keeper->fold();
+            if (fold.isComplete() && digests.emplace(fold.position(), fold.digest()).first->second != fold.digest()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /// @returns how many verdicts of this kind were given.
+    [[nodiscard]] std::size_t verdictCount(ClaimDecision decision) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(this->verdicts.begin(), this->verdicts.end(), [decision](const auto &entry) {
+                return entry.second == decision;
+            }));
+    }
+
+    /// @returns true when the log dropped records that no snapshot covers and that no host has read.
+    [[nodiscard]] bool historyLost() const
+    {
+        return std::none_of(
+            this->hosts.begin(), this->hosts.end(), [](const Host &host) { return host.keeper->fold().isComplete(); });
+    }
+
+    bool wrongAnswer = false;
+    std::set<std::string> keys; ///< All that were asked for.
+
+private:
+    std::size_t pick(std::size_t bound)
+    {
+        return std::uniform_int_distribution<std::size_t>(0, bound - 1)(this->random);
+    }
+
+    bool chance(std::size_t oneIn)
+    {
+        return this->pick(oneIn) == 0;
+    }
+
+    LogTime logTime() const
+    {
+        return LogTime(std::chrono::duration_cast<std::chrono::milliseconds>(this->now.time_since_epoch() + 1000s));
+    }
+
+    void startHost(std::size_t index)
+    {
+        Host &host = this->hosts[index];
+        host = {};
+        host.writer = ++this->lastWriter;
+        std::unique_ptr<ClaimFold> fold = this->options.forgetfulFold ? std::make_unique<ForgetfulFold>(WorldLimits)
+                                                                      : std::make_unique<ClaimFold>(WorldLimits);
+        host.keeper = std::make_unique<ClaimKeeper>(
+            "host-" + std::to_string(index), host.writer, keeperLimits(), std::move(fold));
+    }
+
+    ClaimTicket begin(std::size_t index, const std::string &key)
+    {
+        const ClaimTicket ticket = ++this->lastTicket;
+        this->runs[ticket].key = key;
+        const ClaimAsk ask {"puu", key, requestFingerprint("POST", "/order", key), 2000ms};
+        this->take(index, this->hosts[index].keeper->begin(ticket, ask, this->now));
+        return ticket;
+    }
+
+    void beginSomewhere()
+    {
+        // New keys come up all the time; each is asked for a few times.
+        const std::string key = "key-" + std::to_string(this->lastTicket / 6 + this->pick(3));
+        this->keys.insert(key);
+        this->begin(this->pick(this->hosts.size()), key);
+    }
+
+    void take(std::size_t index, ClaimActions actions)
+    {
+        Host &host = this->hosts[index];
+        for (ClaimAction &action : actions) {
+            if (const auto *verdict = std::get_if<ClaimVerdict>(&action)) {
+                this->heed(host, *verdict);
+            } else {
+                this->operations.push_back({index, host.writer, std::move(action)});
+            }
+        }
+    }
+
+    void heed(Host &host, const ClaimVerdict &verdict)
+    {
+        this->verdicts[verdict.ticket] = verdict.decision;
+        if (verdict.decision == ClaimDecision::Granted) {
+            host.granted.push_back(verdict.ticket);
+        }
+        this->runs[verdict.ticket].refused = verdict.decision == ClaimDecision::Refused;
+        if (verdict.decision == ClaimDecision::Recorded) {
+            const std::string key = this->runs[verdict.ticket].key;
+            this->wrongAnswer = this->wrongAnswer || verdict.answer->body != "answer to " + key;
+        }
+    }
+
+    void useGrant(std::size_t index)
+    {
+        Host &host = this->hosts[index];
+        if (host.granted.empty() || (this->options.faults && this->chance(3))) {
+            return;
+        }
+        const ClaimTicket ticket = host.granted.back();
+        host.granted.pop_back();
+        Run &run = this->runs[ticket];
+        if (this->options.faults && this->chance(5)) {
+            run.refused = true;
+            this->take(index, host.keeper->release(ticket, this->now));
+            return;
+        }
+        run.started = host.keeper->startRun(ticket, this->now);
+        run.refused = !run.started;
+        if (run.started || this->options.sendsAfterRefusal) {
+            host.running.push_back(ticket);
+        }
+    }
+
+    void endRun(std::size_t index)
+    {
+        Host &host = this->hosts[index];
+        if (host.running.empty()) {
+            return;
+        }
+        const ClaimTicket ticket = host.running.back();
+        host.running.pop_back();
+        Run &run = this->runs[ticket];
+        // The backend server refuses some requests before any work.
+        if (this->options.faults && this->chance(5)) {
+            run.refused = true;
+            this->take(index, host.keeper->release(ticket, this->now));
+            return;
+        }
+        run.executed = true;
+        const ClaimAnswer answer {200, {}, "answer to " + run.key};
+        const auto kind = this->options.faults && this->chance(4) ? OutcomeKind::Unknown : OutcomeKind::Answered;
+        this->take(
+            index,
+            host.keeper->finish(ticket, kind, kind == OutcomeKind::Answered ? answer : ClaimAnswer {}, this->now));
+    }
+
+    void tickAll()
+    {
+        for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+            this->take(i, this->hosts[i].keeper->tick(this->now));
+        }
+    }
+
+    void injectFault()
+    {
+        if (this->options.faults && this->chance(this->outage ? 3 : 10)) {
+            this->outage = !this->outage;
+        }
+        this->applyLate();
+        this->trim();
+        if (this->options.deaths && this->chance(8)) {
+            const std::size_t index = this->pick(this->hosts.size());
+            // A request that was on its way to the backend server may run all the same.
+            for (const ClaimTicket ticket : this->hosts[index].running) {
+                this->runs[ticket].executed = this->runs[ticket].executed || this->chance(2);
+            }
+            this->startHost(index);
+        }
+    }
+
+    void trim()
+    {
+        if (this->options.harshTrim && this->chance(4) && !this->log.empty()) {
+            this->oldest = std::max<std::uint64_t>(this->oldest, this->pick(this->log.size() + 1));
+        }
+        while (this->oldest < this->log.size() && this->log[this->oldest].at + 3s < this->logTime()) {
+            ++this->oldest;
+        }
+    }
+
+    void applyLate()
+    {
+        for (const ClaimAppend &append : std::exchange(this->late, {})) {
+            this->write(append);
+        }
+    }
+
+    std::uint64_t write(const ClaimAppend &append)
+    {
+        const std::uint64_t first = this->log.size();
+        for (const auto &[written, record] : append.records) {
+            this->log.push_back({this->log.size(), this->logTime(), written, record});
+        }
+        return first;
+    }
+
+    void deliverOne()
+    {
+        if (this->operations.empty()) {
+            return;
+        }
+        const std::size_t index = this->pick(this->operations.size());
+        const Operation operation = this->operations[index];
+        this->operations.erase(this->operations.begin() + static_cast<std::ptrdiff_t>(index));
+        if (const auto *append = std::get_if<ClaimAppend>(&operation.action)) {
+            const Result<ClaimAck> result = this->appendFate(*append);
+            if (Host &host = this->hosts[operation.host]; host.writer == operation.writer) {
+                this->take(operation.host, host.keeper->appended(append->id, result, this->now));
+            }
+        } else if (Host &host = this->hosts[operation.host]; host.writer == operation.writer) {
+            const Result<ClaimBatch> result = this->readFate(std::get<ClaimRead>(operation.action).from);
+            this->take(operation.host, host.keeper->wasRead(result, this->now));
+        }
+    }
+
+    Result<ClaimAck> appendFate(const ClaimAppend &append)
+    {
+        const Error lost {ErrorKind::OutcomeUnknown, "answer lost"};
+        if (this->outage) {
+            return this->chance(2) ? lost : Error {ErrorKind::LogUnavailable, "outage"};
+        }
+        switch (this->options.faults ? this->pick(20) : 19) {
+        case 0:
+            return Error {ErrorKind::LogUnavailable, "refused"};
+        case 1:
+            return lost;
+        case 2:
+            this->late.push_back(append);
+            return lost;
+        case 3:
+        case 4:
+            this->write(append);
+            return lost;
+        default:
+            return ClaimAck {this->write(append), this->logTime()};
+        }
+    }
+
+    Result<ClaimBatch> readFate(std::uint64_t from)
+    {
+        if (this->outage || (this->options.faults && this->chance(12))) {
+            return Error {ErrorKind::LogUnavailable, "outage"};
+        }
+        ClaimBatch batch;
+        batch.end = this->log.size();
+        batch.oldest = this->oldest;
+        batch.trimmed = from < this->oldest;
+        if (batch.trimmed) {
+            return batch;
+        }
+        const std::uint64_t most = from + (this->options.faults ? 1 + this->pick(30) : 1000);
+        for (std::uint64_t i = from; i < std::min<std::uint64_t>(most, this->log.size()); ++i) {
+            batch.records.push_back(this->log[i]);
+        }
+        return batch;
+    }
+
+    WorldOptions options;
+    std::mt19937 random;
+    TimePoint now {10s};
+    std::array<Host, 3> hosts;
+    std::uint64_t lastWriter = 0;
+    ClaimTicket lastTicket = 0;
+    std::map<ClaimTicket, Run> runs;
+    std::map<ClaimTicket, ClaimDecision> verdicts;
+    std::vector<Operation> operations;
+    std::vector<ClaimAppend> late;
+    std::vector<ClaimLogRecord> log;
+    std::uint64_t oldest = 0;
+    bool outage = false;
+};
+
+World randomWorld(const WorldOptions &options)
+{
+    World world(*rc::gen::arbitrary<std::uint32_t>(), options);
+    const auto steps = *rc::gen::inRange(0, 1500);
+    for (int i = 0; i < steps; ++i) {
+        world.step();
+        RC_ASSERT(world.digestsAgree());
+    }
+    return world;
+}
+
+std::uint64_t violated(Invariant invariant)
+{
+    return invariantCount(invariant).violated;
+}
+
+} // namespace
+
+TEST_CASE("no request runs twice and no refusal is false, whatever fails")
+{
+    const std::uint64_t before = invariantViolations();
+    CHECK(rc::check("at most one run", [] {
+        WorldOptions options;
+        options.harshTrim = *rc::gen::arbitrary<bool>();
+        options.slow = *rc::gen::arbitrary<bool>();
+        World world = randomWorld(options);
+        RC_ASSERT(world.mostExecutions() <= 1U);
+        RC_ASSERT_FALSE(world.falseNotRun());
+        RC_ASSERT_FALSE(world.wrongAnswer);
+        RC_CLASSIFY(world.mostExecutions() > 0, "ran");
+        RC_CLASSIFY(world.verdictCount(ClaimDecision::Recorded) > 0, "recorded");
+        RC_CLASSIFY(world.verdictCount(ClaimDecision::Granted) > 2, "granted more than twice");
+        RC_CLASSIFY(world.verdictCount(ClaimDecision::Refused) > 0, "refused");
+        RC_CLASSIFY(world.verdictCount(ClaimDecision::InProgress) > 0, "in progress");
+        RC_CLASSIFY(world.verdictCount(ClaimDecision::OutcomeUnknown) > 0, "outcome unknown");
+        world.heal();
+        RC_ASSERT(world.mostExecutions() <= 1U);
+        RC_ASSERT_FALSE(world.falseNotRun());
+        RC_ASSERT_FALSE(world.wrongAnswer);
+    }));
+    CHECK(invariantViolations() == before);
+}
+
+TEST_CASE("after the faults, a request that has not run can run and one that has run is answered")
+{
+    CHECK(rc::check("no key stays poisoned", [] {
+        WorldOptions options;
+        options.deaths = false;
+        options.slow = *rc::gen::arbitrary<bool>();
+        World world = randomWorld(options);
+        world.heal();
+        RC_CLASSIFY(world.historyLost(), "history lost");
+        for (const std::string &key : std::set<std::string>(world.keys)) {
+            const bool ran = world.executions(key) > 0;
+            const ClaimDecision decision = world.probe(key);
+            if (world.historyLost()) {
+                RC_ASSERT(decision == ClaimDecision::Refused);
+                continue;
+            }
+            const bool answered = decision == ClaimDecision::Recorded || decision == ClaimDecision::OutcomeUnknown;
+            RC_ASSERT((ran ? answered : decision == ClaimDecision::Granted));
+        }
+    }));
+}
+
+TEST_CASE("the model finds two runs when the fold lets a second claim win")
+{
+    const std::uint64_t before = violated(Invariant::OneWinningClaim);
+    bool found = false;
+    for (std::uint32_t seed = 0; seed < 50 && !found; ++seed) {
+        WorldOptions options;
+        options.forgetfulFold = true;
+        World world(seed, options);
+        for (int i = 0; i < 1500; ++i) {
+            world.step();
+        }
+        found = world.mostExecutions() > 1;
+    }
+    CHECK(found);
+    CHECK(violated(Invariant::OneWinningClaim) > before);
+}
+
+TEST_CASE("the model finds a false refusal when the executor ignores that its grant is void")
+{
+    const std::uint64_t before = violated(Invariant::AtMostOneRun);
+    bool found = false;
+    for (std::uint32_t seed = 0; seed < 50 && !found; ++seed) {
+        WorldOptions options;
+        options.sendsAfterRefusal = true;
+        World world(seed, options);
+        for (int i = 0; i < 1500; ++i) {
+            world.step();
+        }
+        found = world.falseNotRun();
+    }
+    CHECK(found);
+    CHECK(violated(Invariant::AtMostOneRun) >= before);
+}
