--- a/packages/core/include/endivespan/handle.h
+++ b/packages/core/include/endivespan/handle.h
@@ -21,11 +21,12 @@
         return this->index != Invalid;
     }
 
-    constexpr auto operator<=>(const Handle &) const = default;
+    constexpr auto operator<=>(const Handle &) const = default; // NOLINT(modernize-use-nullptr): false positive
 };
 
 using OrganisationHandle = Handle<struct OrganisationTag>;
 using ModelHandle = Handle<struct ModelTag>;
+using VersionHandle = Handle<struct VersionTag>; ///< One weight version of one model, with its adapter.
 using DomainHandle = Handle<struct DomainTag>;
 using ServerHandle = Handle<struct ServerTag>;
 using StoreHandle = Handle<struct StoreTag>;
