Serve prompts from end to end

Cause: the parts stood alone. Change: the node follows the configuration stream and routes prompts to the runners.

--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -96,7 +96,7 @@
 {
     const TimePoint now = this->loop.now();
     this->backends->tick(now);
-    this->prompts->tick(1);
+    this->prompts->tick(this->membership.owners().size());
     if (this->stopping) {
         this->continueStop(now);
     }
