Forget cache hints of a runner that restarted

Cause: a restarted runner sends no event for the pieces it lost, so the router still counted on them. Ruled out: late load reports, the new incarnation had been logged. Change: a new incarnation drops the hints. Figures: by hand before, a prompt of 15,002 tokens was sent to its old runner for 3 hits and recomputed whole in 0.87 s; the process test of returning prompts covers it now. Conclusion: hints last as long as the engine.

--- a/packages/node/src/backends.cpp
+++ b/packages/node/src/backends.cpp
@@ -234,6 +234,8 @@
         logLine("backends", "{} has incarnation {}", backend.name, report.incarnation);
         backend.incarnation = report.incarnation;
         backend.nextEvent = 0;
+        // An engine starts with an empty cache; no event tells of what it lost.
+        this->directory.forgetServer(handle);
     }
     if (backend.kind == ServerKind::Runner) {
         this->serveVersions(handle, report.versions);
