--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -98,6 +98,13 @@
 constexpr std::chrono::milliseconds ClaimReadPeriod = 5000ms;
 constexpr std::chrono::minutes ClaimSnapshotPeriod = 10min;
 constexpr std::uint32_t ClaimLogFailuresUntilDown = 2;
+constexpr std::size_t ClaimReadRecords = 64;
+constexpr std::chrono::seconds ClaimStopLimit = 5s; ///< A stop waits this long for the log.
+constexpr double ClaimAppendsPerSecond = 200.0; ///< Of all hosts together.
+constexpr double ClaimAppendBurst = 8.0;
+constexpr std::size_t MaxIdempotencyKeyBytes = 255;
+constexpr std::uint32_t ServiceAttempts = 3;
+constexpr std::size_t MaxServiceHeaders = 64;
 
 // Membership and peer links
 constexpr std::size_t MaxHosts = 1024;
--- a/packages/core/include/endivespan/error.h
+++ b/packages/core/include/endivespan/error.h
@@ -31,6 +31,7 @@
     InProgress,
     OutcomeUnknown,
     KeyReused,
+    AnswerNotKept,
     PoisonRequest,
     BackendFailed,
     BackendUnreachable,
--- a/packages/core/src/error.cpp
+++ b/packages/core/src/error.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr auto N = RunState::NotRun;
+constexpr auto R = RunState::Ran;
 constexpr auto U = RunState::Unknown;
 
 constexpr std::array<ErrorAnswer, static_cast<std::size_t>(ErrorKind::Count)> Table {{
@@ -30,6 +31,7 @@
     {ErrorKind::InProgress, "in_progress", 409, U, true},
     {ErrorKind::OutcomeUnknown, "outcome_unknown", 502, U, false},
     {ErrorKind::KeyReused, "key_reused", 422, N, false},
+    {ErrorKind::AnswerNotKept, "answer_not_kept", 410, R, false},
     {ErrorKind::PoisonRequest, "poison_request", 422, U, false},
     {ErrorKind::BackendFailed, "backend_failed", 502, U, true},
     {ErrorKind::BackendUnreachable, "backend_unreachable", 503, N, true},
--- a/packages/net/include/endivespan/http_server.h
+++ b/packages/net/include/endivespan/http_server.h
@@ -19,6 +19,7 @@
 struct HttpRequest {
     std::string method;
     std::string path; ///< Decoded, without the query.
+    std::string target; ///< Path and query as received.
     std::map<std::string, std::string> query;
     HttpHeaders headers;
     std::string body;
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -223,6 +223,7 @@
     const evhttp_uri *uri = evhttp_request_get_evhttp_uri(raw);
     this->received.method = methodName(evhttp_request_get_command(raw));
     this->received.path = decodedPath(evhttp_uri_get_path(uri));
+    this->received.target = evhttp_request_get_uri(raw);
     this->received.query = parseQuery(evhttp_uri_get_query(uri));
     this->received.headers = readHeaders(evhttp_request_get_input_headers(raw));
     this->received.body = takeBuffer(evhttp_request_get_input_buffer(raw));
--- a/packages/node/src/backends.cpp
+++ b/packages/node/src/backends.cpp
@@ -46,6 +46,12 @@
     return this->serverList.at(handle.index);
 }
 
+bool Backends::mayDispatch(const Backend &server) const
+{
+    const bool allowed = server.configured && server.mayTakeWork;
+    return allowed && (this->gate == nullptr || (this->gate->mayTakeWork(server) && this->gate->hasCredit(server)));
+}
+
 StoreHost &Backends::store(StoreHandle handle)
 {
     return this->storeList.at(handle.index);
--- a/packages/node/src/backends.h
+++ b/packages/node/src/backends.h
@@ -82,6 +82,10 @@
     [[nodiscard]] const std::vector<Backend> &servers() const;
 
     [[nodiscard]] Backend &server(ServerHandle handle);
+
+    /// @returns true when new work may go to @p server now.
+    [[nodiscard]] bool mayDispatch(const Backend &server) const;
+
     [[nodiscard]] StoreHost &store(StoreHandle handle);
     [[nodiscard]] const std::vector<StoreHost> &stores() const;
 
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -33,6 +33,9 @@
                                                          this->random}))
     , front(std::make_unique<Front>(*this->context))
     , prompts(std::make_unique<PromptTask>(*this->context))
+    , claims(std::make_unique<ClaimTask>(loop, *this->log, this->settings, this->random()))
+    , services(std::make_unique<ServiceTask>(
+          *this->context, *this->claims, makeLeastInFlightPicker(*this->backends, this->random)))
 {
     setViolationHandler([](Invariant invariant, std::string_view detail) {
         logLine("invariant", "{} violated: {}", invariantName(invariant), detail);
@@ -55,6 +58,9 @@
     this->front->addCallerPath("GET", "/v1/models", [this](const auto &exchange, const Caller &caller) {
         this->serveModels(*exchange, caller);
     });
+    this->front->addCallerPath("", "/services/", [this](const auto &exchange, const Caller &caller) {
+        this->services->serve(exchange, caller);
+    });
     addOperatorPages(*this->front, *this->context, [this] {
         return NodeStatus {this->prompts->inFlight(), this->stopping};
     });
@@ -82,6 +88,9 @@
     const TimePoint now = this->loop.now();
     this->backends->tick(now);
     this->prompts->tick(1);
+    this->services->tick();
+    this->claims->tick(1);
+    this->claims->report(this->metrics);
     if (this->stopping) {
         this->continueStop(now);
     }
@@ -114,11 +123,17 @@
     if (!this->acceptingStopped) {
         if (now >= this->stopAcceptingAt) {
             this->acceptingStopped = true;
+            this->claimsMustEndBy = now + config::ClaimStopLimit;
             this->front->stopAccepting();
         }
         return;
     }
-    if (this->front->openExchanges() > 0) {
+    if (this->front->openExchanges() > 0 || this->services->inFlight() > 0) {
+        this->claimsMustEndBy = now + config::ClaimStopLimit;
+        return;
+    }
+    // Every caller has its answer; an outcome that the log does not take now reads as unknown to a later retry.
+    if (!this->claims->isIdle() && now < this->claimsMustEndBy) {
         return;
     }
     checkInvariant(Invariant::StopCutsNothing, this->prompts->inFlight() == 0, this->settings.host);
--- a/packages/node/src/node.h
+++ b/packages/node/src/node.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "backends.h"
+#include "claim_task.h"
 #include "context.h"
 #include "explain.h"
 #include "fleet_source.h"
 #include "front.h"
 #include "metrics.h"
 #include "prompt_task.h"
+#include "service_task.h"
 
 #include <endivespan/engine_client.h>
 #include <endivespan/log_client.h>
@@ -57,10 +59,13 @@
     std::unique_ptr<NodeContext> context;
     std::unique_ptr<Front> front;
     std::unique_ptr<PromptTask> prompts;
+    std::unique_ptr<ClaimTask> claims;
+    std::unique_ptr<ServiceTask> services;
     std::unique_ptr<Timer> ticker;
     bool stopping = false;
     bool acceptingStopped = false;
     TimePoint stopAcceptingAt;
+    TimePoint claimsMustEndBy;
 };
 
 } // namespace endivespan
--- /dev/null
+++ b/packages/node/src/server_picker.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "backends.h"
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+/// Chooses the backend server of a plain service for one call.
+namespace endivespan {
+
+/// Picks among the servers that may take work.
+class ServerPicker
+{
+public:
+    virtual ~ServerPicker() = default;
+
+    /// @param service Name of the plain service.
+    /// @param excluded Servers that this request must not go to again.
+    /// @returns the server, or an invalid handle when none may take work.
+    [[nodiscard]] virtual ServerHandle pick(const std::string &service, const std::vector<ServerHandle> &excluded) = 0;
+};
+
+/// @returns a picker that prefers the server with the fewest calls of this host under way, at random among equals.
+std::unique_ptr<ServerPicker> makeLeastInFlightPicker(const Backends &backends, std::mt19937_64 &random);
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/node/src/service_run.cpp
@@ -0,0 +1,300 @@
+#include "service_run.h"
+
+#include "answer.h"
+
+#include <endivespan/config.h>
+#include <endivespan/invariant.h>
+#include <endivespan/log.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace endivespan {
+
+namespace {
+
+std::chrono::milliseconds inMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
+Error errorOf(const ClaimVerdict &verdict)
+{
+    switch (verdict.decision) {
+    case ClaimDecision::AnswerNotKept:
+        return {ErrorKind::AnswerNotKept, "the request ran before; its answer is no longer kept"};
+    case ClaimDecision::InProgress:
+        return {ErrorKind::InProgress, "a request with this key is under way at " + verdict.host};
+    case ClaimDecision::OutcomeUnknown:
+        return {ErrorKind::OutcomeUnknown, "a request with this key was sent by " + verdict.host + " and may have run"};
+    case ClaimDecision::KeyReused:
+        return {ErrorKind::KeyReused, "the key belongs to another request"};
+    default:
+        return verdict.error;
+    }
+}
+
+} // namespace
+
+ServiceRun::ServiceRun(NodeContext &context,
+                       ClaimTask &claims,
+                       ServerPicker &picker,
+                       ServiceJob job,
+                       std::uint64_t id,
+                       ServiceObserver &observer)
+    : context(context)
+    , claims(claims)
+    , picker(picker)
+    , job(std::move(job))
+    , id(id)
+    , observer(observer)
+    , deadline(context.loop.now() + this->job.request.deadline)
+{
+}
+
+ServiceRun::~ServiceRun()
+{
+    this->stopCall();
+}
+
+const ServiceJob &ServiceRun::request() const
+{
+    return this->job;
+}
+
+void ServiceRun::start()
+{
+    this->job.exchange->onClosed([this] { this->onCallerGone(); });
+    this->deadlineTimer = this->context.loop.after(this->job.request.deadline, [this] { this->onDeadline(); });
+    if (this->job.idempotent) {
+        this->startTimer = this->context.loop.after(Duration::zero(), [this] { this->attempt(); });
+        return;
+    }
+    ClaimAsk ask;
+    ask.organisation = this->job.caller.organisation;
+    ask.key = this->job.request.key;
+    ask.fingerprint = requestFingerprint(
+        this->job.request.method, this->job.request.service + this->job.request.target, this->job.request.body);
+    ask.runLimit = this->job.request.deadline;
+    this->ticket = this->claims.begin(ask, [this](const ClaimVerdict &verdict) { this->onVerdict(verdict); });
+    this->note(fmt::format("claim ticket {} for key {}", *this->ticket, this->job.request.key));
+}
+
+void ServiceRun::onVerdict(const ClaimVerdict &verdict)
+{
+    if (verdict.decision == ClaimDecision::Granted) {
+        this->attempt();
+        return;
+    }
+    this->ticket.reset();
+    if (verdict.decision == ClaimDecision::Recorded) {
+        this->note("answered from the record");
+        this->reply(*verdict.answer, true);
+        return;
+    }
+    this->refuse(errorOf(verdict), verdict.retryAfter);
+}
+
+void ServiceRun::attempt()
+{
+    const ServerHandle chosen = this->picker.pick(this->job.request.service, this->excluded);
+    if (!chosen.isValid() || this->attempts >= config::ServiceAttempts) {
+        this->giveUpClaim();
+        const bool tried = this->attempts > 0;
+        const auto kind = tried ? ErrorKind::BackendUnreachable : ErrorKind::NoServer;
+        this->refuse({kind, "no server of '" + this->job.request.service + "' takes work now"});
+        return;
+    }
+    if (this->ticket && !this->runStarted) {
+        this->runStarted = this->claims.startRun(*this->ticket);
+        if (!this->runStarted) {
+            this->ticket.reset();
+            this->refuse({ErrorKind::DeadlineExceeded, "the claim was not used in time"});
+            return;
+        }
+    }
+    this->send(chosen);
+}
+
+void ServiceRun::send(ServerHandle chosen)
+{
+    ++this->attempts;
+    this->server = chosen;
+    Backend &backend = this->context.backends.server(chosen);
+    this->note(fmt::format("attempt {} to {}, {} under way there", this->attempts, backend.name, backend.inFlight));
+    checkInvariant(Invariant::NoWorkForTakenOutDomain, backend.mayTakeWork, backend.name);
+    checkInvariant(Invariant::AtMostOneRun, this->job.idempotent || this->runStarted, this->job.caller.requestId);
+    ++backend.inFlight;
+    HttpCall call = serviceCall(this->job.request, this->job.caller.organisation, backend.address);
+    // A connection that went silent shows only by the deadline: a plain service sends nothing while it works.
+    call.silenceTimeout = std::max(std::chrono::milliseconds(1), inMilliseconds(this->timeLeft()));
+    HttpCallbacks callbacks;
+    callbacks.onDone = [this](const HttpAnswer &answer) { this->onAnswer(answer); };
+    callbacks.onFailure = [this](const HttpFailure &failure) { this->onFailure(failure); };
+    this->call = startHttpCall(this->context.loop, call, std::move(callbacks));
+    this->context.metrics.count("service_attempts");
+}
+
+void ServiceRun::stopCall()
+{
+    if (this->call) {
+        this->call.reset();
+        --this->context.backends.server(this->server).inFlight;
+    }
+}
+
+void ServiceRun::onAnswer(const HttpAnswer &answer)
+{
+    this->startTimer = this->context.loop.after(Duration::zero(), [this, answer] {
+        this->stopCall();
+        if (saysNotRun(answer)) {
+            this->onRefusedByServer();
+            return;
+        }
+        const ClaimAnswer whole {answer.status, passedAnswerHeaders(answer.headers), answer.body};
+        this->settleClaim(OutcomeKind::Answered, whole);
+        this->reply(whole, false);
+    });
+}
+
+void ServiceRun::onRefusedByServer()
+{
+    this->note(this->context.backends.server(this->server).name + " refused before any work");
+    this->excluded.push_back(this->server);
+    // A claimed call is never sent again once its bytes have gone out, not even after a refusal.
+    if (!this->job.idempotent || !this->observer.mayRetry()) {
+        this->giveUpClaim();
+        this->refuse({ErrorKind::Overloaded, "the service refused the request before any work"});
+        return;
+    }
+    this->attempt();
+}
+
+void ServiceRun::onFailure(const HttpFailure &failure)
+{
+    this->startTimer = this->context.loop.after(Duration::zero(), [this, failure] {
+        this->stopCall();
+        const std::string &name = this->context.backends.server(this->server).name;
+        this->note(fmt::format("{} failed: {}{}", name, failure.error.detail, failure.requestSent ? ", sent" : ""));
+        this->excluded.push_back(this->server);
+        if (!failure.requestSent) {
+            this->attempt();
+            return;
+        }
+        if (!this->job.idempotent) {
+            this->settleClaim(OutcomeKind::Unknown, {});
+            this->refuse(
+                {ErrorKind::OutcomeUnknown, "the connection to the service failed after the request was sent"});
+            return;
+        }
+        // A call that has cost one server its life may cost the next one its life too: one repeat at most.
+        if (std::exchange(this->cutOnce, true) || !this->observer.mayRetry()) {
+            this->refuse({ErrorKind::BackendFailed, "the service failed while it had the request"});
+            return;
+        }
+        this->attempt();
+    });
+}
+
+void ServiceRun::onDeadline()
+{
+    const bool sent = this->call != nullptr;
+    this->stopCall();
+    if (!sent) {
+        this->giveUpClaim();
+        this->refuse({ErrorKind::DeadlineExceeded, "the deadline passed before the request was sent"});
+        return;
+    }
+    if (!this->job.idempotent) {
+        this->settleClaim(OutcomeKind::Unknown, {});
+        this->refuse({ErrorKind::OutcomeUnknown, "the service did not answer before the deadline"});
+        return;
+    }
+    this->refuse({ErrorKind::Timeout, "the service did not answer before the deadline"});
+}
+
+void ServiceRun::onCallerGone()
+{
+    // A claimed call that was sent goes on, so that its answer is recorded for the caller's next try.
+    if (this->runStarted && this->ticket) {
+        this->note("caller has gone, the run goes on");
+        return;
+    }
+    this->stopCall();
+    this->giveUpClaim();
+    this->end(false);
+}
+
+void ServiceRun::settleClaim(OutcomeKind kind, const ClaimAnswer &answer)
+{
+    if (this->ticket) {
+        this->claims.finish(*std::exchange(this->ticket, std::nullopt), kind, answer);
+    }
+}
+
+void ServiceRun::giveUpClaim()
+{
+    if (this->ticket) {
+        this->claims.release(*std::exchange(this->ticket, std::nullopt));
+    }
+}
+
+void ServiceRun::reply(const ClaimAnswer &answer, bool replayed)
+{
+    if (this->ended) {
+        return;
+    }
+    HttpHeaders headers = answer.headers;
+    headers["X-Endivespan-Run"] = runStateName(RunState::Ran);
+    headers["X-Endivespan-Host"] = this->context.settings.host;
+    headers["X-Endivespan-Request"] = this->job.caller.requestId;
+    if (!this->job.request.key.empty()) {
+        headers["Idempotency-Key"] = this->job.request.key;
+    }
+    if (replayed) {
+        headers["Idempotent-Replay"] = "true";
+    }
+    this->context.metrics.count("service_answers", replayed ? "replayed=\"true\"" : "replayed=\"false\"");
+    this->job.exchange->reply(answer.status, headers, answer.body);
+    this->end(true);
+}
+
+void ServiceRun::refuse(const Error &error, Duration retryAfter)
+{
+    if (this->ended) {
+        return;
+    }
+    const auto hint = std::max(retryHint(error.kind, this->context.random()), inMilliseconds(retryAfter));
+    const ErrorContext place {this->context.settings.host, this->job.caller.requestId, hint};
+    HttpHeaders headers = errorHeaders(error, place);
+    if (!this->job.request.key.empty()) {
+        headers["Idempotency-Key"] = this->job.request.key;
+    }
+    this->note(fmt::format("refused as {}: {}", errorAnswer(error.kind).name, error.detail));
+    this->context.metrics.count("refusals", fmt::format("kind=\"{}\"", errorAnswer(error.kind).name));
+    this->job.exchange->reply(errorAnswer(error.kind).httpStatus, headers, errorBody(error, place));
+    this->end(false);
+}
+
+void ServiceRun::end(bool answered)
+{
+    if (std::exchange(this->ended, true)) {
+        return;
+    }
+    this->deadlineTimer.reset();
+    this->job.exchange->onClosed({});
+    this->observer.onEnd(this->id, answered);
+}
+
+void ServiceRun::note(const std::string &decision)
+{
+    logLine("service", "{} {}", this->job.caller.requestId, decision);
+    this->context.explain.add(this->job.caller.requestId, decision);
+}
+
+Duration ServiceRun::timeLeft() const
+{
+    return this->deadline - this->context.loop.now();
+}
+
+} // namespace endivespan
--- a/packages/wire/include/endivespan/settings.h
+++ b/packages/wire/include/endivespan/settings.h
@@ -42,6 +42,7 @@
     std::size_t maxBodyBytes;
     std::chrono::milliseconds defaultDeadline; ///< For requests that name none.
     std::chrono::milliseconds configurationStaleness; ///< Refuses new work when unconfirmed for longer.
+    std::chrono::milliseconds claimSnapshotPeriod; ///< At most a third of the log's retention.
 
     LimitSettings();
     bool operator==(const LimitSettings &) const = default;
--- a/packages/wire/src/claim_codec.cpp
+++ b/packages/wire/src/claim_codec.cpp
@@ -1,24 +1,19 @@
 #include "claims_types.h"
 #include "records_types.h"
+#include "thrift_p.h"
 
 #include <endivespan/claim_codec.h>
 
-#include <thrift/Thrift.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
-
 #include <algorithm>
 #include <charconv>
 #include <memory>
 #include <stdexcept>
+#include <utility>
 
 namespace endivespan {
 
 namespace {
 
-using apache::thrift::protocol::TCompactProtocol;
-using apache::thrift::transport::TMemoryBuffer;
-
 constexpr std::string_view ClaimKind = "claim";
 constexpr std::string_view AbandonKind = "claim_abandon";
 constexpr std::string_view OutcomeName = "claim_outcome";
@@ -26,24 +21,12 @@
 constexpr std::string_view UnknownKind = "unknown";
 
 template<typename T>
-std::string write(const T &value)
-{
-    const auto buffer = std::make_shared<TMemoryBuffer>();
-    TCompactProtocol protocol(buffer);
-    value.write(&protocol);
-    return buffer->getBufferAsString();
-}
-
-template<typename T>
-T read(const std::string &bytes)
+T read(std::string_view bytes)
 {
-    std::string copy = bytes;
-    const auto buffer = std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t *>(copy.data()),
-                                                        static_cast<std::uint32_t>(copy.size()));
-    TCompactProtocol protocol(buffer);
-    T value;
-    value.read(&protocol);
-    return value;
+    if (auto value = decodeThrift<T>(bytes)) {
+        return std::move(*value);
+    }
+    throw std::invalid_argument("not a record of this kind");
 }
 
 gen::AttemptIdRecord pack(const AttemptId &id)
@@ -235,16 +218,16 @@
 std::pair<std::string_view, std::string> packRecord(const ClaimRecord &record)
 {
     if (const auto *claim = std::get_if<Claim>(&record)) {
-        return {ClaimKind, write(pack(*claim))};
+        return {ClaimKind, encodeThrift(pack(*claim))};
     }
     if (const auto *abandon = std::get_if<ClaimAbandon>(&record)) {
-        return {AbandonKind, write(pack(*abandon))};
+        return {AbandonKind, encodeThrift(pack(*abandon))};
     }
     if (const auto *outcome = std::get_if<ClaimOutcome>(&record)) {
-        return {OutcomeName, write(pack(*outcome))};
+        return {OutcomeName, encodeThrift(pack(*outcome))};
     }
     if (const auto *chunk = std::get_if<ClaimSnapshotChunk>(&record)) {
-        return {SnapshotKind, write(pack(*chunk))};
+        return {SnapshotKind, encodeThrift(pack(*chunk))};
     }
     return {UnknownKind, {}};
 }
@@ -284,19 +267,17 @@
     envelope.sequence = static_cast<std::int64_t>(written.sequence);
     envelope.kind = kind;
     envelope.body = std::move(body);
-    return write(envelope);
+    return encodeThrift(envelope);
 }
 
 std::pair<AttemptId, ClaimRecord> decodeClaimRecord(std::string_view bytes)
 {
     AttemptId written;
     try {
-        const auto envelope = read<gen::RecordEnvelope>(std::string(bytes));
+        const auto envelope = read<gen::RecordEnvelope>(bytes);
         written = {parseWriter(envelope.writer), static_cast<std::uint64_t>(envelope.sequence)};
         return {written, unpackRecord(envelope)};
-    } catch (const apache::thrift::TException &) {
-        return {written, std::monostate {}};
-    } catch (const std::exception &) {
+    } catch (const std::invalid_argument &) {
         return {written, std::monostate {}};
     }
 }
--- a/packages/wire/src/settings.cpp
+++ b/packages/wire/src/settings.cpp
@@ -68,16 +68,18 @@
 {
     LimitSettings limits;
     if (const auto node = top.find("limits")) {
-        YamlMap map(document,
-                    *node,
-                    "'limits'",
-                    {"requests_in_flight", "max_body", "default_deadline", "configuration_staleness"});
+        YamlMap map(
+            document,
+            *node,
+            "'limits'",
+            {"requests_in_flight", "max_body", "default_deadline", "configuration_staleness", "claim_snapshot"});
         limits.requestsInFlight = static_cast<std::uint32_t>(
             map.number("requests_in_flight", limits.requestsInFlight, 1, MaxRequestsInFlight));
         limits.maxBodyBytes = map.size("max_body", limits.maxBodyBytes, LeastBodyBytes, MostBodyBytes);
         limits.defaultDeadline = map.duration("default_deadline", limits.defaultDeadline, 100ms, 1h);
         limits.configurationStaleness
             = map.duration("configuration_staleness", limits.configurationStaleness, 500ms, 15s);
+        limits.claimSnapshotPeriod = map.duration("claim_snapshot", limits.claimSnapshotPeriod, 200ms, 12h);
     }
     return limits;
 }
@@ -110,6 +112,7 @@
     , maxBodyBytes(config::MaxBodyBytes)
     , defaultDeadline(config::DefaultDeadline)
     , configurationStaleness(config::ConfigurationStalenessBound)
+    , claimSnapshotPeriod(config::ClaimSnapshotPeriod)
 {
 }
 
--- a/tests/core/settings.cpp
+++ b/tests/core/settings.cpp
@@ -22,6 +22,7 @@
   max_body: 2MiB
   default_deadline: 4s
   configuration_staleness: 750ms
+  claim_snapshot: 90s
 )";
 
 } // namespace
@@ -38,6 +39,7 @@
     CHECK(settings.value().routing == RoutingPolicy::LeastLoaded);
     CHECK(settings.value().keeping == KeepingPolicy::Lru);
     CHECK(settings.value().limits.requestsInFlight == 12);
+    CHECK(settings.value().limits.claimSnapshotPeriod == std::chrono::seconds(90));
     CHECK(settings.value().limits.maxBodyBytes == 2 * 1024 * 1024);
     CHECK(settings.value().limits.defaultDeadline == std::chrono::seconds(4));
     CHECK(settings.value().limits.configurationStaleness == std::chrono::milliseconds(750));
