--- a/packages/wire/src/settings.cpp
+++ b/packages/wire/src/settings.cpp
@@ -68,11 +68,13 @@
 {
     LimitSettings limits;
     if (const auto node = top.find("limits")) {
-        YamlMap map(document, *node, "'limits'", {"requests_in_flight", "max_body", "default_deadline"});
+        YamlMap map(
+            document, *node, "'limits'", {"requests_in_flight", "max_body", "default_deadline", "claim_snapshot"});
         limits.requestsInFlight = static_cast<std::uint32_t>(
             map.number("requests_in_flight", limits.requestsInFlight, 1, MaxRequestsInFlight));
         limits.maxBodyBytes = map.size("max_body", limits.maxBodyBytes, LeastBodyBytes, MostBodyBytes);
         limits.defaultDeadline = map.duration("default_deadline", limits.defaultDeadline, 100ms, 1h);
+        limits.claimSnapshotPeriod = map.duration("claim_snapshot", limits.claimSnapshotPeriod, 200ms, 12h);
     }
     return limits;
 }
@@ -104,6 +106,7 @@
     : requestsInFlight(config::DefaultRequestsInFlight)
     , maxBodyBytes(config::MaxBodyBytes)
     , defaultDeadline(config::DefaultDeadline)
+    , claimSnapshotPeriod(config::ClaimSnapshotPeriod)
 {
 }
 
--- a/tests/core/settings.cpp
+++ b/tests/core/settings.cpp
@@ -21,6 +21,7 @@
   requests_in_flight: 12
   max_body: 2MiB
   default_deadline: 4s
+  claim_snapshot: 90s
 )";
 
 } // namespace
@@ -37,6 +38,7 @@
     CHECK(settings.value().routing == RoutingPolicy::LeastLoaded);
     CHECK(settings.value().keeping == KeepingPolicy::Lru);
     CHECK(settings.value().limits.requestsInFlight == 12);
+    CHECK(settings.value().limits.claimSnapshotPeriod == std::chrono::seconds(90));
     CHECK(settings.value().limits.maxBodyBytes == 2 * 1024 * 1024);
     CHECK(settings.value().limits.defaultDeadline == std::chrono::seconds(4));
 }
