--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -56,7 +56,10 @@
 constexpr std::chrono::seconds ConfigurationStalenessBound = 4s;
 constexpr std::chrono::seconds LeavingBound = 5s;
 constexpr std::chrono::milliseconds ConfigurationLongPoll = 1000ms;
-constexpr std::chrono::milliseconds ConfigurationReadOverdue = 500ms; // A second read starts on a new connection.
+constexpr std::chrono::milliseconds ConfigurationReadOverdue = 500ms; ///< A second read then starts.
+constexpr std::size_t ConfigurationReadsAtOnce = 2;
+constexpr std::size_t ConfigurationReadRecords = 64;
+constexpr std::chrono::milliseconds ConfigurationPeerFetchAfter = 2000ms; ///< Without an answer of the log.
 constexpr std::chrono::milliseconds ConfigurationBackoffLeast = 100ms;
 constexpr std::chrono::milliseconds ConfigurationBackoffMost = 1000ms;
 constexpr std::size_t MaxNoteBytes = 1024 * 1024;
@@ -71,10 +74,12 @@
 constexpr std::size_t MaxKeysPerOrganisation = 16;
 constexpr std::size_t SnapshotPartEntries = 256;
 constexpr std::size_t SnapshotAppendParts = 8;
+constexpr unsigned SnapshotAppendAttempts = 4;
 constexpr std::size_t SnapshotsInAssembly = 4;
 constexpr std::uint64_t SnapshotRecords = 2048;
 constexpr std::chrono::hours SnapshotPeriod = 12h;
-constexpr std::chrono::seconds SnapshotSpread = 30s;
+constexpr std::chrono::seconds SnapshotSpread = 5s;
+constexpr std::chrono::seconds SnapshotRankStep = 2s;
 constexpr std::chrono::seconds SnapshotCheckPeriod = 1s;
 
 // Claims
@@ -85,6 +90,26 @@
 constexpr std::size_t MaxShardAnswerBytes = 8 * 1024 * 1024;
 constexpr std::size_t MaxPendingSnapshots = 4;
 constexpr std::size_t ClaimSnapshotChunkBytes = 256 * 1024;
+constexpr std::chrono::milliseconds ClaimAppendGap = 50ms;
+constexpr std::size_t MaxClaimBatchRecords = 128;
+constexpr std::size_t MaxClaimBatchBytes = 512 * 1024;
+constexpr std::size_t MaxClaimsWaiting = 1024;
+constexpr std::size_t MaxClaimRecordsOwed = 4096;
+constexpr std::size_t MaxClaimBytesOwed = 4 * 1024 * 1024;
+constexpr std::chrono::milliseconds ClaimWaitLimit = 2500ms;
+constexpr std::chrono::milliseconds ClaimGrantLimit = 2000ms;
+constexpr std::chrono::milliseconds ClaimRetryDelay = 500ms;
+constexpr std::chrono::milliseconds ClaimInProgressRetry = 1000ms;
+constexpr std::chrono::milliseconds ClaimReadPeriod = 5000ms;
+constexpr std::chrono::minutes ClaimSnapshotPeriod = 10min;
+constexpr std::uint32_t ClaimLogFailuresUntilDown = 2;
+constexpr std::size_t ClaimReadRecords = 64;
+constexpr std::chrono::seconds ClaimStopLimit = 5s; ///< A stop waits this long for the log.
+constexpr double ClaimAppendsPerSecond = 200.0; ///< Of all hosts together.
+constexpr double ClaimAppendBurst = 8.0;
+constexpr std::size_t MaxIdempotencyKeyBytes = 255;
+constexpr std::uint32_t ServiceAttempts = 3;
+constexpr std::size_t MaxServiceHeaders = 64;
 
 // Membership and peer links
 constexpr std::size_t MaxHosts = 1024;
@@ -112,6 +137,15 @@
 constexpr std::size_t DigestsKept = 64;
 
 // Leases and ownership
+constexpr std::size_t MaxOwningHosts = 24;
+constexpr std::chrono::milliseconds LeaseTtl = 9000ms;
+constexpr std::chrono::milliseconds LeaseRenewPeriod = 3000ms;
+constexpr std::chrono::milliseconds LeaseRetryPeriod = 500ms;
+constexpr std::chrono::milliseconds LeaseAcquirePeriod = 1000ms;
+constexpr std::chrono::milliseconds LeaseClockMargin = 500ms;
+constexpr std::uint64_t LeaseRenewalsPerListing = 8;
+constexpr std::uint64_t LeaseReplayRecords = 4096;
+constexpr std::chrono::seconds LongestOrderDeadline = 30s;
 
 // Credits of cold servers
 constexpr std::chrono::seconds CreditTtl = 2s;
--- a/packages/node/src/node.h
+++ b/packages/node/src/node.h
@@ -1,16 +1,20 @@
 #pragma once
 
 #include "backends.h"
+#include "claim_task.h"
 #include "context.h"
 #include "explain.h"
 #include "fleet_source.h"
 #include "front.h"
 #include "metrics.h"
 #include "prompt_task.h"
+#include "service_task.h"
 
+#include <endivespan/confirmation.h>
 #include <endivespan/engine_client.h>
 #include <endivespan/log_client.h>
 #include <endivespan/loop.h>
+#include <endivespan/membership.h>
 #include <endivespan/settings.h>
 
 #include <functional>
@@ -52,15 +56,20 @@
     ExplainBook explain;
     std::unique_ptr<EngineClient> engines;
     std::unique_ptr<LogClient> log;
+    Membership membership;
+    Confirmation confirmation;
     std::unique_ptr<ConfigTask> config;
     std::unique_ptr<Backends> backends;
     std::unique_ptr<NodeContext> context;
     std::unique_ptr<Front> front;
     std::unique_ptr<PromptTask> prompts;
+    std::unique_ptr<ClaimTask> claims;
+    std::unique_ptr<ServiceTask> services;
     std::unique_ptr<Timer> ticker;
     bool stopping = false;
     bool acceptingStopped = false;
     TimePoint stopAcceptingAt;
+    TimePoint claimsMustEndBy;
 };
 
 } // namespace endivespan
