--- a/tests/process/prompt_path.cpp
+++ b/tests/process/prompt_path.cpp
@@ -122,7 +122,10 @@
         group.start(promptCall(host, body));
     }
     group.awaitBytes(0, 1);
-    REQUIRE(eventually([&] { return host.status()["prompts_in_flight"] == 12; }));
+    REQUIRE(eventually([&] {
+        group.runFor(std::chrono::milliseconds(5));
+        return host.status()["prompts_in_flight"] == 12;
+    }));
     host.process().signal(SIGTERM);
     const auto &results = group.finish();
     for (std::size_t i = 0; i < results.size(); ++i) {
