Start work by prefill share and learn links piece by piece

Cause: in the policy model each host let one long prompt at a time start, and a link once found slow was never tried again.

Change: the prefill window grows with the size of prompts; an organisation within its share may use a reserve; queues are cut at two seconds of work; engine priority follows recent use; link estimates count the queue before each piece and forget with time; pieces believed in memory are listed with their copies as a fallback; copies that are not worth the link's time are not made.

--- a/packages/core/include/endivespan/admit.h
+++ b/packages/core/include/endivespan/admit.h
@@ -26,7 +26,7 @@
 /// A request that may start now.
 struct AdmissionStart {
     std::uint64_t id = 0;
-    std::uint32_t priority = 0; ///< For the engine; lower runs first. 0 while the organisation is within its share.
+    std::uint32_t priority = 0; ///< For the engine; lower runs first. Grows with what the organisation used of late.
 };
 
 /// A request that was never started and gets its final answer now.
@@ -46,6 +46,7 @@
 struct AdmissionCapacity {
     double runs = 0; ///< Runs in flight.
     double prefillTokens = 0; ///< Prompt tokens sent whose first token has not come.
+    double runners = 0; ///< Each may have a typical prompt sent ahead on top.
     double tokensPerSecond = 0; ///< Rate at which this host's share of the runners works off cost; 0 when unknown.
 };
 
@@ -118,7 +119,7 @@
     // A request that waits; those of one organisation are linked in order of arrival.
     struct Waiting {
         AdmissionRequest request;
-        double cost = 0;
+        double prefill = 0; ///< Expected to be recomputed.
         std::uint64_t arrival = 0;
         Index previous = None;
         Index next = None;
@@ -128,8 +129,8 @@
     struct Running {
         std::uint64_t id = 0;
         OrganisationHandle organisation;
-        double prefillTokens = 0;
-        double cost = 0;
+        std::uint32_t promptTokens = 0;
+        double prefill = 0; ///< Still to come.
     };
 
     struct Organisation {
@@ -137,7 +138,11 @@
         std::uint32_t limit = 64;
         std::uint32_t running = 0;
         std::uint32_t queued = 0;
-        double queuedCost = 0;
+        double queuedPrefill = 0;
+        double prefillInFlight = 0;
+        double recomputeShare = 1.0; ///< Smoothed part of its prompts that has to be recomputed.
+        double recentCost = 0; ///< Decays over config::AdmissionUseMemory.
+        TimePoint recentAt;
         double finishTag = 0; ///< Virtual time at which its last started request is paid for.
         Index first = None;
         Index last = None;
@@ -146,7 +151,10 @@
 
     void refuse(const AdmissionRequest &request, ErrorKind kind, AdmissionActions &actions);
     [[nodiscard]] Duration retryAfter(std::uint64_t random) const;
-    [[nodiscard]] bool mayStart() const;
+    [[nodiscard]] double prefillBound() const;
+    [[nodiscard]] bool isWithinShare(const Organisation &organisation) const;
+    [[nodiscard]] bool mayStart(const Organisation &organisation) const;
+    [[nodiscard]] bool isTooLong() const;
     [[nodiscard]] std::size_t bound() const;
     [[nodiscard]] bool meetsDeadline(const AdmissionRequest &request, TimePoint now) const;
     void enqueue(const AdmissionRequest &request);
@@ -155,7 +163,9 @@
     [[nodiscard]] Index nextOrganisation() const;
     [[nodiscard]] Index longestOrganisation() const;
     void startWaiting(TimePoint now, AdmissionActions &actions);
-    void start(const AdmissionRequest &request, double cost, AdmissionActions &actions);
+    void start(const AdmissionRequest &request, double prefill, TimePoint now, AdmissionActions &actions);
+    [[nodiscard]] std::uint32_t priorityOf(Organisation &organisation, TimePoint now) const;
+    void addPrefill(Organisation &organisation, double tokens);
     void activate(Index organisation);
     void deactivate(Index organisation);
     void checkBound() const;
@@ -170,7 +180,10 @@
     std::vector<Organisation> organisations;
     std::vector<Index> active; ///< Organisations with waiting requests.
     double prefillInFlight = 0;
-    double queuedCost = 0;
+    double queuedPrefill = 0;
+    double meanPrefill = 0; ///< Smoothed recomputed tokens of a prompt, and of their square.
+    double meanSquarePrefill = 0;
+    std::size_t busyOrganisations = 0; ///< With requests that wait or run.
     double virtualTime = 0;
     std::uint64_t arrivals = 0;
 };
--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -115,9 +115,11 @@
 constexpr std::chrono::milliseconds RouteNearBestSlack = 2ms;
 constexpr std::chrono::milliseconds LoadReportLag = 100ms; ///< Age of a load report when it arrives, unless known.
 constexpr std::chrono::milliseconds LoadReportMemory = 1000ms; ///< Age at which a report has lost 63% of its weight.
+constexpr std::chrono::seconds LinkFactorMemory = 5s; ///< Time after which a link is no longer held to be slow.
 constexpr double RateSmoothing = 0.1; ///< Share of a new sample in a smoothed rate.
 constexpr double StartPrefillTokensPerSecond = 20'000.0;
 constexpr double StartImportBytesPerSecond = 50e6;
+constexpr double StartPieceBytes = 1e6;
 constexpr std::chrono::milliseconds StartRunTime = 1000ms;
 
 // Keeping pieces
@@ -135,6 +137,11 @@
 constexpr std::size_t AdmissionQueueBound = 512; ///< Requests that wait on one host for one model.
 constexpr std::uint32_t DecodeTokenCost = 50; ///< Prefill tokens that cost a runner as much as one answer token.
 constexpr std::chrono::milliseconds AdmissionPrefillWindow = 250ms; ///< Prefill work sent ahead to each runner.
+constexpr double AdmissionPrefillRuns = 1.0; ///< Typical prompts sent ahead to each runner.
+constexpr double AdmissionReserve = 2.0; ///< Capacity beyond the ordinary for organisations within their share.
+constexpr std::chrono::milliseconds AdmissionQueueTime = 2000ms; ///< Longer queues are cut at once.
+constexpr std::chrono::seconds AdmissionUseMemory = 10s; ///< Over which the use of an organisation is averaged.
+constexpr double AdmissionLightShare = 0.0625; ///< Share of a host's capacity below which an organisation is light.
 constexpr double AdmissionBorrowFactor = 2.0; ///< Times its share of idle capacity that one host may use.
 constexpr double RetryBudgetShare = 0.1; ///< Retries granted for each success.
 constexpr double RetryBudgetMax = 20.0;
--- a/packages/core/include/endivespan/load.h
+++ b/packages/core/include/endivespan/load.h
@@ -49,6 +49,8 @@
     ServerHandle server;
     std::uint32_t prefillTokens = 0;
     std::array<LinkUse, MaxLinksPerRun> links {}; ///< Unused ones have no store.
+    Duration expectedWait {}; ///< As expected when it was placed.
+    Duration expectedTransfer {};
 };
 
 /// What the engine said of a run, with the time that this host measured.
@@ -84,12 +86,14 @@
     LinkReport report;
     bool usable = false;
     bool reported = false;
-    std::uint64_t ownBytes = 0; ///< Own imports under way; runners ask for them piece by piece.
+    std::uint32_t unreportedRuns = 0; ///< Own runs that import and that the report cannot contain yet.
     double rateFactor = 1.0; ///< Smoothed ratio of measured to expected transfer time.
+    TimePoint learnedAt; ///< Of the last sample in rateFactor.
 };
 
 /// What the runners of one model offer together.
 struct PoolCapacity {
+    double runners = 0; ///< Those that may take work.
     double places = 0; ///< Sum of capacities of the runners that may take work.
     double freePlaces = 0;
     double prefillTokensPerSecond = 0;
@@ -134,7 +138,7 @@
     DispatchHandle onDispatch(const Dispatch &dispatch, TimePoint now);
 
     /// The first token came: learns the rates of the runner and of the link.
-    void onFirstToken(DispatchHandle dispatch, const FirstTokenSample &sample);
+    void onFirstToken(DispatchHandle dispatch, const FirstTokenSample &sample, TimePoint now);
 
     /// The run ended or failed; the name is free afterwards.
     /// @param completed True when the whole answer came.
@@ -149,11 +153,11 @@
     /// @returns expected time to recompute @p tokens on an otherwise idle runner.
     [[nodiscard]] Duration expectedPrefill(ServerHandle server, std::uint64_t tokens) const;
 
-    /// @returns expected time until a new transfer on the link of @p store starts.
+    /// @returns expected time that each piece waits for the link of @p store; runners fetch one piece at a time.
     [[nodiscard]] Duration expectedLinkWait(StoreHandle store, TimePoint now) const;
 
     /// @returns expected rate in bytes a second from @p store to @p server once the transfer has started.
-    [[nodiscard]] double transferRate(StoreHandle store, ServerHandle server) const;
+    [[nodiscard]] double transferRate(StoreHandle store, ServerHandle server, TimePoint now) const;
 
     /// @returns what the runners of @p model that may take work offer, by their reports.
     [[nodiscard]] PoolCapacity poolCapacity(ModelHandle model) const;
@@ -185,10 +189,11 @@
     [[nodiscard]] double reportedWaitSeconds(const ServerLoad &load) const;
     [[nodiscard]] double prefillRate(const ServerLoad &load) const;
     [[nodiscard]] double linkRate(const LinkLoad &link) const;
+    [[nodiscard]] double factorOf(const LinkLoad &link, TimePoint now) const;
     void uncount(Pending &pending);
     void uncountLinks(Pending &pending);
     void learnPrefill(const Pending &pending, const FirstTokenSample &sample);
-    void learnTransfer(const Pending &pending, const FirstTokenSample &sample);
+    void learnTransfer(const Pending &pending, const FirstTokenSample &sample, TimePoint now);
     void leavePool(ServerHandle server);
 
     std::vector<ServerLoad> servers;
@@ -197,6 +202,7 @@
     std::vector<Pending> pendings;
     std::vector<std::uint32_t> freePendings;
     std::vector<std::vector<std::uint32_t>> pendingOfServer;
+    std::vector<std::vector<std::uint32_t>> pendingOfLink;
 };
 
 } // namespace endivespan
--- a/packages/core/include/endivespan/route.h
+++ b/packages/core/include/endivespan/route.h
@@ -57,9 +57,11 @@
 struct Decision {
     ServerHandle server; ///< Invalid when no runner may take it.
     RoutePlan plan;
-    /// A copy of each of the first hitPieces + importPieces pieces. Those in memory come first and are a fallback; one
-    /// without a copy has generation 0 in the store of the first import.
+    /// A copy of each of the first sourceCount pieces, for the runner to import those that it does not hold. That
+    /// covers pieces believed in memory too; one of them without a copy has generation 0 in the store of the first
+    /// import.
     std::array<StoreCopy, config::MaxPieces> sources;
+    std::uint16_t sourceCount = 0;
     Duration expected {};
     std::array<RouteCandidate, config::RouteListedCandidates> candidates; ///< Best first.
     std::uint8_t candidateCount = 0;
@@ -71,6 +73,9 @@
     }
 };
 
+/// @returns what the load table has to know of @p decision.
+Dispatch dispatchOf(const Decision &decision);
+
 /// A routing policy.
 class Router
 {
--- a/packages/core/src/admit.cpp
+++ b/packages/core/src/admit.cpp
@@ -2,16 +2,19 @@
 #include <endivespan/invariant.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace endivespan {
 
 namespace {
 
-constexpr double MinQueueSeconds = 1.0; // A queue shorter than this would refuse ordinary bursts.
+constexpr double QueuedRunsPerPlace = 4.0;
+constexpr double MaxPriority = 7.0;
+constexpr std::size_t LeastQueue = 1; // One may always wait, however long its prompt.
 
-double costOf(std::uint32_t prefillTokens, std::uint32_t maxTokens)
+double costOf(double prefillTokens, std::uint32_t maxTokens)
 {
-    return static_cast<double>(prefillTokens) + static_cast<double>(maxTokens) * config::DecodeTokenCost;
+    return prefillTokens + static_cast<double>(maxTokens) * config::DecodeTokenCost;
 }
 
 double toSeconds(Duration duration)
@@ -29,6 +32,7 @@
     capacity.runs = share * (pool.places + config::AdmissionBorrowFactor * pool.freePlaces);
     capacity.prefillTokens
         = share * (pool.prefillTokensPerSecond * window + config::AdmissionBorrowFactor * pool.freePrefillTokens);
+    capacity.runners = share * pool.runners;
     capacity.tokensPerSecond = share * pool.prefillTokensPerSecond;
     return capacity;
 }
@@ -56,10 +60,10 @@
 void Admission::setCapacity(const AdmissionCapacity &capacity, TimePoint now, AdmissionActions &actions)
 {
     this->capacity = capacity;
-    while (this->counters.queued > this->bound()) {
+    this->startWaiting(now, actions);
+    while (this->isTooLong()) {
         this->shedOne(actions);
     }
-    this->startWaiting(now, actions);
     this->checkBound();
 }
 
@@ -81,7 +85,7 @@
     }
     this->enqueue(request);
     this->startWaiting(now, actions);
-    while (this->counters.queued > this->bound()) {
+    while (this->isTooLong()) {
         this->shedOne(actions);
     }
     this->checkBound();
@@ -93,19 +97,24 @@
     if (run == nullptr) {
         return;
     }
-    const double change = recomputeTokens - run->prefillTokens;
     Organisation &organisation = this->organisations[run->organisation.index];
-    run->prefillTokens += change;
-    run->cost += change;
-    this->prefillInFlight += change;
+    const double change = recomputeTokens - run->prefill;
+    run->prefill += change;
+    this->addPrefill(organisation, change);
     organisation.finishTag += change / organisation.weight;
+    organisation.recentCost = std::max(0.0, organisation.recentCost + change);
+    const double share = recomputeTokens / std::max(1.0, static_cast<double>(run->promptTokens));
+    organisation.recomputeShare += config::RateSmoothing * (std::min(share, 1.0) - organisation.recomputeShare);
+    const double tokens = recomputeTokens;
+    this->meanPrefill += config::RateSmoothing * (tokens - this->meanPrefill);
+    this->meanSquarePrefill += config::RateSmoothing * (tokens * tokens - this->meanSquarePrefill);
 }
 
 void Admission::firstToken(std::uint64_t id, TimePoint now, AdmissionActions &actions)
 {
     if (Running *run = this->findRunning(id); run != nullptr) {
-        this->prefillInFlight -= run->prefillTokens;
-        run->prefillTokens = 0;
+        this->addPrefill(this->organisations[run->organisation.index], -run->prefill);
+        run->prefill = 0;
         this->startWaiting(now, actions);
     }
 }
@@ -116,8 +125,10 @@
     if (run == nullptr) {
         return;
     }
-    this->prefillInFlight -= run->prefillTokens;
-    --this->organisations[run->organisation.index].running;
+    Organisation &organisation = this->organisations[run->organisation.index];
+    this->addPrefill(organisation, -run->prefill);
+    --organisation.running;
+    this->busyOrganisations -= organisation.running + organisation.queued == 0 ? 1 : 0;
     *run = this->running.back();
     this->running.pop_back();
     this->startWaiting(now, actions);
@@ -171,24 +182,48 @@
 Duration Admission::retryAfter(std::uint64_t random) const
 {
     const double rate = this->capacity.tokensPerSecond;
-    const double drain = rate > 0 ? this->queuedCost / rate : toSeconds(config::RetryAfterMax);
+    const double drain = rate > 0 ? this->queuedPrefill / rate : toSeconds(config::RetryAfterMax);
     const double base = std::clamp(drain, toSeconds(config::RetryAfterMin), toSeconds(config::RetryAfterMax));
     const double jitter = base * static_cast<double>(random >> 11U) / static_cast<double>(1ULL << 53U);
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(base + jitter));
 }
 
-bool Admission::mayStart() const
+// Enough work to keep the runners busy between two load reports. Long prompts come whole, so the window grows with the
+// size that the typical token comes in.
+double Admission::prefillBound() const
+{
+    const double typical = this->meanPrefill > 0 ? this->meanSquarePrefill / this->meanPrefill : 0;
+    return this->capacity.prefillTokens + this->capacity.runners * typical * config::AdmissionPrefillRuns;
+}
+
+bool Admission::isWithinShare(const Organisation &organisation) const
 {
-    const bool place = static_cast<double>(this->running.size()) < this->capacity.runs;
-    const bool prefill = this->prefillInFlight < this->capacity.prefillTokens;
+    const auto others = static_cast<double>(std::max<std::size_t>(this->busyOrganisations, 1));
+    return organisation.prefillInFlight <= this->prefillBound() / others;
+}
+
+// Others may fill the ordinary capacity; a reserve lets the next organisation within its share pass at once.
+bool Admission::mayStart(const Organisation &organisation) const
+{
+    const bool reserve = this->limits.fairShare && this->isWithinShare(organisation);
+    const double scale = reserve ? 1.0 + config::AdmissionReserve : 1.0;
+    const bool place = static_cast<double>(this->running.size()) < this->capacity.runs * scale;
+    const bool prefill = this->prefillInFlight < this->prefillBound() * scale;
     return place && prefill && this->running.size() < this->limits.inFlight;
 }
 
-// The queue is as long as its capacity can serve in a few seconds, and at most the pool of entries.
 std::size_t Admission::bound() const
 {
-    const double runs = std::max(this->capacity.runs, 1.0) * 4 * MinQueueSeconds;
-    return std::min(this->limits.queueBound, static_cast<std::size_t>(runs));
+    const auto runs = static_cast<std::size_t>(std::max(this->capacity.runs, 1.0) * QueuedRunsPerPlace);
+    return std::min(this->limits.queueBound, std::max(runs, LeastQueue));
+}
+
+// What would wait too long is refused at once: callers learn early when to come back.
+bool Admission::isTooLong() const
+{
+    const double bearable = this->capacity.tokensPerSecond * toSeconds(config::AdmissionQueueTime);
+    const bool slow = bearable > 0 && this->queuedPrefill > bearable && this->counters.queued > LeastQueue;
+    return slow || this->counters.queued > this->bound();
 }
 
 // Within its share an organisation passes the others, so only the work of those that come before it counts.
@@ -203,8 +238,8 @@
     }
     const Organisation &own = this->organisations[request.organisation.index];
     const double others = static_cast<double>(this->active.size()) + (own.queued == 0 ? 1 : 0);
-    const double ahead
-        = this->limits.fairShare ? std::min(this->queuedCost, own.queuedCost * others) : this->queuedCost;
+    const double fair = std::min(this->queuedPrefill, own.queuedPrefill * others);
+    const double ahead = this->limits.fairShare ? fair : this->queuedPrefill;
     return ahead / rate <= toSeconds(request.deadline - now);
 }
 
@@ -225,8 +260,8 @@
     }
     organisation.last = index;
     ++organisation.queued;
-    organisation.queuedCost += entry.cost;
-    this->queuedCost += entry.cost;
+    organisation.queuedPrefill += entry.prefill;
+    this->queuedPrefill += entry.prefill;
     ++this->counters.queued;
 }
 
@@ -237,13 +272,14 @@
     (entry.previous != None ? this->waiting[entry.previous].next : organisation.first) = entry.next;
     (entry.next != None ? this->waiting[entry.next].previous : organisation.last) = entry.previous;
     --organisation.queued;
-    organisation.queuedCost -= entry.cost;
-    this->queuedCost -= entry.cost;
+    organisation.queuedPrefill -= entry.prefill;
+    this->queuedPrefill -= entry.prefill;
     --this->counters.queued;
     entry.used = false;
     this->freeWaiting.push_back(index);
     if (organisation.queued == 0) {
         this->deactivate(entry.request.organisation.index);
+        this->busyOrganisations -= organisation.running == 0 ? 1 : 0;
     }
 }
 
@@ -282,7 +318,7 @@
         if (!this->limits.fairShare) {
             return this->waiting[one.last].arrival < this->waiting[other.last].arrival;
         }
-        return one.queuedCost / one.weight < other.queuedCost / other.weight;
+        return one.queuedPrefill / one.weight < other.queuedPrefill / other.weight;
     };
     const auto longest = std::max_element(this->active.begin(), this->active.end(), shorter);
     return longest == this->active.end() ? None : *longest;
@@ -290,35 +326,60 @@
 
 void Admission::startWaiting(TimePoint now, AdmissionActions &actions)
 {
-    while (!this->active.empty() && this->mayStart()) {
-        const Index index = this->organisations[this->nextOrganisation()].first;
-        const AdmissionRequest request = this->waiting[index].request;
-        const double cost = this->waiting[index].cost;
-        this->remove(index);
+    while (!this->active.empty()) {
+        const Organisation &next = this->organisations[this->nextOrganisation()];
+        if (!this->mayStart(next)) {
+            return;
+        }
+        const AdmissionRequest request = this->waiting[next.first].request;
+        const double prefill = this->waiting[next.first].prefill;
+        this->remove(next.first);
         if (request.deadline <= now) {
             ++this->counters.refusedDeadline;
             this->refuse(request, ErrorKind::DeadlineExceeded, actions);
             continue;
         }
-        this->start(request, cost, actions);
+        this->start(request, prefill, now, actions);
+    }
+}
+
+// Organisations that took little of late run first, whoever else fills the runners.
+std::uint32_t Admission::priorityOf(Organisation &organisation, TimePoint now) const
+{
+    const double memory = toSeconds(config::AdmissionUseMemory);
+    organisation.recentCost *= std::exp(-toSeconds(now - organisation.recentAt) / memory);
+    organisation.recentAt = now;
+    const double light = this->capacity.tokensPerSecond * memory * config::AdmissionLightShare * organisation.weight;
+    if (light <= 0 || organisation.recentCost <= light) {
+        return 0;
     }
+    const double level = 1 + std::log2(organisation.recentCost / light);
+    return static_cast<std::uint32_t>(std::min(level, MaxPriority));
 }
 
-void Admission::start(const AdmissionRequest &request, double cost, AdmissionActions &actions)
+void Admission::start(const AdmissionRequest &request, double prefill, TimePoint now, AdmissionActions &actions)
 {
     Organisation &organisation = this->organisations[request.organisation.index];
+    this->busyOrganisations += organisation.running + organisation.queued == 0 ? 1 : 0;
+    const std::uint32_t priority = this->limits.fairShare ? this->priorityOf(organisation, now) : 0;
     const double startTag = std::max(organisation.finishTag, this->virtualTime);
     this->virtualTime = std::max(this->virtualTime, startTag);
+    const double cost = costOf(prefill, request.maxTokens);
     organisation.finishTag = startTag + cost / organisation.weight;
+    organisation.recentCost += cost;
     ++organisation.running;
-    this->prefillInFlight += request.prefillTokens;
-    this->running.push_back({request.id, request.organisation, static_cast<double>(request.prefillTokens), cost});
+    this->addPrefill(organisation, prefill);
+    this->running.push_back({request.id, request.organisation, request.prefillTokens, prefill});
     ++this->counters.started;
-    // An organisation that still has requests waiting here asks for more than its share.
-    const std::uint32_t priority = organisation.queued > 0 ? 1 : 0;
     actions.start.push_back({request.id, priority});
 }
 
+void Admission::addPrefill(Organisation &organisation, double tokens)
+{
+    organisation.prefillInFlight += tokens;
+    this->prefillInFlight += tokens;
+}
+
 void Admission::activate(Index organisation)
 {
     this->organisations[organisation].activePlace = static_cast<Index>(this->active.size());
--- a/packages/core/src/load.cpp
+++ b/packages/core/src/load.cpp
@@ -46,6 +46,7 @@
     , pools(limits.models)
     , pendings(limits.dispatches)
     , pendingOfServer(limits.servers)
+    , pendingOfLink(limits.stores)
 {
     this->freePendings.reserve(limits.dispatches);
     for (std::size_t i = limits.dispatches; i > 0; --i) {
@@ -116,6 +117,12 @@
     LinkLoad &link = this->links.at(store.index);
     link.report = report;
     link.reported = true;
+    auto &waiting = this->pendingOfLink.at(store.index);
+    std::erase_if(waiting, [this, &link, &report](std::uint32_t index) {
+        const bool contained = this->pendings[index].at <= report.observedAt;
+        link.unreportedRuns -= contained ? 1 : 0;
+        return contained;
+    });
 }
 
 DispatchHandle LoadTable::onDispatch(const Dispatch &dispatch, TimePoint now)
@@ -132,7 +139,8 @@
     load.unreportedTokens += dispatch.prefillTokens;
     for (const LinkUse &use : dispatch.links) {
         if (use.store.isValid()) {
-            this->links.at(use.store.index).ownBytes += use.bytes;
+            ++this->links.at(use.store.index).unreportedRuns;
+            this->pendingOfLink.at(use.store.index).push_back(index);
         }
     }
     return {index};
@@ -157,14 +165,16 @@
         return;
     }
     pending.linksCounted = false;
+    const auto index = static_cast<std::uint32_t>(&pending - this->pendings.data());
     for (const LinkUse &use : pending.dispatch.links) {
         if (use.store.isValid()) {
-            this->links.at(use.store.index).ownBytes -= use.bytes;
+            const auto erased = std::erase(this->pendingOfLink.at(use.store.index), index);
+            this->links.at(use.store.index).unreportedRuns -= static_cast<std::uint32_t>(erased);
         }
     }
 }
 
-void LoadTable::onFirstToken(DispatchHandle dispatch, const FirstTokenSample &sample)
+void LoadTable::onFirstToken(DispatchHandle dispatch, const FirstTokenSample &sample, TimePoint now)
 {
     if (!dispatch.isValid()) {
         return;
@@ -174,7 +184,7 @@
     if (sample.importedBytes == 0) {
         this->learnPrefill(pending, sample);
     } else {
-        this->learnTransfer(pending, sample);
+        this->learnTransfer(pending, sample, now);
     }
 }
 
@@ -185,32 +195,27 @@
     }
     ServerLoad &load = this->servers.at(pending.dispatch.server.index);
     const double expected = toSeconds(this->expectedPrefill(pending.dispatch.server, sample.recomputedTokens));
-    const double actual = std::max(0.0, toSeconds(sample.timeToFirstToken - sample.queueTime));
+    const Duration wait = std::max(sample.queueTime, pending.dispatch.expectedWait);
+    const double actual = std::max(0.0, toSeconds(sample.timeToFirstToken - wait));
     smooth(load.prefillFactor, bounded(load.prefillFactor * actual / expected));
 }
 
-// The links of one run share what was measured, in proportion to what was expected of each.
-void LoadTable::learnTransfer(const Pending &pending, const FirstTokenSample &sample)
+// The links of one run share what was measured beyond what was expected.
+void LoadTable::learnTransfer(const Pending &pending, const FirstTokenSample &sample, TimePoint now)
 {
-    if (sample.importedBytes < MinSampleBytes) {
-        return;
-    }
-    const ServerHandle server = pending.dispatch.server;
-    const Duration prefill = this->expectedPrefill(server, sample.recomputedTokens);
-    const double actual = std::max(0.0, toSeconds(sample.timeToFirstToken - sample.queueTime - prefill));
-    double expected = 0;
-    for (const LinkUse &use : pending.dispatch.links) {
-        if (use.store.isValid()) {
-            expected += static_cast<double>(use.bytes) / this->transferRate(use.store, server);
-        }
-    }
-    if (expected <= 0) {
+    const double expected = toSeconds(pending.dispatch.expectedTransfer);
+    if (sample.importedBytes < MinSampleBytes || expected <= 0) {
         return;
     }
+    const Duration prefill = this->expectedPrefill(pending.dispatch.server, sample.recomputedTokens);
+    const Duration wait = std::max(sample.queueTime, pending.dispatch.expectedWait);
+    const double actual = std::max(0.0, toSeconds(sample.timeToFirstToken - wait - prefill));
     for (const LinkUse &use : pending.dispatch.links) {
         if (use.store.isValid()) {
             LinkLoad &link = this->links.at(use.store.index);
+            link.rateFactor = this->factorOf(link, now);
             smooth(link.rateFactor, bounded(link.rateFactor * actual / expected));
+            link.learnedAt = now;
         }
     }
 }
@@ -286,16 +291,22 @@
     return link.report.bytesPerSecond > 0 ? link.report.bytesPerSecond : config::StartImportBytesPerSecond;
 }
 
+// A link that was found slow is tried again after a while, for without imports nothing new is learned of it.
+double LoadTable::factorOf(const LinkLoad &link, TimePoint now) const
+{
+    const double age = std::max(0.0, toSeconds(now - link.learnedAt));
+    return 1.0 + (link.rateFactor - 1.0) * std::exp(-age / toSeconds(config::LinkFactorMemory));
+}
+
 Duration LoadTable::expectedLinkWait(StoreHandle store, TimePoint now) const
 {
     const LinkLoad &link = this->links.at(store.index);
-    const double rate = this->linkRate(link);
-    const double drained = std::max(0.0, toSeconds(now - link.report.observedAt)) * rate;
-    const double reported = std::max(0.0, static_cast<double>(link.report.queuedBytes) - drained);
-    return fromSeconds(std::max(reported, static_cast<double>(link.ownBytes)) / rate);
+    const double own = static_cast<double>(link.unreportedRuns) * config::StartPieceBytes;
+    const double queued = static_cast<double>(link.report.queuedBytes) + own;
+    return fromSeconds(queued / this->linkRate(link) * this->factorOf(link, now));
 }
 
-double LoadTable::transferRate(StoreHandle store, ServerHandle server) const
+double LoadTable::transferRate(StoreHandle store, ServerHandle server, TimePoint now) const
 {
     const LinkLoad &link = this->links.at(store.index);
     const ServerLoad &load = this->servers.at(server.index);
@@ -303,7 +314,7 @@
     if (load.report.importBytesPerSecond > 0) {
         rate = std::min(rate, load.report.importBytesPerSecond);
     }
-    return rate / link.rateFactor;
+    return rate / this->factorOf(link, now);
 }
 
 PoolCapacity LoadTable::poolCapacity(ModelHandle model) const
@@ -318,6 +329,7 @@
         const double taken = static_cast<double>(load.report.running) + load.report.queued;
         const double rate = this->prefillRate(load);
         const double window = rate * toSeconds(config::AdmissionPrefillWindow);
+        capacity.runners += 1;
         capacity.places += places;
         capacity.freePlaces += std::max(0.0, places - taken);
         capacity.prefillTokensPerSecond += rate;
--- a/packages/core/src/route_common.cpp
+++ b/packages/core/src/route_common.cpp
@@ -33,6 +33,24 @@
     return false;
 }
 
+// Pieces believed in memory are listed while each has a copy, or up to the first import.
+void listSources(Decision &decision, const PromptHolders &holders)
+{
+    const RoutePlan &plan = decision.plan;
+    const std::size_t wanted = plan.hitPieces + plan.importPieces;
+    for (std::size_t i = 0; i < wanted; ++i) {
+        StoreCopy copy = holders.copies()[i].copy;
+        if (!copy.store.isValid() && plan.importPieces == 0) {
+            return;
+        }
+        if (!copy.store.isValid()) {
+            copy = {plan.links.front().store, 0};
+        }
+        decision.sources.at(i) = copy;
+        decision.sourceCount = static_cast<std::uint16_t>(i + 1);
+    }
+}
+
 bool inScope(const PieceHolders &holders, const DirectoryScope &scope)
 {
     const bool learned = holders.scope.organisation.isValid();
@@ -133,18 +151,17 @@
     if (rule == ImportRule::None) {
         return best;
     }
-    Duration moving {};
-    Duration linkWait {};
+    Duration transfer {};
     for (const PromptHolders::Copy &piece : weighing.holders.copies().subspan(candidate.plan.hitPieces)) {
         if (!piece.copy.store.isValid() || !addLink(candidate.plan, piece)) {
             break;
         }
         ++candidate.plan.importPieces;
         candidate.plan.importBytes += piece.bytes;
-        const double seconds = piece.bytes / loads.transferRate(piece.copy.store, server);
-        moving += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-        linkWait = weighing.linkQueue ? std::max(linkWait, piece.linkWait) : linkWait;
-        addTimes(candidate, weighing, linkWait + moving);
+        const double seconds = piece.bytes / loads.transferRate(piece.copy.store, server, weighing.now);
+        transfer += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+        transfer += weighing.linkQueue ? piece.linkWait : Duration::zero();
+        addTimes(candidate, weighing, transfer);
         if (rule == ImportRule::All || candidate.expected < best.expected) {
             best = candidate;
         }
@@ -176,11 +193,7 @@
     decision.server = best.server;
     decision.plan = best.plan;
     decision.expected = best.expected;
-    const std::size_t count = best.plan.importPieces > 0 ? best.plan.hitPieces + best.plan.importPieces : 0;
-    for (std::size_t i = 0; i < count; ++i) {
-        const StoreCopy &copy = holders.copies()[i].copy;
-        decision.sources.at(i) = copy.store.isValid() ? copy : StoreCopy {best.plan.links.front().store, 0};
-    }
+    listSources(decision, holders);
 }
 
 Decision decideFor(const Weighing &weighing, ServerHandle server, ImportRule rule)
@@ -193,6 +206,12 @@
     return decision;
 }
 
+Dispatch dispatchOf(const Decision &decision)
+{
+    const RouteCandidate &chosen = decision.candidates.front();
+    return {decision.server, decision.plan.recomputeTokens, decision.plan.links, chosen.wait, chosen.transfer};
+}
+
 std::uint64_t nextRandom(std::uint64_t &state)
 {
     state += 0x9E3779B97F4A7C15ULL;
--- a/packages/node/src/prompt_run.cpp
+++ b/packages/node/src/prompt_run.cpp
@@ -153,8 +153,7 @@
     request.prompt = this->job.request.prompt;
     request.pieces = this->pieces;
     // The list starts at the first piece: the runner passes over those that it does hold.
-    const std::size_t listed = choice.plan.importPieces > 0 ? choice.plan.hitPieces + choice.plan.importPieces : 0;
-    for (std::size_t i = 0; i < listed; ++i) {
+    for (std::size_t i = 0; i < choice.sourceCount; ++i) {
         const StoreCopy &source = choice.sources.at(i);
         request.imports.push_back({this->pieces.at(i), backends.store(source.store).address, source.generation});
     }
@@ -171,8 +170,7 @@
     checkInvariant(Invariant::NoWorkForTakenOutDomain, backend.mayTakeWork, backend.name);
     ++backend.inFlight;
     this->firstTokenOfAttempt = false;
-    this->load
-        = backends.loads.onDispatch({this->server, choice.plan.recomputeTokens, choice.plan.links}, this->dispatchedAt);
+    this->load = backends.loads.onDispatch(dispatchOf(choice), this->dispatchedAt);
     this->run = this->context.engines.run(request, std::move(callbacks));
     this->context.metrics.count("prompt_attempts");
 }
--- a/tests/core/admit.cpp
+++ b/tests/core/admit.cpp
@@ -23,7 +23,7 @@
 
 AdmissionCapacity capacityFor(double runs)
 {
-    return {runs, 1e9, 100'000};
+    return {runs, 1e9, 0, 1e9};
 }
 
 Admission admissionFor(double runs, AdmissionActions &actions)
@@ -142,7 +142,7 @@
 {
     AdmissionActions actions;
     Admission admission = admissionFor(10, actions);
-    admission.setCapacity({10, 6000, 100'000}, TimePoint {}, actions);
+    admission.setCapacity({10, 6000, 0, 1e9}, TimePoint {}, actions);
     for (std::uint64_t id = 0; id < 4; ++id) {
         admission.offer(request(id, Large), TimePoint {}, actions);
     }
--- a/tests/core/route.cpp
+++ b/tests/core/route.cpp
@@ -165,7 +165,7 @@
     Fixture fixture(1);
     for (int i = 0; i < 100; ++i) {
         const DispatchHandle dispatch = fixture.loads.onDispatch({{0}, 20'000, {}}, TimePoint {});
-        fixture.loads.onFirstToken(dispatch, {2s, 0s, 20'000, 0});
+        fixture.loads.onFirstToken(dispatch, {2s, 0s, 20'000, 0}, TimePoint {2s});
         fixture.loads.onEnd(dispatch, true, TimePoint {3s});
     }
     const double seconds = std::chrono::duration<double>(fixture.loads.expectedPrefill({0}, 20'000)).count();
