--- a/packages/node/src/prompt_run.cpp
+++ b/packages/node/src/prompt_run.cpp
@@ -269,7 +269,8 @@
     if (this->load.isValid()) {
         const std::uint64_t imported = summary.importedTokens > 0 ? this->decision.plan.importBytes : 0;
         backends.loads.onFirstToken(this->load,
-                                    {this->firstTokenAfter, summary.queueTime, summary.recomputedTokens, imported});
+                                    {this->firstTokenAfter, summary.queueTime, summary.recomputedTokens, imported},
+                                    this->dispatchedAt + this->firstTokenAfter);
     }
     if (summary.incarnation == backends.server(this->server).incarnation) {
         const DirectoryScope scope {
