--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -108,6 +108,13 @@
 constexpr std::size_t GossipPeersRemembered = 32;
 constexpr std::uint32_t RumourSendsMargin = 3;
 constexpr std::size_t LargeFleetHosts = 64;
+constexpr std::int32_t PeerProtocol = 1;
+constexpr std::size_t MaxPeerFrameBytes = 4 * 1024 * 1024;
+constexpr std::size_t MaxPeerQueueBytes = 8 * 1024 * 1024;
+constexpr std::size_t MaxPeerConnections = 1024;
+constexpr int PeerBacklog = 128;
+constexpr std::chrono::seconds PeerIdleBound = 30s;
+constexpr std::chrono::milliseconds PeerTimeout = 1500ms;
 constexpr std::size_t MaxServerNotes = 2048;
 constexpr std::size_t DigestsKept = 64;
 
--- /dev/null
+++ b/packages/wire/include/endivespan/peer_message.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <endivespan/credit.h>
+#include <endivespan/error.h>
+#include <endivespan/gossip.h>
+#include <endivespan/suspect.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+/// Messages between the hosts of the system, and their bytes.
+namespace endivespan {
+
+/// First message on each connection, in both directions.
+struct PeerHello {
+    std::int32_t protocol = 0;
+    std::string host;
+    std::uint64_t incarnation = 0;
+
+    bool operator==(const PeerHello &) const = default;
+};
+
+/// Asks the owner of a cold backend server for credits; servers travel by name.
+struct CreditAsk {
+    std::string server;
+    std::uint64_t requestId = 0;
+    std::uint32_t wanted = 0;
+
+    bool operator==(const CreditAsk &) const = default;
+};
+
+/// Answers a CreditAsk.
+struct CreditReply {
+    std::string server;
+    std::uint64_t requestId = 0;
+    std::uint64_t fence = 0;
+    std::uint64_t firstId = 0;
+    std::uint32_t count = 0;
+    std::optional<std::string> warmIncarnation;
+    std::uint64_t warmEpoch = 0;
+
+    bool operator==(const CreditReply &) const = default;
+};
+
+/// Gives one credit back; answered by PeerAck.
+struct CreditBack {
+    std::string server;
+    std::uint64_t fence = 0;
+    std::uint64_t id = 0;
+    CreditOutcome outcome = CreditOutcome::Unused;
+
+    bool operator==(const CreditBack &) const = default;
+};
+
+/// Asks the owner of the suspects for leave to run one.
+struct SuspectAsk {
+    std::uint64_t requestId = 0;
+    Fingerprint fingerprint;
+    std::string server;
+
+    bool operator==(const SuspectAsk &) const = default;
+};
+
+/// Answers a SuspectAsk.
+struct SuspectReply {
+    std::uint64_t requestId = 0;
+    bool granted = false;
+    std::uint64_t fence = 0;
+    std::uint64_t id = 0;
+
+    bool operator==(const SuspectReply &) const = default;
+};
+
+/// Ends a permit; answered by PeerAck.
+struct SuspectBack {
+    std::uint64_t fence = 0;
+    std::uint64_t id = 0;
+
+    bool operator==(const SuspectBack &) const = default;
+};
+
+/// Asks for the configuration of a peer that holds a newer one.
+struct ConfigAsk {
+    std::uint64_t heldOffset = 0;
+
+    bool operator==(const ConfigAsk &) const = default;
+};
+
+/// Answers a ConfigAsk; the state is empty when there is nothing newer.
+struct ConfigReply {
+    std::uint64_t offset = 0;
+    std::string state; ///< As written by the configuration's own codec.
+
+    bool operator==(const ConfigReply &) const = default;
+};
+
+/// Says that a message was taken.
+struct PeerAck {
+    bool operator==(const PeerAck &) const = default;
+};
+
+using PeerMessage = std::variant<PeerHello,
+                                 GossipMessage,
+                                 CreditAsk,
+                                 CreditReply,
+                                 CreditBack,
+                                 SuspectAsk,
+                                 SuspectReply,
+                                 SuspectBack,
+                                 ConfigAsk,
+                                 ConfigReply,
+                                 PeerAck>;
+
+/// One message on a connection.
+struct PeerFrame {
+    std::uint64_t id = 0; ///< Chosen by the asking side, repeated in the answer.
+    bool answer = false;
+    PeerMessage message;
+};
+
+/// @returns the bytes of @p frame, without their length.
+std::string encodePeerFrame(const PeerFrame &frame);
+
+/// @returns the frame, or ProtocolError.
+Result<PeerFrame> decodePeerFrame(std::string_view bytes);
+
+} // namespace endivespan
