--- a/packages/node/src/backends.cpp
+++ b/packages/node/src/backends.cpp
@@ -46,6 +46,12 @@
     return this->serverList.at(handle.index);
 }
 
+bool Backends::mayDispatch(const Backend &server) const
+{
+    const bool allowed = server.configured && server.mayTakeWork;
+    return allowed && (this->gate == nullptr || (this->gate->mayTakeWork(server) && this->gate->hasCredit(server)));
+}
+
 StoreHost &Backends::store(StoreHandle handle)
 {
     return this->storeList.at(handle.index);
@@ -234,6 +240,8 @@
         logLine("backends", "{} has incarnation {}", backend.name, report.incarnation);
         backend.incarnation = report.incarnation;
         backend.nextEvent = 0;
+        // An engine starts with an empty cache; no event tells of what it lost.
+        this->directory.forgetServer(handle);
     }
     if (backend.kind == ServerKind::Runner) {
         this->serveVersions(handle, report.versions);
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -14,6 +14,19 @@
 
 namespace endivespan {
 
+namespace {
+
+HostReport reportOf(const Settings &settings)
+{
+    HostReport report {settings.host, settings.listen.peers, settings.failureDomain, settings.region, {}};
+    // Rises with each start under one name.
+    report.status.version.incarnation
+        = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count());
+    return report;
+}
+
+} // namespace
+
 Node::Node(Loop &loop, Settings settings, std::function<void()> onStopped)
     : loop(loop)
     , settings(std::move(settings))
@@ -21,7 +34,9 @@
     , random(std::random_device {}())
     , engines(EngineClient::create(loop))
     , log(LogClient::create(loop, this->settings.logAddress))
-    , config(std::make_unique<ConfigTask>(loop, *this->log, this->settings))
+    , membership(reportOf(this->settings), loop.now())
+    , confirmation(!this->settings.peers.empty())
+    , config(std::make_unique<ConfigTask>(loop, *this->log, this->settings, this->membership, this->confirmation))
     , backends(std::make_unique<Backends>(loop, *this->config, *this->engines))
     , context(std::make_unique<NodeContext>(NodeContext {loop,
                                                          this->settings,
@@ -33,6 +48,9 @@
                                                          this->random}))
     , front(std::make_unique<Front>(*this->context))
     , prompts(std::make_unique<PromptTask>(*this->context))
+    , claims(std::make_unique<ClaimTask>(loop, *this->log, this->settings, this->random()))
+    , services(std::make_unique<ServiceTask>(
+          *this->context, *this->claims, makeLeastInFlightPicker(*this->backends, this->random)))
 {
     setViolationHandler([](Invariant invariant, std::string_view detail) {
         logLine("invariant", "{} violated: {}", invariantName(invariant), detail);
@@ -55,6 +73,9 @@
     this->front->addCallerPath("GET", "/v1/models", [this](const auto &exchange, const Caller &caller) {
         this->serveModels(*exchange, caller);
     });
+    this->front->addCallerPath("", "/services/", [this](const auto &exchange, const Caller &caller) {
+        this->services->serve(exchange, caller);
+    });
     addOperatorPages(*this->front, *this->context, [this] {
         return NodeStatus {this->prompts->inFlight(), this->stopping};
     });
@@ -81,7 +102,10 @@
 {
     const TimePoint now = this->loop.now();
     this->backends->tick(now);
-    this->prompts->tick(1);
+    this->prompts->tick(this->membership.owners().size());
+    this->services->tick();
+    this->claims->tick(1);
+    this->claims->report(this->metrics);
     if (this->stopping) {
         this->continueStop(now);
     }
@@ -114,11 +138,17 @@
     if (!this->acceptingStopped) {
         if (now >= this->stopAcceptingAt) {
             this->acceptingStopped = true;
+            this->claimsMustEndBy = now + config::ClaimStopLimit;
             this->front->stopAccepting();
         }
         return;
     }
-    if (this->front->openExchanges() > 0) {
+    if (this->front->openExchanges() > 0 || this->services->inFlight() > 0) {
+        this->claimsMustEndBy = now + config::ClaimStopLimit;
+        return;
+    }
+    // Every caller has its answer; an outcome that the log does not take now reads as unknown to a later retry.
+    if (!this->claims->isIdle() && now < this->claimsMustEndBy) {
         return;
     }
     checkInvariant(Invariant::StopCutsNothing, this->prompts->inFlight() == 0, this->settings.host);
