--- a/packages/core/include/endivespan/config_fold.h
+++ b/packages/core/include/endivespan/config_fold.h
@@ -89,12 +89,8 @@
 /// Tells that another revision is in force, and which entries differ.
 struct FleetChanged {
     std::uint64_t revision = 0;
-    bool whole = false; ///< Everything may differ; the lists are empty then.
-    std::vector<std::string> organisations; ///< Added, changed or withdrawn, by name.
-    std::vector<std::string> models;
-    std::vector<std::string> domains;
-    std::vector<std::string> servers;
-    std::vector<std::string> services;
+    bool whole = false; ///< Everything may differ; the names are empty then.
+    FleetNames names; ///< Added, changed or withdrawn.
 };
 
 /// Tells that a snapshot in the log differs from the state that this host folded itself.
--- a/packages/core/include/endivespan/fleet.h
+++ b/packages/core/include/endivespan/fleet.h
@@ -95,20 +95,35 @@
     bool operator==(const Fleet &) const = default;
 };
 
-/// What operators publish: what is added, changed and withdrawn, against one revision.
-struct ReleaseNote {
-    std::string author;
-    std::uint64_t against = 0; ///< The revision that the note was written against.
-    std::vector<Organisation> organisations; ///< Added or replaced.
+/// Everything of a fleet, or a part of it, as lists.
+struct FleetEntries {
+    std::vector<Organisation> organisations;
     std::vector<Model> models;
     std::vector<FailureDomain> domains;
     std::vector<BackendServer> servers;
     std::vector<PlainService> services;
-    std::vector<std::string> withdrawnOrganisations;
-    std::vector<std::string> withdrawnModels;
-    std::vector<std::string> withdrawnDomains;
-    std::vector<std::string> withdrawnServers;
-    std::vector<std::string> withdrawnServices;
+
+    bool operator==(const FleetEntries &) const = default;
+};
+
+/// Names of entries of a fleet.
+struct FleetNames {
+    std::vector<std::string> organisations;
+    std::vector<std::string> models;
+    std::vector<std::string> domains;
+    std::vector<std::string> servers;
+    std::vector<std::string> services;
+
+    bool operator==(const FleetNames &) const = default;
+};
+
+/// What operators publish: what is added, changed and withdrawn, against one revision.
+struct ReleaseNote {
+    std::string author;
+    std::uint64_t against = 0; ///< The revision that the note was written against.
+    FleetEntries added; ///< Not in force before.
+    FleetEntries changed; ///< In force before; each one takes the place of the old one as a whole.
+    FleetNames withdrawn;
 
     bool operator==(const ReleaseNote &) const = default;
 };
--- a/packages/core/include/endivespan/fleet_table.h
+++ b/packages/core/include/endivespan/fleet_table.h
@@ -14,17 +14,6 @@
 /// The fleet in force with the indexes that checks and callers need. A note costs only what it touches.
 namespace endivespan {
 
-/// Everything of a fleet, or a slice of it, as lists.
-struct FleetEntries {
-    std::vector<Organisation> organisations;
-    std::vector<Model> models;
-    std::vector<FailureDomain> domains;
-    std::vector<BackendServer> servers;
-    std::vector<PlainService> services;
-
-    bool operator==(const FleetEntries &) const = default;
-};
-
 /// What another entry may refer to by name.
 enum class Referred {
     Model,
@@ -73,6 +62,7 @@
     void put(const FailureDomain &domain);
     void put(const BackendServer &server);
     void put(const PlainService &service);
+    void dropIndexed(const FleetEntries &entries);
     void dropOrganisation(const std::string &name);
     void dropServer(const std::string &name);
     void count(const std::vector<Reference> &references, int step);
--- a/packages/core/src/config_fold.cpp
+++ b/packages/core/src/config_fold.cpp
@@ -32,24 +32,25 @@
 }
 
 template<typename Entry>
-std::vector<std::string> namesOf(const std::vector<Entry> &entries, const std::vector<std::string> &withdrawn)
+void appendNames(std::vector<std::string> &names, const std::vector<Entry> &entries)
 {
-    std::vector<std::string> names = withdrawn;
     for (const Entry &entry : entries) {
         names.push_back(entry.name);
     }
-    return names;
 }
 
 FleetChanged changeOf(const ReleaseNote &note, std::uint64_t revision)
 {
     FleetChanged change;
     change.revision = revision;
-    change.organisations = namesOf(note.organisations, note.withdrawnOrganisations);
-    change.models = namesOf(note.models, note.withdrawnModels);
-    change.domains = namesOf(note.domains, note.withdrawnDomains);
-    change.servers = namesOf(note.servers, note.withdrawnServers);
-    change.services = namesOf(note.services, note.withdrawnServices);
+    change.names = note.withdrawn;
+    for (const FleetEntries *entries : {&note.added, &note.changed}) {
+        appendNames(change.names.organisations, entries->organisations);
+        appendNames(change.names.models, entries->models);
+        appendNames(change.names.domains, entries->domains);
+        appendNames(change.names.servers, entries->servers);
+        appendNames(change.names.services, entries->services);
+    }
     return change;
 }
 
--- a/packages/core/src/fleet_table.cpp
+++ b/packages/core/src/fleet_table.cpp
@@ -113,34 +113,32 @@
 void FleetTable::apply(const ReleaseNote &note)
 {
     // Withdrawals go first: an added entry may take over the key or the address of a withdrawn one.
-    for (const std::string &name : note.withdrawnOrganisations) {
+    for (const std::string &name : note.withdrawn.organisations) {
         this->dropOrganisation(name);
     }
-    for (const std::string &name : note.withdrawnServers) {
+    for (const std::string &name : note.withdrawn.servers) {
         this->dropServer(name);
     }
-    for (const std::string &name : note.withdrawnModels) {
+    for (const std::string &name : note.withdrawn.models) {
         this->erase(this->current.models, name);
     }
-    for (const std::string &name : note.withdrawnDomains) {
+    for (const std::string &name : note.withdrawn.domains) {
         this->erase(this->current.domains, name);
     }
-    for (const std::string &name : note.withdrawnServices) {
+    for (const std::string &name : note.withdrawn.services) {
         this->erase(this->current.services, name);
     }
-    this->put({note.organisations, note.models, note.domains, note.servers, note.services});
+    // An added entry may take over from a changed one too, which therefore leaves the indexes before.
+    this->dropIndexed(note.changed);
+    this->put(note.added);
+    this->put(note.changed);
     ++this->current.revision;
 }
 
 void FleetTable::put(const FleetEntries &entries)
 {
     // All replaced entries leave the indexes before any new one enters: two may swap a key or an address.
-    for (const Organisation &organisation : entries.organisations) {
-        this->dropOrganisation(organisation.name);
-    }
-    for (const BackendServer &server : entries.servers) {
-        this->dropServer(server.name);
-    }
+    this->dropIndexed(entries);
     for (const Organisation &organisation : entries.organisations) {
         this->put(organisation);
     }
@@ -158,6 +156,16 @@
     }
 }
 
+void FleetTable::dropIndexed(const FleetEntries &entries)
+{
+    for (const Organisation &organisation : entries.organisations) {
+        this->dropOrganisation(organisation.name);
+    }
+    for (const BackendServer &server : entries.servers) {
+        this->dropServer(server.name);
+    }
+}
+
 void FleetTable::setRevision(std::uint64_t revision)
 {
     this->current.revision = revision;
--- a/packages/core/src/note_check.cpp
+++ b/packages/core/src/note_check.cpp
@@ -19,6 +19,12 @@
     return "'" + std::string(name) + "'";
 }
 
+template<typename Entry>
+void append(std::vector<Entry> &entries, const std::vector<Entry> &more)
+{
+    entries.insert(entries.end(), more.begin(), more.end());
+}
+
 class NoteCheck
 {
 public:
@@ -26,33 +32,45 @@
         : table(table)
         , fleet(table.fleet())
         , note(note)
+        , entries(note.added)
     {
+        append(this->entries.organisations, note.changed.organisations);
+        append(this->entries.models, note.changed.models);
+        append(this->entries.domains, note.changed.domains);
+        append(this->entries.servers, note.changed.servers);
+        append(this->entries.services, note.changed.services);
     }
 
     std::vector<std::string> run()
     {
         this->checkAnything();
         this->touchedOrganisations = this->checkSection(
-            "organisation", this->note.organisations, this->note.withdrawnOrganisations, this->fleet.organisations);
-        this->checkSection("model", this->note.models, this->note.withdrawnModels, this->fleet.models);
-        this->checkSection("failure domain", this->note.domains, this->note.withdrawnDomains, this->fleet.domains);
+            "organisation", this->entries.organisations, this->note.withdrawn.organisations, this->fleet.organisations);
+        this->checkSection("model", this->entries.models, this->note.withdrawn.models, this->fleet.models);
+        this->checkSection("failure domain", this->entries.domains, this->note.withdrawn.domains, this->fleet.domains);
         this->touchedServers = this->checkSection(
-            "backend server", this->note.servers, this->note.withdrawnServers, this->fleet.servers);
-        this->checkSection("plain service", this->note.services, this->note.withdrawnServices, this->fleet.services);
+            "backend server", this->entries.servers, this->note.withdrawn.servers, this->fleet.servers);
+        this->checkSection(
+            "plain service", this->entries.services, this->note.withdrawn.services, this->fleet.services);
+        this->checkPresence("organisation", &FleetEntries::organisations, this->fleet.organisations);
+        this->checkPresence("model", &FleetEntries::models, this->fleet.models);
+        this->checkPresence("failure domain", &FleetEntries::domains, this->fleet.domains);
+        this->checkPresence("backend server", &FleetEntries::servers, this->fleet.servers);
+        this->checkPresence("plain service", &FleetEntries::services, this->fleet.services);
         this->checkSizes();
-        for (const Organisation &organisation : this->note.organisations) {
+        for (const Organisation &organisation : this->entries.organisations) {
             this->checkOrganisation(organisation);
         }
-        for (const Model &model : this->note.models) {
+        for (const Model &model : this->entries.models) {
             this->checkModel(model);
         }
-        for (const FailureDomain &domain : this->note.domains) {
+        for (const FailureDomain &domain : this->entries.domains) {
             this->require(isName(domain.region), "failure domain " + quoted(domain.name) + " needs a region");
         }
-        for (const BackendServer &server : this->note.servers) {
+        for (const BackendServer &server : this->entries.servers) {
             this->checkServer(server);
         }
-        for (const PlainService &service : this->note.services) {
+        for (const PlainService &service : this->entries.services) {
             this->checkService(service);
         }
         this->checkKeys();
@@ -71,10 +89,7 @@
 
     void checkAnything()
     {
-        const bool empty = this->note.organisations.empty() && this->note.models.empty() && this->note.domains.empty()
-            && this->note.servers.empty() && this->note.services.empty() && this->note.withdrawnOrganisations.empty()
-            && this->note.withdrawnModels.empty() && this->note.withdrawnDomains.empty()
-            && this->note.withdrawnServers.empty() && this->note.withdrawnServices.empty();
+        const bool empty = this->entries == FleetEntries {} && this->note.withdrawn == FleetNames {};
         this->require(!empty, "the note changes nothing");
         this->require(!this->note.author.empty() && this->note.author.size() <= 128,
                       "the note needs an author of 1 to 128 bytes");
@@ -99,6 +114,19 @@
         return seen;
     }
 
+    template<typename Entry>
+    void checkPresence(const std::string &what,
+                       std::vector<Entry> FleetEntries::*list,
+                       const std::map<std::string, Entry> &inForce)
+    {
+        for (const Entry &entry : this->note.added.*list) {
+            this->require(!inForce.contains(entry.name), what + " " + quoted(entry.name) + " is added but in force");
+        }
+        for (const Entry &entry : this->note.changed.*list) {
+            this->require(inForce.contains(entry.name), what + " " + quoted(entry.name) + " is changed but unknown");
+        }
+    }
+
     template<typename Entry>
     void checkSize(const std::string &what,
                    const std::vector<Entry> &entries,
@@ -115,24 +143,25 @@
     void checkSizes()
     {
         this->checkSize("organisations",
-                        this->note.organisations,
-                        this->note.withdrawnOrganisations,
+                        this->entries.organisations,
+                        this->note.withdrawn.organisations,
                         this->fleet.organisations,
                         config::MaxOrganisations);
-        this->checkSize("models", this->note.models, this->note.withdrawnModels, this->fleet.models, config::MaxModels);
+        this->checkSize(
+            "models", this->entries.models, this->note.withdrawn.models, this->fleet.models, config::MaxModels);
         this->checkSize("failure domains",
-                        this->note.domains,
-                        this->note.withdrawnDomains,
+                        this->entries.domains,
+                        this->note.withdrawn.domains,
                         this->fleet.domains,
                         config::MaxDomains);
         this->checkSize("backend servers",
-                        this->note.servers,
-                        this->note.withdrawnServers,
+                        this->entries.servers,
+                        this->note.withdrawn.servers,
                         this->fleet.servers,
                         config::MaxServers);
         this->checkSize("plain services",
-                        this->note.services,
-                        this->note.withdrawnServices,
+                        this->entries.services,
+                        this->note.withdrawn.services,
                         this->fleet.services,
                         config::MaxServices);
     }
@@ -181,7 +210,7 @@
     void checkKeys()
     {
         std::map<std::string, std::string> owners;
-        for (const Organisation &organisation : this->note.organisations) {
+        for (const Organisation &organisation : this->entries.organisations) {
             for (const std::string &digest : organisation.keyDigests) {
                 const auto [owner, added] = owners.emplace(digest, organisation.name);
                 this->require(added,
@@ -198,7 +227,7 @@
     void checkAddresses()
     {
         std::map<std::string, std::string> owners;
-        for (const BackendServer &server : this->note.servers) {
+        for (const BackendServer &server : this->entries.servers) {
             const auto [owner, added] = owners.emplace(server.address, server.name);
             this->require(added, quoted(server.name) + " has the address of " + quoted(owner->second));
             const std::string_view holder = this->table.serverAt(server.address);
@@ -212,13 +241,13 @@
         const auto &[kind, name] = reference;
         switch (kind) {
         case Referred::Model:
-            return this->existsAfter(this->note.models, this->note.withdrawnModels, this->fleet.models, name);
+            return this->existsAfter(this->entries.models, this->note.withdrawn.models, this->fleet.models, name);
         case Referred::Service:
-            return this->existsAfter(this->note.services, this->note.withdrawnServices, this->fleet.services, name);
+            return this->existsAfter(this->entries.services, this->note.withdrawn.services, this->fleet.services, name);
         case Referred::Domain:
             break;
         }
-        return this->existsAfter(this->note.domains, this->note.withdrawnDomains, this->fleet.domains, name);
+        return this->existsAfter(this->entries.domains, this->note.withdrawn.domains, this->fleet.domains, name);
     }
 
     template<typename Entry>
@@ -282,22 +311,23 @@
 
     void checkReferences()
     {
-        this->addNew("organisation", this->note.organisations, this->fleet.organisations);
-        this->addNew("backend server", this->note.servers, this->fleet.servers);
-        for (const std::string &name : this->note.withdrawnOrganisations) {
+        this->addNew("organisation", this->entries.organisations, this->fleet.organisations);
+        this->addNew("backend server", this->entries.servers, this->fleet.servers);
+        for (const std::string &name : this->note.withdrawn.organisations) {
             this->subtractOld(name, this->fleet.organisations);
         }
-        for (const std::string &name : this->note.withdrawnServers) {
+        for (const std::string &name : this->note.withdrawn.servers) {
             this->subtractOld(name, this->fleet.servers);
         }
-        this->checkUnused(Referred::Model, this->note.withdrawnModels);
-        this->checkUnused(Referred::Service, this->note.withdrawnServices);
-        this->checkUnused(Referred::Domain, this->note.withdrawnDomains);
+        this->checkUnused(Referred::Model, this->note.withdrawn.models);
+        this->checkUnused(Referred::Service, this->note.withdrawn.services);
+        this->checkUnused(Referred::Domain, this->note.withdrawn.domains);
     }
 
     const FleetTable &table;
     const Fleet &fleet;
     const ReleaseNote &note;
+    FleetEntries entries; ///< Added and changed.
     std::set<std::string_view> touchedOrganisations;
     std::set<std::string_view> touchedServers;
     std::map<Reference, std::int64_t> useChanges;
--- a/packages/wire/gen-cpp/config_types.cpp
+++ b/packages/wire/gen-cpp/config_types.cpp
@@ -1250,49 +1250,37 @@
 }
 
 
-ReleaseNote::~ReleaseNote() noexcept {
+FleetNames::~FleetNames() noexcept {
 }
 
 
-void ReleaseNote::__set_author(const std::string& val) {
-  this->author = val;
-}
-
-void ReleaseNote::__set_against(const int64_t val) {
-  this->against = val;
-}
-
-void ReleaseNote::__set_entries(const FleetEntries& val) {
-  this->entries = val;
-}
-
-void ReleaseNote::__set_withdrawnOrganisations(const std::vector<std::string> & val) {
-  this->withdrawnOrganisations = val;
+void FleetNames::__set_organisations(const std::vector<std::string> & val) {
+  this->organisations = val;
 }
 
-void ReleaseNote::__set_withdrawnModels(const std::vector<std::string> & val) {
-  this->withdrawnModels = val;
+void FleetNames::__set_models(const std::vector<std::string> & val) {
+  this->models = val;
 }
 
-void ReleaseNote::__set_withdrawnDomains(const std::vector<std::string> & val) {
-  this->withdrawnDomains = val;
+void FleetNames::__set_domains(const std::vector<std::string> & val) {
+  this->domains = val;
 }
 
-void ReleaseNote::__set_withdrawnServers(const std::vector<std::string> & val) {
-  this->withdrawnServers = val;
+void FleetNames::__set_servers(const std::vector<std::string> & val) {
+  this->servers = val;
 }
 
-void ReleaseNote::__set_withdrawnServices(const std::vector<std::string> & val) {
-  this->withdrawnServices = val;
+void FleetNames::__set_services(const std::vector<std::string> & val) {
+  this->services = val;
 }
-std::ostream& operator<<(std::ostream& out, const ReleaseNote& obj)
+std::ostream& operator<<(std::ostream& out, const FleetNames& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ReleaseNote::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t FleetNames::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1314,125 +1302,101 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->author);
-          this->__isset.author = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->against);
-          this->__isset.against = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->entries.read(iprot);
-          this->__isset.entries = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->withdrawnOrganisations.clear();
+            this->organisations.clear();
             uint32_t _size67;
             ::apache::thrift::protocol::TType _etype70;
             xfer += iprot->readListBegin(_etype70, _size67);
-            this->withdrawnOrganisations.resize(_size67);
+            this->organisations.resize(_size67);
             uint32_t _i71;
             for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              xfer += iprot->readString(this->withdrawnOrganisations[_i71]);
+              xfer += iprot->readString(this->organisations[_i71]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.withdrawnOrganisations = true;
+          this->__isset.organisations = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->withdrawnModels.clear();
+            this->models.clear();
             uint32_t _size72;
             ::apache::thrift::protocol::TType _etype75;
             xfer += iprot->readListBegin(_etype75, _size72);
-            this->withdrawnModels.resize(_size72);
+            this->models.resize(_size72);
             uint32_t _i76;
             for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += iprot->readString(this->withdrawnModels[_i76]);
+              xfer += iprot->readString(this->models[_i76]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.withdrawnModels = true;
+          this->__isset.models = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->withdrawnDomains.clear();
+            this->domains.clear();
             uint32_t _size77;
             ::apache::thrift::protocol::TType _etype80;
             xfer += iprot->readListBegin(_etype80, _size77);
-            this->withdrawnDomains.resize(_size77);
+            this->domains.resize(_size77);
             uint32_t _i81;
             for (_i81 = 0; _i81 < _size77; ++_i81)
             {
-              xfer += iprot->readString(this->withdrawnDomains[_i81]);
+              xfer += iprot->readString(this->domains[_i81]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.withdrawnDomains = true;
+          this->__isset.domains = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->withdrawnServers.clear();
+            this->servers.clear();
             uint32_t _size82;
             ::apache::thrift::protocol::TType _etype85;
             xfer += iprot->readListBegin(_etype85, _size82);
-            this->withdrawnServers.resize(_size82);
+            this->servers.resize(_size82);
             uint32_t _i86;
             for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += iprot->readString(this->withdrawnServers[_i86]);
+              xfer += iprot->readString(this->servers[_i86]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.withdrawnServers = true;
+          this->__isset.servers = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->withdrawnServices.clear();
+            this->services.clear();
             uint32_t _size87;
             ::apache::thrift::protocol::TType _etype90;
             xfer += iprot->readListBegin(_etype90, _size87);
-            this->withdrawnServices.resize(_size87);
+            this->services.resize(_size87);
             uint32_t _i91;
             for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += iprot->readString(this->withdrawnServices[_i91]);
+              xfer += iprot->readString(this->services[_i91]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.withdrawnServices = true;
+          this->__isset.services = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1449,28 +1413,16 @@
   return xfer;
 }
 
-uint32_t ReleaseNote::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t FleetNames::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ReleaseNote");
-
-  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->author);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("against", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->against);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->entries.write(oprot);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("FleetNames");
 
-  xfer += oprot->writeFieldBegin("withdrawnOrganisations", ::apache::thrift::protocol::T_LIST, 4);
+  xfer += oprot->writeFieldBegin("organisations", ::apache::thrift::protocol::T_LIST, 1);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->withdrawnOrganisations.size()));
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->organisations.size()));
     std::vector<std::string> ::const_iterator _iter92;
-    for (_iter92 = this->withdrawnOrganisations.begin(); _iter92 != this->withdrawnOrganisations.end(); ++_iter92)
+    for (_iter92 = this->organisations.begin(); _iter92 != this->organisations.end(); ++_iter92)
     {
       xfer += oprot->writeString((*_iter92));
     }
@@ -1478,11 +1430,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("withdrawnModels", ::apache::thrift::protocol::T_LIST, 5);
+  xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->withdrawnModels.size()));
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
     std::vector<std::string> ::const_iterator _iter93;
-    for (_iter93 = this->withdrawnModels.begin(); _iter93 != this->withdrawnModels.end(); ++_iter93)
+    for (_iter93 = this->models.begin(); _iter93 != this->models.end(); ++_iter93)
     {
       xfer += oprot->writeString((*_iter93));
     }
@@ -1490,11 +1442,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("withdrawnDomains", ::apache::thrift::protocol::T_LIST, 6);
+  xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_LIST, 3);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->withdrawnDomains.size()));
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
     std::vector<std::string> ::const_iterator _iter94;
-    for (_iter94 = this->withdrawnDomains.begin(); _iter94 != this->withdrawnDomains.end(); ++_iter94)
+    for (_iter94 = this->domains.begin(); _iter94 != this->domains.end(); ++_iter94)
     {
       xfer += oprot->writeString((*_iter94));
     }
@@ -1502,11 +1454,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("withdrawnServers", ::apache::thrift::protocol::T_LIST, 7);
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->withdrawnServers.size()));
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->servers.size()));
     std::vector<std::string> ::const_iterator _iter95;
-    for (_iter95 = this->withdrawnServers.begin(); _iter95 != this->withdrawnServers.end(); ++_iter95)
+    for (_iter95 = this->servers.begin(); _iter95 != this->servers.end(); ++_iter95)
     {
       xfer += oprot->writeString((*_iter95));
     }
@@ -1514,11 +1466,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("withdrawnServices", ::apache::thrift::protocol::T_LIST, 8);
+  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 5);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->withdrawnServices.size()));
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->services.size()));
     std::vector<std::string> ::const_iterator _iter96;
-    for (_iter96 = this->withdrawnServices.begin(); _iter96 != this->withdrawnServices.end(); ++_iter96)
+    for (_iter96 = this->services.begin(); _iter96 != this->services.end(); ++_iter96)
     {
       xfer += oprot->writeString((*_iter96));
     }
@@ -1531,40 +1483,203 @@
   return xfer;
 }
 
+void swap(FleetNames &a, FleetNames &b) {
+  using ::std::swap;
+  swap(a.organisations, b.organisations);
+  swap(a.models, b.models);
+  swap(a.domains, b.domains);
+  swap(a.servers, b.servers);
+  swap(a.services, b.services);
+  swap(a.__isset, b.__isset);
+}
+
+FleetNames::FleetNames(const FleetNames& other97) {
+  organisations = other97.organisations;
+  models = other97.models;
+  domains = other97.domains;
+  servers = other97.servers;
+  services = other97.services;
+  __isset = other97.__isset;
+}
+FleetNames& FleetNames::operator=(const FleetNames& other98) {
+  organisations = other98.organisations;
+  models = other98.models;
+  domains = other98.domains;
+  servers = other98.servers;
+  services = other98.services;
+  __isset = other98.__isset;
+  return *this;
+}
+void FleetNames::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FleetNames(";
+  out << "organisations=" << to_string(organisations);
+  out << ", " << "models=" << to_string(models);
+  out << ", " << "domains=" << to_string(domains);
+  out << ", " << "servers=" << to_string(servers);
+  out << ", " << "services=" << to_string(services);
+  out << ")";
+}
+
+
+ReleaseNote::~ReleaseNote() noexcept {
+}
+
+
+void ReleaseNote::__set_author(const std::string& val) {
+  this->author = val;
+}
+
+void ReleaseNote::__set_against(const int64_t val) {
+  this->against = val;
+}
+
+void ReleaseNote::__set_added(const FleetEntries& val) {
+  this->added = val;
+}
+
+void ReleaseNote::__set_changed(const FleetEntries& val) {
+  this->changed = val;
+}
+
+void ReleaseNote::__set_withdrawn(const FleetNames& val) {
+  this->withdrawn = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReleaseNote& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ReleaseNote::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->against);
+          this->__isset.against = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->added.read(iprot);
+          this->__isset.added = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->changed.read(iprot);
+          this->__isset.changed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->withdrawn.read(iprot);
+          this->__isset.withdrawn = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReleaseNote::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReleaseNote");
+
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("against", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->against);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("added", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->added.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->changed.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("withdrawn", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->withdrawn.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
 void swap(ReleaseNote &a, ReleaseNote &b) {
   using ::std::swap;
   swap(a.author, b.author);
   swap(a.against, b.against);
-  swap(a.entries, b.entries);
-  swap(a.withdrawnOrganisations, b.withdrawnOrganisations);
-  swap(a.withdrawnModels, b.withdrawnModels);
-  swap(a.withdrawnDomains, b.withdrawnDomains);
-  swap(a.withdrawnServers, b.withdrawnServers);
-  swap(a.withdrawnServices, b.withdrawnServices);
+  swap(a.added, b.added);
+  swap(a.changed, b.changed);
+  swap(a.withdrawn, b.withdrawn);
   swap(a.__isset, b.__isset);
 }
 
-ReleaseNote::ReleaseNote(const ReleaseNote& other97) {
-  author = other97.author;
-  against = other97.against;
-  entries = other97.entries;
-  withdrawnOrganisations = other97.withdrawnOrganisations;
-  withdrawnModels = other97.withdrawnModels;
-  withdrawnDomains = other97.withdrawnDomains;
-  withdrawnServers = other97.withdrawnServers;
-  withdrawnServices = other97.withdrawnServices;
-  __isset = other97.__isset;
+ReleaseNote::ReleaseNote(const ReleaseNote& other99) {
+  author = other99.author;
+  against = other99.against;
+  added = other99.added;
+  changed = other99.changed;
+  withdrawn = other99.withdrawn;
+  __isset = other99.__isset;
 }
-ReleaseNote& ReleaseNote::operator=(const ReleaseNote& other98) {
-  author = other98.author;
-  against = other98.against;
-  entries = other98.entries;
-  withdrawnOrganisations = other98.withdrawnOrganisations;
-  withdrawnModels = other98.withdrawnModels;
-  withdrawnDomains = other98.withdrawnDomains;
-  withdrawnServers = other98.withdrawnServers;
-  withdrawnServices = other98.withdrawnServices;
-  __isset = other98.__isset;
+ReleaseNote& ReleaseNote::operator=(const ReleaseNote& other100) {
+  author = other100.author;
+  against = other100.against;
+  added = other100.added;
+  changed = other100.changed;
+  withdrawn = other100.withdrawn;
+  __isset = other100.__isset;
   return *this;
 }
 void ReleaseNote::printTo(std::ostream& out) const {
@@ -1572,12 +1687,9 @@
   out << "ReleaseNote(";
   out << "author=" << to_string(author);
   out << ", " << "against=" << to_string(against);
-  out << ", " << "entries=" << to_string(entries);
-  out << ", " << "withdrawnOrganisations=" << to_string(withdrawnOrganisations);
-  out << ", " << "withdrawnModels=" << to_string(withdrawnModels);
-  out << ", " << "withdrawnDomains=" << to_string(withdrawnDomains);
-  out << ", " << "withdrawnServers=" << to_string(withdrawnServers);
-  out << ", " << "withdrawnServices=" << to_string(withdrawnServices);
+  out << ", " << "added=" << to_string(added);
+  out << ", " << "changed=" << to_string(changed);
+  out << ", " << "withdrawn=" << to_string(withdrawn);
   out << ")";
 }
 
@@ -1674,15 +1786,15 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordId::RecordId(const RecordId& other99) {
-  writer = other99.writer;
-  sequence = other99.sequence;
-  __isset = other99.__isset;
+RecordId::RecordId(const RecordId& other101) {
+  writer = other101.writer;
+  sequence = other101.sequence;
+  __isset = other101.__isset;
 }
-RecordId& RecordId::operator=(const RecordId& other100) {
-  writer = other100.writer;
-  sequence = other100.sequence;
-  __isset = other100.__isset;
+RecordId& RecordId::operator=(const RecordId& other102) {
+  writer = other102.writer;
+  sequence = other102.sequence;
+  __isset = other102.__isset;
   return *this;
 }
 void RecordId::printTo(std::ostream& out) const {
@@ -1799,9 +1911,9 @@
         break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast101;
-          xfer += iprot->readI32(ecast101);
-          this->verdict = static_cast<NoteVerdict>(ecast101);
+          int32_t ecast103;
+          xfer += iprot->readI32(ecast103);
+          this->verdict = static_cast<NoteVerdict>(ecast103);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1890,27 +2002,27 @@
   swap(a.__isset, b.__isset);
 }
 
-NoteOutcome::NoteOutcome(const NoteOutcome& other102) {
-  id = other102.id;
-  offset = other102.offset;
-  atMs = other102.atMs;
-  author = other102.author;
-  against = other102.against;
-  verdict = other102.verdict;
-  revision = other102.revision;
-  reason = other102.reason;
-  __isset = other102.__isset;
-}
-NoteOutcome& NoteOutcome::operator=(const NoteOutcome& other103) {
-  id = other103.id;
-  offset = other103.offset;
-  atMs = other103.atMs;
-  author = other103.author;
-  against = other103.against;
-  verdict = other103.verdict;
-  revision = other103.revision;
-  reason = other103.reason;
-  __isset = other103.__isset;
+NoteOutcome::NoteOutcome(const NoteOutcome& other104) {
+  id = other104.id;
+  offset = other104.offset;
+  atMs = other104.atMs;
+  author = other104.author;
+  against = other104.against;
+  verdict = other104.verdict;
+  revision = other104.revision;
+  reason = other104.reason;
+  __isset = other104.__isset;
+}
+NoteOutcome& NoteOutcome::operator=(const NoteOutcome& other105) {
+  id = other105.id;
+  offset = other105.offset;
+  atMs = other105.atMs;
+  author = other105.author;
+  against = other105.against;
+  verdict = other105.verdict;
+  revision = other105.revision;
+  reason = other105.reason;
+  __isset = other105.__isset;
   return *this;
 }
 void NoteOutcome::printTo(std::ostream& out) const {
@@ -1979,14 +2091,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->outcomes.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->outcomes.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->outcomes.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
             {
-              xfer += this->outcomes[_i108].read(iprot);
+              xfer += this->outcomes[_i110].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2019,10 +2131,10 @@
   xfer += oprot->writeFieldBegin("outcomes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->outcomes.size()));
-    std::vector<NoteOutcome> ::const_iterator _iter109;
-    for (_iter109 = this->outcomes.begin(); _iter109 != this->outcomes.end(); ++_iter109)
+    std::vector<NoteOutcome> ::const_iterator _iter111;
+    for (_iter111 = this->outcomes.begin(); _iter111 != this->outcomes.end(); ++_iter111)
     {
-      xfer += (*_iter109).write(oprot);
+      xfer += (*_iter111).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2040,15 +2152,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotContent::SnapshotContent(const SnapshotContent& other110) {
-  entries = other110.entries;
-  outcomes = other110.outcomes;
-  __isset = other110.__isset;
+SnapshotContent::SnapshotContent(const SnapshotContent& other112) {
+  entries = other112.entries;
+  outcomes = other112.outcomes;
+  __isset = other112.__isset;
 }
-SnapshotContent& SnapshotContent::operator=(const SnapshotContent& other111) {
-  entries = other111.entries;
-  outcomes = other111.outcomes;
-  __isset = other111.__isset;
+SnapshotContent& SnapshotContent::operator=(const SnapshotContent& other113) {
+  entries = other113.entries;
+  outcomes = other113.outcomes;
+  __isset = other113.__isset;
   return *this;
 }
 void SnapshotContent::printTo(std::ostream& out) const {
@@ -2271,29 +2383,29 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotPart::SnapshotPart(const SnapshotPart& other112) {
-  index = other112.index;
-  count = other112.count;
-  covers = other112.covers;
-  digest = other112.digest;
-  revision = other112.revision;
-  author = other112.author;
-  offset = other112.offset;
-  atMs = other112.atMs;
-  content = other112.content;
-  __isset = other112.__isset;
-}
-SnapshotPart& SnapshotPart::operator=(const SnapshotPart& other113) {
-  index = other113.index;
-  count = other113.count;
-  covers = other113.covers;
-  digest = other113.digest;
-  revision = other113.revision;
-  author = other113.author;
-  offset = other113.offset;
-  atMs = other113.atMs;
-  content = other113.content;
-  __isset = other113.__isset;
+SnapshotPart::SnapshotPart(const SnapshotPart& other114) {
+  index = other114.index;
+  count = other114.count;
+  covers = other114.covers;
+  digest = other114.digest;
+  revision = other114.revision;
+  author = other114.author;
+  offset = other114.offset;
+  atMs = other114.atMs;
+  content = other114.content;
+  __isset = other114.__isset;
+}
+SnapshotPart& SnapshotPart::operator=(const SnapshotPart& other115) {
+  index = other115.index;
+  count = other115.count;
+  covers = other115.covers;
+  digest = other115.digest;
+  revision = other115.revision;
+  author = other115.author;
+  offset = other115.offset;
+  atMs = other115.atMs;
+  content = other115.content;
+  __isset = other115.__isset;
   return *this;
 }
 void SnapshotPart::printTo(std::ostream& out) const {
@@ -2351,14 +2463,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->parts.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->parts.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
             {
-              xfer += iprot->readBinary(this->parts[_i118]);
+              xfer += iprot->readBinary(this->parts[_i120]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2387,10 +2499,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->parts.size()));
-    std::vector<std::string> ::const_iterator _iter119;
-    for (_iter119 = this->parts.begin(); _iter119 != this->parts.end(); ++_iter119)
+    std::vector<std::string> ::const_iterator _iter121;
+    for (_iter121 = this->parts.begin(); _iter121 != this->parts.end(); ++_iter121)
     {
-      xfer += oprot->writeBinary((*_iter119));
+      xfer += oprot->writeBinary((*_iter121));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2407,13 +2519,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigState::ConfigState(const ConfigState& other120) {
-  parts = other120.parts;
-  __isset = other120.__isset;
+ConfigState::ConfigState(const ConfigState& other122) {
+  parts = other122.parts;
+  __isset = other122.__isset;
 }
-ConfigState& ConfigState::operator=(const ConfigState& other121) {
-  parts = other121.parts;
-  __isset = other121.__isset;
+ConfigState& ConfigState::operator=(const ConfigState& other123) {
+  parts = other123.parts;
+  __isset = other123.__isset;
   return *this;
 }
 void ConfigState::printTo(std::ostream& out) const {
--- a/packages/wire/gen-cpp/config_types.h
+++ b/packages/wire/gen-cpp/config_types.h
@@ -57,6 +57,8 @@
 
 class FleetEntries;
 
+class FleetNames;
+
 class ReleaseNote;
 
 class RecordId;
@@ -476,16 +478,79 @@
 
 std::ostream& operator<<(std::ostream& out, const FleetEntries& obj);
 
+typedef struct _FleetNames__isset {
+  _FleetNames__isset() : organisations(false), models(false), domains(false), servers(false), services(false) {}
+  bool organisations :1;
+  bool models :1;
+  bool domains :1;
+  bool servers :1;
+  bool services :1;
+} _FleetNames__isset;
+
+class FleetNames : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetNames(const FleetNames&);
+  FleetNames& operator=(const FleetNames&);
+  FleetNames() noexcept {
+  }
+
+  virtual ~FleetNames() noexcept;
+  std::vector<std::string>  organisations;
+  std::vector<std::string>  models;
+  std::vector<std::string>  domains;
+  std::vector<std::string>  servers;
+  std::vector<std::string>  services;
+
+  _FleetNames__isset __isset;
+
+  void __set_organisations(const std::vector<std::string> & val);
+
+  void __set_models(const std::vector<std::string> & val);
+
+  void __set_domains(const std::vector<std::string> & val);
+
+  void __set_servers(const std::vector<std::string> & val);
+
+  void __set_services(const std::vector<std::string> & val);
+
+  bool operator == (const FleetNames & rhs) const
+  {
+    if (!(organisations == rhs.organisations))
+      return false;
+    if (!(models == rhs.models))
+      return false;
+    if (!(domains == rhs.domains))
+      return false;
+    if (!(servers == rhs.servers))
+      return false;
+    if (!(services == rhs.services))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetNames &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetNames & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetNames &a, FleetNames &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetNames& obj);
+
 typedef struct _ReleaseNote__isset {
-  _ReleaseNote__isset() : author(false), against(false), entries(false), withdrawnOrganisations(false), withdrawnModels(false), withdrawnDomains(false), withdrawnServers(false), withdrawnServices(false) {}
+  _ReleaseNote__isset() : author(false), against(false), added(false), changed(false), withdrawn(false) {}
   bool author :1;
   bool against :1;
-  bool entries :1;
-  bool withdrawnOrganisations :1;
-  bool withdrawnModels :1;
-  bool withdrawnDomains :1;
-  bool withdrawnServers :1;
-  bool withdrawnServices :1;
+  bool added :1;
+  bool changed :1;
+  bool withdrawn :1;
 } _ReleaseNote__isset;
 
 class ReleaseNote : public virtual ::apache::thrift::TBase {
@@ -501,12 +566,9 @@
   virtual ~ReleaseNote() noexcept;
   std::string author;
   int64_t against;
-  FleetEntries entries;
-  std::vector<std::string>  withdrawnOrganisations;
-  std::vector<std::string>  withdrawnModels;
-  std::vector<std::string>  withdrawnDomains;
-  std::vector<std::string>  withdrawnServers;
-  std::vector<std::string>  withdrawnServices;
+  FleetEntries added;
+  FleetEntries changed;
+  FleetNames withdrawn;
 
   _ReleaseNote__isset __isset;
 
@@ -514,17 +576,11 @@
 
   void __set_against(const int64_t val);
 
-  void __set_entries(const FleetEntries& val);
-
-  void __set_withdrawnOrganisations(const std::vector<std::string> & val);
-
-  void __set_withdrawnModels(const std::vector<std::string> & val);
+  void __set_added(const FleetEntries& val);
 
-  void __set_withdrawnDomains(const std::vector<std::string> & val);
+  void __set_changed(const FleetEntries& val);
 
-  void __set_withdrawnServers(const std::vector<std::string> & val);
-
-  void __set_withdrawnServices(const std::vector<std::string> & val);
+  void __set_withdrawn(const FleetNames& val);
 
   bool operator == (const ReleaseNote & rhs) const
   {
@@ -532,17 +588,11 @@
       return false;
     if (!(against == rhs.against))
       return false;
-    if (!(entries == rhs.entries))
-      return false;
-    if (!(withdrawnOrganisations == rhs.withdrawnOrganisations))
-      return false;
-    if (!(withdrawnModels == rhs.withdrawnModels))
-      return false;
-    if (!(withdrawnDomains == rhs.withdrawnDomains))
+    if (!(added == rhs.added))
       return false;
-    if (!(withdrawnServers == rhs.withdrawnServers))
+    if (!(changed == rhs.changed))
       return false;
-    if (!(withdrawnServices == rhs.withdrawnServices))
+    if (!(withdrawn == rhs.withdrawn))
       return false;
     return true;
   }
--- a/packages/wire/idl/config.thrift
+++ b/packages/wire/idl/config.thrift
@@ -52,16 +52,21 @@
   5: list<PlainService> services,
 }
 
+struct FleetNames {
+  1: list<string> organisations,
+  2: list<string> models,
+  3: list<string> domains,
+  4: list<string> servers,
+  5: list<string> services,
+}
+
 // Body of a record of kind "note" in the stream "config".
 struct ReleaseNote {
   1: string author,
   2: i64 against,
-  3: FleetEntries entries,
-  4: list<string> withdrawnOrganisations,
-  5: list<string> withdrawnModels,
-  6: list<string> withdrawnDomains,
-  7: list<string> withdrawnServers,
-  8: list<string> withdrawnServices,
+  3: FleetEntries added,
+  4: FleetEntries changed,
+  5: FleetNames withdrawn,
 }
 
 struct RecordId {
--- a/packages/wire/src/config_codec.cpp
+++ b/packages/wire/src/config_codec.cpp
@@ -199,37 +199,40 @@
     });
 }
 
+gen::FleetNames pack(const FleetNames &names)
+{
+    gen::FleetNames packed;
+    packed.organisations = names.organisations;
+    packed.models = names.models;
+    packed.domains = names.domains;
+    packed.servers = names.servers;
+    packed.services = names.services;
+    return packed;
+}
+
+FleetNames unpack(const gen::FleetNames &packed)
+{
+    return {packed.organisations, packed.models, packed.domains, packed.servers, packed.services};
+}
+
 gen::ReleaseNote pack(const ReleaseNote &note)
 {
     gen::ReleaseNote packed;
     packed.author = note.author;
     packed.against = static_cast<std::int64_t>(note.against);
-    packed.entries = pack(FleetEntries {note.organisations, note.models, note.domains, note.servers, note.services});
-    packed.withdrawnOrganisations = note.withdrawnOrganisations;
-    packed.withdrawnModels = note.withdrawnModels;
-    packed.withdrawnDomains = note.withdrawnDomains;
-    packed.withdrawnServers = note.withdrawnServers;
-    packed.withdrawnServices = note.withdrawnServices;
+    packed.added = pack(note.added);
+    packed.changed = pack(note.changed);
+    packed.withdrawn = pack(note.withdrawn);
     return packed;
 }
 
 ReleaseNote unpack(const gen::ReleaseNote &packed)
 {
-    FleetEntries entries = unpack(packed.entries);
-    ReleaseNote note;
-    note.author = packed.author;
-    note.against = static_cast<std::uint64_t>(packed.against);
-    note.organisations = std::move(entries.organisations);
-    note.models = std::move(entries.models);
-    note.domains = std::move(entries.domains);
-    note.servers = std::move(entries.servers);
-    note.services = std::move(entries.services);
-    note.withdrawnOrganisations = packed.withdrawnOrganisations;
-    note.withdrawnModels = packed.withdrawnModels;
-    note.withdrawnDomains = packed.withdrawnDomains;
-    note.withdrawnServers = packed.withdrawnServers;
-    note.withdrawnServices = packed.withdrawnServices;
-    return note;
+    return {packed.author,
+            static_cast<std::uint64_t>(packed.against),
+            unpack(packed.added),
+            unpack(packed.changed),
+            unpack(packed.withdrawn)};
 }
 
 gen::SnapshotPart pack(const SnapshotPart &part)
@@ -298,7 +301,7 @@
 Result<ConfigRecord> decodeNote(const RecordId &id, const std::string &body)
 {
     const auto packed = decodeThrift<gen::ReleaseNote>(body);
-    if (!packed || !isKnown(packed->entries)) {
+    if (!packed || !isKnown(packed->added) || !isKnown(packed->changed)) {
         return unreadable("no release note");
     }
     return ConfigRecord(NoteRecord {id, unpack(*packed)});
--- a/tests/core/config_fold.cpp
+++ b/tests/core/config_fold.cpp
@@ -31,7 +31,7 @@
     ReleaseNote note = noteOf(author, against);
     Organisation organisation;
     organisation.name = name;
-    note.organisations.push_back(organisation);
+    note.added.organisations.push_back(organisation);
     return note;
 }
 
@@ -66,35 +66,43 @@
 }
 
 // Random notes over a handful of names, so that conflicts, refusals and withdrawals are common.
-ReleaseNote randomNote(std::uint64_t revision)
+ReleaseNote randomNote(const Fleet &fleet)
 {
     const auto name = [](const char *kind) { return kind + std::to_string(*rc::gen::inRange(0, 4)); };
     const bool isCurrent = *rc::gen::inRange(0, 4) != 0;
-    ReleaseNote note
-        = noteOf(name("author-"), isCurrent ? revision : *rc::gen::inRange<std::uint64_t>(0, revision + 2));
+    const bool isRight = *rc::gen::inRange(0, 8) != 0;
+    const auto revision = isCurrent ? fleet.revision : *rc::gen::inRange<std::uint64_t>(0, fleet.revision + 2);
+    ReleaseNote note = noteOf(name("author-"), revision);
+    const auto add = [&note, isRight](auto list, const auto &inForce, const auto &entry) {
+        ((inForce.contains(entry.name) == isRight ? note.changed : note.added).*list).push_back(entry);
+    };
     switch (*rc::gen::inRange(0, 8)) {
     case 0:
-        note.models.push_back({name("m"), name("v"), ""});
+        add(&FleetEntries::models, fleet.models, Model {name("m"), name("v"), ""});
         break;
-    case 1:
-        note.domains.push_back(
-            {name("d"), "fi", *rc::gen::inRange(0, 2) == 0 ? Service::InService : Service::TakenOut});
+    case 1: {
+        const auto service = *rc::gen::inRange(0, 2) == 0 ? Service::InService : Service::TakenOut;
+        add(&FleetEntries::domains, fleet.domains, FailureDomain {name("d"), "fi", service});
         break;
+    }
     case 2:
-        note.servers.push_back({name("s"), ServerKind::Runner, "10.0.0.1:" + name("80"), name("d"), name("m")});
+        add(&FleetEntries::servers,
+            fleet.servers,
+            BackendServer {name("s"), ServerKind::Runner, "10.0.0.1:" + name("80"), name("d"), name("m")});
         break;
     case 3:
-        note.services.push_back({name("p"), {"/a", "/b"}});
+        add(&FleetEntries::services, fleet.services, PlainService {name("p"), {"/a", "/b"}});
         break;
     case 4:
-        note.withdrawnModels.push_back(name("m"));
+        note.withdrawn.models.push_back(name("m"));
         break;
     case 5:
-        note.withdrawnOrganisations.push_back(name("o"));
+        note.withdrawn.organisations.push_back(name("o"));
         break;
     default:
-        note.organisations.push_back(
-            {name("o"), {sha256Hex(name("k"))}, {name("m")}, {}, {*rc::gen::inRange(1U, 5U), 1}});
+        add(&FleetEntries::organisations,
+            fleet.organisations,
+            Organisation {name("o"), {sha256Hex(name("k"))}, {name("m")}, {}, {*rc::gen::inRange(1U, 5U), 1}});
         break;
     }
     return note;
@@ -123,7 +131,7 @@
         } else if (kind == 2) {
             log.records.emplace_back("not a record");
         } else {
-            written.push_back({{"cli", static_cast<std::uint64_t>(step)}, randomNote(writer.fleet().revision)});
+            written.push_back({{"cli", static_cast<std::uint64_t>(step)}, randomNote(writer.fleet())});
             log.append(written.back());
         }
         log.feedAll(writer);
@@ -170,7 +178,7 @@
 {
     ConfigFold fold;
     ReleaseNote note = organisationNote(0, "puu");
-    note.organisations[0].models = {"puhuja"};
+    note.added.organisations[0].models = {"puhuja"};
     fold.apply(0, timeAt(0), NoteRecord {{"a", 1}, note});
     CHECK(fold.fleet() == Fleet {});
     CHECK(fold.outcomeOf({"a", 1})->verdict == NoteVerdict::Refused);
@@ -182,36 +190,49 @@
     ConfigFold fold;
     const std::string key = sha256Hex("key");
     ReleaseNote first = organisationNote(0, "puu");
-    first.organisations[0].keyDigests = {key};
+    first.added.organisations[0].keyDigests = {key};
     fold.apply(0, timeAt(0), NoteRecord {{"a", 1}, first});
     ReleaseNote second = organisationNote(1, "torun");
-    second.organisations[0].keyDigests = {key};
+    second.added.organisations[0].keyDigests = {key};
     fold.apply(1, timeAt(1), NoteRecord {{"a", 2}, second});
     CHECK(fold.fleet().revision == 1);
     CHECK(fold.table().organisationOfKey(key)->name == "puu");
-    second.organisations.push_back({"puu", {}, {}, {}, {}});
+    second.changed.organisations.push_back({"puu", {}, {}, {}, {}});
     fold.apply(2, timeAt(2), NoteRecord {{"a", 3}, second});
     CHECK(fold.fleet().revision == 2);
     CHECK(fold.table().organisationOfKey(key)->name == "torun");
 }
 
+TEST_CASE("what is added must be new and what is changed must exist")
+{
+    ConfigFold fold;
+    ReleaseNote note = organisationNote(0, "puu");
+    std::swap(note.added, note.changed);
+    fold.apply(0, timeAt(0), NoteRecord {{"a", 1}, note});
+    CHECK(fold.outcomeOf({"a", 1})->reason == "organisation 'puu' is changed but unknown");
+    fold.apply(1, timeAt(1), NoteRecord {{"a", 2}, organisationNote(0, "puu")});
+    CHECK(fold.fleet().revision == 1);
+    fold.apply(2, timeAt(2), NoteRecord {{"a", 3}, organisationNote(1, "puu")});
+    CHECK(fold.outcomeOf({"a", 3})->reason == "organisation 'puu' is added but in force");
+}
+
 TEST_CASE("what is in use cannot be withdrawn")
 {
     ConfigFold fold;
     ReleaseNote first = noteOf("anna", 0);
-    first.models.push_back({"puhuja", "v1", ""});
-    first.domains.push_back({"hame-a", "fi", Service::InService});
-    first.servers.push_back({"r1", ServerKind::Runner, "10.0.0.1:80", "hame-a", "puhuja"});
+    first.added.models.push_back({"puhuja", "v1", ""});
+    first.added.domains.push_back({"hame-a", "fi", Service::InService});
+    first.added.servers.push_back({"r1", ServerKind::Runner, "10.0.0.1:80", "hame-a", "puhuja"});
     fold.apply(0, timeAt(0), NoteRecord {{"a", 1}, first});
     REQUIRE(fold.fleet().revision == 1);
     ReleaseNote second = noteOf("anna", 1);
-    second.withdrawnDomains = {"hame-a"};
-    second.withdrawnModels = {"puhuja"};
+    second.withdrawn.domains = {"hame-a"};
+    second.withdrawn.models = {"puhuja"};
     fold.apply(1, timeAt(1), NoteRecord {{"a", 2}, second});
     CHECK(fold.outcomeOf({"a", 2})->reason
           == "model 'puhuja' is withdrawn but used by 1 others; failure domain 'hame-a' is withdrawn but used by 1 "
              "others");
-    second.withdrawnServers = {"r1"};
+    second.withdrawn.servers = {"r1"};
     fold.apply(2, timeAt(2), NoteRecord {{"a", 3}, second});
     CHECK(fold.fleet().revision == 2);
     CHECK(fold.fleet().models.empty());
@@ -220,13 +241,13 @@
 TEST_CASE("records in any form survive the codec")
 {
     CHECK(rc::check([] {
-        const NoteRecord record {{"w", *rc::gen::arbitrary<std::uint64_t>()}, randomNote(5)};
+        const NoteRecord record {{"w", *rc::gen::arbitrary<std::uint64_t>()}, randomNote(Fleet {})};
         const auto decoded = decodeConfigRecord(encodeConfigRecord(record), SnapshotUse::Whole);
         RC_ASSERT(decoded.has_value());
         RC_ASSERT(std::get<NoteRecord>(decoded.value()) == record);
     }));
     CHECK(rc::check([] {
-        std::string bytes = encodeConfigRecord(NoteRecord {{"w", 1}, randomNote(5)});
+        std::string bytes = encodeConfigRecord(NoteRecord {{"w", 1}, randomNote(Fleet {})});
         bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size()));
         RC_ASSERT(!decodeConfigRecord(bytes, SnapshotUse::Whole).has_value());
     }));
@@ -311,7 +332,7 @@
     ConfigFold fold;
     ReleaseNote note = noteOf("anna", 0);
     for (int i = 0; i < 1000; ++i) {
-        note.organisations.push_back({"o" + std::to_string(i), {}, {}, {}, {}});
+        note.added.organisations.push_back({"o" + std::to_string(i), {}, {}, {}, {}});
     }
     fold.apply(0, timeAt(0), NoteRecord {{"a", 1}, note});
     const auto parts = fold.snapshot({"h", 1});
@@ -339,8 +360,11 @@
         ConfigFold fold;
         std::uint64_t oldest = 0;
         for (std::uint64_t step = 0; step < 60; ++step) {
-            log.append(
-                NoteRecord {{"cli", step}, organisationNote(fold.fleet().revision, "o" + std::to_string(step % 7))});
+            ReleaseNote note = organisationNote(fold.fleet().revision, "o" + std::to_string(step % 7));
+            if (step >= 7) {
+                std::swap(note.added, note.changed);
+            }
+            log.append(NoteRecord {{"cli", step}, note});
             log.feedAll(fold);
             oldest = log.records.size() - std::min<std::uint64_t>(kept, log.records.size());
             if (fold.needsSnapshot(oldest, timeAt(log.records.size()))) {
