--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -133,6 +133,13 @@
 constexpr std::size_t GossipPeersRemembered = 32;
 constexpr std::uint32_t RumourSendsMargin = 3;
 constexpr std::size_t LargeFleetHosts = 64;
+constexpr std::int32_t PeerProtocol = 1;
+constexpr std::size_t MaxPeerFrameBytes = 4 * 1024 * 1024;
+constexpr std::size_t MaxPeerQueueBytes = 8 * 1024 * 1024;
+constexpr std::size_t MaxPeerConnections = 1024;
+constexpr int PeerBacklog = 128;
+constexpr std::chrono::seconds PeerIdleBound = 30s;
+constexpr std::chrono::milliseconds PeerTimeout = 1500ms;
 constexpr std::size_t MaxServerNotes = 2048;
 constexpr std::size_t DigestsKept = 64;
 
@@ -171,9 +178,11 @@
 constexpr std::chrono::milliseconds RouteNearBestSlack = 2ms;
 constexpr std::chrono::milliseconds LoadReportLag = 100ms; ///< Age of a load report when it arrives, unless known.
 constexpr std::chrono::milliseconds LoadReportMemory = 1000ms; ///< Age at which a report has lost 63% of its weight.
+constexpr std::chrono::seconds LinkFactorMemory = 5s; ///< Time after which a link is no longer held to be slow.
 constexpr double RateSmoothing = 0.1; ///< Share of a new sample in a smoothed rate.
 constexpr double StartPrefillTokensPerSecond = 20'000.0;
 constexpr double StartImportBytesPerSecond = 50e6;
+constexpr double StartPieceBytes = 1e6;
 constexpr std::chrono::milliseconds StartRunTime = 1000ms;
 
 // Keeping pieces
@@ -192,6 +201,11 @@
 constexpr std::size_t AdmissionQueueBound = 512; ///< Requests that wait on one host for one model.
 constexpr std::uint32_t DecodeTokenCost = 50; ///< Prefill tokens that cost a runner as much as one answer token.
 constexpr std::chrono::milliseconds AdmissionPrefillWindow = 250ms; ///< Prefill work sent ahead to each runner.
+constexpr double AdmissionPrefillRuns = 1.0; ///< Typical prompts sent ahead to each runner.
+constexpr double AdmissionReserve = 2.0; ///< Capacity beyond the ordinary for organisations within their share.
+constexpr std::chrono::milliseconds AdmissionQueueTime = 2000ms; ///< Longer queues are cut at once.
+constexpr std::chrono::seconds AdmissionUseMemory = 10s; ///< Over which the use of an organisation is averaged.
+constexpr double AdmissionLightShare = 0.0625; ///< Share of a host's capacity below which an organisation is light.
 constexpr double AdmissionBorrowFactor = 2.0; ///< Times its share of idle capacity that one host may use.
 constexpr double RetryBudgetShare = 0.1; ///< Retries granted for each success.
 constexpr double RetryBudgetMax = 20.0;
--- a/packages/node/src/prompt_run.cpp
+++ b/packages/node/src/prompt_run.cpp
@@ -180,8 +180,7 @@
     request.prompt = this->job.request.prompt;
     request.pieces = this->pieces;
     // The list starts at the first piece: the runner passes over those that it does hold.
-    const std::size_t listed = choice.plan.importPieces > 0 ? choice.plan.hitPieces + choice.plan.importPieces : 0;
-    for (std::size_t i = 0; i < listed; ++i) {
+    for (std::size_t i = 0; i < choice.sourceCount; ++i) {
         const StoreCopy &source = choice.sources.at(i);
         request.imports.push_back({this->pieces.at(i), backends.store(source.store).address, source.generation});
         backends.pin(source, this->pieces.at(i), config::ImportPinTime);
@@ -199,8 +198,7 @@
     checkInvariant(Invariant::NoWorkForTakenOutDomain, backend.mayTakeWork, backend.name);
     ++backend.inFlight;
     this->firstTokenAfter = Duration::zero();
-    this->load
-        = backends.loads.onDispatch({this->server, choice.plan.recomputeTokens, choice.plan.links}, this->dispatchedAt);
+    this->load = backends.loads.onDispatch(dispatchOf(choice), this->dispatchedAt);
     this->run = this->context.engines.run(request, std::move(callbacks));
     this->observer.onPlanned(this->id, choice.plan.recomputeTokens);
     this->context.metrics.count("prompt_attempts");
@@ -271,7 +269,8 @@
     if (this->load.isValid()) {
         const std::uint64_t imported = summary.importedTokens > 0 ? this->decision.plan.importBytes : 0;
         backends.loads.onFirstToken(this->load,
-                                    {this->firstTokenAfter, summary.queueTime, summary.recomputedTokens, imported});
+                                    {this->firstTokenAfter, summary.queueTime, summary.recomputedTokens, imported},
+                                    this->dispatchedAt + this->firstTokenAfter);
     }
     if (summary.incarnation == backends.server(this->server).incarnation) {
         const DirectoryScope scope {
