--- a/packages/cli/src/main.cpp
+++ b/packages/cli/src/main.cpp
@@ -1,4 +1,25 @@
-int main()
+#include "command.h"
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+
+int main(int argc, char **argv)
 {
-    return 0;
+    std::signal(SIGPIPE, SIG_IGN);
+    CLI::App app {"Operates a set of endivespan hosts: checks and publishes release notes, and asks hosts what they do."};
+    app.require_subcommand(1);
+    int exitCode = endivespan::cli::ExitDone;
+    endivespan::cli::addCheck(app, exitCode);
+    endivespan::cli::addPublish(app, exitCode);
+    endivespan::cli::addStatus(app, exitCode);
+    endivespan::cli::addExplain(app, exitCode);
+    endivespan::cli::addKey(app, exitCode);
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError &problem) {
+        const bool isHelp = app.exit(problem) == 0;
+        return isHelp ? endivespan::cli::ExitDone : endivespan::cli::ExitBadInput;
+    }
+    return exitCode;
 }
--- /dev/null
+++ b/packages/cli/src/publisher.cpp
@@ -0,0 +1,144 @@
+#include "publisher.h"
+
+#include <endivespan/config.h>
+#include <endivespan/config_codec.h>
+
+#include <utility>
+
+namespace endivespan::cli {
+
+namespace {
+
+constexpr std::chrono::milliseconds RetryDelay {200};
+
+} // namespace
+
+Publisher::Publisher(Loop &loop,
+                     LogClient &log,
+                     NoteRecord record,
+                     std::chrono::milliseconds patience,
+                     std::function<void(const Publication &)> done)
+    : loop(loop)
+    , log(log)
+    , record(std::move(record))
+    , bytes(encodeConfigRecord(this->record))
+    , patience(patience)
+    , done(std::move(done))
+{
+}
+
+void Publisher::start()
+{
+    this->patienceTimer = this->loop.after(
+        this->patience, [this] { this->finish({std::nullopt, this->lastProblem, this->mayBeAppended}); });
+    this->read();
+}
+
+void Publisher::read()
+{
+    this->log.read(std::string(ConfigStream),
+                   this->state.readFrom(),
+                   config::ConfigurationReadRecords,
+                   std::chrono::milliseconds::zero(),
+                   [this](const Result<LogBatch> &result) { this->taken(result); });
+}
+
+void Publisher::taken(const Result<LogBatch> &result)
+{
+    if (this->isFinished) {
+        return;
+    }
+    if (!result) {
+        this->lastProblem = result.error().detail;
+        this->retry([this] { this->read(); });
+        return;
+    }
+    this->fold(result.value());
+    if (const NoteOutcome *outcome = this->state.outcomeOf(this->record.id)) {
+        this->finish({*outcome, "", true});
+    } else if (result.value().trimmed || this->state.readFrom() < result.value().end) {
+        this->read();
+    } else {
+        this->atEnd();
+    }
+}
+
+void Publisher::fold(const LogBatch &batch)
+{
+    if (batch.trimmed) {
+        this->state.startAt(batch.oldest);
+        return;
+    }
+    for (const LogRecord &entry : batch.records) {
+        const auto use = this->state.isContiguous() ? SnapshotUse::Head : SnapshotUse::Whole;
+        if (const auto decoded = decodeConfigRecord(entry.bytes, use)) {
+            this->state.apply(entry.offset, entry.at, decoded.value());
+        } else {
+            this->state.skip(entry.offset);
+        }
+    }
+}
+
+void Publisher::atEnd()
+{
+    if (!this->state.isContiguous()) {
+        this->lastProblem = "the log has dropped records and keeps no snapshot yet";
+        this->retry([this] { this->read(); });
+        return;
+    }
+    if (this->isAcknowledged) {
+        this->lastProblem = "the log has taken the note but does not show it";
+        this->retry([this] { this->read(); });
+        return;
+    }
+    // What could not be accepted now cannot be accepted further on either, since revisions only rise.
+    ConfigFold trial = this->state;
+    trial.apply(trial.readFrom(), {}, this->record);
+    const NoteOutcome *outcome = trial.outcomeOf(this->record.id);
+    if (outcome->verdict != NoteVerdict::Accepted) {
+        this->finish({*outcome, "", this->mayBeAppended});
+        return;
+    }
+    this->append();
+}
+
+void Publisher::append()
+{
+    this->log.append(std::string(ConfigStream), {this->bytes}, [this](const Result<LogAppendAck> &result) {
+        this->appended(result);
+    });
+}
+
+void Publisher::appended(const Result<LogAppendAck> &result)
+{
+    if (this->isFinished) {
+        return;
+    }
+    if (result) {
+        this->isAcknowledged = true;
+        this->mayBeAppended = true;
+        this->read();
+        return;
+    }
+    this->lastProblem = result.error().detail;
+    this->mayBeAppended = this->mayBeAppended || result.error().kind == ErrorKind::OutcomeUnknown;
+    this->retry([this] { this->read(); });
+}
+
+void Publisher::retry(std::function<void()> step)
+{
+    this->stepTimer = this->loop.after(RetryDelay, std::move(step));
+}
+
+void Publisher::finish(const Publication &publication)
+{
+    if (this->isFinished) {
+        return;
+    }
+    this->isFinished = true;
+    this->stepTimer.reset();
+    this->patienceTimer.reset();
+    this->done(publication);
+}
+
+} // namespace endivespan::cli
--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -64,6 +64,7 @@
 constexpr std::chrono::milliseconds ConfigurationBackoffMost = 1000ms;
 constexpr std::size_t MaxNoteBytes = 1024 * 1024;
 constexpr std::size_t MaxNoteReasonBytes = 512;
+constexpr std::size_t MaxAuthorBytes = 128;
 constexpr std::size_t NoteOutcomesKept = 1024;
 constexpr std::size_t DigestHistoryKept = 64;
 constexpr std::size_t MaxOrganisations = 65536;
--- a/packages/core/src/note_check.cpp
+++ b/packages/core/src/note_check.cpp
@@ -91,7 +91,7 @@
     {
         const bool empty = this->entries == FleetEntries {} && this->note.withdrawn == FleetNames {};
         this->require(!empty, "the note changes nothing");
-        this->require(!this->note.author.empty() && this->note.author.size() <= 128,
+        this->require(!this->note.author.empty() && this->note.author.size() <= config::MaxAuthorBytes,
                       "the note needs an author of 1 to 128 bytes");
     }
 
