--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -91,6 +91,26 @@
 constexpr std::size_t MaxShardAnswerBytes = 8 * 1024 * 1024;
 constexpr std::size_t MaxPendingSnapshots = 4;
 constexpr std::size_t ClaimSnapshotChunkBytes = 256 * 1024;
+constexpr std::chrono::milliseconds ClaimAppendGap = 50ms;
+constexpr std::size_t MaxClaimBatchRecords = 128;
+constexpr std::size_t MaxClaimBatchBytes = 512 * 1024;
+constexpr std::size_t MaxClaimsWaiting = 1024;
+constexpr std::size_t MaxClaimRecordsOwed = 4096;
+constexpr std::size_t MaxClaimBytesOwed = 4 * 1024 * 1024;
+constexpr std::chrono::milliseconds ClaimWaitLimit = 2500ms;
+constexpr std::chrono::milliseconds ClaimGrantLimit = 2000ms;
+constexpr std::chrono::milliseconds ClaimRetryDelay = 500ms;
+constexpr std::chrono::milliseconds ClaimInProgressRetry = 1000ms;
+constexpr std::chrono::milliseconds ClaimReadPeriod = 5000ms;
+constexpr std::chrono::minutes ClaimSnapshotPeriod = 10min;
+constexpr std::uint32_t ClaimLogFailuresUntilDown = 2;
+constexpr std::size_t ClaimReadRecords = 64;
+constexpr std::chrono::seconds ClaimStopLimit = 5s; ///< A stop waits this long for the log.
+constexpr double ClaimAppendsPerSecond = 200.0; ///< Of all hosts together.
+constexpr double ClaimAppendBurst = 8.0;
+constexpr std::size_t MaxIdempotencyKeyBytes = 255;
+constexpr std::uint32_t ServiceAttempts = 3;
+constexpr std::size_t MaxServiceHeaders = 64;
 
 // Membership and peer links
 constexpr std::size_t MaxHosts = 1024;
@@ -114,10 +134,26 @@
 constexpr std::size_t GossipPeersRemembered = 32;
 constexpr std::uint32_t RumourSendsMargin = 3;
 constexpr std::size_t LargeFleetHosts = 64;
+constexpr std::int32_t PeerProtocol = 1;
+constexpr std::size_t MaxPeerFrameBytes = 4 * 1024 * 1024;
+constexpr std::size_t MaxPeerQueueBytes = 8 * 1024 * 1024;
+constexpr std::size_t MaxPeerConnections = 1024;
+constexpr int PeerBacklog = 128;
+constexpr std::chrono::seconds PeerIdleBound = 30s;
+constexpr std::chrono::milliseconds PeerTimeout = 1500ms;
 constexpr std::size_t MaxServerNotes = 2048;
 constexpr std::size_t DigestsKept = 64;
 
 // Leases and ownership
+constexpr std::size_t MaxOwningHosts = 24;
+constexpr std::chrono::milliseconds LeaseTtl = 9000ms;
+constexpr std::chrono::milliseconds LeaseRenewPeriod = 3000ms;
+constexpr std::chrono::milliseconds LeaseRetryPeriod = 500ms;
+constexpr std::chrono::milliseconds LeaseAcquirePeriod = 1000ms;
+constexpr std::chrono::milliseconds LeaseClockMargin = 500ms;
+constexpr std::uint64_t LeaseRenewalsPerListing = 8;
+constexpr std::uint64_t LeaseReplayRecords = 4096;
+constexpr std::chrono::seconds LongestOrderDeadline = 30s;
 
 // Credits of cold servers
 constexpr std::chrono::seconds CreditTtl = 2s;
@@ -143,9 +179,11 @@
 constexpr std::chrono::milliseconds RouteNearBestSlack = 2ms;
 constexpr std::chrono::milliseconds LoadReportLag = 100ms; ///< Age of a load report when it arrives, unless known.
 constexpr std::chrono::milliseconds LoadReportMemory = 1000ms; ///< Age at which a report has lost 63% of its weight.
+constexpr std::chrono::seconds LinkFactorMemory = 5s; ///< Time after which a link is no longer held to be slow.
 constexpr double RateSmoothing = 0.1; ///< Share of a new sample in a smoothed rate.
 constexpr double StartPrefillTokensPerSecond = 20'000.0;
 constexpr double StartImportBytesPerSecond = 50e6;
+constexpr double StartPieceBytes = 1e6;
 constexpr std::chrono::milliseconds StartRunTime = 1000ms;
 
 // Keeping pieces
@@ -164,6 +202,11 @@
 constexpr std::size_t AdmissionQueueBound = 512; ///< Requests that wait on one host for one model.
 constexpr std::uint32_t DecodeTokenCost = 50; ///< Prefill tokens that cost a runner as much as one answer token.
 constexpr std::chrono::milliseconds AdmissionPrefillWindow = 250ms; ///< Prefill work sent ahead to each runner.
+constexpr double AdmissionPrefillRuns = 1.0; ///< Typical prompts sent ahead to each runner.
+constexpr double AdmissionReserve = 2.0; ///< Capacity beyond the ordinary for organisations within their share.
+constexpr std::chrono::milliseconds AdmissionQueueTime = 2000ms; ///< Longer queues are cut at once.
+constexpr std::chrono::seconds AdmissionUseMemory = 10s; ///< Over which the use of an organisation is averaged.
+constexpr double AdmissionLightShare = 0.0625; ///< Share of a host's capacity below which an organisation is light.
 constexpr double AdmissionBorrowFactor = 2.0; ///< Times its share of idle capacity that one host may use.
 constexpr double RetryBudgetShare = 0.1; ///< Retries granted for each success.
 constexpr double RetryBudgetMax = 20.0;
--- a/packages/wire/include/endivespan/settings.h
+++ b/packages/wire/include/endivespan/settings.h
@@ -41,6 +41,7 @@
     std::uint32_t requestsInFlight;
     std::size_t maxBodyBytes;
     std::chrono::milliseconds defaultDeadline; ///< For requests that name none.
+    std::chrono::milliseconds claimSnapshotPeriod; ///< At most a third of the log's retention.
 
     LimitSettings();
     bool operator==(const LimitSettings &) const = default;
