--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -20,7 +20,7 @@
 constexpr std::chrono::seconds CallerReadTimeout = 10s;
 constexpr std::chrono::seconds DefaultDeadline = 30s;
 constexpr std::uint32_t DefaultRequestsInFlight = 4096;
-constexpr std::chrono::milliseconds StreamHeartbeatPeriod = 1000ms;
+constexpr std::chrono::milliseconds StreamHeartbeatPeriod = 1500ms;
 
 constexpr std::chrono::milliseconds RetryHintBase = 500ms;
 constexpr std::chrono::milliseconds RetryHintSpread = 1000ms;
@@ -39,7 +39,6 @@
 constexpr std::chrono::milliseconds StoreListPeriod = 500ms;
 constexpr std::size_t StoreListPieces = 1000;
 constexpr std::size_t MaxVersionNames = 256;
-constexpr std::size_t MaxOrganisationNames = 65536;
 constexpr std::chrono::milliseconds LoadReportStaleAfter = 1500ms;
 
 // Prefix pieces
@@ -57,7 +56,10 @@
 constexpr std::chrono::seconds ConfigurationStalenessBound = 4s;
 constexpr std::chrono::seconds LeavingBound = 5s;
 constexpr std::chrono::milliseconds ConfigurationLongPoll = 1000ms;
-constexpr std::chrono::milliseconds ConfigurationReadOverdue = 500ms; // A second read starts on a new connection.
+constexpr std::chrono::milliseconds ConfigurationReadOverdue = 500ms; ///< A second read then starts.
+constexpr std::size_t ConfigurationReadsAtOnce = 2;
+constexpr std::size_t ConfigurationReadRecords = 64;
+constexpr std::chrono::milliseconds ConfigurationPeerFetchAfter = 2000ms; ///< Without an answer of the log.
 constexpr std::chrono::milliseconds ConfigurationBackoffLeast = 100ms;
 constexpr std::chrono::milliseconds ConfigurationBackoffMost = 1000ms;
 constexpr std::size_t MaxNoteBytes = 1024 * 1024;
@@ -72,10 +74,12 @@
 constexpr std::size_t MaxKeysPerOrganisation = 16;
 constexpr std::size_t SnapshotPartEntries = 256;
 constexpr std::size_t SnapshotAppendParts = 8;
+constexpr unsigned SnapshotAppendAttempts = 4;
 constexpr std::size_t SnapshotsInAssembly = 4;
 constexpr std::uint64_t SnapshotRecords = 2048;
 constexpr std::chrono::hours SnapshotPeriod = 12h;
-constexpr std::chrono::seconds SnapshotSpread = 30s;
+constexpr std::chrono::seconds SnapshotSpread = 5s;
+constexpr std::chrono::seconds SnapshotRankStep = 2s;
 constexpr std::chrono::seconds SnapshotCheckPeriod = 1s;
 
 // Claims
@@ -86,10 +90,55 @@
 constexpr std::size_t MaxShardAnswerBytes = 8 * 1024 * 1024;
 constexpr std::size_t MaxPendingSnapshots = 4;
 constexpr std::size_t ClaimSnapshotChunkBytes = 256 * 1024;
+constexpr std::chrono::milliseconds ClaimAppendGap = 50ms;
+constexpr std::size_t MaxClaimBatchRecords = 128;
+constexpr std::size_t MaxClaimBatchBytes = 512 * 1024;
+constexpr std::size_t MaxClaimsWaiting = 1024;
+constexpr std::size_t MaxClaimRecordsOwed = 4096;
+constexpr std::size_t MaxClaimBytesOwed = 4 * 1024 * 1024;
+constexpr std::chrono::milliseconds ClaimWaitLimit = 2500ms;
+constexpr std::chrono::milliseconds ClaimGrantLimit = 2000ms;
+constexpr std::chrono::milliseconds ClaimRetryDelay = 500ms;
+constexpr std::chrono::milliseconds ClaimInProgressRetry = 1000ms;
+constexpr std::chrono::milliseconds ClaimReadPeriod = 5000ms;
+constexpr std::chrono::minutes ClaimSnapshotPeriod = 10min;
+constexpr std::uint32_t ClaimLogFailuresUntilDown = 2;
 
 // Membership and peer links
+constexpr std::size_t MaxHosts = 1024;
+constexpr std::size_t HostIdBytes = 5;
+constexpr std::chrono::milliseconds HeartbeatPeriod = 1500ms;
+constexpr std::chrono::milliseconds HeartbeatPeriodPerHost = 20ms;
+constexpr std::uint32_t HeartbeatSends = 3;
+constexpr std::size_t HeartbeatsInTurn = 2;
+constexpr int HeartbeatsMissed = 3;
+constexpr int SpreadRoundsMargin = 3;
+constexpr std::chrono::hours DeadHostRetention = 24h;
+constexpr std::chrono::milliseconds GossipPeriod = 500ms;
+constexpr std::size_t GossipBytesPerSecond = 1100;
+constexpr std::size_t GossipBurstBytes = 4096;
+constexpr std::size_t GossipMessageBytes = 600;
+constexpr std::size_t GossipNeighbours = 8;
+constexpr std::size_t GossipUrgentFanout = 3;
+constexpr std::uint64_t GossipRoundsPerNeighbourChange = 20;
+constexpr std::uint64_t GossipRoundsPerProbe = 8;
+constexpr std::size_t GossipLeastBytes = 160;
+constexpr std::size_t GossipPeersRemembered = 32;
+constexpr std::uint32_t RumourSendsMargin = 3;
+constexpr std::size_t LargeFleetHosts = 64;
+constexpr std::size_t MaxServerNotes = 2048;
+constexpr std::size_t DigestsKept = 64;
 
 // Leases and ownership
+constexpr std::size_t MaxOwningHosts = 24;
+constexpr std::chrono::milliseconds LeaseTtl = 9000ms;
+constexpr std::chrono::milliseconds LeaseRenewPeriod = 3000ms;
+constexpr std::chrono::milliseconds LeaseRetryPeriod = 500ms;
+constexpr std::chrono::milliseconds LeaseAcquirePeriod = 1000ms;
+constexpr std::chrono::milliseconds LeaseClockMargin = 500ms;
+constexpr std::uint64_t LeaseRenewalsPerListing = 8;
+constexpr std::uint64_t LeaseReplayRecords = 4096;
+constexpr std::chrono::seconds LongestOrderDeadline = 30s;
 
 // Credits of cold servers
 constexpr std::chrono::seconds CreditTtl = 2s;
@@ -123,6 +172,7 @@
 constexpr std::chrono::milliseconds StartRunTime = 1000ms;
 
 // Keeping pieces
+constexpr std::chrono::seconds ImportPinTime = 10s;
 constexpr std::chrono::hours KeepHorizon = 24h; ///< A return later than this is worth nothing today.
 constexpr double KeepHighWatermark = 0.95; ///< Share of a store's bytes at which deletion starts.
 constexpr double KeepLowWatermark = 0.90; ///< Share at which it stops.
--- a/packages/node/src/backends.cpp
+++ b/packages/node/src/backends.cpp
@@ -27,7 +27,7 @@
     , storeNames(LoadLimits {}.stores)
     , modelNames(LoadLimits {}.models)
     , versionNames(config::MaxVersionNames)
-    , organisationNames(config::MaxOrganisationNames)
+    , organisationNames(config::MaxOrganisations)
 {
 }
 
@@ -56,6 +56,17 @@
     return this->storeList;
 }
 
+void Backends::pin(const StoreCopy &copy, const PieceKey &piece, std::chrono::milliseconds time)
+{
+    const StoreHandle store = copy.store;
+    this->storeClient->pin(
+        this->store(store).address, piece, copy.generation, time, [this, store, piece](const Result<void> &pinned) {
+            if (!pinned && pinned.error().kind == ErrorKind::NotFound) {
+                this->directory.forgetCopy(store, piece);
+            }
+        });
+}
+
 VersionHandle Backends::versionOf(const std::string &model, const std::string &version)
 {
     return this->versionNames.intern(model + '\n' + version);
@@ -223,6 +234,8 @@
         logLine("backends", "{} has incarnation {}", backend.name, report.incarnation);
         backend.incarnation = report.incarnation;
         backend.nextEvent = 0;
+        // An engine starts with an empty cache; no event tells of what it lost.
+        this->directory.forgetServer(handle);
     }
     if (backend.kind == ServerKind::Runner) {
         this->serveVersions(handle, report.versions);
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -9,10 +9,24 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdio>
 #include <utility>
 
 namespace endivespan {
 
+namespace {
+
+HostReport reportOf(const Settings &settings)
+{
+    HostReport report {settings.host, settings.listen.peers, settings.failureDomain, settings.region, {}};
+    // Rises with each start under one name.
+    report.status.version.incarnation
+        = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count());
+    return report;
+}
+
+} // namespace
+
 Node::Node(Loop &loop, Settings settings, std::function<void()> onStopped)
     : loop(loop)
     , settings(std::move(settings))
@@ -20,7 +34,9 @@
     , random(std::random_device {}())
     , engines(EngineClient::create(loop))
     , log(LogClient::create(loop, this->settings.logAddress))
-    , config(std::make_unique<ConfigTask>(loop, *this->log, this->settings))
+    , membership(reportOf(this->settings), loop.now())
+    , confirmation(!this->settings.peers.empty())
+    , config(std::make_unique<ConfigTask>(loop, *this->log, this->settings, this->membership, this->confirmation))
     , backends(std::make_unique<Backends>(loop, *this->config, *this->engines))
     , context(std::make_unique<NodeContext>(NodeContext {loop,
                                                          this->settings,
@@ -63,14 +79,24 @@
     this->config->start();
     this->ticker = this->loop.every(config::TickPeriod, [this] { this->tick(); });
     logLine("node", "{} serves callers on port {}", this->settings.host, this->front->port());
+    this->announce();
     return boost::outcome_v2::success();
 }
 
+// Whoever starts the process with port 0 learns the ports from these lines.
+void Node::announce() const
+{
+    const std::string &address = this->settings.listen.callers;
+    fmt::print("listening callers {}:{}\n", address.substr(0, address.rfind(':')), this->front->port());
+    fmt::print("ready\n");
+    std::fflush(stdout);
+}
+
 void Node::tick()
 {
     const TimePoint now = this->loop.now();
     this->backends->tick(now);
-    this->prompts->tick();
+    this->prompts->tick(this->membership.owners().size());
     if (this->stopping) {
         this->continueStop(now);
     }
--- a/packages/node/src/node.h
+++ b/packages/node/src/node.h
@@ -8,9 +8,11 @@
 #include "metrics.h"
 #include "prompt_task.h"
 
+#include <endivespan/confirmation.h>
 #include <endivespan/engine_client.h>
 #include <endivespan/log_client.h>
 #include <endivespan/loop.h>
+#include <endivespan/membership.h>
 #include <endivespan/settings.h>
 
 #include <functional>
@@ -39,6 +41,7 @@
     void beginStop();
 
 private:
+    void announce() const;
     void tick();
     void serveModels(HttpExchange &exchange, const Caller &caller) const;
     void continueStop(TimePoint now);
@@ -51,6 +54,8 @@
     ExplainBook explain;
     std::unique_ptr<EngineClient> engines;
     std::unique_ptr<LogClient> log;
+    Membership membership;
+    Confirmation confirmation;
     std::unique_ptr<ConfigTask> config;
     std::unique_ptr<Backends> backends;
     std::unique_ptr<NodeContext> context;
--- a/packages/wire/include/endivespan/settings.h
+++ b/packages/wire/include/endivespan/settings.h
@@ -41,7 +41,6 @@
     std::uint32_t requestsInFlight;
     std::size_t maxBodyBytes;
     std::chrono::milliseconds defaultDeadline; ///< For requests that name none.
-    std::chrono::milliseconds configurationStaleness; ///< Refuses new work when unconfirmed for longer.
 
     LimitSettings();
     bool operator==(const LimitSettings &) const = default;
--- a/tests/core/settings.cpp
+++ b/tests/core/settings.cpp
@@ -21,7 +21,6 @@
   requests_in_flight: 12
   max_body: 2MiB
   default_deadline: 4s
-  configuration_staleness: 750ms
 )";
 
 } // namespace
@@ -40,7 +39,6 @@
     CHECK(settings.value().limits.requestsInFlight == 12);
     CHECK(settings.value().limits.maxBodyBytes == 2 * 1024 * 1024);
     CHECK(settings.value().limits.defaultDeadline == std::chrono::seconds(4));
-    CHECK(settings.value().limits.configurationStaleness == std::chrono::milliseconds(750));
 }
 
 TEST_CASE("all problems of one file are reported together")
