--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -103,6 +103,13 @@
 constexpr std::chrono::milliseconds ClaimReadPeriod = 5000ms;
 constexpr std::chrono::minutes ClaimSnapshotPeriod = 10min;
 constexpr std::uint32_t ClaimLogFailuresUntilDown = 2;
+constexpr std::size_t ClaimReadRecords = 64;
+constexpr std::chrono::seconds ClaimStopLimit = 5s; ///< A stop waits this long for the log.
+constexpr double ClaimAppendsPerSecond = 200.0; ///< Of all hosts together.
+constexpr double ClaimAppendBurst = 8.0;
+constexpr std::size_t MaxIdempotencyKeyBytes = 255;
+constexpr std::uint32_t ServiceAttempts = 3;
+constexpr std::size_t MaxServiceHeaders = 64;
 
 // Membership and peer links
 constexpr std::size_t MaxHosts = 1024;
@@ -126,6 +133,13 @@
 constexpr std::size_t GossipPeersRemembered = 32;
 constexpr std::uint32_t RumourSendsMargin = 3;
 constexpr std::size_t LargeFleetHosts = 64;
+constexpr std::int32_t PeerProtocol = 1;
+constexpr std::size_t MaxPeerFrameBytes = 4 * 1024 * 1024;
+constexpr std::size_t MaxPeerQueueBytes = 8 * 1024 * 1024;
+constexpr std::size_t MaxPeerConnections = 1024;
+constexpr int PeerBacklog = 128;
+constexpr std::chrono::seconds PeerIdleBound = 30s;
+constexpr std::chrono::milliseconds PeerTimeout = 1500ms;
 constexpr std::size_t MaxServerNotes = 2048;
 constexpr std::size_t DigestsKept = 64;
 
--- a/packages/node/src/prompt_run.cpp
+++ b/packages/node/src/prompt_run.cpp
@@ -270,7 +270,7 @@
         const std::uint64_t imported = summary.importedTokens > 0 ? this->decision.plan.importBytes : 0;
         backends.loads.onFirstToken(this->load,
                                     {this->firstTokenAfter, summary.queueTime, summary.recomputedTokens, imported},
-                                    this->context.loop.now());
+                                    this->dispatchedAt + this->firstTokenAfter);
     }
     if (summary.incarnation == backends.server(this->server).incarnation) {
         const DirectoryScope scope {
