--- a/packages/core/src/admit.cpp
+++ b/packages/core/src/admit.cpp
@@ -100,7 +100,7 @@
     Organisation &organisation = this->organisations[run->organisation.index];
     const double change = recomputeTokens - run->prefill;
     run->prefill += change;
-    this->addPrefill(organisation, change);
+    this->prefillInFlight += change;
     organisation.finishTag += change / organisation.weight;
     organisation.recentCost = std::max(0.0, organisation.recentCost + change);
     const double share = recomputeTokens / std::max(1.0, static_cast<double>(run->promptTokens));
@@ -113,7 +113,7 @@
 void Admission::firstToken(std::uint64_t id, TimePoint now, AdmissionActions &actions)
 {
     if (Running *run = this->findRunning(id); run != nullptr) {
-        this->addPrefill(this->organisations[run->organisation.index], -run->prefill);
+        this->prefillInFlight -= run->prefill;
         run->prefill = 0;
         this->startWaiting(now, actions);
     }
@@ -126,7 +126,7 @@
         return;
     }
     Organisation &organisation = this->organisations[run->organisation.index];
-    this->addPrefill(organisation, -run->prefill);
+    this->prefillInFlight -= run->prefill;
     --organisation.running;
     this->busyOrganisations -= organisation.running + organisation.queued == 0 ? 1 : 0;
     *run = this->running.back();
@@ -196,16 +196,24 @@
     return this->capacity.prefillTokens + this->capacity.runners * typical * config::AdmissionPrefillRuns;
 }
 
-bool Admission::isWithinShare(const Organisation &organisation) const
+double Admission::recentCost(const Organisation &organisation, TimePoint now)
 {
-    const auto others = static_cast<double>(std::max<std::size_t>(this->busyOrganisations, 1));
-    return organisation.prefillInFlight <= this->prefillBound() / others;
+    const double age = toSeconds(now - organisation.recentAt);
+    return organisation.recentCost * std::exp(-age / toSeconds(config::AdmissionUseMemory));
 }
 
-// Others may fill the ordinary capacity; a reserve lets the next organisation within its share pass at once.
-bool Admission::mayStart(const Organisation &organisation) const
+// What an organisation may use and still be light; 0 while the capacity is unknown.
+double Admission::lightCost(const Organisation &organisation) const
 {
-    const bool reserve = this->limits.fairShare && this->isWithinShare(organisation);
+    const double memory = toSeconds(config::AdmissionUseMemory);
+    return this->capacity.tokensPerSecond * memory * config::AdmissionLightShare * organisation.weight;
+}
+
+// Everyone may fill the ordinary capacity; a reserve lets light organisations pass when others have filled it.
+bool Admission::mayStart(const Organisation &organisation, TimePoint now) const
+{
+    const bool contended = this->limits.fairShare && this->busyOrganisations > 1;
+    const bool reserve = contended && recentCost(organisation, now) < this->lightCost(organisation);
     const double scale = reserve ? 1.0 + config::AdmissionReserve : 1.0;
     const bool place = static_cast<double>(this->running.size()) < this->capacity.runs * scale;
     const bool prefill = this->prefillInFlight < this->prefillBound() * scale;
@@ -249,8 +257,9 @@
     this->freeWaiting.pop_back();
     Organisation &organisation = this->organisations[request.organisation.index];
     Waiting &entry = this->waiting[index];
-    entry
-        = {request, costOf(request.prefillTokens, request.maxTokens), this->arrivals++, organisation.last, None, true};
+    this->busyOrganisations += organisation.running + organisation.queued == 0 ? 1 : 0;
+    const double prefill = request.prefillTokens * organisation.recomputeShare;
+    entry = {request, prefill, this->arrivals++, organisation.last, None, true};
     if (organisation.last != None) {
         this->waiting[organisation.last].next = index;
     } else {
@@ -328,7 +337,7 @@
 {
     while (!this->active.empty()) {
         const Organisation &next = this->organisations[this->nextOrganisation()];
-        if (!this->mayStart(next)) {
+        if (!this->mayStart(next, now)) {
             return;
         }
         const AdmissionRequest request = this->waiting[next.first].request;
@@ -344,17 +353,14 @@
 }
 
 // Organisations that took little of late run first, whoever else fills the runners.
-std::uint32_t Admission::priorityOf(Organisation &organisation, TimePoint now) const
+std::uint32_t Admission::priorityOf(const Organisation &organisation, TimePoint now) const
 {
-    const double memory = toSeconds(config::AdmissionUseMemory);
-    organisation.recentCost *= std::exp(-toSeconds(now - organisation.recentAt) / memory);
-    organisation.recentAt = now;
-    const double light = this->capacity.tokensPerSecond * memory * config::AdmissionLightShare * organisation.weight;
-    if (light <= 0 || organisation.recentCost <= light) {
+    const double light = this->lightCost(organisation);
+    const double recent = recentCost(organisation, now);
+    if (light <= 0 || recent <= light) {
         return 0;
     }
-    const double level = 1 + std::log2(organisation.recentCost / light);
-    return static_cast<std::uint32_t>(std::min(level, MaxPriority));
+    return static_cast<std::uint32_t>(std::min(1 + std::log2(recent / light), MaxPriority));
 }
 
 void Admission::start(const AdmissionRequest &request, double prefill, TimePoint now, AdmissionActions &actions)
@@ -366,20 +372,15 @@
     this->virtualTime = std::max(this->virtualTime, startTag);
     const double cost = costOf(prefill, request.maxTokens);
     organisation.finishTag = startTag + cost / organisation.weight;
-    organisation.recentCost += cost;
+    organisation.recentCost = recentCost(organisation, now) + cost;
+    organisation.recentAt = now;
     ++organisation.running;
-    this->addPrefill(organisation, prefill);
+    this->prefillInFlight += prefill;
     this->running.push_back({request.id, request.organisation, request.prefillTokens, prefill});
     ++this->counters.started;
     actions.start.push_back({request.id, priority});
 }
 
-void Admission::addPrefill(Organisation &organisation, double tokens)
-{
-    organisation.prefillInFlight += tokens;
-    this->prefillInFlight += tokens;
-}
-
 void Admission::activate(Index organisation)
 {
     this->organisations[organisation].activePlace = static_cast<Index>(this->active.size());
