Know the runners before taking prompts

Cause: a host took prompts before its first load reports; with a capacity of 0 it refused 18 of 30 prompts that came at once. Ruled out: fairness and deadlines, the refused had 30 s left. Change: a new queue starts with the known capacity, and a host is ready once each configured server was polled. Conclusion: readiness covers the servers.

--- a/packages/node/src/backends.cpp
+++ b/packages/node/src/backends.cpp
@@ -4,6 +4,7 @@
 #include <endivespan/config.h>
 #include <endivespan/log.h>
 
+#include <algorithm>
 #include <functional>
 #include <utility>
 
@@ -92,6 +93,7 @@
 {
     this->sync();
     this->refreshService();
+    this->noteReady();
     this->loads.tick(now);
     if (now >= this->nextPoll) {
         this->nextPoll = now + config::LoadReportPeriod;
@@ -108,6 +110,20 @@
     }
 }
 
+bool Backends::isReady() const
+{
+    return this->everReady;
+}
+
+void Backends::noteReady()
+{
+    this->everReady = this->everReady
+        || (this->syncedRevision > 0
+            && std::all_of(this->serverList.begin(), this->serverList.end(), [](const Backend &server) {
+                   return server.loadKnown || !server.configured;
+               }));
+}
+
 void Backends::sync()
 {
     const Fleet &wanted = this->fleet.fleet();
@@ -222,6 +238,7 @@
     const TimePoint askedAt = this->loop.now();
     this->engines.load(backend.address, [this, handle, askedAt](const Result<EngineLoad> &load) {
         this->server(handle).loadAsked = false;
+        this->server(handle).loadKnown = true;
         this->onLoad(handle, load, askedAt);
     });
 }
--- a/packages/node/src/backends.h
+++ b/packages/node/src/backends.h
@@ -31,6 +31,7 @@
     bool mayTakeWork = false;
     std::uint64_t nextEvent = 0;
     bool loadAsked = false;
+    bool loadKnown = false; ///< A first poll has ended, with or without a report.
     bool eventsAsked = false;
 };
 
@@ -78,6 +79,9 @@
     /// Takes over a changed configuration and starts the polls that are due.
     void tick(TimePoint now);
 
+    /// @returns true once every server of the first configuration was polled, so that decisions rest on reports.
+    [[nodiscard]] bool isReady() const;
+
     /// @returns the runners and plain servers that were ever seen, indexed by handle.
     [[nodiscard]] const std::vector<Backend> &servers() const;
 
@@ -110,6 +114,7 @@
     void syncStore(const BackendServer &server);
     void serveVersions(ServerHandle handle, const std::vector<std::string> &versions);
     void refreshService();
+    void noteReady();
     void pollServer(ServerHandle handle);
     void pollEvents(ServerHandle handle);
     void pollStore(StoreHandle handle);
@@ -123,6 +128,7 @@
     std::unique_ptr<StoreClient> storeClient;
     ServerGate *gate = nullptr;
     std::uint64_t syncedRevision = 0;
+    bool everReady = false;
     TimePoint nextPoll;
     TimePoint nextList;
     NameTable<ServerHandle> serverNames;
--- a/packages/node/src/front.cpp
+++ b/packages/node/src/front.cpp
@@ -93,8 +93,8 @@
         this->refuse(*exchange, {ErrorKind::MethodNotAllowed, "use " + path.method}, requestId);
     } else if (this->refusing) {
         this->refuse(*exchange, {ErrorKind::HostStopping, "this host is stopping"}, requestId);
-    } else if (!this->context.fleet.isReady()) {
-        this->refuse(*exchange, {ErrorKind::HostNotReady, "no configuration is known yet"}, requestId);
+    } else if (!this->context.fleet.isReady() || !this->context.backends.isReady()) {
+        this->refuse(*exchange, {ErrorKind::HostNotReady, "this host does not know its servers yet"}, requestId);
     } else if (this->context.fleet.isStale()) {
         this->refuse(*exchange, {ErrorKind::ConfigurationStale, "the configuration is unconfirmed"}, requestId);
     } else if (auto caller = this->authenticate(request); !caller) {
--- a/packages/node/src/operator_pages.cpp
+++ b/packages/node/src/operator_pages.cpp
@@ -64,7 +64,8 @@
 {
     front.addOperatorPath("/healthz", [](const auto &exchange) { replyJson(*exchange, 200, R"({"alive":true})"); });
     front.addOperatorPath("/readyz", [&front, &context](const auto &exchange) {
-        const bool ready = context.fleet.isReady() && !context.fleet.isStale() && !front.isRefusing();
+        const bool ready
+            = context.fleet.isReady() && context.backends.isReady() && !context.fleet.isStale() && !front.isRefusing();
         replyJson(*exchange, ready ? 200 : 503, ready ? R"({"ready":true})" : R"({"ready":false})");
     });
     front.addOperatorPath("/metrics", [&context](const auto &exchange) {
--- a/packages/node/src/prompt_task.cpp
+++ b/packages/node/src/prompt_task.cpp
@@ -102,10 +102,18 @@
     std::unique_ptr<Admission> &queue = this->queues[model];
     if (!queue) {
         queue = std::make_unique<Admission>();
+        AdmissionActions none;
+        queue->setCapacity(this->capacityOf(model), this->context.loop.now(), none);
     }
     return *queue;
 }
 
+AdmissionCapacity PromptTask::capacityOf(const std::string &model) const
+{
+    Backends &backends = this->context.backends;
+    return capacityOfHost(backends.loads.poolCapacity(backends.modelOf(model)), this->liveHosts);
+}
+
 Admission *PromptTask::queueOfRun(std::uint64_t id)
 {
     const auto run = this->runs.find(id);
@@ -191,9 +199,8 @@
     this->liveHosts = std::max<std::size_t>(hosts, 1);
     const TimePoint now = this->context.loop.now();
     for (const auto &[model, queue] : this->queues) {
-        const PoolCapacity pool = this->context.backends.loads.poolCapacity(this->context.backends.modelOf(model));
         AdmissionActions actions;
-        queue->setCapacity(capacityOfHost(pool, this->liveHosts), now, actions);
+        queue->setCapacity(this->capacityOf(model), now, actions);
         queue->tick(now, actions);
         this->carryOut(actions);
     }
--- a/packages/node/src/prompt_task.h
+++ b/packages/node/src/prompt_task.h
@@ -39,6 +39,7 @@
     void enqueue(std::uint64_t id, const PromptRun &run);
     void carryOut(const AdmissionActions &actions);
     Admission &queueOf(const std::string &model);
+    [[nodiscard]] AdmissionCapacity capacityOf(const std::string &model) const;
     Admission *queueOfRun(std::uint64_t id);
 
     void onPlanned(std::uint64_t id, std::uint32_t recomputeTokens) override;
