--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -56,7 +56,10 @@
 constexpr std::chrono::seconds ConfigurationStalenessBound = 4s;
 constexpr std::chrono::seconds LeavingBound = 5s;
 constexpr std::chrono::milliseconds ConfigurationLongPoll = 1000ms;
-constexpr std::chrono::milliseconds ConfigurationReadOverdue = 500ms; // A second read starts on a new connection.
+constexpr std::chrono::milliseconds ConfigurationReadOverdue = 500ms; ///< A second read then starts.
+constexpr std::size_t ConfigurationReadsAtOnce = 2;
+constexpr std::size_t ConfigurationReadRecords = 64;
+constexpr std::chrono::milliseconds ConfigurationPeerFetchAfter = 2000ms; ///< Without an answer of the log.
 constexpr std::chrono::milliseconds ConfigurationBackoffLeast = 100ms;
 constexpr std::chrono::milliseconds ConfigurationBackoffMost = 1000ms;
 constexpr std::size_t MaxNoteBytes = 1024 * 1024;
@@ -71,10 +74,12 @@
 constexpr std::size_t MaxKeysPerOrganisation = 16;
 constexpr std::size_t SnapshotPartEntries = 256;
 constexpr std::size_t SnapshotAppendParts = 8;
+constexpr unsigned SnapshotAppendAttempts = 4;
 constexpr std::size_t SnapshotsInAssembly = 4;
 constexpr std::uint64_t SnapshotRecords = 2048;
 constexpr std::chrono::hours SnapshotPeriod = 12h;
-constexpr std::chrono::seconds SnapshotSpread = 30s;
+constexpr std::chrono::seconds SnapshotSpread = 5s;
+constexpr std::chrono::seconds SnapshotRankStep = 2s;
 constexpr std::chrono::seconds SnapshotCheckPeriod = 1s;
 
 // Claims
@@ -91,7 +96,7 @@
 constexpr std::size_t MaxClaimsWaiting = 1024;
 constexpr std::size_t MaxClaimRecordsOwed = 4096;
 constexpr std::size_t MaxClaimBytesOwed = 4 * 1024 * 1024;
-constexpr std::chrono::milliseconds ClaimWaitLimit = 2500ms;
+constexpr std::chrono::milliseconds ClaimWaitLimit = 1500ms;
 constexpr std::chrono::milliseconds ClaimGrantLimit = 2000ms;
 constexpr std::chrono::milliseconds ClaimRetryDelay = 500ms;
 constexpr std::chrono::milliseconds ClaimInProgressRetry = 1000ms;
@@ -132,6 +137,15 @@
 constexpr std::size_t DigestsKept = 64;
 
 // Leases and ownership
+constexpr std::size_t MaxOwningHosts = 24;
+constexpr std::chrono::milliseconds LeaseTtl = 9000ms;
+constexpr std::chrono::milliseconds LeaseRenewPeriod = 3000ms;
+constexpr std::chrono::milliseconds LeaseRetryPeriod = 500ms;
+constexpr std::chrono::milliseconds LeaseAcquirePeriod = 1000ms;
+constexpr std::chrono::milliseconds LeaseClockMargin = 500ms;
+constexpr std::uint64_t LeaseRenewalsPerListing = 8;
+constexpr std::uint64_t LeaseReplayRecords = 4096;
+constexpr std::chrono::seconds LongestOrderDeadline = 30s;
 
 // Credits of cold servers
 constexpr std::chrono::seconds CreditTtl = 2s;
--- a/packages/node/src/node.h
+++ b/packages/node/src/node.h
@@ -10,9 +10,11 @@
 #include "prompt_task.h"
 #include "service_task.h"
 
+#include <endivespan/confirmation.h>
 #include <endivespan/engine_client.h>
 #include <endivespan/log_client.h>
 #include <endivespan/loop.h>
+#include <endivespan/membership.h>
 #include <endivespan/settings.h>
 
 #include <functional>
@@ -54,6 +56,8 @@
     ExplainBook explain;
     std::unique_ptr<EngineClient> engines;
     std::unique_ptr<LogClient> log;
+    Membership membership;
+    Confirmation confirmation;
     std::unique_ptr<ConfigTask> config;
     std::unique_ptr<Backends> backends;
     std::unique_ptr<NodeContext> context;
--- a/tests/core/claim_keeper.cpp
+++ b/tests/core/claim_keeper.cpp
@@ -499,6 +499,30 @@
     }));
 }
 
+TEST_CASE("a host answers from what it ran itself while the log does not take the outcome")
+{
+    ClaimKeeper keeper("host-a", 1, keeperLimits(), std::make_unique<ClaimFold>(WorldLimits));
+    TimePoint now {10s};
+    const ClaimAsk ask {"puu", "k", requestFingerprint("POST", "/order", "{}"), 2000ms};
+    keeper.tick(now);
+    keeper.wasRead(ClaimBatch {}, now);
+    const ClaimActions claimed = keeper.begin(1, ask, now);
+    REQUIRE(std::get<ClaimAppend>(claimed.front()).records.front().first == AttemptId {1, 1});
+    ClaimBatch batch;
+    batch.end = 1;
+    batch.records.push_back({0, LogTime(1s), {1, 1}, Claim {{1, 1}, "puu", "k", ask.fingerprint, "host-a", 2000ms}});
+    keeper.appended(0, ClaimAck {0, LogTime(1s)}, now);
+    const ClaimActions granted = keeper.wasRead(batch, now);
+    REQUIRE(std::get<ClaimVerdict>(granted.front()).decision == ClaimDecision::Granted);
+    REQUIRE(keeper.startRun(1, now));
+    keeper.finish(1, OutcomeKind::Answered, {200, {}, "done"}, now);
+    const ClaimActions again = keeper.begin(2, ask, now);
+    const auto &verdict = std::get<ClaimVerdict>(again.front());
+    CHECK(verdict.decision == ClaimDecision::Recorded);
+    CHECK(verdict.answer->body == "done");
+    CHECK_FALSE(keeper.isIdle());
+}
+
 TEST_CASE("the model finds two runs when the fold lets a second claim win")
 {
     const std::uint64_t before = violated(Invariant::OneWinningClaim);
