--- a/packages/core/src/directory.cpp
+++ b/packages/core/src/directory.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::uint32_t Empty = 0xFFFFFFFF;
+constexpr std::uint8_t ChancesOfHit = 1;
+constexpr std::uint8_t ChancesOfCopy = 7;
 
 std::size_t bucketCountFor(std::size_t pieces)
 {
@@ -73,15 +75,16 @@
     return entry;
 }
 
-// Second-chance eviction; entries that no longer name a holder go at once.
+// Entries that no longer name a holder and those never asked for go first, so that a flood of prompts that do not
+// return cannot push out the copies in stores.
 std::uint32_t Directory::takeFree()
 {
     while (this->freeEntries.empty()) {
         const auto index = static_cast<std::uint32_t>(this->clockHand);
         this->clockHand = (this->clockHand + 1) % this->entries.size();
         Entry &entry = this->entries[index];
-        if (entry.referenced && this->holdsAnything(entry)) {
-            entry.referenced = false;
+        if (entry.chances > 0 && this->holdsAnything(entry)) {
+            --entry.chances;
             continue;
         }
         ++this->counters.evictions;
@@ -231,7 +234,6 @@
     for (const PieceKey &piece : pieces) {
         Entry &entry = this->obtainEntry(piece);
         entry.scope = scope;
-        entry.referenced = true;
         this->addServer(entry, server);
     }
 }
@@ -279,6 +281,7 @@
         entry.stores.at(place) = {static_cast<std::uint16_t>(store.index), epoch};
         entry.generations.at(place) = item.generation;
         entry.bytes = item.bytes;
+        entry.chances = ChancesOfCopy;
     }
 }
 
@@ -315,7 +318,7 @@
         return holders;
     }
     holders.scope = entry.scope;
-    entry.referenced = true;
+    entry.chances = std::max(entry.chances, entry.bytes > 0 ? ChancesOfCopy : ChancesOfHit);
     holders.bytes = entry.bytes;
     for (const Slot &slot : entry.servers) {
         if (slot.epoch != 0 && this->serverSources[slot.index].epoch == slot.epoch) {
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -102,7 +102,7 @@
 {
     const TimePoint now = this->loop.now();
     this->backends->tick(now);
-    this->prompts->tick(1);
+    this->prompts->tick(this->membership.owners().size());
     this->services->tick();
     this->claims->tick(1);
     this->claims->report(this->metrics);
