--- a/packages/core/src/claim_keeper.cpp
+++ b/packages/core/src/claim_keeper.cpp
@@ -53,10 +53,13 @@
         this->give({ticket, decision, this->host, retry, nullptr, {}});
         return this->flush(now);
     }
+    if (this->answerFromMemory(ticket, request)) {
+        return this->flush(now);
+    }
     const ClaimView view = this->state->look(request.name, ask.fingerprint, this->logNow(now));
-    const bool settled = view.state == ClaimState::Recorded || view.state == ClaimState::AnswerNotKept;
+    const bool final = view.state == ClaimState::Recorded || view.state == ClaimState::AnswerNotKept;
     const bool stale = this->isDown(now) && view.state != ClaimState::Free;
-    if (this->loaded && (settled || stale)) {
+    if (this->loaded && (final || stale)) {
         this->answerFromFold(ticket, request, now);
     } else if (this->isDown(now)) {
         this->refuse(ticket, ErrorKind::LogUnavailable, "the log does not answer");
@@ -103,6 +106,7 @@
     } else if (kind == OutcomeKind::Answered) {
         outcome.answer = answer;
     }
+    this->remember(found->second, outcome);
     this->owe(std::move(outcome));
     this->forget(ticket);
     return this->flush(now);
@@ -175,8 +179,9 @@
 
 bool ClaimKeeper::isDown(TimePoint now) const
 {
-    const std::uint32_t failures = std::max(this->appendFailures, this->readFailures);
-    return failures >= config::ClaimLogFailuresUntilDown && now < this->retryAt;
+    const std::uint32_t failures = this->appendFailures + this->readFailures;
+    const bool probing = this->inFlight || this->readStarted;
+    return failures >= config::ClaimLogFailuresUntilDown && (probing || now < this->retryAt);
 }
 
 ClaimActions ClaimKeeper::flush(TimePoint now)
@@ -210,6 +215,42 @@
     }
 }
 
+void ClaimKeeper::remember(const Pending &request, const ClaimOutcome &outcome)
+{
+    Settled entry {request.ask.fingerprint, outcome.kind, nullptr};
+    if (outcome.kind == OutcomeKind::Answered) {
+        entry.answer = std::make_shared<const ClaimAnswer>(outcome.answer);
+    }
+    this->settled[request.name] = std::move(entry);
+    if (this->settled.size() > this->limits.maxOwed) {
+        this->settled.erase(this->settled.begin());
+    }
+}
+
+// What this host ran itself it knows before the log does.
+bool ClaimKeeper::answerFromMemory(ClaimTicket ticket, const Pending &request)
+{
+    const auto found = this->settled.find(request.name);
+    if (found == this->settled.end()) {
+        return false;
+    }
+    const Settled &known = found->second;
+    ClaimVerdict verdict;
+    verdict.ticket = ticket;
+    verdict.host = this->host;
+    if (known.fingerprint != request.ask.fingerprint) {
+        verdict.decision = ClaimDecision::KeyReused;
+    } else if (known.kind == OutcomeKind::Answered) {
+        verdict.decision = ClaimDecision::Recorded;
+        verdict.answer = known.answer;
+    } else {
+        const bool ran = known.kind == OutcomeKind::NotKept;
+        verdict.decision = ran ? ClaimDecision::AnswerNotKept : ClaimDecision::OutcomeUnknown;
+    }
+    this->give(std::move(verdict));
+    return true;
+}
+
 // Gives the verdict unless the name is free.
 bool ClaimKeeper::answerFromFold(ClaimTicket ticket, const Pending &request, TimePoint now)
 {
