Wire gossip, leases and credits into the node

Cause: the parts that make hosts act together had no task to run them. Change: PeerTask exchanges gossip and configuration, LeaseTask follows and writes leases, CreditTask gates each dispatch to a cold backend server; prompts and service calls wait a bounded time for a credit right after a cold start. Conclusion: the node builds; its process tests have not been run with this commit.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -152,6 +152,8 @@
 constexpr std::chrono::milliseconds LeaseClockMargin = 500ms;
 constexpr std::uint64_t LeaseRenewalsPerListing = 8;
 constexpr std::uint64_t LeaseReplayRecords = 4096;
+constexpr std::chrono::milliseconds LeaseReadWait = 1000ms;
+constexpr std::chrono::milliseconds OwnershipPeriod = 500ms;
 constexpr std::chrono::seconds LongestOrderDeadline = 30s;
 
 // Credits of cold servers
@@ -159,6 +161,11 @@
 constexpr std::chrono::seconds CreditRunBound = 30s;
 constexpr std::chrono::milliseconds CreditClockMargin = 200ms;
 constexpr std::chrono::milliseconds CreditAskTimeout = 500ms;
+constexpr std::chrono::milliseconds CreditAskPeriod = 300ms;
+constexpr std::chrono::milliseconds CreditDemandKept = 1000ms;
+constexpr std::uint32_t CreditsAsked = 4;
+constexpr std::chrono::milliseconds CreditPatience = 3000ms;
+constexpr std::chrono::milliseconds CreditRecheckPeriod = 50ms;
 constexpr unsigned CreditEpochBits = 20;
 
 // Poison requests
--- a/packages/core/include/endivespan/credit.h
+++ b/packages/core/include/endivespan/credit.h
@@ -76,10 +76,12 @@
 public:
     /// Starts owning @p server. Grants nothing until every credit of an earlier owner has expired.
     /// @param warm A statement known to this host, or nothing when the server must be taken as cold.
+    /// @param isFirst True when it is certain that nobody has owned the server before: there is nothing to wait for.
     void own(ServerHandle server,
              const CreditLimits &limits,
              std::uint64_t fence,
              const std::optional<WarmStatement> &warm,
+             bool isFirst,
              TimePoint now);
 
     /// Stops owning @p server, as when its lease lapsed.
@@ -159,6 +161,12 @@
     /// Takes a warm statement. One that is not newer than the last time the server turned cold here is ignored.
     void learnWarm(const WarmStatement &statement);
 
+    /// Takes that statements up to @p epoch are void, as a peer says.
+    void learnCold(ServerHandle server, std::uint64_t epoch);
+
+    /// @returns the epoch up to which statements are void here.
+    [[nodiscard]] std::uint64_t coldThrough(ServerHandle server) const;
+
     /// @returns true when @p server may get work without a credit.
     [[nodiscard]] bool isWarm(ServerHandle server, TimePoint now) const;
 
--- a/packages/core/include/endivespan/lease.h
+++ b/packages/core/include/endivespan/lease.h
@@ -54,6 +54,7 @@
     LogTime expiresAt; ///< On the log's clock.
     TimePoint foldedAt; ///< When this host read the record that last extended it.
     std::chrono::milliseconds ttl {};
+    bool isFirst = false; ///< Nobody has held the resource before.
 };
 
 /// Folds the stream. Every reader that starts early enough comes to the same leases.
@@ -61,7 +62,8 @@
 {
 public:
     /// @param startedAt When reading began. What was granted before is unknown until it was renewed or has expired.
-    explicit LeaseFold(TimePoint startedAt);
+    /// @param complete True when reading began with the first record ever: then nothing is unknown.
+    explicit LeaseFold(TimePoint startedAt, bool complete = false);
 
     /// Folds one record, in order of offsets.
     /// @param record Where and when the log has it; its bytes are not looked at.
@@ -84,6 +86,7 @@
     void release(const LeaseRecord &body);
 
     TimePoint startedAt;
+    bool complete;
     std::map<std::string, Lease> leases;
     std::map<std::string, std::uint64_t> greatestFences;
 };
--- a/packages/core/include/endivespan/membership.h
+++ b/packages/core/include/endivespan/membership.h
@@ -100,6 +100,8 @@
     /// @returns the report of this host.
     [[nodiscard]] const HostReport &self() const;
 
+    /// Sets the address that peers reach this host at; call it before anything is sent.
+    void setAddress(const std::string &address);
     void setState(HostState state);
     void setConfigOffset(std::uint64_t offset);
     void setLogReachable(bool reachable);
--- a/packages/core/src/credit.cpp
+++ b/packages/core/src/credit.cpp
@@ -27,12 +27,17 @@
                       const CreditLimits &limits,
                       std::uint64_t fence,
                       const std::optional<WarmStatement> &warm,
+                      bool isFirst,
                       TimePoint now)
 {
     Owned owned;
     owned.limits = limits;
     owned.fence = fence;
     owned.grantableFrom = now + config::CreditTtl + config::CreditClockMargin + config::LoadReportStaleAfter;
+    if (isFirst) {
+        owned.grantableFrom = now;
+        owned.earlierWork = 0;
+    }
     if (warm) {
         owned.incarnation = warm->incarnation;
         owned.epoch = warm->epoch;
@@ -196,6 +201,21 @@
     }
 }
 
+void CreditPurse::learnCold(ServerHandle server, std::uint64_t epoch)
+{
+    Held &held = this->servers[server];
+    held.coldSinceEpoch = std::max(held.coldSinceEpoch, epoch);
+    if (held.warm && held.warm->epoch <= epoch) {
+        held.warm.reset();
+    }
+}
+
+std::uint64_t CreditPurse::coldThrough(ServerHandle server) const
+{
+    const auto found = this->servers.find(server);
+    return found == this->servers.end() ? 0 : found->second.coldSinceEpoch;
+}
+
 bool CreditPurse::isWarm(ServerHandle server, TimePoint now) const
 {
     return this->statement(server, now).has_value();
--- a/packages/core/src/lease_fold.cpp
+++ b/packages/core/src/lease_fold.cpp
@@ -6,8 +6,9 @@
 
 namespace endivespan {
 
-LeaseFold::LeaseFold(TimePoint startedAt)
+LeaseFold::LeaseFold(TimePoint startedAt, bool complete)
     : startedAt(startedAt)
+    , complete(complete)
 {
 }
 
@@ -36,8 +37,9 @@
         std::uint64_t &greatest = this->greatestFences[resource];
         const std::string detail = resource + " at offset " + std::to_string(record.offset);
         if (checkInvariant(Invariant::FenceNeverFalls, fence > greatest, detail)) {
+            const bool isFirst = this->complete && greatest == 0;
             greatest = fence;
-            this->leases[resource] = {body.owner, fence, record.at + ttl, now, ttl};
+            this->leases[resource] = {body.owner, fence, record.at + ttl, now, ttl, isFirst};
         }
     }
 }
@@ -84,7 +86,7 @@
     if (const Lease *lease = this->find(resource)) {
         return now >= lease->foldedAt + lease->ttl + config::LeaseClockMargin;
     }
-    return now >= this->startedAt + config::LeaseTtl + config::LeaseClockMargin
+    return this->complete || now >= this->startedAt + config::LeaseTtl + config::LeaseClockMargin
         || this->greatestFences.contains(resource);
 }
 
--- a/packages/core/src/membership.cpp
+++ b/packages/core/src/membership.cpp
@@ -42,6 +42,11 @@
     return this->entries.at(this->selfName).report.status;
 }
 
+void Membership::setAddress(const std::string &address)
+{
+    this->entries.at(this->selfName).report.address = address;
+}
+
 void Membership::setState(HostState state)
 {
     if (HostStatus &status = this->ownStatus(); status.state != state) {
--- a/packages/node/src/backends.cpp
+++ b/packages/node/src/backends.cpp
@@ -36,6 +36,11 @@
     this->gate = newGate;
 }
 
+ServerGate *Backends::serverGate() const
+{
+    return this->gate;
+}
+
 const std::vector<Backend> &Backends::servers() const
 {
     return this->serverList;
--- a/packages/node/src/backends.h
+++ b/packages/node/src/backends.h
@@ -2,6 +2,7 @@
 
 #include "fleet_source.h"
 
+#include <endivespan/credit.h>
 #include <endivespan/directory.h>
 #include <endivespan/engine_client.h>
 #include <endivespan/load.h>
@@ -10,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -63,6 +65,16 @@
 
     /// A server refused a connection or did not answer in time.
     virtual void onUnreachable(const Backend &server) = 0;
+
+    /// There is work for a server of @p pool.
+    virtual void onDemand(const std::string &pool) = 0;
+
+    /// Takes the right to send one request; call it right before dispatch.
+    /// @returns the right, or nothing when the request must not be sent.
+    [[nodiscard]] virtual std::optional<CreditUse> begin(ServerHandle server) = 0;
+
+    /// Ends what begin() allowed.
+    virtual void end(const CreditUse &use, CreditOutcome outcome) = 0;
 };
 
 /// Follows the configuration and polls the servers.
@@ -75,6 +87,9 @@
     /// Sets who may veto work; none by default.
     void setGate(ServerGate *newGate);
 
+    /// @returns who may veto work, or null.
+    [[nodiscard]] ServerGate *serverGate() const;
+
     /// Takes over a changed configuration and starts the polls that are due.
     void tick(TimePoint now);
 
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -6,6 +6,7 @@
 #include <endivespan/config.h>
 #include <endivespan/invariant.h>
 #include <endivespan/log.h>
+#include <endivespan/ownership.h>
 
 #include <nlohmann/json.hpp>
 
@@ -37,7 +38,12 @@
     , membership(reportOf(this->settings), loop.now())
     , confirmation(!this->settings.peers.empty())
     , config(std::make_unique<ConfigTask>(loop, *this->log, this->settings, this->membership, this->confirmation))
+    , peers(std::make_unique<PeerTask>(
+          PeerTaskParts {loop, this->settings, this->metrics, this->membership, this->confirmation, *this->config}))
+    , leases(std::make_unique<LeaseTask>(
+          loop, *this->log, LeaseOwner {this->settings.host, this->membership.self().status.version.incarnation}))
     , backends(std::make_unique<Backends>(loop, *this->config, *this->engines))
+    , credits(std::make_unique<CreditTask>(loop, this->metrics, *this->backends, *this->peers, *this->leases))
     , context(std::make_unique<NodeContext>(NodeContext {loop,
                                                          this->settings,
                                                          *this->config,
@@ -82,7 +88,14 @@
     if (auto listening = this->front->listen(); !listening) {
         return listening.error();
     }
+    if (auto listening = this->peers->start(); !listening) {
+        return listening.error();
+    }
+    this->peers->setService(
+        [this](const std::string &, const PeerMessage &message) { return this->credits->answer(message); });
+    this->backends->setGate(this->credits.get());
     this->config->start();
+    this->leases->start();
     this->ticker = this->loop.every(config::TickPeriod, [this] { this->tick(); });
     logLine("node", "{} serves callers on port {}", this->settings.host, this->front->port());
     this->announce();
@@ -94,6 +107,7 @@
 {
     const std::string &address = this->settings.listen.callers;
     fmt::print("listening callers {}:{}\n", address.substr(0, address.rfind(':')), this->front->port());
+    fmt::print("listening peers {}\n", this->peers->address());
     fmt::print("ready\n");
     std::fflush(stdout);
 }
@@ -101,6 +115,10 @@
 void Node::tick()
 {
     const TimePoint now = this->loop.now();
+    this->peers->tick(now);
+    this->proposeOwnership(now);
+    this->leases->tick(now);
+    this->credits->tick(now);
     this->backends->tick(now);
     this->prompts->tick(this->membership.owners().size());
     this->services->tick();
@@ -111,6 +129,21 @@
     }
 }
 
+void Node::proposeOwnership(TimePoint now)
+{
+    if (now < this->nextOwnership) {
+        return;
+    }
+    this->nextOwnership = now + config::OwnershipPeriod;
+    std::set<std::string> resources {std::string(SuspectsResource)};
+    for (const auto &[name, server] : this->config->fleet().servers) {
+        if (server.kind != ServerKind::Store) {
+            resources.insert(serverResource(name));
+        }
+    }
+    this->leases->want(proposedResources(this->settings.host, this->membership.owners(), resources));
+}
+
 void Node::serveModels(HttpExchange &exchange, const Caller &caller) const
 {
     nlohmann::json models = nlohmann::json::array();
@@ -128,6 +161,7 @@
     }
     logLine("node", "{} stops: {} answers under way", this->settings.host, this->front->openExchanges());
     this->stopping = true;
+    this->peers->leave();
     this->front->refuseNew();
     // The balancer needs a moment to see that this host is not ready; until then callers get a truthful refusal.
     this->stopAcceptingAt = this->loop.now() + config::StopAcceptDelay;
--- a/packages/node/src/node.h
+++ b/packages/node/src/node.h
@@ -3,10 +3,13 @@
 #include "backends.h"
 #include "claim_task.h"
 #include "context.h"
+#include "credit_task.h"
 #include "explain.h"
 #include "fleet_source.h"
 #include "front.h"
+#include "lease_task.h"
 #include "metrics.h"
+#include "peer_task.h"
 #include "prompt_task.h"
 #include "service_task.h"
 
@@ -45,6 +48,7 @@
 private:
     void announce() const;
     void tick();
+    void proposeOwnership(TimePoint now);
     void serveModels(HttpExchange &exchange, const Caller &caller) const;
     void continueStop(TimePoint now);
 
@@ -59,7 +63,10 @@
     Membership membership;
     Confirmation confirmation;
     std::unique_ptr<ConfigTask> config;
+    std::unique_ptr<PeerTask> peers;
+    std::unique_ptr<LeaseTask> leases;
     std::unique_ptr<Backends> backends;
+    std::unique_ptr<CreditTask> credits;
     std::unique_ptr<NodeContext> context;
     std::unique_ptr<Front> front;
     std::unique_ptr<PromptTask> prompts;
@@ -69,6 +76,7 @@
     bool stopping = false;
     bool acceptingStopped = false;
     TimePoint stopAcceptingAt;
+    TimePoint nextOwnership;
     TimePoint claimsMustEndBy;
 };
 
--- /dev/null
+++ b/packages/node/src/peer_task.cpp
@@ -0,0 +1,157 @@
+#include "peer_task.h"
+
+#include <endivespan/config.h>
+#include <endivespan/log.h>
+
+#include <random>
+#include <utility>
+#include <variant>
+
+namespace endivespan {
+
+PeerTask::PeerTask(PeerTaskParts parts)
+    : parts(parts)
+{
+}
+
+Result<void> PeerTask::start()
+{
+    const HostReport &self = this->parts.membership.self();
+    auto listening = PeerLink::listen(
+        this->parts.loop,
+        {self.name, self.status.version.incarnation},
+        this->parts.settings.listen.peers,
+        [this](const std::string &from, const PeerMessage &request) { return this->answer(from, request); });
+    if (!listening) {
+        return listening.error();
+    }
+    this->link = std::move(listening.value());
+    const std::string &wanted = this->parts.settings.listen.peers;
+    this->parts.membership.setAddress(wanted.substr(0, wanted.rfind(':') + 1) + std::to_string(this->link->port()));
+    this->gossip = std::make_unique<Gossip>(
+        GossipTables {this->parts.membership, this->servers, this->suspicions, this->parts.confirmation},
+        this->parts.settings.peers,
+        std::random_device {}());
+    logLine("peers", "{} listens for peers on {}", self.name, this->address());
+    return boost::outcome_v2::success();
+}
+
+const std::string &PeerTask::address() const
+{
+    return this->parts.membership.self().address;
+}
+
+void PeerTask::setService(PeerService newService)
+{
+    this->service = std::move(newService);
+}
+
+void PeerTask::ask(const std::string &host, const PeerMessage &message, std::function<void(Result<PeerMessage>)> done)
+{
+    const HostView *view = this->parts.membership.find(host);
+    const std::string address = view == nullptr ? "" : view->report.address;
+    this->link->request(
+        address, message, config::PeerTimeout, [host, done = std::move(done)](const Result<PeerAnswer> &answer) {
+            if (!answer) {
+                return done(answer.error());
+            }
+            // Another process may have taken over the address.
+            if (answer.value().host != host) {
+                return done(Error {ErrorKind::ConnectionFailed, "another host answers at the address of " + host});
+            }
+            done(answer.value().message);
+        });
+}
+
+void PeerTask::leave()
+{
+    this->parts.membership.setState(HostState::Leaving);
+    this->nextRound = {};
+}
+
+void PeerTask::tick(TimePoint now)
+{
+    this->parts.membership.tick(now);
+    this->suspicions.tick(now);
+    if (now < this->nextRound) {
+        return;
+    }
+    this->nextRound = now + this->gossip->period();
+    for (const GossipTarget &target : this->gossip->round()) {
+        this->exchange(target);
+    }
+}
+
+std::set<std::string> PeerTask::takeChangedServers()
+{
+    return this->gossip->takeChangedServers();
+}
+
+void PeerTask::exchange(const GossipTarget &target)
+{
+    const TimePoint askedAt = this->parts.loop.now();
+    // A seed has no name yet; what it is sent is not remembered under its address.
+    const GossipMessage request = this->gossip->open(target.host.empty() ? target.address : target.host, askedAt);
+    this->link->request(
+        target.address, request, config::PeerTimeout, [this, target, askedAt](const Result<PeerAnswer> &answer) {
+            this->conclude(answer, target, askedAt);
+        });
+}
+
+void PeerTask::conclude(const Result<PeerAnswer> &answer, const GossipTarget &target, TimePoint askedAt)
+{
+    if (!answer) {
+        this->parts.metrics.count("peer_failures");
+        this->gossip->lost(target.host.empty() ? target.address : target.host);
+        return;
+    }
+    const auto *message = std::get_if<GossipMessage>(&answer.value().message);
+    if (message == nullptr) {
+        return;
+    }
+    const GossipNews news = this->gossip->conclude(answer.value().host, *message, askedAt, this->parts.loop.now());
+    if (news.fetchConfig && this->parts.config.wantsPeerState()) {
+        this->fetchConfig(target.address);
+    }
+}
+
+void PeerTask::fetchConfig(const std::string &address)
+{
+    if (this->fetching) {
+        return;
+    }
+    this->fetching = true;
+    const ConfigAsk ask {this->parts.membership.self().status.configOffset};
+    this->link->request(address, ask, config::PeerTimeout, [this](const Result<PeerAnswer> &answer) {
+        this->fetching = false;
+        const auto *reply = answer ? std::get_if<ConfigReply>(&answer.value().message) : nullptr;
+        if (reply == nullptr || reply->state.empty()) {
+            return;
+        }
+        const auto adopted = this->parts.config.adoptState(reply->state);
+        logLine("peers",
+                "configuration at offset {} of {} {}",
+                reply->offset,
+                answer.value().host,
+                adopted ? "taken over" : "refused: " + adopted.error().detail);
+    });
+}
+
+PeerMessage PeerTask::answer(const std::string &from, const PeerMessage &request)
+{
+    if (const auto *gossiped = std::get_if<GossipMessage>(&request)) {
+        return this->gossip->answer(from, *gossiped, this->parts.loop.now());
+    }
+    if (const auto *ask = std::get_if<ConfigAsk>(&request)) {
+        const std::uint64_t offset = this->parts.membership.self().status.configOffset;
+        return ConfigReply {offset, ask->heldOffset < offset ? this->parts.config.encodeState() : ""};
+    }
+    if (this->service) {
+        if (auto message = this->service(from, request)) {
+            return std::move(*message);
+        }
+    }
+    return PeerAck {};
+}
+
+} // namespace endivespan
--- a/packages/node/src/prompt_run.cpp
+++ b/packages/node/src/prompt_run.cpp
@@ -106,6 +106,9 @@
 void PromptRun::attempt()
 {
     ++this->attempts;
+    if (ServerGate *gate = this->context.backends.serverGate()) {
+        gate->onDemand(this->job.model.name);
+    }
     RouteRequest request;
     request.organisation = this->context.backends.organisationOf(this->job.caller.organisation);
     request.model = this->context.backends.modelOf(this->job.model.name);
@@ -118,11 +121,14 @@
     const RouteView view {this->context.backends.loads, this->context.backends.directory};
     this->decision = this->router.route(request, view, this->context.loop.now());
     this->explain(this->decision);
-    if (this->decision.isValid()) {
+    if (this->decision.isValid() && this->takeCredit(this->decision)) {
         this->dispatch(this->decision);
         return;
     }
     this->excluded.clear();
+    if (this->waitForCredit()) {
+        return;
+    }
     this->retry({ErrorKind::NoServer, "no runner of '" + this->job.model.name + "' may take work"});
 }
 
@@ -166,6 +172,31 @@
     }
 }
 
+bool PromptRun::takeCredit(const Decision &choice)
+{
+    ServerGate *gate = this->context.backends.serverGate();
+    if (gate == nullptr) {
+        return true;
+    }
+    this->credit = gate->begin(choice.server);
+    return this->credit.has_value();
+}
+
+// Right after a cold start there is work for a server before its owner has granted anything.
+bool PromptRun::waitForCredit()
+{
+    ServerGate *gate = this->context.backends.serverGate();
+    const TimePoint now = this->context.loop.now();
+    const TimePoint until = std::min(this->arrivedAt + config::CreditPatience, this->deadline);
+    if (gate == nullptr || now >= until) {
+        return false;
+    }
+    gate->onDemand(this->job.model.name);
+    --this->attempts;
+    this->retryTimer = this->context.loop.after(config::CreditRecheckPeriod, [this] { this->attempt(); });
+    return true;
+}
+
 void PromptRun::dispatch(const Decision &choice)
 {
     Backends &backends = this->context.backends;
@@ -189,7 +220,8 @@
     request.resumeFrom = this->nextIndex;
     request.priority = this->job.request.priority + this->fairness;
     this->dispatchedAt = this->context.loop.now();
-    request.deadline = std::max(std::chrono::milliseconds(1), inMilliseconds(this->deadline - this->dispatchedAt));
+    const TimePoint endBy = this->credit ? std::min(this->deadline, this->credit->mustEndBy) : this->deadline;
+    request.deadline = std::max(std::chrono::milliseconds(1), inMilliseconds(endBy - this->dispatchedAt));
     EngineCallbacks callbacks;
     callbacks.onToken = [this](const EngineToken &token) { this->onToken(token); };
     callbacks.onDone = [this](const EngineSummary &summary) { this->onDone(summary); };
@@ -318,6 +350,10 @@
     }
     Backends &backends = this->context.backends;
     --backends.server(this->server).inFlight;
+    if (this->credit) {
+        backends.serverGate()->end(*this->credit, completed ? CreditOutcome::Completed : CreditOutcome::Failed);
+        this->credit.reset();
+    }
     if (this->load.isValid()) {
         backends.loads.onEnd(this->load, completed, this->context.loop.now());
         this->load = {};
--- a/packages/node/src/prompt_run.h
+++ b/packages/node/src/prompt_run.h
@@ -8,6 +8,7 @@
 #include <endivespan/route.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -81,6 +82,8 @@
 
 private:
     void attempt();
+    bool takeCredit(const Decision &choice);
+    bool waitForCredit();
     void dispatch(const Decision &decision);
     void explain(const Decision &decision);
     void onToken(const EngineToken &token);
@@ -118,6 +121,7 @@
     ServerHandle server;
     Decision decision;
     DispatchHandle load;
+    std::optional<CreditUse> credit; ///< The right that the attempt under way was sent with.
     std::unique_ptr<EngineRun> run;
     std::unique_ptr<Timer> deadlineTimer;
     std::unique_ptr<Timer> heartbeatTimer;
--- a/packages/node/src/service_run.cpp
+++ b/packages/node/src/service_run.cpp
@@ -98,6 +98,9 @@
 void ServiceRun::attempt()
 {
     const ServerHandle chosen = this->picker.pick(this->job.request.service, this->excluded);
+    if (this->waitForCredit(chosen)) {
+        return;
+    }
     if (!chosen.isValid() || this->attempts >= config::ServiceAttempts) {
         this->giveUpClaim();
         const bool tried = this->attempts > 0;
@@ -109,6 +112,7 @@
         this->runStarted = this->claims.startRun(*this->ticket);
         if (!this->runStarted) {
             this->ticket.reset();
+            this->endCredit(CreditOutcome::Unused);
             this->refuse({ErrorKind::DeadlineExceeded, "the claim was not used in time"});
             return;
         }
@@ -116,6 +120,36 @@
     this->send(chosen);
 }
 
+// Takes the right to send to the chosen server; right after a cold start it may take a moment to get one.
+bool ServiceRun::waitForCredit(ServerHandle chosen)
+{
+    ServerGate *gate = this->context.backends.serverGate();
+    if (gate == nullptr || this->attempts >= config::ServiceAttempts) {
+        return false;
+    }
+    gate->onDemand(this->job.request.service);
+    if (chosen.isValid()) {
+        this->credit = gate->begin(chosen);
+    }
+    if (this->credit) {
+        return false;
+    }
+    this->creditWaits += 1;
+    if (this->creditWaits * config::CreditRecheckPeriod >= config::CreditPatience) {
+        return false;
+    }
+    this->startTimer = this->context.loop.after(config::CreditRecheckPeriod, [this] { this->attempt(); });
+    return true;
+}
+
+void ServiceRun::endCredit(CreditOutcome outcome)
+{
+    if (this->credit) {
+        this->context.backends.serverGate()->end(*this->credit, outcome);
+        this->credit.reset();
+    }
+}
+
 void ServiceRun::send(ServerHandle chosen)
 {
     ++this->attempts;
@@ -140,12 +174,15 @@
     if (this->call) {
         this->call.reset();
         --this->context.backends.server(this->server).inFlight;
+        this->endCredit(this->callAnswered ? CreditOutcome::Completed : CreditOutcome::Failed);
+        this->callAnswered = false;
     }
 }
 
 void ServiceRun::onAnswer(const HttpAnswer &answer)
 {
     this->startTimer = this->context.loop.after(Duration::zero(), [this, answer] {
+        this->callAnswered = !saysNotRun(answer);
         this->stopCall();
         if (saysNotRun(answer)) {
             this->onRefusedByServer();
--- a/packages/node/src/service_run.h
+++ b/packages/node/src/service_run.h
@@ -57,6 +57,8 @@
 private:
     void onVerdict(const ClaimVerdict &verdict);
     void attempt();
+    bool waitForCredit(ServerHandle chosen);
+    void endCredit(CreditOutcome outcome);
     void send(ServerHandle chosen);
     void onAnswer(const HttpAnswer &answer);
     void onRefusedByServer();
@@ -85,6 +87,9 @@
     std::uint32_t attempts = 0;
     bool cutOnce = false; ///< A server went away while it may have been running an idempotent call.
     ServerHandle server;
+    bool callAnswered = false;
+    unsigned creditWaits = 0;
+    std::optional<CreditUse> credit; ///< The right that the call under way was sent with.
     std::unique_ptr<HttpPending> call;
     std::unique_ptr<Timer> startTimer;
     std::unique_ptr<Timer> deadlineTimer;
--- a/tests/core/credit.cpp
+++ b/tests/core/credit.cpp
@@ -137,7 +137,7 @@
     {
         const auto warm = knowsWarm ? this->purses[0].statement(Server, this->now) : std::nullopt;
         this->owner = CreditOwner {};
-        this->owner.own(Server, Limits, ++this->fence, warm, this->now);
+        this->owner.own(Server, Limits, ++this->fence, warm, false, this->now);
     }
 
     void advance(Duration step)
@@ -202,7 +202,7 @@
 World readyWorld()
 {
     World world;
-    world.owner.own(Server, Limits, world.fence, {}, world.now);
+    world.owner.own(Server, Limits, world.fence, {}, false, world.now);
     world.advance(5s);
     world.report();
     return world;
@@ -282,6 +282,23 @@
     CHECK(world.owner.request({Server, 3, 1}, world.now).count == 1);
 }
 
+TEST_CASE("the first owner ever grants at once, and a cold notice of a peer voids older statements")
+{
+    CreditOwner owner;
+    const TimePoint now {1h};
+    owner.own(Server, Limits, 1, {}, true, now);
+    owner.heard(Server, "s0", 0, now);
+    CHECK(owner.request({Server, 1, 3}, now).count == Limits.coldConcurrency);
+    CreditPurse purse;
+    purse.heard(Server, "s0", now);
+    purse.learnWarm({Server, "s0", 5});
+    purse.learnCold(Server, 4);
+    CHECK(purse.isWarm(Server, now));
+    purse.learnCold(Server, 5);
+    CHECK_FALSE(purse.isWarm(Server, now));
+    CHECK(purse.coldThrough(Server) == 5);
+}
+
 TEST_CASE("a grant counts from the sending of its request")
 {
     World world = readyWorld();
