--- a/packages/cli/src/main.cpp
+++ b/packages/cli/src/main.cpp
@@ -1,3 +1,4 @@
+#include "bench.h"
 #include "command.h"
 
 #include <CLI/CLI.hpp>
@@ -7,7 +8,8 @@
 int main(int argc, char **argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    CLI::App app {"Operates a set of endivespan hosts: checks and publishes release notes, and asks hosts what they do."};
+    CLI::App app {
+        "Operates a set of endivespan hosts: checks and publishes release notes, and asks hosts what they do."};
     app.require_subcommand(1);
     int exitCode = endivespan::cli::ExitDone;
     endivespan::cli::addCheck(app, exitCode);
@@ -15,6 +17,7 @@
     endivespan::cli::addStatus(app, exitCode);
     endivespan::cli::addExplain(app, exitCode);
     endivespan::cli::addKey(app, exitCode);
+    endivespan::cli::addBench(app, exitCode);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError &problem) {
