--- a/packages/cli/src/main.cpp
+++ b/packages/cli/src/main.cpp
@@ -1,3 +1,4 @@
+#include "bench.h"
 #include "command.h"
 
 #include <CLI/CLI.hpp>
@@ -16,6 +17,7 @@
     endivespan::cli::addStatus(app, exitCode);
     endivespan::cli::addExplain(app, exitCode);
     endivespan::cli::addKey(app, exitCode);
+    endivespan::cli::addBench(app, exitCode);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError &problem) {
