--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -122,7 +122,7 @@
     this->backends->tick(now);
     this->prompts->tick(this->membership.owners().size());
     this->services->tick();
-    this->claims->tick(1);
+    this->claims->tick(this->membership.owners().size());
     this->claims->report(this->metrics);
     if (this->stopping) {
         this->continueStop(now);
--- a/tests/soak/cluster.h
+++ b/tests/soak/cluster.h
@@ -1,9 +1,10 @@
 #pragma once
 
-#include "../process/harness.h"
+#include "../process/host_process.h"
 
 #include <endivespan/http_client.h>
 
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -15,17 +16,15 @@
 /// What to start.
 struct ClusterOptions {
     std::size_t hosts = 12;
-    std::size_t runners = 20;
-    std::string extraSettings; ///< YAML lines added to the settings of each host.
+    std::vector<std::string> standins; ///< Arguments for the stand-ins.
 };
 
-/// One host process.
-struct HostProcess {
+/// One host of the cluster.
+struct ClusterHost {
     std::string name;
     std::string domain;
-    std::unique_ptr<harness::Process> process;
-    std::string callers; ///< Empty while it is down.
-    std::string peers;
+    std::unique_ptr<harness::ReservedPort> peerPort;
+    std::unique_ptr<harness::HostProcess> process; ///< Empty while it is down.
     bool ready = false;
     std::unique_ptr<HttpPending> probe;
 };
@@ -36,7 +35,7 @@
 public:
     Cluster(Loop &loop, const ClusterOptions &options);
 
-    /// Starts the stand-ins, publishes the first release note and starts the hosts.
+    /// Publishes the first release note, starts the hosts and waits until each is ready.
     void start();
 
     /// Starts a host that is down.
@@ -45,33 +44,37 @@
     /// @returns the callers' address of a host that said it is ready, at random; empty when there is none.
     std::string pickHost(std::mt19937_64 &random) const;
 
-    /// Publishes a release note that takes a failure domain out or returns it.
-    /// @returns the exit status of the command.
-    int publishDomain(const std::string &domain, bool inService) const;
-
-    /// Publishes a release note.
-    /// @returns the exit status of the command.
-    int publish(const std::string &note) const;
-
-    [[nodiscard]] std::uint64_t revision() const;
+    /// Publishes a release note that takes a failure domain out or returns it, again and again until a host has it.
+    /// @param done Called once it is in force somewhere.
+    void publishDomain(const std::string &domain, Service service, std::function<void()> done);
 
     harness::Standins &standins();
-    std::vector<HostProcess> &hosts();
+    std::vector<ClusterHost> &hosts();
 
-    static constexpr std::size_t Organisations = 5;
+    static constexpr std::size_t Organisations = 10;
 
     /// @returns the API key of organisation @p index.
     static std::string apiKey(std::size_t index);
 
 private:
+    struct Publication {
+        std::string domain;
+        Service service = Service::InService;
+        std::function<void()> done;
+        std::unique_ptr<HttpPending> append;
+        std::unique_ptr<Timer> check;
+    };
+
     void probeAll();
-    [[nodiscard]] std::string settingsOf(const HostProcess &host) const;
+    void probe(ClusterHost &host);
+    void append(const std::shared_ptr<Publication> &publication);
+    void checkPublication(const std::shared_ptr<Publication> &publication);
 
     Loop &loop;
-    ClusterOptions options;
-    harness::TempDir files;
-    std::unique_ptr<harness::Standins> outside;
-    std::vector<HostProcess> hostList;
+    harness::Standins outside;
+    std::vector<ClusterHost> hostList;
+    std::uint64_t revision = 0; ///< Highest one that a host told.
+    std::uint64_t noteSequence = 0;
     std::unique_ptr<Timer> prober;
 };
 
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -112,10 +112,10 @@
     }));
 }
 
-HostProcess *FaultMaker::pickRunningHost()
+ClusterHost *FaultMaker::pickRunningHost()
 {
-    std::vector<HostProcess *> running;
-    for (HostProcess &host : this->cluster.hosts()) {
+    std::vector<ClusterHost *> running;
+    for (ClusterHost &host : this->cluster.hosts()) {
         if (host.process && host.ready) {
             running.push_back(&host);
         }
@@ -145,45 +145,44 @@
 
 void FaultMaker::killHost()
 {
-    HostProcess *host = this->pickRunningHost();
+    ClusterHost *host = this->pickRunningHost();
     if (host == nullptr) {
         return;
     }
     host->process.reset();
     host->ready = false;
-    host->callers.clear();
     const auto index = static_cast<std::size_t>(host - this->cluster.hosts().data());
     this->undoAfter(this->between(500, 3000), [this, index] { this->cluster.startHost(index); });
 }
 
 void FaultMaker::pauseHost()
 {
-    HostProcess *host = this->pickRunningHost();
+    ClusterHost *host = this->pickRunningHost();
     if (host == nullptr) {
         return;
     }
-    host->process->signal(SIGSTOP);
+    host->process->process().signal(SIGSTOP);
     host->ready = false;
     const auto index = static_cast<std::size_t>(host - this->cluster.hosts().data());
     this->undoAfter(this->between(500, 9000), [this, index] {
         if (const auto &paused = this->cluster.hosts()[index]; paused.process) {
-            paused.process->signal(SIGCONT);
+            paused.process->process().signal(SIGCONT);
         }
     });
 }
 
 void FaultMaker::stopHost()
 {
-    HostProcess *host = this->pickRunningHost();
+    ClusterHost *host = this->pickRunningHost();
     if (host == nullptr) {
         return;
     }
-    host->process->signal(SIGTERM);
+    host->process->process().signal(SIGTERM);
     const auto index = static_cast<std::size_t>(host - this->cluster.hosts().data());
     // Longer than any answer of the run may take, so that the exit status is there without a wait.
     this->undoAfter(std::chrono::seconds(20), [this, index] {
-        HostProcess &stopped = this->cluster.hosts()[index];
-        if (const auto status = stopped.process->waitExit(); status != 0) {
+        ClusterHost &stopped = this->cluster.hosts()[index];
+        if (const auto status = stopped.process->process().waitExit(); status != 0) {
             this->verdict.find(stopped.name + " did not stop with status 0 after SIGTERM");
         }
         stopped.process.reset();
@@ -199,23 +198,20 @@
     this->domainOut = true;
     const std::vector<std::string> names {"hame-a", "hame-b", "hame-c"};
     const std::string domain = names[this->random() % names.size()];
-    if (this->cluster.publishDomain(domain, false) != 0) {
-        this->verdict.count("publish_failed");
-        this->domainOut = false;
-        return;
-    }
-    this->undoAfter(this->between(6000, 15000), [this, domain] { this->returnDomain(domain); });
+    ++this->pendingUndos;
+    this->cluster.publishDomain(domain, Service::TakenOut, [this, domain] {
+        --this->pendingUndos;
+        this->undoAfter(this->between(6000, 15000), [this, domain] { this->returnDomain(domain); });
+    });
 }
 
 void FaultMaker::returnDomain(const std::string &domain)
 {
-    if (this->cluster.publishDomain(domain, true) == 0) {
+    ++this->pendingUndos;
+    this->cluster.publishDomain(domain, Service::InService, [this] {
+        --this->pendingUndos;
         this->domainOut = false;
-        return;
-    }
-    // The log may be down; the operator tries again.
-    this->verdict.count("publish_failed");
-    this->undoAfter(std::chrono::seconds(2), [this, domain] { this->returnDomain(domain); });
+    });
 }
 
 } // namespace endivespan::soak
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -35,7 +35,7 @@
     void injectOne();
     void undoAfter(std::chrono::milliseconds time, std::function<void()> undo);
     std::chrono::milliseconds between(int lowMs, int highMs);
-    HostProcess *pickRunningHost();
+    ClusterHost *pickRunningHost();
     std::string pick(const std::string &prefix, std::size_t count);
     void control(const std::string &name, const harness::json &settings);
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -33,7 +33,7 @@
     explicit Soak(const SoakOptions &options)
         : options(options)
         , random(options.seed)
-        , cluster(this->loop, {options.hosts, 20, ""})
+        , cluster(this->loop, {options.hosts, {"--set", R"(engine={"decode_ms":5})"}})
         , faults(this->loop, this->cluster, this->random, this->verdict)
     {
     }
@@ -121,11 +121,11 @@
 
     void checkHosts()
     {
-        for (const HostProcess &host : this->cluster.hosts()) {
-            if (!host.process || host.callers.empty()) {
+        for (const ClusterHost &host : this->cluster.hosts()) {
+            if (!host.process) {
                 continue;
             }
-            const auto status = harness::call(host.callers, "GET", "/status").parsed();
+            const auto status = host.process->status();
             if (!status.is_object()) {
                 this->verdict.find(host.name + " does not answer at the end");
             } else if (status.value("invariant_violations", 0) != 0) {
@@ -140,7 +140,7 @@
         this->verdict.counts["callers_without_end"] = this->openCallers();
         this->checkOrders();
         this->checkHosts();
-        for (const std::string &count : {"fell_over", "bad_import", "bad_pieces"}) {
+        for (const std::string count : {"fell_over", "bad_import", "bad_pieces"}) {
             this->verdict.counts["standins_" + count] = this->cluster.standins().sum(count);
         }
         if (this->verdict.counts["standins_bad_import"] + this->verdict.counts["standins_bad_pieces"] > 0) {
