--- a/packages/cli/src/command.h
+++ b/packages/cli/src/command.h
@@ -6,7 +6,7 @@
 #include <optional>
 #include <string>
 
-namespace CLI {
+namespace CLI { // NOLINT(readability-identifier-naming): named by the library
 class App;
 }
 
@@ -43,7 +43,7 @@
 /// Makes one GET call and waits for its answer.
 Result<HttpAnswer> get(const std::string &address, const std::string &target);
 
-/// @returns a check for CLI11 that takes only "a.b.c.d:port".
+/// @returns what is wrong with @p text as an address "a.b.c.d:port", or an empty text.
 std::string addressProblem(const std::string &text);
 
 } // namespace endivespan::cli
--- a/packages/node/src/config_task.cpp
+++ b/packages/node/src/config_task.cpp
@@ -58,6 +58,11 @@
     return digestHex(this->fold.digest());
 }
 
+std::optional<std::chrono::milliseconds> ConfigTask::inForceDelay() const
+{
+    return this->lastDelay;
+}
+
 const Organisation *ConfigTask::organisationOfKey(const std::string &keyDigest) const
 {
     return this->fold.table().organisationOfKey(keyDigest);
@@ -72,7 +77,7 @@
     status.ready = this->isReady();
     status.stale = this->isStale();
     status.confirmedAge = this->confirmation.statement(this->membership, this->loop.now()).confirmedAge;
-    status.inForceDelay = this->inForceDelay;
+    status.inForceDelay = this->lastDelay;
     status.fold = this->fold.stats();
     return status;
 }
@@ -254,7 +259,7 @@
 void ConfigTask::handleChanged(const FleetChanged &change)
 {
     if (this->ready) {
-        this->inForceDelay = wallClock() - this->fold.origin().at;
+        this->lastDelay = wallClock() - this->fold.origin().at;
     }
     for (const auto &listener : this->listeners) {
         listener(change);
--- a/packages/node/src/config_task.h
+++ b/packages/node/src/config_task.h
@@ -52,6 +52,7 @@
     [[nodiscard]] bool isReady() const override;
     [[nodiscard]] bool isStale() const override;
     [[nodiscard]] std::string digest() const override;
+    [[nodiscard]] std::optional<std::chrono::milliseconds> inForceDelay() const override;
 
     /// @returns the organisation that holds the key with @p keyDigest, or null.
     [[nodiscard]] const Organisation *organisationOfKey(const std::string &keyDigest) const;
@@ -106,7 +107,7 @@
     std::uint64_t oldest = 0; ///< Oldest offset that the log keeps.
     bool ready = false;
     bool caughtUp = false;
-    std::optional<std::chrono::milliseconds> inForceDelay;
+    std::optional<std::chrono::milliseconds> lastDelay; ///< See ConfigStatus::inForceDelay.
     std::vector<std::string> snapshotParts; ///< Encoded parts of the snapshot that is being appended.
     std::unique_ptr<Timer> readTimer;
     std::unique_ptr<Timer> overdueTimer;
--- a/packages/node/src/fleet_source.h
+++ b/packages/node/src/fleet_source.h
@@ -3,6 +3,8 @@
 #include <endivespan/clock.h>
 #include <endivespan/fleet.h>
 
+#include <chrono>
+#include <optional>
 #include <string>
 
 /// Where the parts of a node read the configuration in force.
@@ -25,6 +27,10 @@
 
     /// @returns the digest of the configuration, in hexadecimal.
     [[nodiscard]] virtual std::string digest() const = 0;
+
+    /// @returns how long the newest note took from the log service to here, by this host's wall clock; empty when it
+    /// was folded while catching up.
+    [[nodiscard]] virtual std::optional<std::chrono::milliseconds> inForceDelay() const = 0;
 };
 
 } // namespace endivespan
--- a/packages/node/src/operator_pages.cpp
+++ b/packages/node/src/operator_pages.cpp
@@ -29,12 +29,19 @@
     return servers;
 }
 
+json inForceJson(const FleetSource &fleet)
+{
+    const auto delay = fleet.inForceDelay();
+    return delay ? json(delay->count()) : json();
+}
+
 json statusJson(const NodeContext &context, const NodeStatus &status)
 {
     return {{"host", context.settings.host},
             {"failure_domain", context.settings.failureDomain},
             {"revision", context.fleet.fleet().revision},
             {"digest", context.fleet.digest()},
+            {"in_force_ms", inForceJson(context.fleet)},
             {"ready", context.fleet.isReady()},
             {"stale", context.fleet.isStale()},
             {"stopping", status.stopping},
--- a/packages/wire/src/yaml.cpp
+++ b/packages/wire/src/yaml.cpp
@@ -88,7 +88,9 @@
         if (std::find(keys.begin(), keys.end(), key) == keys.end()) {
             this->document.report(place,
                                   fmt::format("unknown key '{}' in {}; known: {}", key, this->what, joined(keys)));
-        } else if (!this->values.emplace(key, entry.second).second) {
+        } else if (this->places.emplace(key, place).second) {
+            this->values.emplace(key, entry.second);
+        } else {
             this->document.report(place, fmt::format("duplicate key '{}' in {}", key, this->what));
         }
     }
@@ -233,7 +235,7 @@
 void YamlMap::reportAt(std::string_view key, std::string reason)
 {
     const auto node = this->find(key);
-    this->document.report(node ? node->Mark() : this->start, std::move(reason));
+    this->document.report(node ? this->placeOf(*node, key) : this->start, std::move(reason));
 }
 
 const YAML::Mark &YamlMap::mark() const
@@ -241,10 +243,17 @@
     return this->start;
 }
 
+// The parser places a missing value where the next token begins, which may be lines further on.
+YAML::Mark YamlMap::placeOf(const YAML::Node &node, std::string_view key) const
+{
+    const auto place = this->places.find(key);
+    return node.IsNull() && place != this->places.end() ? place->second : node.Mark();
+}
+
 std::optional<std::string> YamlMap::scalar(const YAML::Node &node, std::string_view key)
 {
     if (node.IsNull()) {
-        this->document.report(node.Mark(), this->label(key) + " has no value");
+        this->document.report(this->placeOf(node, key), this->label(key) + " has no value");
         return std::nullopt;
     }
     if (!node.IsScalar()) {
--- a/packages/wire/src/yaml_p.h
+++ b/packages/wire/src/yaml_p.h
@@ -130,6 +130,7 @@
     [[nodiscard]] const YAML::Mark &mark() const;
 
 private:
+    [[nodiscard]] YAML::Mark placeOf(const YAML::Node &node, std::string_view key) const;
     std::optional<std::string> scalar(const YAML::Node &node, std::string_view key);
     std::optional<std::string> requiredScalar(std::string_view key);
     [[nodiscard]] std::string label(std::string_view key) const;
@@ -143,6 +144,7 @@
     YAML::Mark start;
     bool isMap;
     std::map<std::string, YAML::Node, std::less<>> values;
+    std::map<std::string, YAML::Mark, std::less<>> places; ///< Of the keys.
 };
 
 } // namespace endivespan
