--- a/packages/core/include/endivespan/admit.h
+++ b/packages/core/include/endivespan/admit.h
@@ -139,7 +139,6 @@
         std::uint32_t running = 0;
         std::uint32_t queued = 0;
         double queuedPrefill = 0;
-        double prefillInFlight = 0;
         double recomputeShare = 1.0; ///< Smoothed part of its prompts that has to be recomputed.
         double recentCost = 0; ///< Decays over config::AdmissionUseMemory.
         TimePoint recentAt;
@@ -152,8 +151,9 @@
     void refuse(const AdmissionRequest &request, ErrorKind kind, AdmissionActions &actions);
     [[nodiscard]] Duration retryAfter(std::uint64_t random) const;
     [[nodiscard]] double prefillBound() const;
-    [[nodiscard]] bool isWithinShare(const Organisation &organisation) const;
-    [[nodiscard]] bool mayStart(const Organisation &organisation) const;
+    [[nodiscard]] static double recentCost(const Organisation &organisation, TimePoint now);
+    [[nodiscard]] double lightCost(const Organisation &organisation) const;
+    [[nodiscard]] bool mayStart(const Organisation &organisation, TimePoint now) const;
     [[nodiscard]] bool isTooLong() const;
     [[nodiscard]] std::size_t bound() const;
     [[nodiscard]] bool meetsDeadline(const AdmissionRequest &request, TimePoint now) const;
@@ -164,8 +164,7 @@
     [[nodiscard]] Index longestOrganisation() const;
     void startWaiting(TimePoint now, AdmissionActions &actions);
     void start(const AdmissionRequest &request, double prefill, TimePoint now, AdmissionActions &actions);
-    [[nodiscard]] std::uint32_t priorityOf(Organisation &organisation, TimePoint now) const;
-    void addPrefill(Organisation &organisation, double tokens);
+    [[nodiscard]] std::uint32_t priorityOf(const Organisation &organisation, TimePoint now) const;
     void activate(Index organisation);
     void deactivate(Index organisation);
     void checkBound() const;
--- a/packages/core/src/claim_commit.cpp
+++ b/packages/core/src/claim_commit.cpp
@@ -45,6 +45,7 @@
     this->retryAt = now + this->limits.retryDelay;
     if (this->isDown(now)) {
         this->refuseAll(State::Queued, ErrorKind::LogUnavailable, "the log does not answer");
+        this->refuseAll(State::Sent, ErrorKind::LogUnavailable, "the log does not answer");
         this->claimQueue.clear();
     }
 }
@@ -279,6 +280,10 @@
     if (claim != nullptr && claim->attempt.writer == this->writer) {
         this->claimFolded(*claim, effect, now);
     }
+    const auto *outcome = std::get_if<ClaimOutcome>(&record.record);
+    if (outcome != nullptr && outcome->attempt.writer == this->writer) {
+        this->settled.erase(outcome->name);
+    }
 }
 
 void ClaimKeeper::claimFolded(const Claim &claim, ClaimEffect effect, TimePoint now)
--- a/tests/core/admit.cpp
+++ b/tests/core/admit.cpp
@@ -23,7 +23,7 @@
 
 AdmissionCapacity capacityFor(double runs)
 {
-    return {runs, 1e9, 0, 1e9};
+    return {runs, 1e9, 0, 0};
 }
 
 Admission admissionFor(double runs, AdmissionActions &actions)
@@ -67,6 +67,39 @@
     CHECK(actions.start[0].id == 500);
 }
 
+TEST_CASE("a light organisation starts from the reserve when others have filled the capacity, and runs first")
+{
+    AdmissionActions actions;
+    Admission admission = admissionFor(2, actions);
+    admission.setCapacity({2, 1e9, 0, 20'000}, TimePoint {}, actions);
+    for (std::uint64_t id = 0; id < 8; ++id) {
+        admission.offer(request(id, Large), TimePoint {}, actions);
+    }
+    CHECK(actions.start.size() == 2);
+    actions = {};
+    admission.finished(0, TimePoint {1s}, actions);
+    admission.finished(1, TimePoint {1s}, actions);
+    REQUIRE(actions.start.size() == 2);
+    CHECK(actions.start[1].priority > 0);
+    actions = {};
+    admission.offer(request(100, Light), TimePoint {1s}, actions);
+    REQUIRE(actions.start.size() == 1);
+    CHECK(actions.start[0].id == 100);
+    CHECK(actions.start[0].priority == 0);
+}
+
+TEST_CASE("what would wait longer than the queue time is refused at once")
+{
+    AdmissionActions actions;
+    Admission admission = admissionFor(10, actions);
+    admission.setCapacity({10, 1, 0, 4000}, TimePoint {}, actions);
+    for (std::uint64_t id = 0; id < 10; ++id) {
+        admission.offer(request(id, Large), TimePoint {}, actions);
+    }
+    CHECK(admission.stats().queued == 2);
+    CHECK(actions.refuse.size() == 7);
+}
+
 TEST_CASE("organisations get work in proportion to their weights")
 {
     AdmissionActions actions;
@@ -142,7 +175,7 @@
 {
     AdmissionActions actions;
     Admission admission = admissionFor(10, actions);
-    admission.setCapacity({10, 6000, 0, 1e9}, TimePoint {}, actions);
+    admission.setCapacity({10, 6000, 0, 0}, TimePoint {}, actions);
     for (std::uint64_t id = 0; id < 4; ++id) {
         admission.offer(request(id, Large), TimePoint {}, actions);
     }
