Learn return shares from settled pieces only

Change: a piece counts once it has returned or was given up; what is not worth a copy keeps its order for deletion.

--- a/packages/cli/src/bench_decisions.cpp
+++ b/packages/cli/src/bench_decisions.cpp
@@ -58,10 +58,10 @@
 {
     PieceKey key;
     std::uint64_t bits = (std::uint64_t {prompt} << 8U | index) + 1;
-    for (std::size_t i = 0; i < key.bytes.size(); ++i) {
+    for (std::uint8_t &byte : key.bytes) {
         bits *= MixMultiplier;
         bits ^= bits >> 29U;
-        key.bytes.at(i) = static_cast<std::uint8_t>(bits >> 40U);
+        byte = static_cast<std::uint8_t>(bits >> 40U);
     }
     return key;
 }
@@ -146,6 +146,7 @@
         for (std::uint32_t prompt = 0; prompt < this->size.prompts; ++prompt) {
             const std::vector<PieceKey> pieces = promptOf(prompt);
             std::vector<StoreListing> listing;
+            listing.reserve(pieces.size());
             for (const PieceKey &piece : pieces) {
                 listing.push_back({piece, 1, PieceBytes});
             }
--- a/packages/cli/src/bench_model.cpp
+++ b/packages/cli/src/bench_model.cpp
@@ -174,10 +174,9 @@
 
 void Model::apply(Host &host, AdmissionActions &actions)
 {
-    // Starting a run changes what may start next, and its refusals belong to this batch.
-    for (std::size_t i = 0; i < actions.start.size(); ++i) {
-        const auto job = static_cast<std::uint32_t>(actions.start[i].id);
-        this->jobs[job].priority = actions.start[i].priority;
+    for (const AdmissionStart &start : actions.start) {
+        const auto job = static_cast<std::uint32_t>(start.id);
+        this->jobs[job].priority = start.priority;
         this->dispatch(host, job);
     }
     for (const AdmissionRefusal &refusal : actions.refuse) {
--- a/packages/core/include/endivespan/keep.h
+++ b/packages/core/include/endivespan/keep.h
@@ -40,7 +40,7 @@
 /// What is known of one organisation.
 struct OrganisationUse {
     GapEstimate gaps;
-    std::uint64_t piecesSeen = 0;
+    std::uint64_t piecesSettled = 0; ///< Pieces that returned or were given up.
     std::uint64_t piecesReturned = 0; ///< Pieces that were used a second time.
 };
 
@@ -150,6 +150,7 @@
 
     Piece *obtain(const PieceKey &key);
     void learn(Piece &piece, TimePoint now);
+    void giveUp(const PieceUse &use);
     void queueExport(const PieceKey &key, Piece &piece);
     [[nodiscard]] double valueOf(const Piece &piece, TimePoint now) const;
     [[nodiscard]] std::size_t bestExport(TimePoint now) const;
--- a/packages/core/src/keep.cpp
+++ b/packages/core/src/keep.cpp
@@ -47,9 +47,8 @@
     PieceUse &use = piece.use;
     OrganisationUse &organisation = this->organisations.at(use.organisation.index);
     ++use.uses;
-    if (use.uses == 1) {
-        ++organisation.piecesSeen;
-    } else {
+    if (use.uses > 1) {
+        organisation.piecesSettled += use.uses == 2 ? 1 : 0;
         organisation.piecesReturned += use.uses == 2 ? 1 : 0;
         use.gaps.add(now - use.lastUse);
         organisation.gaps.add(now - use.lastUse);
@@ -57,6 +56,14 @@
     use.lastUse = now;
 }
 
+// A piece that may still return says nothing yet; only those given up count as not returned.
+void Keeper::giveUp(const PieceUse &use)
+{
+    if (use.uses == 1) {
+        ++this->organisations.at(use.organisation.index).piecesSettled;
+    }
+}
+
 void Keeper::onPrompt(const PromptUse &use, TimePoint now)
 {
     if (this->pieces.size() + use.pieces.size() > this->limits.pieces) {
@@ -99,8 +106,13 @@
     }
     const auto middle = uses.begin() + static_cast<std::ptrdiff_t>(uses.size() / 2);
     std::nth_element(uses.begin(), middle, uses.end());
-    std::erase_if(this->pieces, [bound = *middle](const auto &item) {
-        return !item.second.stored && !item.second.queued && item.second.use.lastUse <= bound;
+    std::erase_if(this->pieces, [this, bound = *middle](const auto &item) {
+        const Piece &piece = item.second;
+        const bool old = !piece.stored && !piece.queued && piece.use.lastUse <= bound;
+        if (old) {
+            this->giveUp(piece.use);
+        }
+        return old;
     });
 }
 
@@ -124,6 +136,7 @@
     if (const auto found = this->pieces.find(key); found != this->pieces.end() && found->second.stored) {
         found->second.stored = false;
         --this->counters.stored;
+        this->giveUp(found->second.use);
     }
 }
 
--- a/packages/core/src/keep_saving.cpp
+++ b/packages/core/src/keep_saving.cpp
@@ -10,6 +10,7 @@
 constexpr double MinSigmaLog = 0.5; // Gaps are never as regular as a few samples suggest.
 constexpr double PieceWeightStart = 2.0; // Samples of the piece that weigh as much as its organisation's history.
 constexpr double ExportCostWeight = 0.5; // Exports use the link when no import waits, so they cost less than imports.
+constexpr double NotWorthACopy = 1.0; // Far above any worth.
 constexpr double PositionDiscount = 0.01;
 constexpr double StartReturnWeight = 20.0; // Pieces of an organisation that weigh as much as the starting share.
 
@@ -49,10 +50,10 @@
     if (piece.uses > 1) {
         return 1.0 - 0.5 / piece.uses;
     }
-    const double seen = static_cast<double>(organisation.piecesSeen) + StartReturnWeight;
+    const double settled = static_cast<double>(organisation.piecesSettled) + StartReturnWeight;
     const double returned
         = static_cast<double>(organisation.piecesReturned) + StartReturnWeight * config::StartReturnShare;
-    return std::min(returned / seen, 1.0);
+    return std::min(returned / settled, 1.0);
 }
 
 class SavingPolicy : public KeepPolicy
@@ -76,13 +77,12 @@
         const double within = std::max(gaps.cumulative(age + seconds(config::KeepHorizon)) - useful, 0.0);
         const double alive = share * (1.0 - gone) + (1.0 - share);
         const double chance = alive > 0 ? share * within / alive : 0;
-        // The copy itself takes the link's time, whether it is used or not.
-        if (chance * saving < ExportCostWeight * bytes / rates.linkBytesPerSecond) {
-            return 0;
-        }
         // Bytes are held until the return: a soon one costs less of the store.
         const double remaining = std::max(std::exp(gaps.mean) - age, std::exp(gaps.mean) * gaps.sigma * 0.5);
-        return chance * saving / bytes / remaining / (1.0 + PositionDiscount * piece.position);
+        const double worth = chance * saving / bytes / remaining / (1.0 + PositionDiscount * piece.position);
+        // The copy itself takes the link's time, whether it is used or not. What is not worth it keeps its order.
+        const bool pays = chance * saving >= ExportCostWeight * bytes / rates.linkBytesPerSecond;
+        return pays ? worth : worth - NotWorthACopy;
     }
 
     [[nodiscard]] std::string_view name() const override
