--- a/packages/core/include/endivespan/claim_keeper.h
+++ b/packages/core/include/endivespan/claim_keeper.h
@@ -179,6 +179,13 @@
         std::optional<TimePoint> lostAt; ///< Set when the answer was lost.
     };
 
+    /// A run of this host whose outcome has not been read back from the log yet.
+    struct Settled {
+        ClaimDigest fingerprint {};
+        OutcomeKind kind = OutcomeKind::Unknown;
+        std::shared_ptr<const ClaimAnswer> answer;
+    };
+
     using PendingMap = std::map<ClaimTicket, Pending>;
 
     AttemptId nextId();
@@ -189,6 +196,8 @@
 
     void queueClaim(ClaimTicket ticket, Pending &request);
     void settleLooking(TimePoint now);
+    void remember(const Pending &request, const ClaimOutcome &outcome);
+    bool answerFromMemory(ClaimTicket ticket, const Pending &request);
     bool answerFromFold(ClaimTicket ticket, const Pending &request, TimePoint now);
     void give(ClaimVerdict verdict);
     void refuse(ClaimTicket ticket, ErrorKind kind, const std::string &detail);
@@ -226,6 +235,7 @@
     PendingMap pending;
     std::map<AttemptId, ClaimTicket> byAttempt;
     std::map<ClaimDigest, ClaimTicket> byName;
+    std::map<ClaimDigest, Settled> settled; ///< By name.
     std::deque<ClaimTicket> claimQueue;
     std::deque<ClaimRecord> owed;
     std::size_t owedBytes = 0;
--- a/packages/node/src/claim_task.cpp
+++ b/packages/node/src/claim_task.cpp
@@ -158,7 +158,7 @@
     return *this->keepers[this->tickets.at(ticket).shard];
 }
 
-void ClaimTask::carryOut(std::uint32_t shard, ClaimActions actions)
+void ClaimTask::carryOut(std::uint32_t shard, const ClaimActions &actions)
 {
     for (const ClaimAction &action : actions) {
         if (const auto *append = std::get_if<ClaimAppend>(&action)) {
--- a/packages/node/src/claim_task.h
+++ b/packages/node/src/claim_task.h
@@ -64,7 +64,7 @@
     };
 
     ClaimKeeper &keeperOf(ClaimTicket ticket);
-    void carryOut(std::uint32_t shard, ClaimActions actions);
+    void carryOut(std::uint32_t shard, const ClaimActions &actions);
     void append(std::uint32_t shard, const ClaimAppend &append);
     void sendAppend(std::uint32_t shard, std::uint64_t id, const std::vector<std::string> &records);
     void read(std::uint32_t shard, const ClaimRead &read);
