--- a/packages/node/src/backends.h
+++ b/packages/node/src/backends.h
@@ -2,6 +2,7 @@
 
 #include "fleet_source.h"
 
+#include <endivespan/credit.h>
 #include <endivespan/directory.h>
 #include <endivespan/engine_client.h>
 #include <endivespan/load.h>
@@ -10,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +33,7 @@
     bool mayTakeWork = false;
     std::uint64_t nextEvent = 0;
     bool loadAsked = false;
+    bool loadKnown = false; ///< A first poll has ended, with or without a report.
     bool eventsAsked = false;
 };
 
@@ -63,6 +66,16 @@
 
     /// A server refused a connection or did not answer in time.
     virtual void onUnreachable(const Backend &server) = 0;
+
+    /// There is work for a server of @p pool.
+    virtual void onDemand(const std::string &pool) = 0;
+
+    /// Takes the right to send one request; call it right before dispatch.
+    /// @returns the right, or nothing when the request must not be sent.
+    [[nodiscard]] virtual std::optional<CreditUse> begin(ServerHandle server) = 0;
+
+    /// Ends what begin() allowed.
+    virtual void end(const CreditUse &use, CreditOutcome outcome) = 0;
 };
 
 /// Follows the configuration and polls the servers.
@@ -75,9 +88,15 @@
     /// Sets who may veto work; none by default.
     void setGate(ServerGate *newGate);
 
+    /// @returns who may veto work, or null.
+    [[nodiscard]] ServerGate *serverGate() const;
+
     /// Takes over a changed configuration and starts the polls that are due.
     void tick(TimePoint now);
 
+    /// @returns true once every server of the first configuration was polled, so that decisions rest on reports.
+    [[nodiscard]] bool isReady() const;
+
     /// @returns the runners and plain servers that were ever seen, indexed by handle.
     [[nodiscard]] const std::vector<Backend> &servers() const;
 
@@ -110,6 +129,7 @@
     void syncStore(const BackendServer &server);
     void serveVersions(ServerHandle handle, const std::vector<std::string> &versions);
     void refreshService();
+    void noteReady();
     void pollServer(ServerHandle handle);
     void pollEvents(ServerHandle handle);
     void pollStore(StoreHandle handle);
@@ -123,6 +143,7 @@
     std::unique_ptr<StoreClient> storeClient;
     ServerGate *gate = nullptr;
     std::uint64_t syncedRevision = 0;
+    bool everReady = false;
     TimePoint nextPoll;
     TimePoint nextList;
     NameTable<ServerHandle> serverNames;
