--- a/tests/process/harness.cpp
+++ b/tests/process/harness.cpp
@@ -21,6 +21,8 @@
 
 constexpr std::chrono::milliseconds PollStep {10};
 const std::string ErrorFile = "stderr.txt";
+// A host that dies while a test writes to it must not end the test.
+const auto IgnoredPipe = std::signal(SIGPIPE, SIG_IGN);
 
 pid_t spawn(const std::vector<std::string> &arguments, int outputEnd, const std::string &errorFile)
 {
--- a/tests/process/host_process.cpp
+++ b/tests/process/host_process.cpp
@@ -2,12 +2,13 @@
 
 #include <endivespan/base64.h>
 #include <endivespan/config_codec.h>
-#include <endivespan/prefix.h>
+#include <endivespan/note.h>
 
 #include <doctest/doctest.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <unistd.h>
 #include <utility>
 
@@ -33,19 +34,6 @@
     return options.limits.empty() ? text : text + "limits: " + options.limits + "\n";
 }
 
-BackendServer serverOf(const json &server)
-{
-    BackendServer result;
-    result.name = server["name"];
-    result.address = server["address"];
-    result.domain = server["domain"];
-    result.pool = server["pool"];
-    result.checksOrders = server["checks_orders"];
-    const std::string kind = server["kind"];
-    result.kind = kind == "runner" ? ServerKind::Runner : kind == "plain" ? ServerKind::Plain : ServerKind::Store;
-    return result;
-}
-
 } // namespace
 
 ReservedPort::ReservedPort()
@@ -136,6 +124,18 @@
     }
 }
 
+void HostGroup::awaitServersHeard() const
+{
+    for (const auto &host : this->hosts) {
+        REQUIRE(eventually([&] {
+            const json servers = host->status()["servers"];
+            return std::none_of(servers.begin(), servers.end(), [](const json &server) {
+                return server["incarnation"].get<std::string>().empty();
+            });
+        }));
+    }
+}
+
 void HostGroup::checkInvariants() const
 {
     for (const auto &host : this->hosts) {
@@ -145,29 +145,9 @@
 
 ReleaseNote deploymentNote(const Standins &standins)
 {
-    const json fleet = call(standins.address("control"), "GET", "/fleet").parsed();
-    ReleaseNote note;
-    note.author = "operator";
-    const std::string model = fleet["model"];
-    const std::string service = fleet["service"];
-    note.models.push_back({model, fleet["version"], ""});
-    note.services.push_back({service, {}});
-    for (const json &domain : fleet["domains"]) {
-        note.domains.push_back({domain, Region, Service::InService});
-    }
-    for (const json &organisation : fleet["organisations"]) {
-        Organisation added;
-        added.name = organisation["name"];
-        added.keyDigests = {sha256Hex(organisation["key"].get<std::string>())};
-        added.models = {model};
-        added.services = {service};
-        added.limits.weight = organisation["weight"];
-        note.organisations.push_back(added);
-    }
-    for (const json &server : fleet["servers"]) {
-        note.servers.push_back(serverOf(server));
-    }
-    return note;
+    const auto note = parseNote(call(standins.address("control"), "GET", "/note").body, "note.yaml");
+    REQUIRE_MESSAGE(note.has_value(), (note ? std::string() : problemTexts(note.error())));
+    return note.value();
 }
 
 void publish(const Standins &standins, const ReleaseNote &note)
--- a/tests/process/host_process.h
+++ b/tests/process/host_process.h
@@ -83,6 +83,9 @@
     /// Waits until all hosts serve with at least @p revision.
     void awaitReady(std::uint64_t revision) const;
 
+    /// Waits until all hosts have a load report of each server.
+    void awaitServersHeard() const;
+
     /// Checks that no host has seen an invariant violated.
     void checkInvariants() const;
 
--- a/tests/process/prompt_path.cpp
+++ b/tests/process/prompt_path.cpp
@@ -72,6 +72,7 @@
     {
         publish(this->standins, deploymentNote(this->standins));
         this->hosts.awaitReady(1);
+        this->hosts.awaitServersHeard();
     }
 
     Standins standins;
--- a/tests/standins/deployment.cpp
+++ b/tests/standins/deployment.cpp
@@ -7,6 +7,9 @@
 #include "store_standin.h"
 #include "weight_standin.h"
 
+#include <endivespan/note.h>
+#include <endivespan/prefix.h>
+
 #include <utility>
 
 namespace endivespan::standins {
@@ -14,7 +17,9 @@
 namespace {
 
 const std::string AnyPort = "127.0.0.1:0";
+const std::string Region = "hame";
 constexpr std::uint64_t LargeOrganisations = 2;
+constexpr std::uint32_t LargeWeight = 4;
 
 std::string numbered(const std::string &name, std::uint64_t number)
 {
@@ -71,11 +76,17 @@
     this->weightStore = this->add(std::move(weights))->address();
 }
 
-void Deployment::deploy(std::unique_ptr<StandIn> standIn, const std::string &kind, const std::string &pool)
+void Deployment::deploy(std::unique_ptr<StandIn> standIn, ServerKind kind, const std::string &pool)
 {
     const StandIn *server = this->add(std::move(standIn));
     const std::string &domain = this->plan.domains[this->backendServers.size() % this->plan.domains.size()];
-    this->backendServers.push_back({server->name(), kind, server->address(), domain, pool, false});
+    BackendServer added;
+    added.name = server->name();
+    added.kind = kind;
+    added.address = server->address();
+    added.domain = domain;
+    added.pool = pool;
+    this->backendServers.push_back(added);
 }
 
 void Deployment::startServers()
@@ -87,52 +98,51 @@
         // Some engines check fencing numbers, others ignore them.
         const bool checksFences = i % 2 == 1;
         engine->control({{"check_fences", checksFences}});
-        this->deploy(std::move(engine), "runner", this->plan.model);
+        this->deploy(std::move(engine), ServerKind::Runner, this->plan.model);
         this->backendServers.back().checksOrders = checksFences;
     }
     const auto ledger = std::make_shared<RunLedger>();
     for (std::uint64_t i = 1; i <= this->plan.orderRunners; ++i) {
         const std::string name = numbered(this->plan.service, i);
-        this->deploy(
-            std::make_unique<PlainStandIn>(this->loop, name, this->plan.service, ledger), "plain", this->plan.service);
+        this->deploy(std::make_unique<PlainStandIn>(this->loop, name, this->plan.service, ledger),
+                     ServerKind::Plain,
+                     this->plan.service);
     }
     for (std::uint64_t i = 0; i < this->plan.stores; ++i) {
         const auto &names = this->plan.storeNames;
         const std::string name = i < names.size() ? names[i] : numbered("store", i + 1);
-        this->deploy(std::make_unique<StoreStandIn>(this->loop, name), "store", "");
+        this->deploy(std::make_unique<StoreStandIn>(this->loop, name), ServerKind::Store, "");
     }
     auto *hosts = dynamic_cast<HostListStandIn *>(this->find("hosts"));
-    for (const DeployedServer &server : this->backendServers) {
+    for (const BackendServer &server : this->backendServers) {
         hosts->addHost(server.name);
-        if (this->plan.startCold && server.kind != "store") {
+        if (this->plan.startCold && server.kind != ServerKind::Store) {
             this->find(server.name)->control({{"cold", true}});
         }
     }
 }
 
-json Deployment::fleet() const
+ReleaseNote Deployment::note() const
 {
-    json organisations = json::array();
+    ReleaseNote note;
+    note.author = "operator";
+    note.added.models.push_back({this->plan.model, this->plan.version, ""});
+    note.added.services.push_back({this->plan.service, {}});
+    for (const std::string &domain : this->plan.domains) {
+        note.added.domains.push_back({domain, Region, Service::InService});
+    }
     for (std::uint64_t i = 1; i <= this->plan.organisations; ++i) {
-        const std::string name = numbered("workshop", i);
+        Organisation organisation;
+        organisation.name = numbered("workshop", i);
+        organisation.keyDigests = {sha256Hex("key-" + organisation.name)};
+        organisation.models = {this->plan.model};
+        organisation.services = {this->plan.service};
         // A few organisations are large.
-        organisations.push_back({{"name", name}, {"key", "key-" + name}, {"weight", i <= LargeOrganisations ? 4 : 1}});
-    }
-    json servers = json::array();
-    for (const DeployedServer &server : this->backendServers) {
-        servers.push_back({{"name", server.name},
-                           {"kind", server.kind},
-                           {"address", server.address},
-                           {"domain", server.domain},
-                           {"pool", server.pool},
-                           {"checks_orders", server.checksOrders}});
+        organisation.limits.weight = i <= LargeOrganisations ? LargeWeight : 1;
+        note.added.organisations.push_back(organisation);
     }
-    return {{"model", this->plan.model},
-            {"version", this->plan.version},
-            {"service", this->plan.service},
-            {"domains", this->plan.domains},
-            {"organisations", organisations},
-            {"servers", servers}};
+    note.added.servers = this->backendServers;
+    return note;
 }
 
 void Deployment::startControl()
@@ -175,8 +185,8 @@
             all[each->name()] = each->counts();
         }
         replyJson(exchange, 200, all);
-    } else if (path == "/fleet") {
-        replyJson(exchange, 200, this->fleet());
+    } else if (path == "/note") {
+        exchange->reply(200, {{"Content-Type", "application/yaml"}}, noteToYaml(this->note()));
     } else if (standIn != nullptr && verb == "counts") {
         replyJson(exchange, 200, standIn->counts());
     } else if (standIn != nullptr && verb == "control") {
--- a/tests/standins/deployment.h
+++ b/tests/standins/deployment.h
@@ -2,6 +2,8 @@
 
 #include "standin.h"
 
+#include <endivespan/fleet.h>
+
 #include <vector>
 
 namespace endivespan::standins {
@@ -24,16 +26,6 @@
 /// @returns the plan of one of the two users' deployments, or nothing for another name.
 std::unique_ptr<DeploymentPlan> namedPlan(const std::string &name);
 
-/// One backend server of a deployment, for the release note.
-struct DeployedServer {
-    std::string name;
-    std::string kind; ///< "runner", "plain" or "store".
-    std::string address;
-    std::string domain;
-    std::string pool;
-    bool checksOrders = false;
-};
-
 /// All stand-ins of one process, and one address from which each can be controlled also while it is down.
 class Deployment
 {
@@ -52,24 +44,25 @@
         return this->started;
     }
 
-    /// @returns models, domains, backend servers and organisations, as a release note needs them.
-    [[nodiscard]] json fleet() const;
+    /// @returns the release note that adds everything in the deployment; the API key of an organisation is "key-NAME".
+    [[nodiscard]] ReleaseNote note() const;
 
-    /// @returns the address for control; "/NAME/control" and "/NAME/counts" reach one stand-in, "/fleet" gives fleet().
+    /// @returns the address for control; "/NAME/control" and "/NAME/counts" reach one stand-in, "/note" gives note() as
+    /// YAML.
     [[nodiscard]] std::string controlAddress() const;
 
 private:
     StandIn *add(std::unique_ptr<StandIn> standIn);
     void startPlatform();
     void startServers();
-    void deploy(std::unique_ptr<StandIn> standIn, const std::string &kind, const std::string &pool);
+    void deploy(std::unique_ptr<StandIn> standIn, ServerKind kind, const std::string &pool);
     void startControl();
     void control(const ExchangePtr &exchange);
     StandIn *find(const std::string &name);
 
     Loop &loop;
     std::vector<std::unique_ptr<StandIn>> started;
-    std::vector<DeployedServer> backendServers;
+    std::vector<BackendServer> backendServers;
     std::unique_ptr<HttpServer> controlServer;
     std::string problem;
     std::string weightStore;
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -1,11 +1,13 @@
 #include "deployment.h"
 
 #include <endivespan/log.h>
+#include <endivespan/note.h>
 
 #include <CLI/CLI.hpp>
 #include <fmt/core.h>
 
 #include <csignal>
+#include <fstream>
 
 using namespace endivespan;
 using namespace endivespan::standins;
@@ -34,7 +36,15 @@
     return {};
 }
 
-int run(const DeploymentPlan &plan)
+// Writes the release note that adds the deployment.
+bool writeNote(const Deployment &deployment, const std::string &path)
+{
+    std::ofstream file(path);
+    file << noteToYaml(deployment.note());
+    return file.good();
+}
+
+int run(const DeploymentPlan &plan, const std::string &notePath)
 {
     Loop loop;
     Deployment deployment(loop);
@@ -42,6 +52,10 @@
         logLine("standin", "{}", problem);
         return 1;
     }
+    if (!notePath.empty() && !writeNote(deployment, notePath)) {
+        logLine("standin", "{} cannot be written", notePath);
+        return 1;
+    }
     const auto terminated = loop.onSignal(SIGTERM, [&loop] { loop.stop(); });
     const auto interrupted = loop.onSignal(SIGINT, [&loop] { loop.stop(); });
     announce(deployment);
@@ -61,12 +75,14 @@
     std::uint64_t runners = defaults.runners;
     std::uint64_t orderRunners = defaults.orderRunners;
     std::uint64_t stores = defaults.stores;
+    std::string notePath;
     bool cold = false;
     app.add_option("--deployment", name, "nukkekoti or torun")->capture_default_str();
     app.add_option("--runners", runners, "Model engines")->capture_default_str();
     app.add_option("--order-runners", orderRunners, "Servers of the plain service")->capture_default_str();
     app.add_option("--stores", stores, "Store hosts")->capture_default_str();
     app.add_option("--set", settings, "Settings for all stand-ins of a kind, as KIND={\"setting\": value}");
+    app.add_option("--write-note", notePath, "File to write the release note to that adds the deployment");
     app.add_flag("--cold", cold, "Backend servers start cold");
     CLI11_PARSE(app, argc, argv);
 
@@ -85,5 +101,5 @@
             return 1;
         }
     }
-    return run(*plan);
+    return run(*plan, notePath);
 }
