--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -185,7 +185,9 @@
                 return;
             }
         }
-        callback(whole);
+        if (callback) {
+            callback(whole);
+        }
     }
 
     void fail(const Error &error, bool sent)
