--- a/packages/node/src/prompt_run.cpp
+++ b/packages/node/src/prompt_run.cpp
@@ -83,9 +83,22 @@
     return this->deadline;
 }
 
-std::uint32_t PromptRun::promptTokens() const
+std::uint32_t PromptRun::expectedPrefillTokens() const
 {
-    return tokensOf(this->job.request.prompt);
+    Backends &backends = this->context.backends;
+    const DirectoryScope scope {
+        backends.organisationOf(this->job.caller.organisation),
+        backends.versionOf(this->job.model.name, this->job.model.version),
+    };
+    std::uint32_t tokens = tokensOf(this->job.request.prompt);
+    for (const PieceKey &piece : this->pieces) {
+        const PieceHolders holders = backends.directory.find(piece, scope);
+        if (holders.serverCount == 0 && holders.storeCount == 0) {
+            break;
+        }
+        tokens -= config::PieceTokens;
+    }
+    return tokens;
 }
 
 void PromptRun::start(std::uint32_t unfairness)
--- a/packages/node/src/prompt_run.h
+++ b/packages/node/src/prompt_run.h
@@ -77,8 +77,8 @@
     [[nodiscard]] bool isStarted() const;
     [[nodiscard]] TimePoint deadlineAt() const;
 
-    /// @returns the prompt's size in tokens.
-    [[nodiscard]] std::uint32_t promptTokens() const;
+    /// @returns the prompt's size in tokens, less the leading pieces that some runner or store is believed to hold.
+    [[nodiscard]] std::uint32_t expectedPrefillTokens() const;
 
 private:
     void attempt();
--- a/packages/node/src/prompt_task.cpp
+++ b/packages/node/src/prompt_task.cpp
@@ -73,7 +73,7 @@
     AdmissionRequest request;
     request.id = id;
     request.organisation = this->context.backends.organisationOf(job.caller.organisation);
-    request.prefillTokens = run.promptTokens();
+    request.prefillTokens = run.expectedPrefillTokens();
     request.maxTokens = job.request.maxTokens;
     request.deadline = run.deadlineAt();
     request.random = this->context.random();
