--- a/tests/process/service_cluster.cpp
+++ b/tests/process/service_cluster.cpp
@@ -23,9 +23,9 @@
 {
     ReleaseNote note;
     note.author = "tester";
-    note.organisations.push_back({"puu", {sha256Hex(ApiKey)}, {}, {"verstas"}, {}});
-    note.domains.push_back({"hame-a", "fi", Service::InService});
-    note.services.push_back({"verstas", {"/quote"}});
+    note.added.organisations.push_back({"puu", {sha256Hex(ApiKey)}, {}, {"verstas"}, {}});
+    note.added.domains.push_back({"hame-a", "fi", Service::InService});
+    note.added.services.push_back({"verstas", {"/quote"}});
     for (std::size_t i = 0; i < Servers; ++i) {
         BackendServer server;
         server.name = serverName(i);
@@ -33,7 +33,7 @@
         server.address = standins.address(server.name);
         server.domain = "hame-a";
         server.pool = "verstas";
-        note.servers.push_back(server);
+        note.added.servers.push_back(server);
     }
     return note;
 }
