Start nothing after a service call has ended, peer the test hosts

Cause: a call whose deadline passed while it waited for a credit could still be attempted, a claimed one even without its claim; and the service tests ran hosts that did not know each other, so that one of them got no credits. Change: the end of a run stops its timer, a send without a claim is refused, and the test hosts are peered.

--- a/packages/node/src/service_run.cpp
+++ b/packages/node/src/service_run.cpp
@@ -97,6 +97,9 @@
 
 void ServiceRun::attempt()
 {
+    if (this->ended) {
+        return;
+    }
     const ServerHandle chosen = this->picker.pick(this->job.request.service, this->excluded);
     if (this->waitForCredit(chosen)) {
         return;
@@ -157,7 +160,12 @@
     Backend &backend = this->context.backends.server(chosen);
     this->note(fmt::format("attempt {} to {}, {} under way there", this->attempts, backend.name, backend.inFlight));
     checkInvariant(Invariant::NoWorkForTakenOutDomain, backend.mayTakeWork, backend.name);
-    checkInvariant(Invariant::AtMostOneRun, this->job.idempotent || this->runStarted, this->job.caller.requestId);
+    const bool allowed = this->job.idempotent || this->runStarted;
+    if (!checkInvariant(Invariant::AtMostOneRun, allowed, this->job.caller.requestId)) {
+        this->endCredit(CreditOutcome::Unused);
+        this->refuse({ErrorKind::NoServer, "the request holds no claim"});
+        return;
+    }
     ++backend.inFlight;
     HttpCall call = serviceCall(this->job.request, this->job.caller.organisation, backend.address);
     // A connection that went silent shows only by the deadline: a plain service sends nothing while it works.
@@ -319,6 +327,7 @@
         return;
     }
     this->deadlineTimer.reset();
+    this->startTimer.reset();
     this->job.exchange->onClosed({});
     this->observer.onEnd(this->id, answered);
 }
--- a/tests/process/service_cluster.cpp
+++ b/tests/process/service_cluster.cpp
@@ -60,15 +60,22 @@
 
 std::string ServiceCluster::settingsOf(std::size_t host) const
 {
+    std::vector<std::string> others;
+    for (std::size_t i = 0; i < host; ++i) {
+        others.push_back(this->peerPorts[i]->address());
+    }
     return fmt::format("host: entry-{}\n"
                        "region: fi\n"
                        "failure_domain: hame-a\n"
-                       "listen: {{callers: \"127.0.0.1:0\", peers: \"127.0.0.1:0\"}}\n"
+                       "listen: {{callers: \"127.0.0.1:0\", peers: {}}}\n"
+                       "peers: [{}]\n"
                        "log: {{address: {}}}\n"
                        "host_list: {{address: {}}}\n"
                        "weight_store: {{address: {}}}\n"
                        "limits: {}\n",
                        host,
+                       this->peerPorts.at(host)->address(),
+                       fmt::join(others, ", "),
                        this->standins.address("log"),
                        this->standins.address("hosts"),
                        this->standins.address("weights"),
@@ -78,6 +85,7 @@
 std::size_t ServiceCluster::addHost()
 {
     const std::size_t host = this->hosts.size();
+    this->peerPorts.push_back(std::make_unique<ReservedPort>());
     const std::string path = this->files.write(fmt::format("host-{}.yaml", host), this->settingsOf(host));
     this->hosts.push_back(
         std::make_unique<Process>(std::vector<std::string> {builtProgram("packages/node/endivespand"), path}));
--- a/tests/process/service_cluster.h
+++ b/tests/process/service_cluster.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "harness.h"
+#include "host_process.h"
 
 #include <memory>
 #include <string>
@@ -50,6 +50,7 @@
     std::string limits;
     TempDir files;
     std::vector<std::string> addresses;
+    std::vector<std::unique_ptr<ReservedPort>> peerPorts;
 };
 
 /// @returns the kind of an error answer, or an empty text.
