--- a/packages/core/include/endivespan/directory.h
+++ b/packages/core/include/endivespan/directory.h
@@ -138,7 +138,7 @@
         std::array<Slot, config::DirectoryStoresPerPiece> stores {};
         std::uint32_t bytes = 0;
         bool used = false;
-        mutable bool referenced = false;
+        mutable std::uint8_t chances = 0; ///< Passes of the eviction that the entry survives.
         std::uint8_t nextServer = 0;
         std::uint8_t nextStore = 0;
     };
--- a/packages/core/src/load.cpp
+++ b/packages/core/src/load.cpp
@@ -203,10 +203,15 @@
 // The links of one run share what was measured beyond what was expected.
 void LoadTable::learnTransfer(const Pending &pending, const FirstTokenSample &sample, TimePoint now)
 {
-    const double expected = toSeconds(pending.dispatch.expectedTransfer);
-    if (sample.importedBytes < MinSampleBytes || expected <= 0) {
+    std::uint64_t planned = 0;
+    for (const LinkUse &use : pending.dispatch.links) {
+        planned += use.bytes;
+    }
+    if (sample.importedBytes < MinSampleBytes || planned == 0) {
         return;
     }
+    const double part = static_cast<double>(sample.importedBytes) / static_cast<double>(planned);
+    const double expected = std::max(toSeconds(pending.dispatch.expectedTransfer) * part, 1e-6);
     const Duration prefill = this->expectedPrefill(pending.dispatch.server, sample.recomputedTokens);
     const Duration wait = std::max(sample.queueTime, pending.dispatch.expectedWait);
     const double actual = std::max(0.0, toSeconds(sample.timeToFirstToken - wait - prefill));
