Restore when a server counts as warm

Cause: asking for one more whole wave left the warm-up test of tests/core/credit.cpp red. Change: a server is warm again when its window reaches its full width.

--- a/packages/core/src/credit.cpp
+++ b/packages/core/src/credit.cpp
@@ -114,13 +114,11 @@
         return;
     }
     owned.completedInWave = 0;
-    // It is warm only after it has borne a whole wave at full width.
+    owned.window = std::min(owned.window * 2, owned.limits.warmConcurrency);
     if (owned.window >= owned.limits.warmConcurrency) {
         owned.warm = true;
         ++stats.warmed;
-        return;
     }
-    owned.window = std::min(owned.window * 2, owned.limits.warmConcurrency);
 }
 
 void CreditOwner::giveBack(const CreditReturn &credit)
