--- a/packages/node/src/front.cpp
+++ b/packages/node/src/front.cpp
@@ -10,6 +10,10 @@
 
 constexpr std::string_view BearerPrefix = "Bearer ";
 
+// A body that is this much too large is still read, so that its refusal reaches the caller; evhttp closes on a larger
+// one while the caller still sends, and the refusal may be lost on the way.
+constexpr std::size_t BodySlackBytes = 1024 * 1024;
+
 } // namespace
 
 Front::Front(NodeContext &context)
@@ -30,7 +34,7 @@
 Result<void> Front::listen()
 {
     HttpServerLimits limits = defaultHttpServerLimits();
-    limits.maxBodyBytes = this->context.settings.limits.maxBodyBytes;
+    limits.maxBodyBytes = this->context.settings.limits.maxBodyBytes + BodySlackBytes;
     auto listening = HttpServer::listen(this->context.loop,
                                         this->context.settings.listen.callers,
                                         limits,
@@ -91,6 +95,8 @@
     const std::string requestId = makeId(this->context.random);
     if (!path.method.empty() && request.method != path.method) {
         this->refuse(*exchange, {ErrorKind::MethodNotAllowed, "use " + path.method}, requestId);
+    } else if (request.body.size() > this->context.settings.limits.maxBodyBytes) {
+        this->refuse(*exchange, {ErrorKind::BodyTooLarge, "the body is larger than this host takes"}, requestId);
     } else if (this->refusing) {
         this->refuse(*exchange, {ErrorKind::HostStopping, "this host is stopping"}, requestId);
     } else if (!this->context.fleet.isReady() || !this->context.backends.isReady()) {
--- a/tests/process/prompt_path.cpp
+++ b/tests/process/prompt_path.cpp
@@ -157,11 +157,9 @@
     Fixture fixture(FastEngines, "{max_body: 64KiB}");
     const HostProcess &host = fixture.hosts.at(0);
     const auto refused = [&](const HttpCall &wanted, int status) {
-        const CallResult result = call(wanted);
+        CallResult result = call(wanted);
         CHECK_MESSAGE(result.status == status, result.body);
-        if (result.status != 413) {
-            CHECK(result.headers.at("x-endivespan-run") == "not-run");
-        }
+        CHECK(result.headers["x-endivespan-run"] == "not-run");
     };
     HttpCall broken = promptCall(host, prompt("x", 1));
     broken.body = R"({"model": )";
