--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -18,6 +19,11 @@
 constexpr std::size_t MaxBodyBytes = 4 * 1024 * 1024;
 constexpr std::size_t MaxHeaderBytes = 32 * 1024;
 constexpr std::chrono::seconds CallerReadTimeout = 10s;
+constexpr std::chrono::seconds CallerIdleTimeout = 75s; ///< Longer than balancers usually keep idle connections.
+constexpr std::chrono::milliseconds CallerLingerTime = 1000ms; ///< For a caller to read the last answer.
+constexpr std::size_t PipelinedBytes = 64 * 1024; ///< Input held while a request is answered.
+constexpr std::chrono::milliseconds AcceptPause = 100ms; ///< After accept failed for want of descriptors.
+constexpr int CallerBacklog = 1024; ///< Connections that wait to be accepted.
 constexpr std::chrono::seconds DefaultDeadline = 30s;
 constexpr std::uint32_t DefaultRequestsInFlight = 4096;
 constexpr std::chrono::milliseconds StreamHeartbeatPeriod = 1500ms;
@@ -34,6 +40,10 @@
 constexpr std::uint32_t PromptAttempts = 6;
 constexpr std::chrono::milliseconds AttemptPause = 20ms;
 constexpr std::chrono::milliseconds ConnectTimeout = 500ms;
+constexpr std::chrono::milliseconds UnacknowledgedTimeout = 1000ms; ///< Several retransmissions on a lossy link.
+constexpr std::chrono::seconds KeepAliveProbeIdle = 1s; ///< Least that the socket option takes.
+constexpr int KeepAliveProbes = 2;
+constexpr std::chrono::milliseconds KeepAliveMargin = 300ms; ///< For a request to arrive before the server closes.
 constexpr std::chrono::milliseconds StreamSilenceTimeout = 3000ms;
 constexpr std::chrono::milliseconds LoadReportPeriod = 200ms;
 constexpr std::chrono::milliseconds StoreListPeriod = 500ms;
@@ -221,4 +231,73 @@
 constexpr std::chrono::seconds RetryAfterMin = 1s;
 constexpr std::chrono::seconds RetryAfterMax = 30s;
 
+// Forwarded requests: servers and placement
+constexpr std::chrono::seconds OutcomeMemory = 4s; ///< Over which outcomes of attempts at a server are averaged.
+constexpr double OutcomePrior = 3.0; ///< Attempts without failure that each server starts with.
+constexpr std::chrono::milliseconds RefusedPause = 60ms; ///< About one run: then a place is free.
+constexpr std::chrono::milliseconds UnreachablePause = 400ms;
+constexpr std::chrono::milliseconds UnreachablePauseMost = 3000ms; ///< The list drops dead servers in about this time.
+constexpr std::chrono::seconds ColdSendsKept = 10s;
+constexpr std::chrono::milliseconds ColdSpanMargin = 60ms; ///< Requests may be held up by different times on the way.
+constexpr std::array<double, 3> PrefixHitShares {0.8, 0.4, 0.2}; ///< Chance of a hit, by rendezvous place.
+constexpr double PrefillTokensPerMillisecond = 125.0; ///< Of the engines served.
+constexpr std::chrono::milliseconds FailureCost = 4000ms; ///< Of a request at a server that fails all.
+constexpr std::chrono::milliseconds ColdCost = 30ms;
+constexpr std::chrono::milliseconds OtherDomainCost = 4ms; ///< One round trip.
+constexpr std::chrono::milliseconds OldWeightsCost = 60ms;
+constexpr std::chrono::milliseconds WaitingCost = 25ms; ///< Prefill of a middling prompt.
+constexpr std::chrono::microseconds RunningCost = 2000us; ///< Slower steps for all.
+constexpr std::chrono::milliseconds PlainRunCost = 60ms;
+
+// Forwarded requests: repeats
+constexpr double SpareHostFactor = 1.4; ///< Hosts that may join before the others know them.
+constexpr double RetryRatioUsed = 0.85; ///< Part of the ratio; the rest covers windows that end elsewhere.
+
+// Orders to engines
+constexpr std::chrono::milliseconds OrderRetryPause = 300ms;
+constexpr std::chrono::milliseconds OrderBusyPause = 300ms;
+constexpr std::chrono::milliseconds LoadTime = 1200ms; ///< Until an engine is asked whether it is done.
+constexpr std::chrono::milliseconds ListLag = 2500ms; ///< Two heartbeats of a server, and the poll.
+
+constexpr std::size_t EnginesLoadingAtOnce = 3; ///< More at once take longer each.
+constexpr std::chrono::milliseconds OrderLeaseTerm = 1200ms; ///< A few calls to a slow log.
+constexpr std::chrono::milliseconds OrderLeaseMargin = 200ms;
+constexpr std::chrono::milliseconds OrderLeaseRankStep = 150ms; ///< An append and the read that sees it.
+constexpr std::size_t OrderLeaseLookers = 3; ///< Hosts that look at the lease at once; all looking costs reads.
+constexpr std::chrono::milliseconds OrderLeaseLateLook = 5000ms; ///< After a holder's term and the gap.
+constexpr std::chrono::milliseconds OrderLeaseWatchPeriod = 500ms;
+
+// Following the log
+constexpr std::chrono::milliseconds OperatorReadWait = 1000ms;
+constexpr std::chrono::milliseconds OperatorBackoffMost = 500ms;
+constexpr std::chrono::milliseconds ServerPollPeriod = 600ms;
+constexpr std::chrono::milliseconds ListLapseAfter = 2400ms; ///< Entries may lapse in an outage of two heartbeats.
+constexpr std::chrono::milliseconds HostAnnouncePause = 500ms;
+constexpr std::chrono::milliseconds HostReadPeriod = 10000ms;
+
+// Structured log
+constexpr std::size_t LogBufferBytes = 256 * 1024;
+constexpr std::uint32_t LogLinesPerSecond = 60; ///< Of one event, for routine lines.
+constexpr std::chrono::milliseconds LogFlushDelay = 100ms;
+
+// Forwarded requests: serving
+constexpr std::chrono::milliseconds ForwardTickPeriod = 100ms;
+constexpr std::chrono::milliseconds ForwardConnectTimeout = 150ms; ///< Several round trips within a region.
+constexpr std::chrono::seconds ForwardIdleTime = 20s;
+constexpr std::chrono::milliseconds ForwardDefaultDeadline = 30000ms;
+constexpr std::chrono::milliseconds ForwardLeastTime = 10ms; ///< With less left nothing is sent.
+constexpr std::size_t ForwardQueueBound = 64; ///< Requests that wait on one host.
+constexpr double ForwardWaitShare = 0.125; ///< Part of a route's aim that a request may wait for a place.
+constexpr double ForwardPatienceShare = 0.75; ///< Part of a route's aim before a repeatable request is sent once more.
+constexpr std::chrono::milliseconds ForwardStreamSilence = 1000ms; ///< In a resumable stream, before it is resumed.
+constexpr std::size_t ForwardAnswerBytes = 8 * 1024 * 1024; ///< Of an answer that is not streamed.
+constexpr std::size_t ForwardStreamBacklog = 1024 * 1024; ///< Unread by a caller.
+constexpr std::uint32_t ForwardNotRunAttempts = 3; ///< Servers that may refuse a request before its caller hears of it.
+constexpr std::uint32_t EngineInFlight = 24; ///< Own attempts at one engine.
+constexpr std::uint32_t PlainInFlight = 6; ///< Own attempts at one plain server.
+constexpr std::chrono::milliseconds OldWeightsMargin = 1500ms; ///< Before older weights may no longer be used.
+constexpr std::chrono::milliseconds StopRefuseAfter = 2500ms; ///< From SIGTERM; the balancer has looked twice by then.
+constexpr std::chrono::milliseconds StopLeastTime = 3000ms;
+constexpr std::chrono::milliseconds StopMargin = 400ms; ///< Before the process would be killed.
+
 } // namespace endivespan::config
--- /dev/null
+++ b/packages/core/include/endivespan/placement.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <endivespan/server_table.h>
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Chooses the server of one attempt at a forwarded request.
+namespace endivespan {
+
+/// What a request needs of its server.
+struct PlacementNeed {
+    std::string service;
+    std::string model; ///< Empty for services without models.
+    std::uint64_t prefixHash = 0; ///< Of the parts that other requests share.
+    std::uint64_t sharedTokens = 0; ///< In those parts.
+    std::uint64_t ownTokens = 0; ///< Prompt tokens beyond them.
+    std::string domain; ///< Failure domain of this host.
+    std::uint64_t newestWeights = 0; ///< Newest version named for the model.
+    std::uint64_t oldestWeights = 0; ///< Servers with older ones may not be used.
+    ColdShare cold;
+    std::uint32_t mostInFlight = 0; ///< Own attempts at one server.
+    std::set<std::string> tried; ///< Servers that have had the request.
+};
+
+/// Why a server was or was not taken; the numbers of the decision for the log.
+struct PlacementChoice {
+    std::string server; ///< Empty when there is none.
+    Duration expected {}; ///< Until the first byte of the answer.
+    std::uint32_t known = 0; ///< Servers of the service in the list.
+    std::uint32_t open = 0; ///< Of these, those that take new work.
+    std::uint32_t full = 0; ///< Of the open ones, those with no room for this host now.
+};
+
+/// One way to choose.
+class Placement
+{
+public:
+    virtual ~Placement() = default;
+
+    /// @param random Any number, for choices between equals.
+    [[nodiscard]] virtual PlacementChoice
+    choose(const ServerTable &table, const PlacementNeed &need, std::uint64_t random, TimePoint now) const = 0;
+};
+
+/// @returns the baseline: the server with least own attempts.
+std::unique_ptr<Placement> makeLeastInFlightPlacement();
+
+/// @returns least expected time to the first byte, where a shared prefix is expected at the first servers of its
+///     rendezvous order. Answers a load of many subjects that each come back seldom to any one host.
+std::unique_ptr<Placement> makeExpectedStartPlacement();
+
+/// @returns a number for a sequence of prefix parts.
+std::uint64_t hashPrefix(std::uint64_t before, std::string_view part);
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/core/include/endivespan/rollout.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <endivespan/server_table.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Brings engines to the weight versions that operators name, a few at a time.
+namespace endivespan {
+
+/// One order to one engine.
+struct WeightOrder {
+    std::string server;
+    std::string address;
+    std::string model;
+    std::uint64_t version = 0;
+    std::uint64_t expected = 0; ///< Orders that the engine has accepted before.
+};
+
+/// What an engine says when asked.
+struct EngineState {
+    bool busy = false; ///< Carries out an order.
+    std::uint64_t ordersAccepted = 0;
+    std::map<std::string, std::uint64_t> weights;
+};
+
+/// One step of the rollout on one engine.
+struct RolloutStep {
+    enum class Kind {
+        Ask, ///< Ask for its state.
+        Order,
+    };
+    Kind kind = Kind::Ask;
+    WeightOrder order;
+};
+
+/// Decides which engine is next. Answers the load of a whole pool that has to change its weights while it serves: at
+/// most a few engines are away at a time.
+class Rollout
+{
+public:
+    /// @param atOnce Engines that may load at the same time.
+    explicit Rollout(std::size_t atOnce);
+
+    /// Sets the newest version of each model.
+    void setTargets(std::map<std::string, std::uint64_t> targets);
+    [[nodiscard]] const std::map<std::string, std::uint64_t> &targets() const;
+
+    /// @returns whether any engine has older weights than named.
+    [[nodiscard]] bool isNeeded(const ServerTable &table, TimePoint now) const;
+
+    /// @returns what to do now. Each Ask and Order must be reported back.
+    [[nodiscard]] std::vector<RolloutStep> next(const ServerTable &table, TimePoint now);
+
+    /// Takes an engine's state, or that it could not be had.
+    void answered(const std::string &server, const std::optional<EngineState> &state, TimePoint now);
+
+    /// Takes how an order was received.
+    /// @param accepted False when it was certainly refused; nothing when that is not known.
+    void ordered(const std::string &server, std::optional<bool> accepted, TimePoint now);
+
+private:
+    enum class Phase {
+        Asking,
+        Ready, ///< Its state is known; the next step is an order.
+        Ordering,
+        Loading,
+        Waiting, ///< Before it is asked again.
+    };
+    struct Work {
+        Phase phase = Phase::Waiting;
+        std::uint64_t born = 0;
+        std::string model;
+        std::uint64_t version = 0;
+        std::uint64_t expected = 0;
+        TimePoint until; ///< Of Loading and Waiting.
+    };
+
+    [[nodiscard]] std::optional<std::pair<std::string, std::uint64_t>> lacking(const ServerView &view) const;
+
+    std::size_t atOnce;
+    std::map<std::string, std::uint64_t> wanted;
+    std::map<std::string, Work> work; ///< By server.
+};
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/core/include/endivespan/server_table.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <endivespan/clock.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+/// The backend servers that forwarded requests may go to, and what is believed of each.
+namespace endivespan {
+
+/// What a server says of itself in the list of servers.
+struct ServerEntry {
+    std::string id; ///< May be used again by a later start.
+    std::string service;
+    std::string address; ///< "a.b.c.d:port".
+    std::string domain;
+    std::uint64_t born = 0; ///< Unix milliseconds of its start; rises with each one.
+    std::uint64_t heartbeat = 0; ///< Rises while the server lives; starts anew at each start.
+    std::uint32_t slots = 1;
+    bool draining = false;
+    Duration coldFor {}; ///< How much longer it is cold.
+    std::map<std::string, std::uint64_t> weights; ///< Weight version by model.
+};
+
+/// What a server said of its load in an answer.
+struct ServerLoadReport {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 1;
+};
+
+/// How an attempt ended, as far as it tells something of its server.
+enum class AttemptOutcome {
+    Answered, ///< With a whole answer that is no failure of the server.
+    Failed, ///< With a failure, a broken answer or none in time.
+    Refused, ///< Certainly not run, by a server that is full or busy.
+    Unreachable, ///< No connection, or one that broke.
+    Misdirected, ///< Another server has its address.
+    Cancelled, ///< Says nothing.
+};
+
+/// Everything believed of one server.
+struct ServerView {
+    ServerEntry entry;
+    TimePoint coldUntil;
+    TimePoint unconfirmedSince; ///< When a connection failed and no later heartbeat has come; epoch if none has.
+    TimePoint avoidUntil; ///< Refused or unreachable: not chosen before.
+    Duration avoidStep {}; ///< Grows with each failed connection in a row.
+    std::vector<TimePoint> coldSends; ///< The latest ones while it was cold.
+    std::uint32_t inFlight = 0; ///< Own attempts.
+    std::uint64_t prefillTokens = 0; ///< Of own attempts that have no answer yet.
+    std::optional<ServerLoadReport> load;
+    TimePoint loadAt;
+    std::uint32_t sentSinceLoad = 0;
+    double answered = 0; ///< Decaying counts of outcomes.
+    double failed = 0;
+    TimePoint countsAt;
+    std::optional<TimePoint> withdrawAt; ///< Missing from the list, but the list may have lapsed.
+
+    /// @returns the share of recent attempts that failed, drawn towards zero while there are few.
+    [[nodiscard]] double failureShare(TimePoint now) const;
+};
+
+/// Bounds on cold servers for this host.
+struct ColdShare {
+    double perSecond = 0; ///< Requests that this host may send to one cold server each second; 0 for no bound.
+};
+
+/// Servers by id. Decisions on placement read it; tasks report to it.
+class ServerTable
+{
+public:
+    /// Takes an entry. Older ones than known are ignored.
+    /// @returns true when it was news of more than the heartbeat.
+    bool learn(const ServerEntry &entry, TimePoint now);
+
+    /// Takes that the list has no such entry any more.
+    /// @param lapsedUntil Set when the list itself was away until shortly before: the server is kept until then,
+    ///     unless its entry comes back.
+    void withdraw(const std::string &id, std::optional<TimePoint> lapsedUntil, TimePoint now);
+
+    /// Sets the failure domains whose servers get nothing.
+    void setEvacuated(std::set<std::string> domains);
+    [[nodiscard]] const std::set<std::string> &evacuated() const;
+
+    /// Drops servers whose time has come. Call it now and then.
+    void tick(TimePoint now);
+
+    /// Takes that an attempt was sent.
+    void started(const std::string &id, std::uint64_t prefillTokens, TimePoint now);
+
+    /// Takes the first sign of an answer: the prompt has been read.
+    void prefilled(const std::string &id, std::uint64_t prefillTokens);
+
+    /// Takes the end of an attempt.
+    void ended(const std::string &id, AttemptOutcome outcome, TimePoint now);
+
+    void reported(const std::string &id, const ServerLoadReport &load, TimePoint now);
+
+    /// @returns whether the server takes new work at all now, by what is known.
+    [[nodiscard]] bool isOpen(const ServerView &server, TimePoint now) const;
+
+    /// @returns whether the server has to be spared as one that has just started.
+    [[nodiscard]] static bool isCold(const ServerView &server, TimePoint now);
+
+    /// @returns whether a cold server has room for one more request of this host.
+    [[nodiscard]] static bool hasColdRoom(const ServerView &server, const ColdShare &share, TimePoint now);
+
+    [[nodiscard]] const std::map<std::string, ServerView> &servers() const;
+    [[nodiscard]] const ServerView *find(const std::string &id) const;
+
+private:
+    std::map<std::string, ServerView> views;
+    std::set<std::string> evacuatedDomains;
+};
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/core/src/placement.cpp
@@ -0,0 +1,186 @@
+#include <endivespan/config.h>
+#include <endivespan/placement.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace endivespan {
+
+namespace {
+
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+std::uint64_t mix(std::uint64_t value)
+{
+    value ^= value >> 33U;
+    value *= 0xff51afd7ed558ccdULL;
+    value ^= value >> 33U;
+    value *= 0xc4ceb9fe1a85ec53ULL;
+    return value ^ (value >> 33U);
+}
+
+std::uint64_t hashText(std::string_view text)
+{
+    std::uint64_t hash = 0xcbf29ce484222325ULL;
+    for (const char c : text) {
+        hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+    }
+    return hash;
+}
+
+/// Visits the servers that may take the request, and counts the others.
+template<typename Visit>
+PlacementChoice forEachCandidate(const ServerTable &table, const PlacementNeed &need, TimePoint now, Visit visit)
+{
+    PlacementChoice choice;
+    for (const auto &[id, view] : table.servers()) {
+        if (view.entry.service != need.service) {
+            continue;
+        }
+        ++choice.known;
+        if (!table.isOpen(view, now) || need.tried.contains(id)) {
+            continue;
+        }
+        const auto weights = view.entry.weights.find(need.model);
+        if (need.oldestWeights > 0 && weights != view.entry.weights.end() && weights->second < need.oldestWeights) {
+            continue;
+        }
+        ++choice.open;
+        if (!ServerTable::hasColdRoom(view, need.cold, now)
+            || (need.mostInFlight > 0 && view.inFlight >= need.mostInFlight)) {
+            ++choice.full;
+            continue;
+        }
+        visit(id, view);
+    }
+    return choice;
+}
+
+class LeastInFlight : public Placement
+{
+public:
+    PlacementChoice
+    choose(const ServerTable &table, const PlacementNeed &need, std::uint64_t random, TimePoint now) const override
+    {
+        std::pair<std::uint32_t, std::uint64_t> least {std::numeric_limits<std::uint32_t>::max(), 0};
+        std::string best;
+        PlacementChoice choice = forEachCandidate(table, need, now, [&](const std::string &id, const ServerView &view) {
+            const std::pair<std::uint32_t, std::uint64_t> order {view.inFlight, mix(random ^ hashText(id))};
+            if (order < least) {
+                least = order;
+                best = id;
+            }
+        });
+        choice.server = best;
+        return choice;
+    }
+};
+
+class ExpectedStart : public Placement
+{
+public:
+    PlacementChoice
+    choose(const ServerTable &table, const PlacementNeed &need, std::uint64_t random, TimePoint now) const override
+    {
+        struct Candidate {
+            const std::string *id;
+            const ServerView *view;
+            std::uint64_t rank;
+        };
+        std::vector<Candidate> candidates;
+        PlacementChoice choice = forEachCandidate(table, need, now, [&](const std::string &id, const ServerView &view) {
+            candidates.push_back({&id, &view, mix(need.prefixHash ^ hashText(id))});
+        });
+        std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
+            return a.rank > b.rank;
+        });
+        double least = std::numeric_limits<double>::max();
+        for (std::size_t place = 0; place < candidates.size(); ++place) {
+            const Candidate &candidate = candidates[place];
+            // Less than a millisecond decides between equals.
+            const double jitter = static_cast<double>(mix(random ^ candidate.rank) % 1000) / 1000.0;
+            const double cost = costOf(*candidate.view, need, place, now) + jitter;
+            if (cost < least) {
+                least = cost;
+                choice.server = *candidate.id;
+            }
+        }
+        if (!choice.server.empty()) {
+            choice.expected = std::chrono::duration_cast<Duration>(Milliseconds(least));
+        }
+        return choice;
+    }
+
+private:
+    // In milliseconds.
+    static double costOf(const ServerView &view, const PlacementNeed &need, std::size_t place, TimePoint now)
+    {
+        const bool isEngine = !need.model.empty();
+        double cost = isEngine ? engineCost(view, need, place, now) : plainCost(view, now);
+        const double failures = view.failureShare(now);
+        cost += failures * failures * Milliseconds(config::FailureCost).count();
+        if (ServerTable::isCold(view, now)) {
+            cost += Milliseconds(config::ColdCost).count();
+        }
+        if (view.entry.domain != need.domain) {
+            cost += Milliseconds(config::OtherDomainCost).count();
+        }
+        return cost;
+    }
+
+    static double engineCost(const ServerView &view, const PlacementNeed &need, std::size_t place, TimePoint now)
+    {
+        double hit = 0;
+        if (need.sharedTokens > 0 && place < config::PrefixHitShares.size()) {
+            hit = config::PrefixHitShares[place];
+        }
+        double tokens = static_cast<double>(need.ownTokens) + (1 - hit) * static_cast<double>(need.sharedTokens);
+        tokens += static_cast<double>(view.prefillTokens);
+        double cost = tokens / config::PrefillTokensPerMillisecond;
+        if (view.load) {
+            const double weight = reportWeight(view, now);
+            cost += weight * view.load->waiting * Milliseconds(config::WaitingCost).count();
+            cost += weight * view.load->running * Milliseconds(config::RunningCost).count();
+        }
+        cost += view.inFlight * Milliseconds(config::RunningCost).count();
+        const auto weights = view.entry.weights.find(need.model);
+        if (weights != view.entry.weights.end() && weights->second < need.newestWeights) {
+            cost += Milliseconds(config::OldWeightsCost).count();
+        }
+        return cost;
+    }
+
+    static double plainCost(const ServerView &view, TimePoint now)
+    {
+        double busy = view.inFlight;
+        if (view.load) {
+            busy = std::max(busy, reportWeight(view, now) * (view.load->running + view.load->waiting)) + view.sentSinceLoad;
+        }
+        return busy / std::max<std::uint32_t>(view.entry.slots, 1) * Milliseconds(config::PlainRunCost).count();
+    }
+
+    static double reportWeight(const ServerView &view, TimePoint now)
+    {
+        const double age = Milliseconds(now - view.loadAt).count();
+        return std::max(0.0, 1.0 - age / Milliseconds(config::LoadReportStaleAfter).count());
+    }
+};
+
+} // namespace
+
+std::unique_ptr<Placement> makeLeastInFlightPlacement()
+{
+    return std::make_unique<LeastInFlight>();
+}
+
+std::unique_ptr<Placement> makeExpectedStartPlacement()
+{
+    return std::make_unique<ExpectedStart>();
+}
+
+std::uint64_t hashPrefix(std::uint64_t before, std::string_view part)
+{
+    return mix(before ^ hashText(part));
+}
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/core/src/rollout.cpp
@@ -0,0 +1,126 @@
+#include <endivespan/config.h>
+#include <endivespan/rollout.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace endivespan {
+
+Rollout::Rollout(std::size_t atOnce)
+    : atOnce(atOnce)
+{
+}
+
+void Rollout::setTargets(std::map<std::string, std::uint64_t> targets)
+{
+    this->wanted = std::move(targets);
+}
+
+const std::map<std::string, std::uint64_t> &Rollout::targets() const
+{
+    return this->wanted;
+}
+
+std::optional<std::pair<std::string, std::uint64_t>> Rollout::lacking(const ServerView &view) const
+{
+    if (view.entry.draining) {
+        return std::nullopt;
+    }
+    for (const auto &[model, version] : view.entry.weights) {
+        if (const auto target = this->wanted.find(model); target != this->wanted.end() && version < target->second) {
+            return std::pair(model, target->second);
+        }
+    }
+    return std::nullopt;
+}
+
+bool Rollout::isNeeded(const ServerTable &table, TimePoint) const
+{
+    return std::any_of(table.servers().begin(), table.servers().end(), [this](const auto &entry) {
+        return this->lacking(entry.second).has_value();
+    });
+}
+
+std::vector<RolloutStep> Rollout::next(const ServerTable &table, TimePoint now)
+{
+    std::vector<RolloutStep> steps;
+    std::erase_if(this->work, [&table](const auto &entry) {
+        const ServerView *view = table.find(entry.first);
+        return view == nullptr || view->entry.born != entry.second.born;
+    });
+    std::size_t away = 0;
+    for (auto &[server, task] : this->work) {
+        if ((task.phase == Phase::Loading || task.phase == Phase::Waiting) && now >= task.until) {
+            task.phase = Phase::Waiting;
+        } else {
+            away += task.phase == Phase::Waiting ? 0 : 1;
+        }
+    }
+    for (const auto &[id, view] : table.servers()) {
+        const auto need = this->lacking(view);
+        if (!need) {
+            if (const auto done = this->work.find(id); done != this->work.end()) {
+                away -= std::min<std::size_t>(away, done->second.phase == Phase::Waiting ? 0 : 1);
+                this->work.erase(done);
+            }
+            continue;
+        }
+        const auto [place, isNew] = this->work.try_emplace(id);
+        Work &task = place->second;
+        if (isNew) {
+            task.born = view.entry.born;
+        }
+        task.model = need->first;
+        task.version = need->second;
+        RolloutStep step;
+        step.order = {id, view.entry.address, task.model, task.version, task.expected};
+        if (task.phase == Phase::Ready) {
+            task.phase = Phase::Ordering;
+            step.kind = RolloutStep::Kind::Order;
+            steps.push_back(step);
+        } else if (task.phase == Phase::Waiting && now >= task.until && away < this->atOnce) {
+            task.phase = Phase::Asking;
+            ++away;
+            steps.push_back(step);
+        }
+    }
+    return steps;
+}
+
+void Rollout::answered(const std::string &server, const std::optional<EngineState> &state, TimePoint now)
+{
+    const auto found = this->work.find(server);
+    if (found == this->work.end() || found->second.phase != Phase::Asking) {
+        return;
+    }
+    Work &task = found->second;
+    if (!state) {
+        task.phase = Phase::Waiting;
+        task.until = now + config::OrderRetryPause;
+        return;
+    }
+    const auto weights = state->weights.find(task.model);
+    const bool done = weights != state->weights.end() && weights->second >= task.version;
+    if (done || state->busy) {
+        // Done engines wait for the list to say so; busy ones are asked again.
+        task.phase = done ? Phase::Waiting : Phase::Loading;
+        task.until = now + (done ? config::ListLag : config::OrderBusyPause);
+        return;
+    }
+    task.expected = state->ordersAccepted;
+    task.phase = Phase::Ready;
+}
+
+void Rollout::ordered(const std::string &server, std::optional<bool> accepted, TimePoint now)
+{
+    const auto found = this->work.find(server);
+    if (found == this->work.end() || found->second.phase != Phase::Ordering) {
+        return;
+    }
+    Work &task = found->second;
+    const bool loading = accepted.value_or(false);
+    task.phase = loading ? Phase::Loading : Phase::Waiting;
+    task.until = now + (loading ? config::LoadTime : config::OrderRetryPause);
+}
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/core/src/server_table.cpp
@@ -0,0 +1,193 @@
+#include <endivespan/config.h>
+#include <endivespan/server_table.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace endivespan {
+
+namespace {
+
+double decayed(double value, Duration age)
+{
+    using Seconds = std::chrono::duration<double>;
+    return value * std::exp(-Seconds(age) / Seconds(config::OutcomeMemory));
+}
+
+} // namespace
+
+double ServerView::failureShare(TimePoint now) const
+{
+    const Duration age = now - this->countsAt;
+    const double bad = decayed(this->failed, age);
+    return bad / (bad + decayed(this->answered, age) + config::OutcomePrior);
+}
+
+bool ServerTable::learn(const ServerEntry &entry, TimePoint now)
+{
+    const auto [place, isNew] = this->views.try_emplace(entry.id);
+    ServerView &view = place->second;
+    if (!isNew) {
+        const ServerEntry &known = view.entry;
+        const bool older = entry.born < known.born || (entry.born == known.born && entry.heartbeat < known.heartbeat);
+        if (older) {
+            return false;
+        }
+        if (entry.born > known.born) {
+            // Nothing of the earlier start holds, except that its attempts still have to end.
+            const std::uint32_t inFlight = view.inFlight;
+            view = ServerView {};
+            view.inFlight = inFlight;
+        }
+    }
+    const bool news = isNew || view.entry.address != entry.address || view.entry.service != entry.service
+        || view.entry.draining != entry.draining || view.entry.born != entry.born
+        || view.entry.weights != entry.weights;
+    const bool advanced = isNew || entry.heartbeat > view.entry.heartbeat || entry.born > view.entry.born;
+    view.entry = entry;
+    view.withdrawAt.reset();
+    view.coldUntil = std::max(view.coldUntil, now + entry.coldFor);
+    if (advanced) {
+        view.unconfirmedSince = {};
+    }
+    return news;
+}
+
+void ServerTable::withdraw(const std::string &id, std::optional<TimePoint> lapsedUntil, TimePoint now)
+{
+    const auto found = this->views.find(id);
+    if (found == this->views.end()) {
+        return;
+    }
+    if (lapsedUntil && *lapsedUntil > now && !found->second.entry.draining) {
+        found->second.withdrawAt = lapsedUntil;
+        return;
+    }
+    this->views.erase(found);
+}
+
+void ServerTable::setEvacuated(std::set<std::string> domains)
+{
+    this->evacuatedDomains = std::move(domains);
+}
+
+const std::set<std::string> &ServerTable::evacuated() const
+{
+    return this->evacuatedDomains;
+}
+
+void ServerTable::tick(TimePoint now)
+{
+    std::erase_if(this->views, [now](const auto &entry) {
+        return entry.second.withdrawAt && *entry.second.withdrawAt <= now;
+    });
+}
+
+void ServerTable::started(const std::string &id, std::uint64_t prefillTokens, TimePoint now)
+{
+    const auto found = this->views.find(id);
+    if (found == this->views.end()) {
+        return;
+    }
+    ServerView &view = found->second;
+    ++view.inFlight;
+    ++view.sentSinceLoad;
+    view.prefillTokens += prefillTokens;
+    std::erase_if(view.coldSends, [now](TimePoint at) { return now - at >= config::ColdSendsKept; });
+    if (isCold(view, now)) {
+        view.coldSends.push_back(now);
+    }
+}
+
+void ServerTable::prefilled(const std::string &id, std::uint64_t prefillTokens)
+{
+    if (const auto found = this->views.find(id); found != this->views.end()) {
+        found->second.prefillTokens -= std::min(found->second.prefillTokens, prefillTokens);
+    }
+}
+
+void ServerTable::ended(const std::string &id, AttemptOutcome outcome, TimePoint now)
+{
+    const auto found = this->views.find(id);
+    if (found == this->views.end()) {
+        return;
+    }
+    ServerView &view = found->second;
+    view.inFlight -= std::min<std::uint32_t>(view.inFlight, 1);
+    const Duration age = now - view.countsAt;
+    view.answered = decayed(view.answered, age);
+    view.failed = decayed(view.failed, age);
+    view.countsAt = now;
+    switch (outcome) {
+    case AttemptOutcome::Answered:
+        view.answered += 1;
+        view.avoidStep = {};
+        break;
+    case AttemptOutcome::Failed:
+        view.failed += 1;
+        break;
+    case AttemptOutcome::Refused:
+        view.avoidUntil = std::max(view.avoidUntil, now + config::RefusedPause);
+        break;
+    case AttemptOutcome::Unreachable:
+        view.failed += 1;
+        view.unconfirmedSince = now;
+        view.avoidStep = std::clamp<Duration>(2 * view.avoidStep, config::UnreachablePause, config::UnreachablePauseMost);
+        view.avoidUntil = std::max(view.avoidUntil, now + view.avoidStep);
+        break;
+    case AttemptOutcome::Misdirected:
+        view.unconfirmedSince = now;
+        view.avoidUntil = std::max(view.avoidUntil, now + config::UnreachablePauseMost);
+        break;
+    case AttemptOutcome::Cancelled:
+        break;
+    }
+}
+
+void ServerTable::reported(const std::string &id, const ServerLoadReport &load, TimePoint now)
+{
+    if (const auto found = this->views.find(id); found != this->views.end()) {
+        found->second.load = load;
+        found->second.loadAt = now;
+        found->second.sentSinceLoad = 0;
+    }
+}
+
+bool ServerTable::isOpen(const ServerView &server, TimePoint now) const
+{
+    return !server.entry.draining && now >= server.avoidUntil && !this->evacuatedDomains.contains(server.entry.domain);
+}
+
+// A server that could not be reached may have started again, and then is cold until it says otherwise.
+bool ServerTable::isCold(const ServerView &server, TimePoint now)
+{
+    return now < server.coldUntil || server.unconfirmedSince != TimePoint {};
+}
+
+bool ServerTable::hasColdRoom(const ServerView &server, const ColdShare &share, TimePoint now)
+{
+    if (share.perSecond <= 0 || !isCold(server, now)) {
+        return true;
+    }
+    // Shares below one a second are kept by a longer span between two requests.
+    const auto span = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(std::max(1.0, 1.0 / share.perSecond)));
+    const auto most = static_cast<std::ptrdiff_t>(std::max(1.0, std::floor(share.perSecond)));
+    return std::count_if(server.coldSends.begin(),
+                         server.coldSends.end(),
+                         [now, span](TimePoint at) { return now - at < span + config::ColdSpanMargin; })
+        < most;
+}
+
+const std::map<std::string, ServerView> &ServerTable::servers() const
+{
+    return this->views;
+}
+
+const ServerView *ServerTable::find(const std::string &id) const
+{
+    const auto found = this->views.find(id);
+    return found == this->views.end() ? nullptr : &found->second;
+}
+
+} // namespace endivespan
--- a/packages/net/include/endivespan/http_server.h
+++ b/packages/net/include/endivespan/http_server.h
@@ -1,15 +1,17 @@
 #pragma once
 
+#include <endivespan/config.h>
 #include <endivespan/error.h>
 #include <endivespan/loop.h>
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 
-/// HTTP/1.1 server on evhttp, with whole and streamed answers.
+/// HTTP/1.1 server over libevent's bufferevents with Boost.Beast's parser: strict, keeps connections open.
 namespace endivespan {
 
 /// Header fields by lower-case name.
@@ -49,6 +51,9 @@
     /// Closes the connection without completing the answer, so that the caller sees it was cut.
     virtual void abort() = 0;
 
+    /// Makes this the last answer of its connection.
+    virtual void closeAfterAnswer() = 0;
+
     /// Sets what is called once when the caller goes before the answer is complete.
     virtual void onClosed(std::function<void()> callback) = 0;
 
@@ -65,7 +70,9 @@
 struct HttpServerLimits {
     std::size_t maxBodyBytes;
     std::size_t maxHeaderBytes;
-    std::chrono::seconds readTimeout; ///< A caller that sends nothing for this long is closed.
+    std::chrono::milliseconds readTimeout; ///< For the head of a request, and between two parts of its body.
+    std::chrono::milliseconds idleTimeout = config::CallerIdleTimeout; ///< Between two requests on a connection.
+    std::set<std::string> singleFields {}; ///< Lower-case header fields that may come once only, beside HTTP's own.
 };
 
 /// Listens on one address and hands each complete request to a handler.
@@ -80,6 +87,18 @@
     /// Stops accepting connections; open exchanges go on.
     virtual void stopAccepting() = 0;
 
+    /// Takes new bounds for requests that begin from now on.
+    virtual void setLimits(const HttpServerLimits &limits) = 0;
+
+    /// From now on each answer is the last one of its connection.
+    virtual void closeAfterAnswers() = 0;
+
+    /// Closes the connections on which no request has begun.
+    virtual void closeIdle() = 0;
+
+    /// @returns the connections that callers hold open.
+    [[nodiscard]] virtual std::size_t connections() const = 0;
+
     /// @returns the exchanges whose answer is not complete.
     [[nodiscard]] virtual std::size_t openExchanges() const = 0;
 
--- /dev/null
+++ b/packages/net/src/http_head.cpp
@@ -0,0 +1,25 @@
+#include "http_head_p.h"
+
+namespace endivespan {
+
+std::optional<std::string_view> headBytesProblem(std::string_view bytes)
+{
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+        const char byte = bytes[i];
+        if (byte == '\0') {
+            return "NUL in the head";
+        }
+        if (byte == '\n' && (i == 0 || bytes[i - 1] != '\r')) {
+            return "line feed without carriage return";
+        }
+        if (byte == '\r' && i + 1 < bytes.size() && bytes[i + 1] != '\n') {
+            return "carriage return without line feed";
+        }
+        if (byte == '\n' && i + 1 < bytes.size() && (bytes[i + 1] == ' ' || bytes[i + 1] == '\t')) {
+            return "folded header line";
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/net/src/http_pool.cpp
@@ -0,0 +1,543 @@
+#include "net_p.h"
+
+#include <endivespan/config.h>
+#include <endivespan/http_pool.h>
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace endivespan {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+using Parser = http::response_parser<http::string_body>;
+
+std::string_view viewOf(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+HttpHeaders headersOf(const Parser &parser)
+{
+    HttpHeaders headers;
+    for (const auto &field : parser.get()) {
+        std::string name(viewOf(field.name_string()));
+        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+        const auto [entry, isNew] = headers.emplace(std::move(name), viewOf(field.value()));
+        if (!isNew) {
+            entry->second.append(", ").append(viewOf(field.value()));
+        }
+    }
+    return headers;
+}
+
+// The time that "Keep-Alive: timeout=N" grants, in whole seconds.
+std::optional<std::chrono::seconds> keepAliveTime(const HttpHeaders &headers)
+{
+    constexpr std::string_view Key = "timeout=";
+    const auto found = headers.find("keep-alive");
+    if (found == headers.end()) {
+        return std::nullopt;
+    }
+    const std::string &text = found->second;
+    const std::size_t at = text.find(Key);
+    if (at == std::string::npos) {
+        return std::nullopt;
+    }
+    int seconds = 0;
+    const char *begin = text.data() + at + Key.size();
+    if (std::from_chars(begin, text.data() + text.size(), seconds).ec != std::errc()) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(seconds);
+}
+
+std::string requestBytes(const PooledCall &call)
+{
+    std::string out = call.method + " " + call.target + " HTTP/1.1\r\n";
+    if (!call.headers.contains("host")) {
+        out += "host: " + call.address + "\r\n";
+    }
+    for (const auto &[name, value] : call.headers) {
+        out += name;
+        out += ": ";
+        out += value;
+        out += "\r\n";
+    }
+    if (!call.body.empty() || call.method == "POST" || call.method == "PUT" || call.method == "PATCH") {
+        out += "content-length: " + std::to_string(call.body.size()) + "\r\n";
+    }
+    out += "\r\n";
+    out += call.body;
+    return out;
+}
+
+// Shows a server that has gone silent: unacknowledged bytes, or probes without an answer, end the connection.
+void watchForSilence(int socket)
+{
+    const int on = 1;
+    const int userTimeout = static_cast<int>(config::UnacknowledgedTimeout.count());
+    const int idle = static_cast<int>(config::KeepAliveProbeIdle.count());
+    const int probes = config::KeepAliveProbes;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeout, sizeof(userTimeout));
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &idle, sizeof(idle));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
+class Pool;
+
+/// The call that a connection serves now.
+struct Call {
+    PooledCall call;
+    PooledCallbacks callbacks;
+    std::size_t requestSize = 0;
+    bool ended = false; ///< Its connection may serve another call by now.
+};
+
+class Connection
+{
+public:
+    Connection(Pool &pool, std::uint64_t id, std::string address);
+    ~Connection();
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    /// @returns false when no socket could be made.
+    bool connect(std::chrono::milliseconds timeout);
+    void serve(std::shared_ptr<Call> next);
+    void close();
+
+    const std::string &address() const
+    {
+        return this->place;
+    }
+
+    std::uint64_t number() const
+    {
+        return this->id;
+    }
+
+    bool isUsable(TimePoint now) const
+    {
+        return this->stream != nullptr && this->call == nullptr && now < this->usableUntil;
+    }
+
+private:
+    static void onRead(bufferevent *stream, void *context);
+    static void onEvent(bufferevent *stream, short what, void *context);
+    void read();
+    bool parse();
+    bool takeHead();
+    void complete();
+    void fail(ErrorKind kind, std::string detail);
+    void ended(bool byError);
+
+    Pool &pool;
+    std::uint64_t id;
+    std::string place;
+    bufferevent *stream = nullptr;
+    std::shared_ptr<Call> call;
+    std::unique_ptr<Parser> parser;
+    std::unique_ptr<Timer> connectTimer;
+    HttpHeaders headers;
+    bool connected = false;
+    bool headTaken = false;
+    bool stray = false;
+    TimePoint usableUntil;
+};
+
+class Pool : public HttpPool
+{
+public:
+    Pool(Loop &loop, std::chrono::milliseconds idleTime)
+        : loop(loop)
+        , idleTime(idleTime)
+    {
+    }
+
+    std::unique_ptr<HttpPending> start(PooledCall call, PooledCallbacks callbacks) override;
+    void closeIdle(const std::string &address) override;
+
+    HttpPoolStats stats() const override
+    {
+        return this->counters;
+    }
+
+    /// Takes a connection out of use; it is destroyed once the current callbacks have returned.
+    void bury(std::uint64_t id)
+    {
+        const auto found = this->connections.find(id);
+        if (found == this->connections.end()) {
+            return;
+        }
+        this->dead.push_back(std::move(found->second));
+        this->connections.erase(found);
+        this->burial = this->loop.after(Duration::zero(), [this] { this->dead.clear(); });
+    }
+
+    void keepIdle(Connection &connection)
+    {
+        this->idle[connection.address()].push_back(connection.number());
+    }
+
+    void cancel(std::uint64_t id)
+    {
+        if (const auto found = this->connections.find(id); found != this->connections.end()) {
+            found->second->close();
+        }
+    }
+
+    Loop &loop;
+    const std::chrono::milliseconds idleTime;
+    HttpPoolStats counters;
+
+private:
+    Connection *takeIdle(const std::string &address);
+
+    std::uint64_t nextId = 1;
+    std::map<std::uint64_t, std::unique_ptr<Connection>> connections;
+    std::map<std::string, std::vector<std::uint64_t>> idle;
+    std::vector<std::unique_ptr<Connection>> dead;
+    std::unique_ptr<Timer> burial;
+    std::map<std::uint64_t, std::unique_ptr<Timer>> failures;
+    std::uint64_t nextFailure = 1;
+};
+
+class Pending : public HttpPending
+{
+public:
+    Pending(Pool &pool, std::uint64_t connection, const std::shared_ptr<Call> &call)
+        : pool(pool)
+        , connection(connection)
+        , call(call)
+    {
+    }
+
+    ~Pending() override
+    {
+        if (const auto running = this->call.lock(); running && !running->ended) {
+            running->callbacks = {};
+            this->pool.cancel(this->connection);
+        }
+    }
+
+    Pending(const Pending &) = delete;
+    Pending &operator=(const Pending &) = delete;
+
+private:
+    Pool &pool;
+    std::uint64_t connection;
+    std::weak_ptr<Call> call;
+};
+
+Connection::Connection(Pool &pool, std::uint64_t id, std::string address)
+    : pool(pool)
+    , id(id)
+    , place(std::move(address))
+{
+}
+
+Connection::~Connection()
+{
+    if (this->stream != nullptr) {
+        bufferevent_free(this->stream);
+    }
+}
+
+bool Connection::connect(std::chrono::milliseconds timeout)
+{
+    const auto [host, port] = splitAddress(this->place);
+    sockaddr_in target {};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(static_cast<std::uint16_t>(port));
+    if (inet_pton(AF_INET, host.c_str(), &target.sin_addr) != 1) {
+        return false;
+    }
+    this->stream = bufferevent_socket_new(this->pool.loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(this->stream, &Connection::onRead, nullptr, &Connection::onEvent, this);
+    if (bufferevent_socket_connect(this->stream, reinterpret_cast<const sockaddr *>(&target), sizeof(target)) != 0) {
+        return false;
+    }
+    watchForSilence(bufferevent_getfd(this->stream));
+    bufferevent_enable(this->stream, EV_READ | EV_WRITE);
+    this->connectTimer = this->pool.loop.after(timeout, [this] {
+        this->fail(ErrorKind::ConnectionFailed, "connect timed out");
+    });
+    ++this->pool.counters.opened;
+    return true;
+}
+
+void Connection::serve(std::shared_ptr<Call> next)
+{
+    this->call = std::move(next);
+    this->parser.reset();
+    this->headTaken = false;
+    this->stray = false;
+    const std::string bytes = requestBytes(this->call->call);
+    this->call->requestSize = bytes.size();
+    bufferevent_write(this->stream, bytes.data(), bytes.size());
+}
+
+void Connection::close()
+{
+    if (this->stream != nullptr) {
+        bufferevent_free(std::exchange(this->stream, nullptr));
+    }
+    this->connectTimer.reset();
+    this->call.reset();
+    this->pool.bury(this->id);
+}
+
+void Connection::onRead(bufferevent *, void *context)
+{
+    static_cast<Connection *>(context)->read();
+}
+
+void Connection::onEvent(bufferevent *, short what, void *context)
+{
+    auto *self = static_cast<Connection *>(context);
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        self->connected = true;
+        self->connectTimer.reset();
+    } else if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+        self->ended((what & BEV_EVENT_ERROR) != 0);
+    }
+}
+
+void Connection::read()
+{
+    // Bytes that no call waits for belong to no request.
+    if (this->call == nullptr) {
+        this->close();
+        return;
+    }
+    while (this->stream != nullptr && this->call != nullptr
+           && evbuffer_get_length(bufferevent_get_input(this->stream)) > 0) {
+        if (!this->parse()) {
+            return;
+        }
+    }
+}
+
+// Returns false when more input is needed or the connection is closed.
+bool Connection::parse()
+{
+    evbuffer *input = bufferevent_get_input(this->stream);
+    if (this->parser == nullptr) {
+        this->parser = std::make_unique<Parser>();
+        this->parser->eager(true);
+        this->parser->body_limit(boost::none);
+        this->parser->skip(this->call->call.method == "HEAD");
+        this->headTaken = false;
+        this->stray = false;
+    }
+    const std::size_t size = evbuffer_get_length(input);
+    boost::beast::error_code error;
+    const std::size_t used = this->parser->put(boost::asio::const_buffer(evbuffer_pullup(input, -1), size), error);
+    evbuffer_drain(input, used);
+    if (error && error != http::error::need_more) {
+        this->fail(ErrorKind::ProtocolError, error.message());
+        return false;
+    }
+    if (!this->headTaken && this->parser->is_header_done() && !this->takeHead()) {
+        return false;
+    }
+    const std::shared_ptr<Call> current = this->call;
+    if (this->headTaken && !this->parser->get().body().empty()) {
+        const std::string bytes = std::exchange(this->parser->get().body(), {});
+        if (const auto onBody = current->callbacks.onBody; onBody && !this->stray) {
+            onBody(bytes);
+        }
+        if (this->call != current) {
+            return false;
+        }
+    }
+    if (this->parser->is_done()) {
+        if (this->stray) {
+            this->parser.reset();
+            return true;
+        }
+        this->complete();
+        return false;
+    }
+    return used > 0;
+}
+
+// Returns false when the owner has cancelled the call.
+bool Connection::takeHead()
+{
+    this->headTaken = true;
+    this->headers = headersOf(*this->parser);
+    const int status = this->parser->get().result_int();
+    const std::shared_ptr<Call> current = this->call;
+    const bool interim = status >= 100 && status < 200;
+    this->stray = interim || (current->call.belongs && !current->call.belongs(status, this->headers));
+    if (this->stray) {
+        this->pool.counters.strayAnswers += interim ? 0 : 1;
+        return true;
+    }
+    if (const auto onHead = current->callbacks.onHead) {
+        onHead(status, this->headers);
+    }
+    return this->call == current;
+}
+
+void Connection::complete()
+{
+    const bool flushed = evbuffer_get_length(bufferevent_get_output(this->stream)) == 0;
+    const bool clean = evbuffer_get_length(bufferevent_get_input(this->stream)) == 0;
+    const bool reusable = flushed && clean && this->parser->keep_alive() && !this->parser->need_eof();
+    const std::shared_ptr<Call> finished = std::move(this->call);
+    finished->ended = true;
+    this->parser.reset();
+    if (reusable) {
+        std::chrono::milliseconds time = this->pool.idleTime;
+        if (const auto granted = keepAliveTime(this->headers)) {
+            time = std::min<std::chrono::milliseconds>(time, *granted - config::KeepAliveMargin);
+        }
+        this->usableUntil = this->pool.loop.now() + time;
+        this->pool.keepIdle(*this);
+    } else {
+        this->close();
+    }
+    if (const auto onDone = finished->callbacks.onDone) {
+        onDone();
+    }
+}
+
+void Connection::fail(ErrorKind kind, std::string detail)
+{
+    const std::shared_ptr<Call> failed = this->call;
+    const std::size_t unsent
+        = this->stream == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(this->stream));
+    const bool sent = this->connected && failed && unsent < failed->requestSize;
+    this->close();
+    if (failed) {
+        failed->ended = true;
+    }
+    if (failed && failed->callbacks.onFailure) {
+        const auto onFailure = failed->callbacks.onFailure;
+        onFailure({Error {kind, std::move(detail)}, sent});
+    }
+}
+
+void Connection::ended(bool byError)
+{
+    if (this->call == nullptr) {
+        this->close();
+        return;
+    }
+    if (!this->connected) {
+        this->fail(ErrorKind::ConnectionFailed, "cannot connect");
+        return;
+    }
+    // An answer without a length ends with its connection, unless that was reset.
+    if (!byError && this->headTaken && !this->stray && this->parser != nullptr && this->parser->need_eof()) {
+        boost::beast::error_code error;
+        this->parser->put_eof(error);
+        if (!error && this->parser->is_done()) {
+            this->complete();
+            return;
+        }
+    }
+    this->fail(ErrorKind::StreamCut, byError ? "connection reset" : "connection closed");
+}
+
+Connection *Pool::takeIdle(const std::string &address)
+{
+    const auto found = this->idle.find(address);
+    if (found == this->idle.end()) {
+        return nullptr;
+    }
+    Connection *taken = nullptr;
+    auto &numbers = found->second;
+    while (!numbers.empty() && taken == nullptr) {
+        const std::uint64_t number = numbers.back();
+        numbers.pop_back();
+        const auto entry = this->connections.find(number);
+        if (entry == this->connections.end()) {
+            continue;
+        }
+        if (entry->second->isUsable(this->loop.now())) {
+            taken = entry->second.get();
+        } else {
+            entry->second->close();
+        }
+    }
+    if (numbers.empty()) {
+        this->idle.erase(found);
+    }
+    return taken;
+}
+
+void Pool::closeIdle(const std::string &address)
+{
+    if (const auto found = this->idle.find(address); found != this->idle.end()) {
+        const auto numbers = std::move(found->second);
+        this->idle.erase(found);
+        for (const std::uint64_t number : numbers) {
+            this->cancel(number);
+        }
+    }
+}
+
+std::unique_ptr<HttpPending> Pool::start(PooledCall call, PooledCallbacks callbacks)
+{
+    auto running = std::make_shared<Call>(Call {std::move(call), std::move(callbacks)});
+    Connection *connection = this->takeIdle(running->call.address);
+    if (connection != nullptr) {
+        ++this->counters.reused;
+    } else {
+        const std::uint64_t id = this->nextId++;
+        auto made = std::make_unique<Connection>(*this, id, running->call.address);
+        if (!made->connect(running->call.connectTimeout)) {
+            const std::uint64_t number = this->nextFailure++;
+            // The call lives on in the timer until its failure has been told.
+            this->failures[number] = this->loop.after(Duration::zero(), [this, number, running] {
+                const auto timer = std::move(this->failures[number]);
+                this->failures.erase(number);
+                running->ended = true;
+                if (const auto onFailure = running->callbacks.onFailure) {
+                    onFailure({Error {ErrorKind::ConnectionFailed, "cannot connect"}, false});
+                }
+            });
+            return std::make_unique<Pending>(*this, id, running);
+        }
+        connection = made.get();
+        this->connections.emplace(id, std::move(made));
+    }
+    auto pending = std::make_unique<Pending>(*this, connection->number(), running);
+    connection->serve(std::move(running));
+    return pending;
+}
+
+} // namespace
+
+std::unique_ptr<HttpPool> HttpPool::create(Loop &loop, std::chrono::milliseconds idleTime)
+{
+    return std::make_unique<Pool>(loop, idleTime);
+}
+
+} // namespace endivespan
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -1,50 +1,69 @@
+#include "http_head_p.h"
 #include "net_p.h"
 
 #include <endivespan/config.h>
 #include <endivespan/http_server.h>
+#include <endivespan/log.h>
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <cctype>
+#include <cstring>
+#include <set>
 #include <utility>
+#include <vector>
 
 namespace endivespan {
 
 namespace {
 
-constexpr int AllMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE
-    | EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS;
+namespace http = boost::beast::http;
+
+using Parser = http::request_parser<http::string_body>;
+
+constexpr std::string_view HeadEnd = "\r\n\r\n";
+constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
+
+enum Status {
+    BadRequest = 400,
+    RequestTimeout = 408,
+    BodyTooLarge = 413,
+    HeadTooLarge = 431,
+    NotImplemented = 501,
+    VersionNotSupported = 505,
+};
+
+std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) { return std::tolower(c); });
+    return lower;
+}
 
-std::string methodName(evhttp_cmd_type command)
+std::string_view viewOf(boost::beast::string_view text)
 {
-    switch (command) {
-    case EVHTTP_REQ_GET:
-        return "GET";
-    case EVHTTP_REQ_POST:
-        return "POST";
-    case EVHTTP_REQ_HEAD:
-        return "HEAD";
-    case EVHTTP_REQ_PUT:
-        return "PUT";
-    case EVHTTP_REQ_DELETE:
-        return "DELETE";
-    case EVHTTP_REQ_PATCH:
-        return "PATCH";
-    default:
-        return "OPTIONS";
-    }
+    return {text.data(), text.size()};
 }
 
-std::map<std::string, std::string> parseQuery(const char *text)
+std::map<std::string, std::string> parseQuery(const std::string &text)
 {
     std::map<std::string, std::string> fields;
     evkeyvalq parsed;
-    if (text != nullptr && evhttp_parse_query_str(text, &parsed) == 0) {
+    if (!text.empty() && evhttp_parse_query_str(text.c_str(), &parsed) == 0) {
         for (const evkeyval *entry = parsed.tqh_first; entry != nullptr; entry = entry->next.tqe_next) {
             fields[entry->key] = entry->value;
         }
@@ -53,33 +72,55 @@
     return fields;
 }
 
-std::string decodedPath(const char *path)
+std::string decodedPath(const std::string &path)
 {
     std::size_t size = 0;
-    char *decoded = evhttp_uridecode(path == nullptr ? "/" : path, 0, &size);
+    char *decoded = evhttp_uridecode(path.empty() ? "/" : path.c_str(), 0, &size);
     std::string text = decoded == nullptr ? std::string("/") : std::string(decoded, size);
     std::free(decoded);
     return text;
 }
 
-// evhttp stops reading while a request is answered, so it would not notice a caller that goes. Reading goes on here
-// with a low watermark that is never reached, because evhttp bears no input in that state; each connection serves one
-// request.
-void watchForClose(evhttp_connection *connection)
+timeval toTimeval(std::chrono::milliseconds time)
+{
+    return {time.count() / 1000, static_cast<suseconds_t>(time.count() % 1000) * 1000};
+}
+
+bool hasBody(int status)
+{
+    return status >= 200 && status != 204 && status != 304;
+}
+
+bool isFramingField(std::string_view name)
+{
+    const std::string lower = lowerCase(name);
+    return lower == "content-length" || lower == "transfer-encoding" || lower == "connection" || lower == "keep-alive";
+}
+
+void appendHead(std::string &out, int status, const HttpHeaders &headers)
 {
-    bufferevent *stream = evhttp_connection_get_bufferevent(connection);
-    bufferevent_setwatermark(stream, EV_READ, config::MaxBodyBytes, config::MaxHeaderBytes);
-    const timeval writeTimeout {config::CallerReadTimeout.count(), 0};
-    bufferevent_set_timeouts(stream, nullptr, &writeTimeout);
-    bufferevent_enable(stream, EV_READ);
+    const auto reason = viewOf(http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status))));
+    out += "HTTP/1.1 " + std::to_string(status) + " ";
+    out += reason;
+    out += "\r\n";
+    for (const auto &[name, value] : headers) {
+        if (!isFramingField(name)) {
+            out += name + ": " + value + "\r\n";
+        }
+    }
 }
 
 class Server;
+class Connection;
 
 class Exchange : public HttpExchange
 {
 public:
-    Exchange(Server &server, evhttp_request *raw);
+    Exchange(Connection &connection, HttpRequest request)
+        : connection(&connection)
+        , received(std::move(request))
+    {
+    }
 
     const HttpRequest &request() const override
     {
@@ -91,6 +132,7 @@
     void sendChunk(std::string_view bytes) override;
     void endStream() override;
     void abort() override;
+    void closeAfterAnswer() override;
 
     void onClosed(std::function<void()> callback) override
     {
@@ -99,62 +141,129 @@
 
     bool isOpen() const override
     {
-        return this->raw != nullptr;
+        return this->connection != nullptr;
     }
 
     std::size_t backlogBytes() const override;
 
-    bool usesConnection(const evhttp_connection *other) const
+    /// Tells the owner that the caller has gone, unless @p silent.
+    void lost(bool silent)
     {
-        return this->connection == other;
+        this->connection = nullptr;
+        if (const auto callback = std::exchange(this->closed, nullptr); callback && !silent) {
+            callback();
+        }
     }
 
-    void connectionClosed();
-
 private:
-    void writeHeaders(const HttpHeaders &headers);
-    void finish();
+    Connection *finish()
+    {
+        this->closed = nullptr;
+        return std::exchange(this->connection, nullptr);
+    }
 
-    Server &server;
-    evhttp_request *raw;
-    evhttp_connection *connection;
+    Connection *connection;
     HttpRequest received;
     std::function<void()> closed;
 };
 
+/// One caller's connection; serves one request after the other.
+class Connection
+{
+public:
+    Connection(Server &server, std::uint64_t id, evutil_socket_t socket, std::string peer);
+    ~Connection();
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    void write(std::string_view bytes);
+    void answered();
+    void abort();
+    void closeAfterAnswer();
+    [[nodiscard]] bool closesAfterAnswer() const;
+    [[nodiscard]] bool isIdle() const;
+    [[nodiscard]] bool isAnswering() const;
+    [[nodiscard]] std::size_t backlogBytes() const;
+
+private:
+    enum class State {
+        Reading,
+        Answering,
+        Draining, ///< The last answer is on its way; what still comes is thrown away.
+    };
+
+    static void onRead(bufferevent *stream, void *context);
+    static void onWritten(bufferevent *stream, void *context);
+    static void onEvent(bufferevent *stream, short what, void *context);
+    void parse();
+    bool parseHead();
+    bool acceptHead();
+    bool parseBody();
+    void fail(int status, std::string_view reason);
+    void dispatch();
+    [[nodiscard]] bool takeHeaders(HttpRequest &request, std::string_view &problem) const;
+    void setState(State next);
+    void updateTimeouts();
+    void drain();
+    void timedOut();
+    void remove();
+
+    Server &server;
+    std::uint64_t id;
+    bufferevent *stream;
+    std::string peer;
+    State state = State::Reading;
+    std::unique_ptr<Parser> parser;
+    bool headComplete = false;
+    bool readingRequest = false; ///< Bytes of the next request have come.
+    bool keepOpen = true;
+    bool parsing = false;
+    TimePoint requestBegan;
+    std::shared_ptr<Exchange> exchange;
+};
+
 class Server : public HttpServer
 {
 public:
-    Server(Loop &loop, HttpHandler handler)
+    Server(Loop &loop, HttpServerLimits limits, HttpHandler handler)
         : loop(loop)
         , handler(std::move(handler))
-        , http(evhttp_new(loop.base()))
+        , bounds(std::move(limits))
     {
     }
 
     ~Server() override
     {
-        // Freeing the server closes every connection; nobody is told any more.
+        // Nobody is told any more.
+        this->silent = true;
+        this->stopAccepting();
         this->open.clear();
-        evhttp_free(this->http);
     }
 
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
 
-    bool bind(const std::string &address, const HttpServerLimits &limits)
+    bool bind(const std::string &address)
     {
         const auto [host, portNumber] = splitAddress(address);
-        evhttp_set_allowed_methods(this->http, AllMethods);
-        evhttp_set_max_body_size(this->http, static_cast<ev_ssize_t>(limits.maxBodyBytes));
-        evhttp_set_max_headers_size(this->http, static_cast<ev_ssize_t>(limits.maxHeaderBytes));
-        evhttp_set_timeout(this->http, static_cast<int>(limits.readTimeout.count()));
-        evhttp_set_gencb(this->http, &Server::receive, this);
-        this->socket = evhttp_bind_socket_with_handle(this->http, host.c_str(), static_cast<ev_uint16_t>(portNumber));
-        if (this->socket == nullptr) {
+        sockaddr_in place {};
+        place.sin_family = AF_INET;
+        place.sin_port = htons(static_cast<std::uint16_t>(portNumber));
+        if (inet_pton(AF_INET, host.c_str(), &place.sin_addr) != 1) {
+            return false;
+        }
+        this->listener = evconnlistener_new_bind(this->loop.base(),
+                                                 &Server::accepted,
+                                                 this,
+                                                 LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+                                                 config::CallerBacklog,
+                                                 reinterpret_cast<const sockaddr *>(&place),
+                                                 sizeof(place));
+        if (this->listener == nullptr) {
             return false;
         }
-        this->boundPort = localPort(evhttp_bound_socket_get_fd(this->socket));
+        evconnlistener_set_error_cb(this->listener, &Server::acceptFailed);
+        this->boundPort = localPort(evconnlistener_get_fd(this->listener));
         return true;
     }
 
@@ -165,161 +274,495 @@
 
     void stopAccepting() override
     {
-        if (this->socket != nullptr) {
-            evhttp_del_accept_socket(this->http, this->socket);
-            this->socket = nullptr;
+        if (this->listener != nullptr) {
+            evconnlistener_free(std::exchange(this->listener, nullptr));
         }
     }
 
-    std::size_t openExchanges() const override
+    void setLimits(const HttpServerLimits &limits) override
+    {
+        this->bounds = limits;
+    }
+
+    void closeAfterAnswers() override
+    {
+        this->closing = true;
+    }
+
+    void closeIdle() override
+    {
+        std::erase_if(this->open, [](const auto &entry) { return entry.second->isIdle(); });
+    }
+
+    std::size_t connections() const override
     {
         return this->open.size();
     }
 
-    void forget(evhttp_request *raw)
+    std::size_t openExchanges() const override
+    {
+        return static_cast<std::size_t>(std::count_if(
+            this->open.begin(), this->open.end(), [](const auto &entry) { return entry.second->isAnswering(); }));
+    }
+
+    [[nodiscard]] const HttpServerLimits &limits() const
+    {
+        return this->bounds;
+    }
+
+    [[nodiscard]] bool isSilent() const
+    {
+        return this->silent;
+    }
+
+    [[nodiscard]] bool isClosing() const
+    {
+        return this->closing;
+    }
+
+    void handle(const std::shared_ptr<HttpExchange> &exchange)
+    {
+        this->handler(exchange);
+    }
+
+    void remove(std::uint64_t id)
     {
-        this->open.erase(raw);
+        this->open.erase(id);
     }
 
     Loop &loop;
 
 private:
-    static void receive(evhttp_request *raw, void *context)
+    static void accepted(evconnlistener *, evutil_socket_t socket, sockaddr *address, int, void *context)
     {
         auto *server = static_cast<Server *>(context);
-        auto exchange = std::make_shared<Exchange>(*server, raw);
-        server->open[raw] = exchange;
-        evhttp_connection_set_closecb(evhttp_request_get_connection(raw), &Server::connectionClosed, server);
-        watchForClose(evhttp_request_get_connection(raw));
-        server->handler(exchange);
+        char text[INET_ADDRSTRLEN] = "";
+        inet_ntop(AF_INET, &reinterpret_cast<sockaddr_in *>(address)->sin_addr, text, sizeof(text));
+        const int on = 1;
+        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        const std::uint64_t id = server->nextId++;
+        server->open.emplace(id, std::make_unique<Connection>(*server, id, socket, text));
     }
 
-    static void connectionClosed(evhttp_connection *connection, void *context)
+    // Without descriptors accept would be tried again at once, for ever.
+    static void acceptFailed(evconnlistener *listener, void *context)
     {
         auto *server = static_cast<Server *>(context);
-        std::vector<std::shared_ptr<Exchange>> gone;
-        for (const auto &[raw, exchange] : server->open) {
-            if (exchange->usesConnection(connection)) {
-                gone.push_back(exchange);
+        logLine("http", "cannot accept: {}", evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
+        evconnlistener_disable(listener);
+        server->acceptAgain = server->loop.after(config::AcceptPause, [server] {
+            if (server->listener != nullptr) {
+                evconnlistener_enable(server->listener);
             }
-        }
-        for (const auto &exchange : gone) {
-            exchange->connectionClosed();
-        }
+        });
     }
 
     HttpHandler handler;
-    evhttp *http;
-    evhttp_bound_socket *socket = nullptr;
+    HttpServerLimits bounds;
+    evconnlistener *listener = nullptr;
+    std::unique_ptr<Timer> acceptAgain;
     int boundPort = 0;
-    std::map<evhttp_request *, std::shared_ptr<Exchange>> open;
+    bool closing = false;
+    bool silent = false;
+    std::uint64_t nextId = 1;
+    std::map<std::uint64_t, std::unique_ptr<Connection>> open;
 };
 
-Exchange::Exchange(Server &server, evhttp_request *raw)
-    : server(server)
-    , raw(raw)
-    , connection(evhttp_request_get_connection(raw))
+void Exchange::reply(int status, const HttpHeaders &headers, std::string_view body)
 {
-    const evhttp_uri *uri = evhttp_request_get_evhttp_uri(raw);
-    this->received.method = methodName(evhttp_request_get_command(raw));
-    this->received.path = decodedPath(evhttp_uri_get_path(uri));
-    this->received.target = evhttp_request_get_uri(raw);
-    this->received.query = parseQuery(evhttp_uri_get_query(uri));
-    this->received.headers = readHeaders(evhttp_request_get_input_headers(raw));
-    this->received.body = takeBuffer(evhttp_request_get_input_buffer(raw));
-    char *peer = nullptr;
-    ev_uint16_t peerPort = 0;
-    evhttp_connection_get_peer(evhttp_request_get_connection(raw), &peer, &peerPort);
-    this->received.peer = peer == nullptr ? "" : peer;
+    if (this->connection == nullptr) {
+        return;
+    }
+    std::string out;
+    appendHead(out, status, headers);
+    if (hasBody(status)) {
+        out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    out += this->connection->closesAfterAnswer() ? "Connection: close\r\n\r\n" : "\r\n";
+    if (hasBody(status) && this->received.method != "HEAD") {
+        out += body;
+    }
+    Connection *answering = this->finish();
+    answering->write(out);
+    answering->answered();
 }
 
-void Exchange::writeHeaders(const HttpHeaders &headers)
+void Exchange::startStream(int status, const HttpHeaders &headers)
 {
-    evhttp_add_header(evhttp_request_get_output_headers(this->raw), "Connection", "close");
-    for (const auto &[name, value] : headers) {
-        evhttp_add_header(evhttp_request_get_output_headers(this->raw), name.c_str(), value.c_str());
+    if (this->connection == nullptr) {
+        return;
     }
+    std::string out;
+    appendHead(out, status, headers);
+    out += "Transfer-Encoding: chunked\r\n";
+    out += this->connection->closesAfterAnswer() ? "Connection: close\r\n\r\n" : "\r\n";
+    this->connection->write(out);
 }
 
-void Exchange::finish()
+void Exchange::sendChunk(std::string_view bytes)
 {
-    this->server.forget(std::exchange(this->raw, nullptr));
-    this->closed = nullptr;
+    if (this->connection == nullptr || bytes.empty()) {
+        return;
+    }
+    char size[24];
+    std::string out(size, static_cast<std::size_t>(std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size())));
+    out += bytes;
+    out += "\r\n";
+    this->connection->write(out);
 }
 
-void Exchange::reply(int status, const HttpHeaders &headers, std::string_view body)
+void Exchange::endStream()
 {
-    if (this->raw == nullptr) {
+    if (this->connection == nullptr) {
         return;
     }
-    this->writeHeaders(headers);
-    evbuffer_add(evhttp_request_get_output_buffer(this->raw), body.data(), body.size());
-    evhttp_request *answered = this->raw;
-    this->finish();
-    evhttp_send_reply(answered, status, nullptr, nullptr);
+    Connection *answering = this->finish();
+    answering->write("0\r\n\r\n");
+    answering->answered();
 }
 
-void Exchange::startStream(int status, const HttpHeaders &headers)
+void Exchange::abort()
 {
-    if (this->raw == nullptr) {
-        return;
+    if (this->connection != nullptr) {
+        this->finish()->abort();
     }
-    this->writeHeaders(headers);
-    evhttp_send_reply_start(this->raw, status, nullptr);
 }
 
-void Exchange::sendChunk(std::string_view bytes)
+void Exchange::closeAfterAnswer()
+{
+    if (this->connection != nullptr) {
+        this->connection->closeAfterAnswer();
+    }
+}
+
+std::size_t Exchange::backlogBytes() const
+{
+    return this->connection == nullptr ? 0 : this->connection->backlogBytes();
+}
+
+Connection::Connection(Server &server, std::uint64_t id, evutil_socket_t socket, std::string peer)
+    : server(server)
+    , id(id)
+    , stream(bufferevent_socket_new(server.loop.base(), socket, BEV_OPT_CLOSE_ON_FREE))
+    , peer(std::move(peer))
+{
+    bufferevent_setcb(this->stream, &Connection::onRead, &Connection::onWritten, &Connection::onEvent, this);
+    this->updateTimeouts();
+    bufferevent_enable(this->stream, EV_READ | EV_WRITE);
+}
+
+Connection::~Connection()
+{
+    bufferevent_free(this->stream);
+    if (this->exchange) {
+        this->exchange->lost(this->server.isSilent());
+    }
+}
+
+void Connection::write(std::string_view bytes)
+{
+    bufferevent_write(this->stream, bytes.data(), bytes.size());
+}
+
+bool Connection::closesAfterAnswer() const
+{
+    return !this->keepOpen || this->server.isClosing();
+}
+
+void Connection::closeAfterAnswer()
+{
+    this->keepOpen = false;
+}
+
+bool Connection::isIdle() const
+{
+    return this->state == State::Reading && !this->readingRequest
+        && evbuffer_get_length(bufferevent_get_input(this->stream)) == 0;
+}
+
+bool Connection::isAnswering() const
+{
+    return this->state == State::Answering;
+}
+
+std::size_t Connection::backlogBytes() const
+{
+    return evbuffer_get_length(bufferevent_get_output(this->stream));
+}
+
+void Connection::answered()
 {
-    if (this->raw == nullptr || bytes.empty()) {
+    this->exchange.reset();
+    this->readingRequest = false;
+    if (this->closesAfterAnswer()) {
+        this->drain();
         return;
     }
-    evbuffer *chunk = evbuffer_new();
-    evbuffer_add(chunk, bytes.data(), bytes.size());
-    evhttp_send_reply_chunk(this->raw, chunk);
-    evbuffer_free(chunk);
+    this->setState(State::Reading);
+    // A request that was sent ahead is looked at once the current callbacks have returned.
+    if (!this->parsing && evbuffer_get_length(bufferevent_get_input(this->stream)) > 0) {
+        bufferevent_trigger(this->stream, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+    }
 }
 
-void Exchange::endStream()
+// What was sent so far still goes out; the missing end tells the caller that the answer is cut.
+void Connection::abort()
+{
+    this->exchange.reset();
+    this->drain();
+}
+
+// A connection that is closed with unread input is reset, and the caller might lose the answer.
+void Connection::drain()
+{
+    this->setState(State::Draining);
+    if (this->backlogBytes() == 0) {
+        shutdown(bufferevent_getfd(this->stream), SHUT_WR);
+    }
+}
+
+void Connection::setState(State next)
+{
+    this->state = next;
+    this->updateTimeouts();
+}
+
+void Connection::updateTimeouts()
+{
+    const HttpServerLimits &limits = this->server.limits();
+    std::chrono::milliseconds read = limits.idleTimeout;
+    std::size_t most = config::PipelinedBytes;
+    if (this->state == State::Draining) {
+        read = config::CallerLingerTime;
+    } else if (this->readingRequest) {
+        read = limits.readTimeout;
+        most = limits.maxHeaderBytes + config::PipelinedBytes;
+    }
+    const timeval readWait = toTimeval(read);
+    const timeval writeWait = toTimeval(config::CallerReadTimeout);
+    bufferevent_set_timeouts(this->stream, this->state == State::Answering ? nullptr : &readWait, &writeWait);
+    bufferevent_setwatermark(this->stream, EV_READ, 0, most);
+}
+
+void Connection::onRead(bufferevent *, void *context)
+{
+    auto *self = static_cast<Connection *>(context);
+    if (self->state == State::Reading) {
+        self->parse();
+    } else if (self->state == State::Draining) {
+        evbuffer *input = bufferevent_get_input(self->stream);
+        evbuffer_drain(input, evbuffer_get_length(input));
+    }
+}
+
+void Connection::onWritten(bufferevent *, void *context)
+{
+    auto *self = static_cast<Connection *>(context);
+    if (self->state == State::Draining) {
+        shutdown(bufferevent_getfd(self->stream), SHUT_WR);
+    }
+}
+
+void Connection::onEvent(bufferevent *, short what, void *context)
 {
-    if (this->raw == nullptr) {
+    auto *self = static_cast<Connection *>(context);
+    if ((what & BEV_EVENT_TIMEOUT) != 0 && (what & BEV_EVENT_READING) != 0) {
+        self->timedOut();
+    } else {
+        self->remove();
+    }
+}
+
+void Connection::timedOut()
+{
+    if (this->state == State::Reading && this->readingRequest) {
+        this->fail(RequestTimeout, "the request did not come in time");
+        bufferevent_enable(this->stream, EV_READ);
         return;
     }
-    evhttp_request *answered = this->raw;
-    this->finish();
-    evhttp_send_reply_end(answered);
+    this->remove();
 }
 
-void Exchange::abort()
+void Connection::remove()
+{
+    this->server.remove(this->id);
+}
+
+void Connection::parse()
 {
-    if (this->raw == nullptr) {
+    if (this->parsing) {
         return;
     }
-    evhttp_connection *connection = evhttp_request_get_connection(this->raw);
-    this->finish();
-    evhttp_connection_free(connection);
+    this->parsing = true;
+    evbuffer *input = bufferevent_get_input(this->stream);
+    while (this->state == State::Reading && evbuffer_get_length(input) > 0) {
+        if (!this->readingRequest) {
+            this->readingRequest = true;
+            this->requestBegan = this->server.loop.now();
+            this->parser.reset();
+            this->headComplete = false;
+            this->updateTimeouts();
+        }
+        if (!(this->headComplete ? this->parseBody() : this->parseHead())) {
+            break;
+        }
+    }
+    this->parsing = false;
 }
 
-std::size_t Exchange::backlogBytes() const
+// Returns false when more input is needed or the request was refused.
+bool Connection::parseHead()
 {
-    if (this->raw == nullptr) {
-        return 0;
+    evbuffer *input = bufferevent_get_input(this->stream);
+    const std::size_t most = this->server.limits().maxHeaderBytes;
+    const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, -1));
+    const std::string_view all(bytes, evbuffer_get_length(input));
+    // Some clients end a body with a line end that belongs to nothing.
+    if (all.starts_with("\r\n")) {
+        evbuffer_drain(input, 2);
+        return true;
+    }
+    const std::size_t end = all.find(HeadEnd);
+    const std::string_view head = all.substr(0, end == std::string_view::npos ? end : end + HeadEnd.size());
+    if (const auto problem = headBytesProblem(head)) {
+        this->fail(BadRequest, *problem);
+        return false;
+    }
+    if (head.size() > most) {
+        this->fail(HeadTooLarge, "the request head is too large");
+        return false;
+    }
+    if (end == std::string_view::npos) {
+        if (this->server.loop.now() - this->requestBegan > this->server.limits().readTimeout) {
+            this->fail(RequestTimeout, "the request head did not come in time");
+        }
+        return false;
+    }
+    this->parser = std::make_unique<Parser>();
+    this->parser->header_limit(static_cast<std::uint32_t>(most));
+    this->parser->body_limit(this->server.limits().maxBodyBytes);
+    this->parser->eager(true);
+    boost::beast::error_code error;
+    const std::size_t used = this->parser->put(boost::asio::const_buffer(head.data(), head.size()), error);
+    if (error == http::error::body_limit) {
+        this->fail(BodyTooLarge, "the request body is too large");
+        return false;
     }
-    bufferevent *stream = evhttp_connection_get_bufferevent(evhttp_request_get_connection(this->raw));
-    return evbuffer_get_length(bufferevent_get_output(stream));
+    if ((error && error != http::error::need_more) || used != head.size() || !this->parser->is_header_done()) {
+        this->fail(BadRequest, error ? error.message() : "malformed head");
+        return false;
+    }
+    evbuffer_drain(input, used);
+    this->headComplete = true;
+    return this->acceptHead();
 }
 
-void Exchange::connectionClosed()
+bool Connection::acceptHead()
 {
-    const auto callback = std::exchange(this->closed, nullptr);
-    evhttp_request *request = this->raw;
-    this->finish();
-    // evhttp takes a request that is being answered off a failed connection and leaves it to its user.
-    if (evhttp_request_get_connection(request) == nullptr) {
-        evhttp_request_free(request);
+    const auto &request = this->parser->get();
+    if (request.version() != 11) {
+        this->fail(VersionNotSupported, "only HTTP/1.1 is spoken here");
+        return false;
+    }
+    if (request.count(http::field::host) != 1) {
+        this->fail(BadRequest, "exactly one Host is needed");
+        return false;
+    }
+    if (request.count(http::field::content_length) + request.count(http::field::transfer_encoding) > 1) {
+        this->fail(BadRequest, "the length of the body is given twice");
+        return false;
+    }
+    if (const auto coding = request.find(http::field::transfer_encoding);
+        coding != request.end() && lowerCase(viewOf(coding->value())) != "chunked") {
+        this->fail(NotImplemented, "unknown transfer coding");
+        return false;
+    }
+    if (this->parser->is_done()) {
+        this->dispatch();
+        return true;
     }
-    if (callback) {
-        callback();
+    if (const auto expect = request.find(http::field::expect);
+        expect != request.end() && lowerCase(viewOf(expect->value())) == "100-continue") {
+        this->write(ContinueAnswer);
     }
+    return true;
+}
+
+bool Connection::parseBody()
+{
+    evbuffer *input = bufferevent_get_input(this->stream);
+    const std::size_t size = evbuffer_get_length(input);
+    boost::beast::error_code error;
+    const std::size_t used = this->parser->put(boost::asio::const_buffer(evbuffer_pullup(input, -1), size), error);
+    evbuffer_drain(input, used);
+    if (error == http::error::body_limit) {
+        this->fail(BodyTooLarge, "the request body is too large");
+        return false;
+    }
+    if (error && error != http::error::need_more) {
+        this->fail(BadRequest, error.message());
+        return false;
+    }
+    if (this->parser->is_done()) {
+        this->dispatch();
+        return true;
+    }
+    return used > 0;
+}
+
+bool Connection::takeHeaders(HttpRequest &request, std::string_view &problem) const
+{
+    for (const auto &field : this->parser->get()) {
+        const std::string name = lowerCase(viewOf(field.name_string()));
+        const std::string_view value = viewOf(field.value());
+        const auto [entry, isNew] = request.headers.emplace(name, value);
+        if (isNew) {
+            continue;
+        }
+        if (this->server.limits().singleFields.contains(name)) {
+            problem = "a header field that may come once only came twice";
+            return false;
+        }
+        entry->second.append(", ").append(value);
+    }
+    return true;
+}
+
+void Connection::dispatch()
+{
+    const auto &message = this->parser->get();
+    HttpRequest request;
+    request.method = viewOf(message.method_string());
+    request.target = viewOf(message.target());
+    const std::size_t query = request.target.find('?');
+    request.path = decodedPath(request.target.substr(0, query));
+    if (query != std::string::npos) {
+        request.query = parseQuery(request.target.substr(query + 1));
+    }
+    request.peer = this->peer;
+    std::string_view problem;
+    if (!this->takeHeaders(request, problem)) {
+        this->fail(BadRequest, problem);
+        return;
+    }
+    this->keepOpen = this->keepOpen && message.keep_alive();
+    request.body = std::move(this->parser->get().body());
+    this->parser.reset();
+    this->exchange = std::make_shared<Exchange>(*this, std::move(request));
+    this->setState(State::Answering);
+    const std::shared_ptr<Exchange> held = this->exchange;
+    this->server.handle(held);
+}
+
+// The request never reached a handler, so that it has certainly not run.
+void Connection::fail(int status, std::string_view reason)
+{
+    std::string out;
+    appendHead(out, status, {{"Content-Type", "text/plain"}});
+    out += "Content-Length: " + std::to_string(reason.size()) + "\r\nConnection: close\r\n\r\n";
+    out += reason;
+    this->write(out);
+    this->drain();
 }
 
 } // namespace
@@ -327,8 +770,8 @@
 Result<std::unique_ptr<HttpServer>>
 HttpServer::listen(Loop &loop, const std::string &address, const HttpServerLimits &limits, HttpHandler handler)
 {
-    auto server = std::make_unique<Server>(loop, std::move(handler));
-    if (!server->bind(address, limits)) {
+    auto server = std::make_unique<Server>(loop, limits, std::move(handler));
+    if (!server->bind(address)) {
         return Error {ErrorKind::ConnectionFailed, "cannot listen on " + address};
     }
     return std::unique_ptr<HttpServer>(std::move(server));
@@ -336,7 +779,9 @@
 
 HttpServerLimits defaultHttpServerLimits()
 {
-    return {config::MaxBodyBytes, config::MaxHeaderBytes, config::CallerReadTimeout};
+    HttpServerLimits limits {config::MaxBodyBytes, config::MaxHeaderBytes, config::CallerReadTimeout};
+    limits.singleFields = {"authorization", "content-type", "idempotency-key"};
+    return limits;
 }
 
 } // namespace endivespan
--- a/packages/node/src/config_task.h
+++ b/packages/node/src/config_task.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet_source.h"
+#include "peer_task.h"
 
 #include <endivespan/config_fold.h>
 #include <endivespan/confirmation.h>
@@ -36,7 +37,7 @@
 };
 
 /// Tails the stream "config", takes state from peers when cut off from it, and appends snapshots when one is due.
-class ConfigTask : public FleetSource
+class ConfigTask : public FleetSource, public PeerState
 {
 public:
     /// @param loop Runs the task; it and all others outlive the task.
@@ -62,18 +63,13 @@
     /// Adds a callback that runs after each change of the fleet.
     void onChanged(std::function<void(const FleetChanged &)> callback);
 
-    /// @returns true while the log does not bring what a peer has, so that adoptState() is worth its bytes.
-    [[nodiscard]] bool wantsPeerState() const;
+    [[nodiscard]] bool wantsPeerState() const override;
 
     /// Sets the place of this host in the order in which hosts write snapshots, 0 first; makes duplicates rare.
     void setSnapshotRank(std::function<std::size_t()> rank);
 
-    /// @returns the whole state for a peer.
-    [[nodiscard]] std::string encodeState() const;
-
-    /// Takes over the state of a peer if it covers more than the own one.
-    /// @returns ProtocolError when @p bytes are no whole state.
-    Result<void> adoptState(std::string_view bytes);
+    [[nodiscard]] std::string encodeState() const override;
+    Result<void> adoptState(std::string_view bytes) override;
 
 private:
     void read();
--- /dev/null
+++ b/packages/node/src/event_splitter.cpp
@@ -0,0 +1,73 @@
+#include "event_splitter.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace endivespan {
+
+namespace {
+
+constexpr std::string_view EventEnd = "\n\n";
+constexpr std::string_view EventEndCrLf = "\r\n\r\n";
+constexpr std::string_view IdField = "id:";
+
+std::size_t endOfEvents(std::string_view text)
+{
+    std::size_t end = 0;
+    if (const std::size_t at = text.rfind(EventEnd); at != std::string_view::npos) {
+        end = at + EventEnd.size();
+    }
+    if (const std::size_t at = text.rfind(EventEndCrLf); at != std::string_view::npos) {
+        end = std::max(end, at + EventEndCrLf.size());
+    }
+    return end;
+}
+
+} // namespace
+
+std::string EventSplitter::feed(std::string_view bytes)
+{
+    this->held += bytes;
+    const std::size_t end = endOfEvents(this->held);
+    if (end == 0) {
+        return {};
+    }
+    std::string complete = this->held.substr(0, end);
+    this->held.erase(0, end);
+    this->readIds(complete);
+    return complete;
+}
+
+std::string EventSplitter::takeRest()
+{
+    return std::exchange(this->held, {});
+}
+
+std::optional<std::uint64_t> EventSplitter::lastId() const
+{
+    return this->id;
+}
+
+void EventSplitter::readIds(std::string_view events)
+{
+    std::size_t at = 0;
+    while (at < events.size()) {
+        const std::size_t end = std::min(events.find('\n', at), events.size());
+        std::string_view line = events.substr(at, end - at);
+        at = end + 1;
+        if (!line.starts_with(IdField)) {
+            continue;
+        }
+        line.remove_prefix(IdField.size());
+        while (line.starts_with(' ')) {
+            line.remove_prefix(1);
+        }
+        std::uint64_t number = 0;
+        if (std::from_chars(line.data(), line.data() + line.size(), number).ec == std::errc()) {
+            this->id = number;
+        }
+    }
+}
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/node/src/forward_run.cpp
@@ -0,0 +1,525 @@
+#include "forward_run.h"
+
+#include "answer.h"
+
+#include <endivespan/config.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace endivespan {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusMultiple = 300;
+constexpr int StatusServerError = 500;
+
+bool isSuccess(int status)
+{
+    return status >= StatusOk && status < StatusMultiple;
+}
+
+std::chrono::milliseconds toMilliseconds(Duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time);
+}
+
+} // namespace
+
+ForwardRun::ForwardRun(ForwardTask &task, ForwardJob job)
+    : task(task)
+    , work(std::move(job))
+{
+}
+
+ForwardRun::~ForwardRun() = default;
+
+const ForwardJob &ForwardRun::job() const
+{
+    return this->work;
+}
+
+void ForwardRun::start()
+{
+    this->work.exchange->onClosed([this] { this->onCallerGone(); });
+    this->deadlineTimer = this->task.parts.loop.after(this->work.deadline - this->work.arrivedAt,
+                                                      [this] { this->onDeadline(); });
+    this->attempt();
+}
+
+PlacementNeed ForwardRun::need() const
+{
+    PlacementNeed need;
+    need.service = this->work.service;
+    need.model = this->work.request.model;
+    need.tried = this->tried;
+    const auto &parts = this->work.request.parts;
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        // The last part belongs to this request or session alone.
+        if (i + 1 < parts.size()) {
+            need.prefixHash = hashPrefix(need.prefixHash, parts[i].id);
+            need.sharedTokens += parts[i].tokens;
+        } else {
+            need.ownTokens = parts[i].tokens;
+        }
+    }
+    return need;
+}
+
+// Waits for a place only while nothing has been sent yet; a repeat goes at once or not at all.
+void ForwardRun::attempt()
+{
+    const TimePoint now = this->task.parts.loop.now();
+    if (this->tryPlace(now)) {
+        return;
+    }
+    if (this->ended) {
+        return;
+    }
+    if (this->task.wait(*this)) {
+        this->isWaiting = true;
+        const auto longest = std::max<std::chrono::milliseconds>(
+            toMilliseconds(this->work.route->aim * config::ForwardWaitShare), config::ForwardLeastWait);
+        this->patienceTimer = this->task.parts.loop.after(longest, [this] {
+            this->refuse(ErrorKind::Overloaded, "no place came free in time");
+        });
+        return;
+    }
+    this->refuse(ErrorKind::Overloaded, "too many requests wait");
+}
+
+bool ForwardRun::retryPlace(TimePoint now)
+{
+    if (this->ended) {
+        return true;
+    }
+    if (!this->tryPlace(now)) {
+        return this->ended;
+    }
+    this->isWaiting = false;
+    return true;
+}
+
+// Returns whether an attempt was sent. Refuses the request when no server can take it at all.
+bool ForwardRun::tryPlace(TimePoint now)
+{
+    if (this->work.deadline - now < config::ForwardLeastTime) {
+        this->refuse(ErrorKind::DeadlineExceeded, "no time is left");
+        return false;
+    }
+    if (!this->task.isInForce(now)) {
+        this->refuse(ErrorKind::ConfigurationStale, "the configuration is not confirmed");
+        return false;
+    }
+    const PlacementChoice choice = this->task.place(this->need(), now);
+    if (!choice.server.empty()) {
+        this->send(choice, now);
+        return true;
+    }
+    return false;
+}
+
+std::string ForwardRun::cacheScope() const
+{
+    // Organisations that are not isolated share one scope.
+    return this->work.organisation != nullptr && this->work.organisation->isolated ? this->work.organisation->name : "";
+}
+
+void ForwardRun::send(const PlacementChoice &choice, TimePoint now)
+{
+    const ServerView &view = *this->task.parts.servers.find(choice.server);
+    this->patienceTimer.reset();
+    this->server = choice.server;
+    this->address = view.entry.address;
+    this->attemptAt = now;
+    this->prefilled = false;
+    this->status = 0;
+    this->body.clear();
+    this->tried.insert(choice.server);
+    ++this->sends;
+    if (this->sends == 1) {
+        this->waited = now - this->work.arrivedAt;
+    }
+    this->attemptTokens = 0;
+    for (const PromptPart &part : this->work.request.parts) {
+        this->attemptTokens += part.tokens;
+    }
+    ForwardDispatch dispatch;
+    dispatch.server = choice.server;
+    dispatch.organisation = this->work.organisation == nullptr ? "" : this->work.organisation->name;
+    dispatch.timeLeft = toMilliseconds(this->work.deadline - now);
+    if (!this->work.request.model.empty()) {
+        const auto own = this->work.organisation == nullptr ? std::nullopt : this->work.organisation->priority;
+        dispatch.priority = own.value_or(this->work.route->priority);
+        dispatch.cacheScope = this->cacheScope();
+        PlacementNeed weights;
+        weights.service = this->work.service;
+        weights.model = this->work.request.model;
+        this->task.completeNeed(weights, now);
+        if (weights.oldestWeights > 0) {
+            dispatch.weights = weights.oldestWeights;
+        }
+    }
+    dispatch.lastEvent = this->lastEvent ? this->lastEvent : this->work.request.lastEvent;
+
+    const HttpRequest &received = this->work.exchange->request();
+    PooledCall call;
+    call.address = this->address;
+    call.method = received.method;
+    call.target = received.target;
+    call.headers = this->task.parts.codec.encodeDispatch(this->work.request, dispatch);
+    call.body = received.body;
+    call.connectTimeout = config::ForwardConnectTimeout;
+    call.belongs = [codec = &this->task.parts.codec, id = this->work.request.id](int, const HttpHeaders &fields) {
+        return codec->belongs(id, fields);
+    };
+    this->task.parts.servers.started(this->server, this->attemptTokens, now);
+    this->call = this->task.pool->start(
+        std::move(call),
+        {[this](int answerStatus, const HttpHeaders &fields) { this->onHead(answerStatus, fields); },
+         [this](std::string_view bytes) { this->onBody(bytes); },
+         [this] { this->onDone(); },
+         [this](const HttpFailure &failure) { this->onFailure(failure); }});
+    if (this->work.route->repeat != RepeatRule::Once && this->ran + 1 < this->work.route->maxAttempts) {
+        const auto patience = std::max<Duration>(
+            std::chrono::duration_cast<Duration>(this->work.route->aim * config::ForwardPatienceShare),
+            config::ForwardLeastPatience);
+        this->patienceTimer = this->task.parts.loop.after(patience, [this] { this->onImpatient(); });
+    }
+}
+
+void ForwardRun::markPrefilled()
+{
+    if (!this->prefilled) {
+        this->prefilled = true;
+        this->task.parts.servers.prefilled(this->server, this->attemptTokens);
+    }
+}
+
+void ForwardRun::endAttempt(AttemptOutcome outcome)
+{
+    this->markPrefilled();
+    this->patienceTimer.reset();
+    this->task.parts.servers.ended(this->server, outcome, this->task.parts.loop.now());
+    this->server.clear();
+    this->call.reset();
+    this->task.placesChanged();
+}
+
+void ForwardRun::onHead(int answerStatus, const HttpHeaders &fields)
+{
+    const TimePoint now = this->task.parts.loop.now();
+    const ServerAnswer answer = this->task.parts.codec.decodeAnswer(answerStatus, fields);
+    if (answer.load) {
+        this->task.parts.servers.reported(this->server, *answer.load, now);
+    }
+    this->status = answerStatus;
+    this->headers = fields;
+    if (answer.notRun) {
+        this->answerNotRun(answer);
+        return;
+    }
+    if (isSuccess(answerStatus) && !answer.genuine) {
+        this->attemptFailed(AttemptOutcome::Failed, "a success without the server's mark");
+        return;
+    }
+    if (!this->work.route->isStream || !isSuccess(answerStatus)) {
+        return;
+    }
+    this->markPrefilled();
+    if (!this->streaming) {
+        this->streaming = true;
+        this->work.exchange->startStream(answerStatus, this->task.parts.codec.callerHeaders(fields));
+    }
+    this->watchStream();
+}
+
+// From the first event on a resumable stream is watched for silence.
+void ForwardRun::watchStream()
+{
+    this->patienceTimer.reset();
+    this->lastByteAt = this->task.parts.loop.now();
+    if (this->work.route->repeat == RepeatRule::Resumable) {
+        this->patienceTimer = this->task.parts.loop.after(config::ForwardStreamSilence, [this] { this->onImpatient(); });
+    }
+}
+
+void ForwardRun::onBody(std::string_view bytes)
+{
+    if (!this->streaming) {
+        this->body += bytes;
+        if (this->body.size() > config::ForwardAnswerBytes) {
+            this->attemptFailed(AttemptOutcome::Failed, "the answer is too large");
+        }
+        return;
+    }
+    const TimePoint now = this->task.parts.loop.now();
+    const std::string complete = this->events.feed(bytes);
+    if (!complete.empty()) {
+        if (this->firstByteAt == TimePoint {}) {
+            this->firstByteAt = now;
+        }
+        this->work.exchange->sendChunk(complete);
+        if (const auto id = this->events.lastId()) {
+            this->lastEvent = id;
+        }
+    }
+    if (this->work.exchange->backlogBytes() > config::ForwardStreamBacklog) {
+        this->cut("the caller does not read");
+        return;
+    }
+    if (this->work.route->repeat == RepeatRule::Resumable) {
+        this->watchStream();
+    }
+}
+
+void ForwardRun::onDone()
+{
+    if (this->streaming) {
+        if (const std::string rest = this->events.takeRest(); !rest.empty()) {
+            this->work.exchange->sendChunk(rest);
+        }
+        this->endAttempt(AttemptOutcome::Answered);
+        this->task.parts.suspicions.clear(this->work.fingerprint, this->task.parts.loop.now());
+        this->work.exchange->endStream();
+        this->finish(StatusOk, "answered", "", LogRank::Routine);
+        return;
+    }
+    const bool isFailure = this->status >= StatusServerError;
+    if (isFailure && this->work.route->repeat != RepeatRule::Once && this->ran + 1 < this->work.route->maxAttempts) {
+        const TimePoint now = this->task.parts.loop.now();
+        if (this->mayRepeat(now)) {
+            const int failedStatus = this->status;
+            const HttpHeaders failedHeaders = this->headers;
+            const std::string failedBody = this->body;
+            ++this->ran;
+            const std::string failedServer = this->server;
+            this->endAttempt(AttemptOutcome::Failed);
+            this->task.parts.events.line("attempt_repeated")
+                .with("request", this->work.request.id)
+                .with("server", failedServer)
+                .with("why", "status " + std::to_string(failedStatus));
+            if (this->tryPlace(now) || this->ended) {
+                return;
+            }
+            this->status = failedStatus;
+            this->headers = failedHeaders;
+            this->body = failedBody;
+        }
+    }
+    if (!this->server.empty()) {
+        this->endAttempt(isFailure ? AttemptOutcome::Failed : AttemptOutcome::Answered);
+    }
+    if (isSuccess(this->status)) {
+        this->task.parts.suspicions.clear(this->work.fingerprint, this->task.parts.loop.now());
+    }
+    this->firstByteAt = this->task.parts.loop.now();
+    this->work.exchange->reply(this->status, this->task.parts.codec.callerHeaders(this->headers), this->body);
+    this->finish(this->status,
+                 isFailure ? "server_failed" : "answered",
+                 "",
+                 isFailure ? LogRank::Failure : LogRank::Routine);
+}
+
+// The server has promised that it did not run the request, so that any other one may.
+void ForwardRun::answerNotRun(const ServerAnswer &answer)
+{
+    const TimePoint now = this->task.parts.loop.now();
+    const std::string refusing = this->server;
+    this->endAttempt(answer.misdirected ? AttemptOutcome::Misdirected : AttemptOutcome::Refused);
+    ++this->notRun;
+    this->task.parts.events.line("attempt_refused")
+        .with("request", this->work.request.id)
+        .with("server", refusing)
+        .with("status", static_cast<std::uint64_t>(this->status));
+    const bool again = this->notRun < config::ForwardNotRunAttempts
+        && this->task.retries.take(this->work.service, this->task.hosts(), now);
+    if (again && this->tryPlace(now)) {
+        return;
+    }
+    if (this->ended) {
+        return;
+    }
+    if (this->ran > 0 || this->streaming) {
+        this->cut("no server for another attempt");
+        return;
+    }
+    this->refuse(ErrorKind::Overloaded, "servers refused the request");
+}
+
+bool ForwardRun::mayRepeat(TimePoint now)
+{
+    return this->work.deadline - now > config::ForwardLeastTime && this->task.isInForce(now)
+        && this->task.retries.take(this->work.service, this->task.hosts(), now);
+}
+
+void ForwardRun::onFailure(const HttpFailure &failure)
+{
+    const TimePoint now = this->task.parts.loop.now();
+    if (!failure.requestSent) {
+        const std::string unreachable = this->server;
+        this->endAttempt(AttemptOutcome::Unreachable);
+        this->task.pool->closeIdle(this->address);
+        this->task.parts.events.line("server_unreachable", LogRank::Failure)
+            .with("request", this->work.request.id)
+            .with("server", unreachable)
+            .with("why", failure.error.detail);
+        if (this->tryPlace(now) || this->ended) {
+            return;
+        }
+        if (this->ran > 0 || this->streaming) {
+            this->cut("no server for another attempt");
+        } else {
+            this->refuse(ErrorKind::NoServer, "no server can be reached");
+        }
+        return;
+    }
+    const bool broken = failure.error.kind == ErrorKind::StreamCut;
+    if (broken) {
+        if (const ServerView *view = this->task.parts.servers.find(this->server)) {
+            const std::array<Fingerprint, 1> running {this->work.fingerprint};
+            const std::string born = std::to_string(view->entry.born);
+            this->task.parts.suspicions.died(deathIdOf(this->server, born), running, now);
+        }
+    }
+    this->attemptFailed(broken ? AttemptOutcome::Unreachable : AttemptOutcome::Failed, failure.error.detail);
+}
+
+void ForwardRun::onImpatient()
+{
+    const TimePoint now = this->task.parts.loop.now();
+    this->task.pool->closeIdle(this->address);
+    if (!this->streaming && this->status != 0) {
+        return;
+    }
+    if (!this->mayRepeat(now)) {
+        return;
+    }
+    this->attemptFailed(AttemptOutcome::Failed, "silent for too long");
+}
+
+// The attempt may have run.
+void ForwardRun::attemptFailed(AttemptOutcome outcome, std::string_view why)
+{
+    const TimePoint now = this->task.parts.loop.now();
+    const std::string failedServer = this->server;
+    const Duration age = now - this->attemptAt;
+    const bool budgeted = why == "silent for too long";
+    this->endAttempt(outcome);
+    ++this->ran;
+    this->task.parts.events.line("attempt_failed", LogRank::Failure)
+        .with("request", this->work.request.id)
+        .with("server", failedServer)
+        .with("after_ms", age)
+        .with("why", why)
+        .with("event", this->lastEvent.value_or(0));
+    this->events.takeRest();
+    const bool allowed = this->streaming ? this->work.route->repeat == RepeatRule::Resumable
+                                         : this->work.route->repeat != RepeatRule::Once;
+    if (allowed && this->ran < this->work.route->maxAttempts && (budgeted || this->mayRepeat(now))) {
+        if (this->tryPlace(now) || this->ended) {
+            return;
+        }
+    }
+    this->cut(why);
+}
+
+void ForwardRun::onDeadline()
+{
+    const bool sent = !this->server.empty();
+    if (sent) {
+        this->endAttempt(AttemptOutcome::Failed);
+        ++this->ran;
+    }
+    if (this->ran == 0) {
+        this->refuse(ErrorKind::DeadlineExceeded, "no place came free in time");
+    } else {
+        this->cut("the deadline passed");
+    }
+}
+
+void ForwardRun::onCallerGone()
+{
+    if (!this->server.empty()) {
+        this->endAttempt(AttemptOutcome::Cancelled);
+    }
+    this->finish(0, "caller_gone", "", LogRank::Routine);
+}
+
+// Certainly not run.
+void ForwardRun::refuse(ErrorKind kind, std::string_view why)
+{
+    if (this->ended) {
+        return;
+    }
+    if (this->ran > 0 || this->streaming) {
+        this->cut(why);
+        return;
+    }
+    ErrorContext context {this->task.parts.settings.host, this->work.request.id, this->task.retryAfter()};
+    replyError(*this->work.exchange, {kind, std::string(why)}, context);
+    this->finish(errorAnswer(kind).httpStatus, errorAnswer(kind).name, why, LogRank::Failure);
+}
+
+// May have run: the caller gets no promise.
+void ForwardRun::cut(std::string_view why)
+{
+    if (this->ended) {
+        return;
+    }
+    if (!this->server.empty()) {
+        this->endAttempt(AttemptOutcome::Cancelled);
+    }
+    if (this->streaming) {
+        this->work.exchange->abort();
+        this->finish(0, "stream_cut", why, LogRank::Failure);
+        return;
+    }
+    const bool late = this->work.deadline <= this->task.parts.loop.now();
+    const ErrorKind kind = late ? ErrorKind::OutcomeUnknown : ErrorKind::BackendFailed;
+    const ErrorContext context {this->task.parts.settings.host, this->work.request.id, {}};
+    replyError(*this->work.exchange, {kind, std::string(why)}, context);
+    this->finish(errorAnswer(kind).httpStatus, errorAnswer(kind).name, why, LogRank::Failure);
+}
+
+void ForwardRun::finish(int finalStatus, std::string_view outcome, std::string_view why, LogRank rank)
+{
+    if (this->ended) {
+        return;
+    }
+    this->ended = true;
+    this->deadlineTimer.reset();
+    this->patienceTimer.reset();
+    this->work.exchange->onClosed({});
+    const TimePoint now = this->task.parts.loop.now();
+    std::string servers;
+    for (const std::string &id : this->tried) {
+        servers += servers.empty() ? id : "," + id;
+    }
+    const auto age = this->task.parts.confirmation.statement(this->task.parts.membership, now).confirmedAge;
+    this->task.parts.events.line("request", rank)
+        .with("request", this->work.request.id)
+        .with("outcome", outcome)
+        .with("status", static_cast<std::uint64_t>(finalStatus))
+        .with("why", why)
+        .with("route", this->work.route->name)
+        .with("service", this->work.service)
+        .with("organisation", this->work.organisation == nullptr ? "-" : this->work.organisation->name)
+        .with("servers", servers)
+        .with("attempts", this->sends)
+        .with("config", this->work.config->version)
+        .with("confirmed_ms", age.value_or(Duration::zero()))
+        .with("waited_ms", this->waited)
+        .with("first_ms", this->firstByteAt == TimePoint {} ? Duration::zero() : this->firstByteAt - this->work.arrivedAt)
+        .with("total_ms", now - this->work.arrivedAt);
+    this->task.parts.metrics.count("outcomes_total", "outcome=\"" + std::string(outcome) + "\"");
+    this->task.parts.metrics.observe("request_seconds", now - this->work.arrivedAt);
+    if (this->firstByteAt != TimePoint {}) {
+        this->task.parts.metrics.observe("first_byte_seconds", this->firstByteAt - this->work.arrivedAt);
+    }
+    this->task.finish(*this);
+}
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/node/src/forward_task.cpp
@@ -0,0 +1,210 @@
+#include "forward_task.h"
+
+#include "answer.h"
+#include "forward_run.h"
+
+#include <endivespan/config.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace endivespan {
+
+namespace {
+
+RetryBounds retryBounds(const ForwardBounds &bounds)
+{
+    return {bounds.retryRatio, bounds.retrySlack, bounds.retryWindow};
+}
+
+} // namespace
+
+ForwardTask::ForwardTask(ForwardParts parts)
+    : parts(parts)
+    , pool(HttpPool::create(parts.loop, config::ForwardIdleTime))
+    , retries(retryBounds(parts.settings.bounds))
+    , random(std::random_device {}())
+    , placement(makeExpectedStartPlacement())
+{
+}
+
+ForwardTask::~ForwardTask() = default;
+
+bool ForwardTask::isInForce(TimePoint now) const
+{
+    return this->parts.operators.state().config != nullptr
+        && this->parts.confirmation.standing(this->parts.membership, now) != ConfigStanding::Stale;
+}
+
+void ForwardTask::serve(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const TimePoint now = this->parts.loop.now();
+    auto decoded = this->parts.codec.decodeRequest(exchange->request());
+    if (!decoded) {
+        return this->refuse(*exchange, "", decoded.error());
+    }
+    ForwardJob job;
+    job.exchange = exchange;
+    job.request = std::move(decoded.value());
+    job.arrivedAt = now;
+    job.config = this->parts.operators.state().config;
+    const std::string &id = job.request.id;
+    if (this->refusing) {
+        return this->refuse(*exchange, id, {ErrorKind::HostStopping, "this host stops"});
+    }
+    if (!this->isInForce(now)) {
+        return this->refuse(*exchange, id, {ErrorKind::ConfigurationStale, "the configuration is not confirmed"});
+    }
+    job.route = job.config->route(job.request.host, job.request.path);
+    if (job.route == nullptr) {
+        return this->refuse(*exchange, id, {ErrorKind::NotFound, "no route leads there"});
+    }
+    if (!job.route->isPublic && !job.config->organisations.empty()) {
+        job.organisation = job.config->organisationOfKey(job.request.key);
+        if (job.organisation == nullptr) {
+            return this->refuse(*exchange, id, {ErrorKind::Unauthorized, "unknown API key"});
+        }
+    }
+    job.service = chooseTarget(*job.route, this->random());
+    const auto limit = std::min(job.request.deadline.value_or(config::ForwardDefaultDeadline), job.route->timeout);
+    job.deadline = now + limit;
+    job.fingerprint = fingerprintOf(job.organisation == nullptr ? "" : job.organisation->name,
+                                    exchange->request().target,
+                                    exchange->request().body);
+    this->retries.requested(job.service, now);
+    this->parts.metrics.count("requests_total");
+    if (this->parts.suspicions.verdict(job.fingerprint) == Verdict::Refused) {
+        return this->refuse(*exchange, id, {ErrorKind::PoisonRequest, "servers died while they ran this request"});
+    }
+    auto run = std::make_unique<ForwardRun>(*this, std::move(job));
+    ForwardRun &started = *run;
+    this->runs.emplace(&started, std::move(run));
+    started.start();
+}
+
+void ForwardTask::refuse(HttpExchange &exchange, const std::string &requestId, const Error &error)
+{
+    const ErrorAnswer &answer = errorAnswer(error.kind);
+    ErrorContext context {this->parts.settings.host, requestId, {}};
+    if (answer.retryable) {
+        context.retryAfter = this->retryAfter();
+    }
+    replyError(exchange, error, context);
+    const OperatorState &state = this->parts.operators.state();
+    this->parts.events.line("request_refused", LogRank::Failure)
+        .with("request", requestId)
+        .with("kind", answer.name)
+        .with("status", static_cast<std::uint64_t>(answer.httpStatus))
+        .with("why", error.detail)
+        .with("config", state.config ? state.config->version : 0)
+        .with("retry_after_ms", context.retryAfter);
+    this->parts.metrics.count("refusals_total", "kind=\"" + std::string(answer.name) + "\"");
+}
+
+void ForwardTask::refuseNew()
+{
+    this->refusing = true;
+}
+
+std::size_t ForwardTask::inFlight() const
+{
+    return this->runs.size();
+}
+
+std::size_t ForwardTask::hosts() const
+{
+    std::size_t alive = 0;
+    for (const auto &[name, host] : this->parts.membership.hosts()) {
+        alive += host.liveness == Liveness::Dead ? 0 : 1;
+    }
+    return std::max<std::size_t>(alive, 1);
+}
+
+void ForwardTask::completeNeed(PlacementNeed &need, TimePoint now) const
+{
+    const OperatorState &state = this->parts.operators.state();
+    if (const auto named = state.weights.find(need.model); named != state.weights.end()) {
+        need.newestWeights = named->second;
+        const auto seenAt = state.weightsSeenAt.find(need.model);
+        const Duration bound = this->parts.settings.bounds.weights - config::OldWeightsMargin;
+        if (seenAt != state.weightsSeenAt.end() && now - seenAt->second > bound) {
+            need.oldestWeights = named->second;
+        }
+    }
+    if (const ForwardService *service = state.config->service(need.service)) {
+        if (service->coldRate > 0) {
+            const ForwardBounds &bounds = this->parts.settings.bounds;
+            const double all = service->coldRate * bounds.coldFactor + bounds.coldSlack;
+            need.cold.perSecond = all / (config::SpareHostFactor * static_cast<double>(this->hosts()));
+        }
+        need.mostInFlight = service->slots > 0 ? config::EngineInFlight : config::PlainInFlight;
+    }
+    need.domain = this->parts.settings.failureDomain;
+}
+
+PlacementChoice ForwardTask::place(PlacementNeed need, TimePoint now)
+{
+    this->completeNeed(need, now);
+    return this->placement->choose(this->parts.servers, need, this->random(), now);
+}
+
+bool ForwardTask::wait(ForwardRun &run)
+{
+    if (this->waiting.size() >= config::ForwardQueueBound) {
+        return false;
+    }
+    this->waiting.push_back(&run);
+    return true;
+}
+
+void ForwardTask::stopWaiting(const ForwardRun &run)
+{
+    std::erase(this->waiting, &run);
+}
+
+void ForwardTask::placesChanged()
+{
+    if (!this->waiting.empty() && this->wakeup == nullptr) {
+        this->wakeup = this->parts.loop.after(Duration::zero(), [this] {
+            this->wakeup.reset();
+            const TimePoint now = this->parts.loop.now();
+            // The most urgent first, and among those the one that has to be answered soonest.
+            std::stable_sort(this->waiting.begin(), this->waiting.end(), [](const ForwardRun *a, const ForwardRun *b) {
+                return std::pair(a->job().route->priority, a->job().deadline)
+                    < std::pair(b->job().route->priority, b->job().deadline);
+            });
+            for (ForwardRun *run : std::vector<ForwardRun *>(this->waiting)) {
+                if (run->retryPlace(now)) {
+                    this->stopWaiting(*run);
+                }
+            }
+        });
+    }
+}
+
+void ForwardTask::tick(TimePoint now)
+{
+    this->parts.servers.tick(now);
+    this->placesChanged();
+}
+
+void ForwardTask::finish(ForwardRun &run)
+{
+    this->stopWaiting(run);
+    const auto found = this->runs.find(&run);
+    if (found == this->runs.end()) {
+        return;
+    }
+    this->ended.push_back(std::move(found->second));
+    this->runs.erase(found);
+    this->cleanup = this->parts.loop.after(Duration::zero(), [this] { this->ended.clear(); });
+    this->placesChanged();
+}
+
+std::chrono::milliseconds ForwardTask::retryAfter()
+{
+    return config::ForwardRetryAfterLeast
+        + std::chrono::milliseconds(this->random() % static_cast<std::uint64_t>(config::ForwardRetryAfterSpread.count()));
+}
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/node/src/forward_task.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "metrics.h"
+#include "operator_feed.h"
+#include "server_feed.h"
+
+#include <endivespan/confirmation.h>
+#include <endivespan/event_log.h>
+#include <endivespan/forward_codec.h>
+#include <endivespan/forward_settings.h>
+#include <endivespan/http_pool.h>
+#include <endivespan/http_server.h>
+#include <endivespan/loop.h>
+#include <endivespan/membership.h>
+#include <endivespan/placement.h>
+#include <endivespan/retry_share.h>
+#include <endivespan/server_table.h>
+#include <endivespan/suspect.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+/// Serves forwarded requests: checks each one, waits for a place, sends it on and passes the answer back.
+namespace endivespan {
+
+class ForwardRun;
+
+/// What the task works with; everything outlives it.
+struct ForwardParts {
+    Loop &loop;
+    const ForwardSettings &settings;
+    const ForwardCodec &codec;
+    const OperatorFeed &operators;
+    ServerTable &servers;
+    Membership &membership;
+    Confirmation &confirmation;
+    SuspicionTable &suspicions;
+    Metrics &metrics;
+    EventLog &events;
+};
+
+/// Owns the requests under way and the connections to servers.
+class ForwardTask
+{
+public:
+    explicit ForwardTask(ForwardParts parts);
+    ~ForwardTask();
+    ForwardTask(const ForwardTask &) = delete;
+    ForwardTask &operator=(const ForwardTask &) = delete;
+
+    /// Serves one request.
+    void serve(const std::shared_ptr<HttpExchange> &exchange);
+
+    /// From now on new requests are refused as not run.
+    void refuseNew();
+
+    void tick(TimePoint now);
+
+    [[nodiscard]] std::size_t inFlight() const;
+
+    /// @returns whether requests may be served under the configuration held here.
+    [[nodiscard]] bool isInForce(TimePoint now) const;
+
+    // For the runs.
+
+    /// @returns the server for an attempt, if there is one with room.
+    [[nodiscard]] PlacementChoice place(PlacementNeed need, TimePoint now);
+
+    /// Fills in what @p need says of weights and cold servers.
+    void completeNeed(PlacementNeed &need, TimePoint now) const;
+
+    /// Lets a run wait for a place. @returns false when too many wait.
+    bool wait(ForwardRun &run);
+    void stopWaiting(const ForwardRun &run);
+
+    /// Lets those who wait try again.
+    void placesChanged();
+
+    /// Ends a run; it is destroyed once the current callbacks have returned.
+    void finish(ForwardRun &run);
+
+    [[nodiscard]] std::chrono::milliseconds retryAfter();
+    [[nodiscard]] std::size_t hosts() const;
+
+    ForwardParts parts;
+    std::unique_ptr<HttpPool> pool;
+    RetryShare retries;
+    std::mt19937_64 random;
+
+private:
+    void refuse(HttpExchange &exchange, const std::string &requestId, const Error &error);
+
+    std::unique_ptr<Placement> placement;
+    std::map<const ForwardRun *, std::unique_ptr<ForwardRun>> runs;
+    std::vector<std::unique_ptr<ForwardRun>> ended;
+    std::unique_ptr<Timer> cleanup;
+    std::unique_ptr<Timer> wakeup;
+    std::vector<ForwardRun *> waiting;
+    bool refusing = false;
+};
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/node/src/operator_feed.cpp
@@ -0,0 +1,241 @@
+#include "operator_feed.h"
+
+#include <endivespan/base64.h>
+#include <endivespan/config.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace endivespan {
+
+OperatorFeed::OperatorFeed(Loop &loop,
+                           KeyedLog &log,
+                           const RecordCodec &codec,
+                           EventLog &events,
+                           Membership &membership,
+                           Confirmation &confirmation,
+                           std::function<void()> changed)
+    : loop(loop)
+    , log(log)
+    , codec(codec)
+    , events(events)
+    , membership(membership)
+    , confirmation(confirmation)
+    , changed(std::move(changed))
+{
+}
+
+void OperatorFeed::start()
+{
+    this->readNewest();
+}
+
+const OperatorState &OperatorFeed::state() const
+{
+    return this->current;
+}
+
+void OperatorFeed::readNewest()
+{
+    const TimePoint askedAt = this->loop.now();
+    this->log.newest(this->codec.operatorTopic(), [this, askedAt](const Result<KeyedBatch> &batch) {
+        if (!batch) {
+            return this->failed(batch.error());
+        }
+        this->answered();
+        // What peers said may be newer than this answer.
+        if (batch.value().next >= this->next) {
+            this->replace(batch.value().records);
+            this->folded(batch.value().next);
+            this->confirmation.logAnswered(batch.value().end, askedAt);
+        }
+        this->followed = true;
+        this->changed();
+        this->readOn();
+    });
+}
+
+void OperatorFeed::readOn()
+{
+    const TimePoint askedAt = this->loop.now();
+    this->log.read(this->codec.operatorTopic(),
+                   this->next,
+                   config::OperatorReadWait,
+                   [this, askedAt](const Result<KeyedBatch> &batch) {
+                       if (!batch) {
+                           return this->failed(batch.error());
+                       }
+                       this->answered();
+                       if (batch.value().gap) {
+                           this->events.line("operator_records_gone").with("from", this->next);
+                           this->followed = false;
+                           return this->readNewest();
+                       }
+                       for (const KeyedRecord &record : batch.value().records) {
+                           this->apply(record);
+                       }
+                       this->folded(batch.value().next);
+                       this->confirmation.logAnswered(batch.value().end, askedAt);
+                       if (!batch.value().records.empty()) {
+                           this->changed();
+                       }
+                       this->readOn();
+                   });
+}
+
+void OperatorFeed::again()
+{
+    this->retry.reset();
+    if (this->followed) {
+        this->readOn();
+    } else {
+        this->readNewest();
+    }
+}
+
+void OperatorFeed::failed(const Error &error)
+{
+    if (this->reachable) {
+        this->events.line("dependency_lost", LogRank::Failure)
+            .with("dependency", "log")
+            .with("topic", this->codec.operatorTopic())
+            .with("why", error.detail);
+    }
+    this->reachable = false;
+    this->membership.setLogReachable(false);
+    const auto pause = std::min<Duration>(config::ConfigurationBackoffLeast * (1U << std::min(this->failures, 4U)),
+                                          config::OperatorBackoffMost);
+    ++this->failures;
+    this->retry = this->loop.after(pause, [this] { this->again(); });
+}
+
+void OperatorFeed::answered()
+{
+    if (!this->reachable) {
+        this->events.line("dependency_regained", LogRank::Failure)
+            .with("dependency", "log")
+            .with("topic", this->codec.operatorTopic())
+            .with("failures", this->failures);
+    }
+    this->reachable = true;
+    this->failures = 0;
+    this->membership.setLogReachable(true);
+}
+
+void OperatorFeed::folded(std::uint64_t offset)
+{
+    this->next = std::max(this->next, offset);
+    this->membership.setConfigOffset(this->next);
+    // Compaction lets hosts come to one state along different offsets, so that digests are not compared here.
+    this->confirmation.folded(this->next, 0);
+}
+
+void OperatorFeed::apply(const KeyedRecord &record)
+{
+    const auto decoded = this->codec.decodeOperator(record.key, record.value);
+    if (!decoded) {
+        this->events.line("operator_record_unreadable", LogRank::Failure)
+            .with("key", record.key)
+            .with("why", decoded.error().detail);
+        return;
+    }
+    if (record.value) {
+        this->raw[record.key] = *record.value;
+    } else {
+        this->raw.erase(record.key);
+    }
+    if (const auto *config = std::get_if<std::shared_ptr<const ForwardConfig>>(&decoded.value())) {
+        this->applyConfig(*config);
+    } else if (const auto *evacuation = std::get_if<EvacuationRecord>(&decoded.value())) {
+        const bool isChange = evacuation->inForce ? this->current.evacuated.insert(evacuation->domain).second
+                                                  : this->current.evacuated.erase(evacuation->domain) > 0;
+        if (isChange) {
+            this->events.line("evacuation")
+                .with("domain", evacuation->domain)
+                .with("in_force", evacuation->inForce ? "yes" : "no");
+        }
+    } else if (const auto *weights = std::get_if<WeightsRecord>(&decoded.value())) {
+        std::uint64_t &known = this->current.weights[weights->model];
+        if (weights->version > known) {
+            known = weights->version;
+            this->current.weightsSeenAt[weights->model] = this->loop.now();
+            this->events.line("weights_named").with("model", weights->model).with("version", weights->version);
+        }
+    }
+}
+
+void OperatorFeed::applyConfig(const std::shared_ptr<const ForwardConfig> &config)
+{
+    if (this->current.config && config->version <= this->current.config->version) {
+        return;
+    }
+    this->events.line("config_in_force")
+        .with("version", config->version)
+        .with("before", this->current.config ? this->current.config->version : 0)
+        .with("routes", config->routes.size())
+        .with("keys", config->keys.size());
+    this->current.config = config;
+}
+
+void OperatorFeed::replace(const std::vector<KeyedRecord> &records)
+{
+    std::set<std::string> present;
+    for (const KeyedRecord &record : records) {
+        present.insert(record.key);
+    }
+    std::vector<std::string> dropped;
+    for (const auto &[key, value] : this->raw) {
+        if (!present.contains(key)) {
+            dropped.push_back(key);
+        }
+    }
+    for (const std::string &key : dropped) {
+        this->apply({key, std::nullopt});
+    }
+    for (const KeyedRecord &record : records) {
+        this->apply(record);
+    }
+}
+
+bool OperatorFeed::wantsPeerState() const
+{
+    return !this->reachable || !this->followed;
+}
+
+std::string OperatorFeed::encodeState() const
+{
+    nlohmann::json records = nlohmann::json::object();
+    for (const auto &[key, value] : this->raw) {
+        records[key] = toBase64(value);
+    }
+    return nlohmann::json {{"next", this->next}, {"records", std::move(records)}}.dump();
+}
+
+Result<void> OperatorFeed::adoptState(std::string_view bytes)
+{
+    const auto state = nlohmann::json::parse(bytes, nullptr, false);
+    if (!state.is_object() || !state.contains("next") || !state["next"].is_number_unsigned()
+        || !state.contains("records") || !state["records"].is_object()) {
+        return Error {ErrorKind::ProtocolError, "no state"};
+    }
+    const auto offset = state["next"].get<std::uint64_t>();
+    if (offset <= this->next) {
+        return boost::outcome_v2::success();
+    }
+    std::vector<KeyedRecord> records;
+    for (const auto &[key, value] : state["records"].items()) {
+        const auto decoded = fromBase64(value.is_string() ? value.get<std::string>() : "=");
+        if (!decoded) {
+            return Error {ErrorKind::ProtocolError, "unreadable value of " + key};
+        }
+        records.push_back({key, decoded.value()});
+    }
+    this->replace(records);
+    this->folded(offset);
+    this->changed();
+    return boost::outcome_v2::success();
+}
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/node/src/operator_feed.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "peer_task.h"
+
+#include <endivespan/confirmation.h>
+#include <endivespan/event_log.h>
+#include <endivespan/forward_codec.h>
+#include <endivespan/keyed_log.h>
+#include <endivespan/loop.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+/// Follows what operators write to the log: the configuration, evacuations and weight versions.
+namespace endivespan {
+
+/// Everything that operators have said, as far as it is known here.
+struct OperatorState {
+    std::shared_ptr<const ForwardConfig> config; ///< Null before the first one.
+    std::set<std::string> evacuated; ///< Failure domains.
+    std::map<std::string, std::uint64_t> weights; ///< Newest version by model.
+    std::map<std::string, TimePoint> weightsSeenAt; ///< When that version was first read.
+};
+
+/// Reads the newest records once and then waits for new ones, so that a change is known within one round trip.
+class OperatorFeed : public PeerState
+{
+public:
+    /// @param confirmation Told how far the topic was read and when the log said that there is no more.
+    /// @param membership Told whether the log answers.
+    /// @param changed Called after each change.
+    OperatorFeed(Loop &loop,
+                 KeyedLog &log,
+                 const RecordCodec &codec,
+                 EventLog &events,
+                 Membership &membership,
+                 Confirmation &confirmation,
+                 std::function<void()> changed);
+
+    void start();
+
+    [[nodiscard]] const OperatorState &state() const;
+
+    [[nodiscard]] bool wantsPeerState() const override;
+    [[nodiscard]] std::string encodeState() const override;
+    Result<void> adoptState(std::string_view bytes) override;
+
+private:
+    void readNewest();
+    void readOn();
+    void again();
+    void failed(const Error &error);
+    void answered();
+    void apply(const KeyedRecord &record);
+    void applyConfig(const std::shared_ptr<const ForwardConfig> &config);
+    void replace(const std::vector<KeyedRecord> &records);
+    void folded(std::uint64_t offset);
+
+    Loop &loop;
+    KeyedLog &log;
+    const RecordCodec &codec;
+    EventLog &events;
+    Membership &membership;
+    Confirmation &confirmation;
+    std::function<void()> changed;
+    OperatorState current;
+    std::map<std::string, std::string> raw; ///< Newest value by key, for peers.
+    std::uint64_t next = 0;
+    bool followed = false; ///< The newest records were read; otherwise they are next.
+    bool reachable = true;
+    unsigned failures = 0;
+    std::unique_ptr<Timer> retry;
+};
+
+} // namespace endivespan
--- a/packages/node/src/peer_task.cpp
+++ b/packages/node/src/peer_task.cpp
@@ -10,7 +10,7 @@
 namespace endivespan {
 
 PeerTask::PeerTask(PeerTaskParts parts)
-    : parts(parts)
+    : parts(std::move(parts))
 {
 }
 
@@ -20,17 +20,17 @@
     auto listening = PeerLink::listen(
         this->parts.loop,
         {self.name, self.status.version.incarnation},
-        this->parts.settings.listen.peers,
+        this->parts.listen,
         [this](const std::string &from, const PeerMessage &request) { return this->answer(from, request); });
     if (!listening) {
         return listening.error();
     }
     this->link = std::move(listening.value());
-    const std::string &wanted = this->parts.settings.listen.peers;
+    const std::string &wanted = this->parts.listen;
     this->parts.membership.setAddress(wanted.substr(0, wanted.rfind(':') + 1) + std::to_string(this->link->port()));
     this->gossip = std::make_unique<Gossip>(
         GossipTables {this->parts.membership, this->servers, this->suspicions, this->parts.confirmation},
-        this->parts.settings.peers,
+        this->parts.seeds,
         std::random_device {}());
     logLine("peers", "{} listens for peers on {}", self.name, this->address());
     return boost::outcome_v2::success();
--- a/packages/node/src/peer_task.h
+++ b/packages/node/src/peer_task.h
@@ -1,30 +1,51 @@
 #pragma once
 
-#include "config_task.h"
-#include "context.h"
+#include "metrics.h"
 
 #include <endivespan/confirmation.h>
 #include <endivespan/gossip.h>
 #include <endivespan/membership.h>
 #include <endivespan/peer_link.h>
+#include <endivespan/server_notes.h>
+#include <endivespan/suspect.h>
 
 #include <functional>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 /// The task that exchanges gossip with the other hosts and carries the messages of other tasks to them.
 namespace endivespan {
 
+/// Configuration as hosts hand it to each other.
+class PeerState
+{
+public:
+    virtual ~PeerState() = default;
+
+    /// @returns true while the log does not bring what a peer has, so that adoptState() is worth its bytes.
+    [[nodiscard]] virtual bool wantsPeerState() const = 0;
+
+    /// @returns the whole state for a peer.
+    [[nodiscard]] virtual std::string encodeState() const = 0;
+
+    /// Takes over the state of a peer if it covers more than the own one.
+    /// @returns ProtocolError when @p bytes are no whole state.
+    virtual Result<void> adoptState(std::string_view bytes) = 0;
+};
+
 /// What the peer task works on; everything outlives it.
 struct PeerTaskParts {
     Loop &loop;
-    const Settings &settings;
+    std::string listen; ///< Address for peers; port 0 takes a free one.
+    std::vector<std::string> seeds; ///< Addresses to ask while no host is known.
     Metrics &metrics;
     Membership &membership;
     Confirmation &confirmation;
-    ConfigTask &config;
+    PeerState &config;
 };
 
 /// Answers a message that is neither gossip nor about configuration; nothing when it is not known.
--- /dev/null
+++ b/packages/node/src/server_feed.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <endivespan/event_log.h>
+#include <endivespan/forward_codec.h>
+#include <endivespan/keyed_log.h>
+#include <endivespan/loop.h>
+#include <endivespan/server_table.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+/// Follows the list of backend servers in the log.
+namespace endivespan {
+
+/// Polls, since heartbeats come all the time and a waiting read would return at once.
+class ServerFeed
+{
+public:
+    /// @param lapse After the log's return, until the entries of living servers are back.
+    ServerFeed(Loop &loop,
+               KeyedLog &log,
+               const RecordCodec &codec,
+               EventLog &events,
+               ServerTable &servers,
+               Duration lapse,
+               std::function<void()> changed);
+
+    void start();
+
+    /// @returns whether the list was read at least once.
+    [[nodiscard]] bool isReady() const;
+
+private:
+    void poll();
+    void readNewest();
+    void readOn();
+    void take(const KeyedRecord &record, TimePoint now);
+    void failed(const Error &error);
+    void answered(TimePoint now);
+    void schedule(Duration delay);
+
+    Loop &loop;
+    KeyedLog &log;
+    const RecordCodec &codec;
+    EventLog &events;
+    ServerTable &servers;
+    Duration lapse;
+    std::function<void()> changed;
+    std::unique_ptr<Timer> timer;
+    std::uint64_t next = 0;
+    bool followed = false;
+    bool reachable = true;
+    std::optional<TimePoint> lastAnswer;
+    std::optional<TimePoint> lapsedUntil; ///< Entries may be missing only because the log was away.
+};
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/wire/src/forward_settings.cpp
@@ -0,0 +1,82 @@
+#include "yaml_p.h"
+
+#include <endivespan/forward_settings.h>
+
+namespace endivespan {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double MostRatio = 10.0;
+constexpr double MostSlack = 1e6;
+
+void listenSettings(YamlDocument &document, YamlMap &top, ForwardSettings &settings)
+{
+    if (const auto node = top.require("listen")) {
+        YamlMap map(document, *node, "'listen'", {"callers", "readiness", "peers", "metrics"});
+        settings.listenCallers = map.address("callers", true);
+        settings.listenReadiness = map.address("readiness", true);
+        settings.listenPeers = map.address("peers", true);
+        settings.listenMetrics = map.address("metrics", true);
+    }
+}
+
+ForwardBounds boundSettings(YamlDocument &document, const YamlMap &top)
+{
+    ForwardBounds bounds;
+    if (const auto node = top.find("bounds")) {
+        YamlMap map(document,
+                    *node,
+                    "'bounds'",
+                    {"stop_time",
+                     "revocation",
+                     "weights",
+                     "lease_gap",
+                     "list_lapse",
+                     "retry_ratio",
+                     "retry_slack",
+                     "retry_window",
+                     "cold_factor",
+                     "cold_slack"});
+        bounds.stopTime = map.duration("stop_time", bounds.stopTime, 100ms, 1h);
+        bounds.revocation = map.duration("revocation", bounds.revocation, 100ms, 1h);
+        bounds.weights = map.duration("weights", bounds.weights, 100ms, 1h);
+        bounds.leaseGap = map.duration("lease_gap", bounds.leaseGap, 100ms, 1h);
+        bounds.listLapse = map.duration("list_lapse", bounds.listLapse, 0ms, 1h);
+        bounds.retryRatio = map.decimal("retry_ratio", bounds.retryRatio, 0, MostRatio);
+        bounds.retrySlack = map.decimal("retry_slack", bounds.retrySlack, 0, MostSlack);
+        bounds.retryWindow = map.duration("retry_window", bounds.retryWindow, 1s, 1h);
+        bounds.coldFactor = map.decimal("cold_factor", bounds.coldFactor, 0, MostRatio);
+        bounds.coldSlack = map.decimal("cold_slack", bounds.coldSlack, 0, MostSlack);
+    }
+    return bounds;
+}
+
+} // namespace
+
+Checked<ForwardSettings> parseForwardSettings(std::string_view yaml, const std::string &file)
+{
+    YamlDocument document(yaml, file);
+    ForwardSettings settings;
+    if (document.root()) {
+        YamlMap top(document,
+                    *document.root(),
+                    "the settings",
+                    {"host", "region", "failure_domain", "listen", "log", "bounds"});
+        settings.host = top.name("host");
+        settings.region = top.name("region");
+        settings.failureDomain = top.name("failure_domain");
+        listenSettings(document, top, settings);
+        if (const auto node = top.require("log")) {
+            settings.logAddress = YamlMap(document, *node, "'log'", {"address"}).address("address");
+        }
+        settings.bounds = boundSettings(document, top);
+    }
+    if (document.hasProblems()) {
+        return document.problems();
+    }
+    return settings;
+}
+
+} // namespace endivespan
--- a/packages/wire/src/yaml.cpp
+++ b/packages/wire/src/yaml.cpp
@@ -163,6 +163,24 @@
     return value;
 }
 
+double YamlMap::decimal(std::string_view key, double fallback, double least, double most)
+{
+    const auto node = this->find(key);
+    const auto text = node ? this->scalar(*node, key) : std::nullopt;
+    if (!text) {
+        return fallback;
+    }
+    double value = 0;
+    const auto [end, problem] = std::from_chars(text->data(), text->data() + text->size(), value);
+    const bool whole = problem == std::errc() && end == text->data() + text->size();
+    if (!whole || !(value >= least && value <= most)) {
+        this->reportAt(
+            key, fmt::format("{} is '{}', must be a number from {} to {}", this->label(key), *text, least, most));
+        return fallback;
+    }
+    return value;
+}
+
 std::chrono::milliseconds YamlMap::duration(std::string_view key,
                                             std::chrono::milliseconds fallback,
                                             std::chrono::milliseconds least,
--- a/packages/wire/src/yaml_p.h
+++ b/packages/wire/src/yaml_p.h
@@ -83,6 +83,9 @@
                                        std::chrono::milliseconds least,
                                        std::chrono::milliseconds most);
 
+    /// @returns an optional number from @p least to @p most, with or without a decimal point.
+    double decimal(std::string_view key, double fallback, double least, double most);
+
     /// @returns an optional size with its unit: B, KiB or MiB.
     std::uint64_t size(std::string_view key, std::uint64_t fallback, std::uint64_t least, std::uint64_t most);
 
--- a/tests/standins/standin.cpp
+++ b/tests/standins/standin.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr HttpServerLimits ServerLimits {16 * 1024 * 1024, 64 * 1024, std::chrono::seconds(60)};
+const HttpServerLimits ServerLimits {16 * 1024 * 1024, 64 * 1024, std::chrono::seconds(60)};
 constexpr std::chrono::milliseconds ControlAnswerTime {20}; ///< For the answer to a control call to get out.
 
 // A bound socket that does not listen keeps the port while the stand-in is down: callers are refused, and nobody else
