--- a/packages/core/include/endivespan/order_lease.h
+++ b/packages/core/include/endivespan/order_lease.h
@@ -48,7 +48,7 @@
     /// @returns the fencing number while orders may be given, right before each one.
     [[nodiscard]] std::optional<std::uint64_t> fence(TimePoint now) const;
 
-    /// @returns the offset to append at.
+    /// @returns the offset to append at, or the last end known.
     [[nodiscard]] std::uint64_t end() const;
 
 private:
--- a/packages/core/include/endivespan/suspect.h
+++ b/packages/core/include/endivespan/suspect.h
@@ -72,6 +72,9 @@
 
     [[nodiscard]] Verdict verdict(const Fingerprint &fingerprint) const;
 
+    /// @returns the crashes during which the request was running and that nothing has excused.
+    [[nodiscard]] std::size_t openDeaths(const Fingerprint &fingerprint) const;
+
     /// @returns the entry whose last change has @p version, or nothing when it has changed again since.
     [[nodiscard]] std::optional<Suspicion> changedAt(std::uint64_t version, TimePoint now) const;
 
@@ -94,6 +97,7 @@
         std::uint64_t version = 0;
     };
 
+    static std::size_t openDeathsOf(const Entry &entry);
     static Verdict verdictOf(const Entry &entry);
     Entry &entryOf(const Fingerprint &fingerprint);
     void touch(const Fingerprint &fingerprint, Entry &entry, Verdict before, TimePoint at);
--- a/packages/core/src/order_lease.cpp
+++ b/packages/core/src/order_lease.cpp
@@ -72,7 +72,7 @@
 
 std::uint64_t OrderLease::end() const
 {
-    return this->knownEnd.value_or(0);
+    return this->knownEnd.value_or(this->lastEnd);
 }
 
 } // namespace endivespan
--- a/packages/core/src/suspect.cpp
+++ b/packages/core/src/suspect.cpp
@@ -55,15 +55,21 @@
     return id;
 }
 
+std::size_t SuspicionTable::openDeathsOf(const Entry &entry)
+{
+    return static_cast<std::size_t>(
+        std::count_if(entry.deaths.begin(), entry.deaths.end(), [&entry](DeathId death) {
+            return !std::binary_search(entry.cleared.begin(), entry.cleared.end(), death);
+        }));
+}
+
 Verdict SuspicionTable::verdictOf(const Entry &entry)
 {
-    const auto open = std::count_if(entry.deaths.begin(), entry.deaths.end(), [&entry](DeathId death) {
-        return !std::binary_search(entry.cleared.begin(), entry.cleared.end(), death);
-    });
+    const std::size_t open = SuspicionTable::openDeathsOf(entry);
     if (open == 0) {
         return Verdict::Free;
     }
-    return static_cast<std::size_t>(open) < config::DeathsUntilRefused ? Verdict::Suspect : Verdict::Refused;
+    return open < config::DeathsUntilRefused ? Verdict::Suspect : Verdict::Refused;
 }
 
 SuspicionTable::Entry &SuspicionTable::entryOf(const Fingerprint &fingerprint)
@@ -141,6 +147,12 @@
     return news;
 }
 
+std::size_t SuspicionTable::openDeaths(const Fingerprint &fingerprint) const
+{
+    const auto found = this->entries.find(fingerprint);
+    return found == this->entries.end() ? 0 : SuspicionTable::openDeathsOf(found->second);
+}
+
 Verdict SuspicionTable::verdict(const Fingerprint &fingerprint) const
 {
     const auto found = this->entries.find(fingerprint);
--- a/packages/node/include/endivespan/forward_codec.h
+++ b/packages/node/include/endivespan/forward_codec.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -54,7 +55,7 @@
 /// What the head of a server's answer says beside its status.
 struct ServerAnswer {
     bool notRun = false; ///< The server promises that it has not run the request.
-    bool misdirected = false; ///< Another server has the address.
+    std::string server; ///< Who answered, where the answer says so.
     bool genuine = false; ///< It bears the server's mark.
     std::optional<ServerLoadReport> load;
 };
@@ -80,6 +81,9 @@
     /// @returns the fields of a server's answer that its caller gets.
     [[nodiscard]] virtual HttpHeaders callerHeaders(const HttpHeaders &headers) const = 0;
 
+    /// @returns the value of Retry-After.
+    [[nodiscard]] virtual std::string encodeRetryAfter(std::chrono::milliseconds time) const = 0;
+
     /// @returns the header fields that may come once only.
     [[nodiscard]] virtual std::set<std::string> singleFields() const = 0;
 
--- /dev/null
+++ b/packages/node/src/forward_node.cpp
@@ -0,0 +1,303 @@
+#include "forward_task.h"
+#include "host_feed.h"
+#include "operator_feed.h"
+#include "peer_task.h"
+#include "rollout_task.h"
+#include "server_feed.h"
+
+#include <endivespan/config.h>
+#include <endivespan/forward_node.h>
+#include <endivespan/invariant.h>
+#include <endivespan/log.h>
+#include <endivespan/ownership.h>
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace endivespan {
+
+namespace {
+
+HostReport reportOf(const ForwardSettings &settings)
+{
+    HostReport report {settings.host, settings.listenPeers, settings.failureDomain, settings.region, {}};
+    // Rises with each start under one name.
+    report.status.version.incarnation
+        = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count());
+    return report;
+}
+
+class Node : public ForwardNode
+{
+public:
+    Node(Loop &loop, ForwardSettings given, ForwardAdapters adapters, std::function<void()> onStopped)
+        : loop(loop)
+        , settings(std::move(given))
+        , adapters(adapters)
+        , onStopped(std::move(onStopped))
+        , events(loop, this->settings.host, STDOUT_FILENO)
+        , membership(reportOf(this->settings), loop.now())
+        , confirmation(true)
+        , operators(loop,
+                    adapters.log,
+                    adapters.records,
+                    this->events,
+                    this->membership,
+                    this->confirmation,
+                    [this] { this->operatorsChanged(); })
+        , serverFeed(loop,
+                     adapters.log,
+                     adapters.records,
+                     this->events,
+                     this->servers,
+                     this->settings.bounds.listLapse + config::ServerPollPeriod,
+                     [this] { this->forward.placesChanged(); })
+        , hostFeed(loop, adapters.log, adapters.records, this->events, this->membership)
+        , peers(PeerTaskParts {loop,
+                               this->settings.listenPeers,
+                               {},
+                               this->metrics,
+                               this->membership,
+                               this->confirmation,
+                               this->operators})
+        , rollout(loop,
+                  adapters.log,
+                  adapters.records,
+                  adapters.engines,
+                  this->events,
+                  this->servers,
+                  this->settings.host + "#" + std::to_string(this->membership.self().status.version.incarnation),
+                  this->settings.bounds.leaseGap)
+        , forward(ForwardParts {loop,
+                                this->settings,
+                                adapters.codec,
+                                this->operators,
+                                this->servers,
+                                this->membership,
+                                this->confirmation,
+                                this->peers.suspicions,
+                                this->metrics,
+                                this->events})
+    {
+        setViolationHandler([this](Invariant invariant, std::string_view detail) {
+            this->events.line("invariant_violated", LogRank::Failure)
+                .with("invariant", invariantName(invariant))
+                .with("why", detail);
+        });
+    }
+
+    ~Node() override
+    {
+        setViolationHandler({});
+    }
+
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
+
+    Result<void> start() override
+    {
+        if (auto listening = this->listen(); !listening) {
+            return listening.error();
+        }
+        if (auto listening = this->peers.start(); !listening) {
+            return listening.error();
+        }
+        this->operators.start();
+        this->serverFeed.start();
+        this->hostFeed.start();
+        this->ticker = this->loop.every(config::ForwardTickPeriod, [this] { this->tick(); });
+        this->events.line("started", LogRank::Failure)
+            .with("incarnation", this->membership.self().status.version.incarnation)
+            .with("domain", this->settings.failureDomain)
+            .with("callers", this->settings.listenCallers)
+            .with("peers", this->peers.address());
+        return boost::outcome_v2::success();
+    }
+
+    void beginStop() override
+    {
+        if (this->stopping) {
+            return;
+        }
+        this->stopping = true;
+        this->stopBegan = this->loop.now();
+        this->peers.leave();
+        this->rollout.stop();
+        this->callers->closeAfterAnswers();
+        this->events.line("stop_begun", LogRank::Failure).with("under_way", this->forward.inFlight());
+    }
+
+    void reload(const ForwardSettings &next) override
+    {
+        ForwardSettings kept = next;
+        kept.bounds = this->settings.bounds;
+        const bool boundsChanged = next.bounds != this->settings.bounds;
+        this->events.line("settings_reloaded", LogRank::Failure)
+            .with("bounds", boundsChanged ? "changed" : "unchanged")
+            .with("ignored", kept == this->settings ? "none" : "addresses or names");
+        this->settings.bounds = next.bounds;
+    }
+
+private:
+    Result<void> listen()
+    {
+        const HttpServerLimits limits = this->callerLimits();
+        auto callersListening = HttpServer::listen(this->loop,
+                                                   this->settings.listenCallers,
+                                                   limits,
+                                                   [this](const auto &exchange) { this->forward.serve(exchange); });
+        if (!callersListening) {
+            return callersListening.error();
+        }
+        this->callers = std::move(callersListening.value());
+        auto readinessListening = HttpServer::listen(this->loop,
+                                                     this->settings.listenReadiness,
+                                                     limits,
+                                                     [this](const auto &exchange) { this->answerReadiness(*exchange); });
+        if (!readinessListening) {
+            return readinessListening.error();
+        }
+        this->readiness = std::move(readinessListening.value());
+        auto metricsListening = HttpServer::listen(this->loop,
+                                                   this->settings.listenMetrics,
+                                                   limits,
+                                                   [this](const auto &exchange) { this->answerMetrics(*exchange); });
+        if (!metricsListening) {
+            return metricsListening.error();
+        }
+        this->metricsServer = std::move(metricsListening.value());
+        return boost::outcome_v2::success();
+    }
+
+    [[nodiscard]] HttpServerLimits callerLimits() const
+    {
+        const auto &config = this->operators.state().config;
+        const ForwardLimits limits = config ? config->limits : ForwardLimits {};
+        HttpServerLimits bounds {limits.maxBodyBytes, limits.maxHeaderBytes, limits.headerTimeout};
+        bounds.idleTimeout = limits.idleTimeout;
+        bounds.singleFields = this->adapters.codec.singleFields();
+        return bounds;
+    }
+
+    [[nodiscard]] bool isReady(TimePoint now) const
+    {
+        return !this->stopping && this->serverFeed.isReady() && this->forward.isInForce(now);
+    }
+
+    void answerReadiness(HttpExchange &exchange)
+    {
+        const bool known = exchange.request().path == this->adapters.codec.readinessPath();
+        const bool ready = known && this->isReady(this->loop.now());
+        exchange.reply(known ? (ready ? 200 : 503) : 404, {{"Content-Type", "text/plain"}}, ready ? "ready" : "not ready");
+    }
+
+    void answerMetrics(HttpExchange &exchange)
+    {
+        const TimePoint now = this->loop.now();
+        const HttpPoolStats pool = this->forward.pool->stats();
+        this->metrics.gauge("requests_under_way", "", static_cast<double>(this->forward.inFlight()));
+        this->metrics.gauge("caller_connections", "", static_cast<double>(this->callers->connections()));
+        this->metrics.gauge("server_connections_opened", "", static_cast<double>(pool.opened));
+        this->metrics.gauge("server_connections_reused", "", static_cast<double>(pool.reused));
+        this->metrics.gauge("stray_answers", "", static_cast<double>(pool.strayAnswers));
+        this->metrics.gauge("hosts", "", static_cast<double>(this->forward.hosts()));
+        this->metrics.gauge("servers", "", static_cast<double>(this->servers.servers().size()));
+        this->metrics.gauge("ready", "", this->isReady(now) ? 1 : 0);
+        this->metrics.gauge("log_lines_suppressed", "", static_cast<double>(this->events.suppressed()));
+        const auto &config = this->operators.state().config;
+        this->metrics.gauge("config_version", "", config ? static_cast<double>(config->version) : 0);
+        exchange.reply(200, {{"Content-Type", "text/plain"}}, this->metrics.text());
+    }
+
+    void operatorsChanged()
+    {
+        const OperatorState &state = this->operators.state();
+        this->servers.setEvacuated(state.evacuated);
+        this->rollout.setTargets(state.weights);
+        this->callers->setLimits(this->callerLimits());
+    }
+
+    void tick()
+    {
+        const TimePoint now = this->loop.now();
+        this->peers.tick(now);
+        this->rankHosts(now);
+        this->rollout.tick(now);
+        this->forward.tick(now);
+        if (const bool ready = this->isReady(now); ready != this->wasReady) {
+            this->wasReady = ready;
+            this->events.line(ready ? "ready" : "not_ready", LogRank::Failure);
+        }
+        if (this->stopping) {
+            this->continueStop(now);
+        }
+    }
+
+    void rankHosts(TimePoint now)
+    {
+        if (now < this->nextRanking) {
+            return;
+        }
+        this->nextRanking = now + config::OwnershipPeriod;
+        const std::uint64_t own = rendezvousWeight(this->settings.host, "orders");
+        const auto owners = this->membership.owners();
+        this->rollout.setRank(static_cast<std::size_t>(
+            std::count_if(owners.begin(), owners.end(), [own](const std::string &host) {
+                return rendezvousWeight(host, "orders") > own;
+            })));
+    }
+
+    void continueStop(TimePoint now)
+    {
+        const Duration since = now - this->stopBegan;
+        if (since >= config::StopRefuseAfter) {
+            this->forward.refuseNew();
+            this->callers->closeIdle();
+        }
+        const bool finished = this->forward.inFlight() == 0 && since >= config::StopLeastTime;
+        const bool overdue = since >= this->settings.bounds.stopTime - config::StopMargin;
+        if (!finished && !overdue) {
+            return;
+        }
+        this->callers->stopAccepting();
+        this->events.line("stopped", LogRank::Failure).with("cut", this->forward.inFlight());
+        this->ticker.reset();
+        this->onStopped();
+    }
+
+    Loop &loop;
+    ForwardSettings settings;
+    ForwardAdapters adapters;
+    std::function<void()> onStopped;
+    Metrics metrics;
+    EventLog events;
+    Membership membership;
+    Confirmation confirmation;
+    ServerTable servers;
+    OperatorFeed operators;
+    ServerFeed serverFeed;
+    HostFeed hostFeed;
+    PeerTask peers;
+    RolloutTask rollout;
+    ForwardTask forward;
+    std::unique_ptr<HttpServer> callers;
+    std::unique_ptr<HttpServer> readiness;
+    std::unique_ptr<HttpServer> metricsServer;
+    std::unique_ptr<Timer> ticker;
+    TimePoint nextRanking;
+    TimePoint stopBegan;
+    bool stopping = false;
+    bool wasReady = false;
+};
+
+} // namespace
+
+std::unique_ptr<ForwardNode>
+ForwardNode::create(Loop &loop, ForwardSettings settings, ForwardAdapters adapters, std::function<void()> onStopped)
+{
+    return std::make_unique<Node>(loop, std::move(settings), adapters, std::move(onStopped));
+}
+
+} // namespace endivespan
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -5,7 +5,6 @@
 #include <endivespan/config.h>
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace endivespan {
@@ -81,7 +80,8 @@
     if (this->task.wait(*this)) {
         this->isWaiting = true;
         const auto longest = std::max<std::chrono::milliseconds>(
-            toMilliseconds(this->work.route->aim * config::ForwardWaitShare), config::ForwardLeastWait);
+            std::chrono::duration_cast<std::chrono::milliseconds>(this->work.route->aim * config::ForwardWaitShare),
+            config::ForwardLeastWait);
         this->patienceTimer = this->task.parts.loop.after(longest, [this] {
             this->refuse(ErrorKind::Overloaded, "no place came free in time");
         });
@@ -106,7 +106,7 @@
 bool ForwardRun::tryPlace(TimePoint now)
 {
     if (this->work.deadline - now < config::ForwardLeastTime) {
-        this->refuse(ErrorKind::DeadlineExceeded, "no time is left");
+        this->refuse(ErrorKind::Overloaded, "no time is left");
         return false;
     }
     if (!this->task.isInForce(now)) {
@@ -328,7 +328,8 @@
 {
     const TimePoint now = this->task.parts.loop.now();
     const std::string refusing = this->server;
-    this->endAttempt(answer.misdirected ? AttemptOutcome::Misdirected : AttemptOutcome::Refused);
+    const bool misdirected = !answer.server.empty() && answer.server != refusing;
+    this->endAttempt(misdirected ? AttemptOutcome::Misdirected : AttemptOutcome::Refused);
     ++this->notRun;
     this->task.parts.events.line("attempt_refused")
         .with("request", this->work.request.id)
@@ -377,12 +378,8 @@
         return;
     }
     const bool broken = failure.error.kind == ErrorKind::StreamCut;
-    if (broken) {
-        if (const ServerView *view = this->task.parts.servers.find(this->server)) {
-            const std::array<Fingerprint, 1> running {this->work.fingerprint};
-            const std::string born = std::to_string(view->entry.born);
-            this->task.parts.suspicions.died(deathIdOf(this->server, born), running, now);
-        }
+    if (broken && this->status == 0) {
+        this->task.accuse(this->server, this->work.fingerprint, now);
     }
     this->attemptFailed(broken ? AttemptOutcome::Unreachable : AttemptOutcome::Failed, failure.error.detail);
 }
@@ -434,7 +431,7 @@
         ++this->ran;
     }
     if (this->ran == 0) {
-        this->refuse(ErrorKind::DeadlineExceeded, "no place came free in time");
+        this->refuse(ErrorKind::Overloaded, "no place came free in time");
     } else {
         this->cut("the deadline passed");
     }
@@ -458,8 +455,10 @@
         this->cut(why);
         return;
     }
-    ErrorContext context {this->task.parts.settings.host, this->work.request.id, this->task.retryAfter()};
-    replyError(*this->work.exchange, {kind, std::string(why)}, context);
+    this->task.replyRefusal(*this->work.exchange,
+                            this->work.request.id,
+                            {kind, std::string(why)},
+                            toMilliseconds(this->work.deadline - this->task.parts.loop.now()));
     this->finish(errorAnswer(kind).httpStatus, errorAnswer(kind).name, why, LogRank::Failure);
 }
 
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -6,6 +6,7 @@
 #include <endivespan/config.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace endivespan {
@@ -41,28 +42,27 @@
     const TimePoint now = this->parts.loop.now();
     auto decoded = this->parts.codec.decodeRequest(exchange->request());
     if (!decoded) {
-        return this->refuse(*exchange, "", decoded.error());
+        return this->refuse(*exchange, ForwardRequest {}, decoded.error());
     }
     ForwardJob job;
     job.exchange = exchange;
     job.request = std::move(decoded.value());
     job.arrivedAt = now;
     job.config = this->parts.operators.state().config;
-    const std::string &id = job.request.id;
     if (this->refusing) {
-        return this->refuse(*exchange, id, {ErrorKind::HostStopping, "this host stops"});
+        return this->refuse(*exchange, job.request, {ErrorKind::HostStopping, "this host stops"});
     }
     if (!this->isInForce(now)) {
-        return this->refuse(*exchange, id, {ErrorKind::ConfigurationStale, "the configuration is not confirmed"});
+        return this->refuse(*exchange, job.request, {ErrorKind::ConfigurationStale, "the configuration is not confirmed"});
     }
     job.route = job.config->route(job.request.host, job.request.path);
     if (job.route == nullptr) {
-        return this->refuse(*exchange, id, {ErrorKind::NotFound, "no route leads there"});
+        return this->refuse(*exchange, job.request, {ErrorKind::NotFound, "no route leads there"});
     }
     if (!job.route->isPublic && !job.config->organisations.empty()) {
         job.organisation = job.config->organisationOfKey(job.request.key);
         if (job.organisation == nullptr) {
-            return this->refuse(*exchange, id, {ErrorKind::Unauthorized, "unknown API key"});
+            return this->refuse(*exchange, job.request, {ErrorKind::Unauthorized, "unknown API key"});
         }
     }
     job.service = chooseTarget(*job.route, this->random());
@@ -73,8 +73,8 @@
                                     exchange->request().body);
     this->retries.requested(job.service, now);
     this->parts.metrics.count("requests_total");
-    if (this->parts.suspicions.verdict(job.fingerprint) == Verdict::Refused) {
-        return this->refuse(*exchange, id, {ErrorKind::PoisonRequest, "servers died while they ran this request"});
+    if (this->parts.suspicions.openDeaths(job.fingerprint) >= config::ForwardDeathsUntilRefused) {
+        return this->refuse(*exchange, job.request, {ErrorKind::Overloaded, "servers died while they ran this request"});
     }
     auto run = std::make_unique<ForwardRun>(*this, std::move(job));
     ForwardRun &started = *run;
@@ -82,25 +82,62 @@
     started.start();
 }
 
-void ForwardTask::refuse(HttpExchange &exchange, const std::string &requestId, const Error &error)
+std::chrono::milliseconds ForwardTask::replyRefusal(HttpExchange &exchange,
+                                                    const std::string &requestId,
+                                                    const Error &error,
+                                                    std::chrono::milliseconds timeLeft)
 {
-    const ErrorAnswer &answer = errorAnswer(error.kind);
     ErrorContext context {this->parts.settings.host, requestId, {}};
-    if (answer.retryable) {
-        context.retryAfter = this->retryAfter();
+    if (errorAnswer(error.kind).retryable) {
+        context.retryAfter = this->retryAfter(error.kind, timeLeft);
+    }
+    HttpHeaders headers = errorHeaders(error, context);
+    if (context.retryAfter.count() > 0) {
+        headers["Retry-After"] = this->parts.codec.encodeRetryAfter(context.retryAfter);
     }
-    replyError(exchange, error, context);
+    exchange.reply(errorAnswer(error.kind).httpStatus, headers, errorBody(error, context));
+    return context.retryAfter;
+}
+
+void ForwardTask::refuse(HttpExchange &exchange, const ForwardRequest &request, const Error &error)
+{
+    const ErrorAnswer &answer = errorAnswer(error.kind);
+    const auto retryAfter = this->replyRefusal(
+        exchange, request.id, error, request.deadline.value_or(config::ForwardDefaultDeadline));
     const OperatorState &state = this->parts.operators.state();
     this->parts.events.line("request_refused", LogRank::Failure)
-        .with("request", requestId)
+        .with("request", request.id)
         .with("kind", answer.name)
         .with("status", static_cast<std::uint64_t>(answer.httpStatus))
         .with("why", error.detail)
         .with("config", state.config ? state.config->version : 0)
-        .with("retry_after_ms", context.retryAfter);
+        .with("retry_after_ms", retryAfter);
     this->parts.metrics.count("refusals_total", "kind=\"" + std::string(answer.name) + "\"");
 }
 
+void ForwardTask::accuse(const std::string &server, const Fingerprint &fingerprint, TimePoint now)
+{
+    if (const ServerView *view = this->parts.servers.find(server); view != nullptr) {
+        this->accused.push_back({server, view->entry.born, fingerprint, now});
+    }
+}
+
+// A broken connection alone is no crash. The list tells: the server is gone from it, or has started again.
+void ForwardTask::confirmDeaths(TimePoint now)
+{
+    std::erase_if(this->accused, [this, now](const Accusation &accusation) {
+        const ServerView *view = this->parts.servers.find(accusation.server);
+        if (view != nullptr && view->entry.born == accusation.born) {
+            return now - accusation.at > config::DeathConfirmedWithin;
+        }
+        const std::array<Fingerprint, 1> running {accusation.fingerprint};
+        const DeathId death = deathIdOf(accusation.server, std::to_string(accusation.born));
+        this->parts.suspicions.died(death, running, now);
+        this->parts.events.line("request_suspected", LogRank::Failure).with("server", accusation.server);
+        return true;
+    });
+}
+
 void ForwardTask::refuseNew()
 {
     this->refusing = true;
@@ -185,6 +222,7 @@
 void ForwardTask::tick(TimePoint now)
 {
     this->parts.servers.tick(now);
+    this->confirmDeaths(now);
     this->placesChanged();
 }
 
@@ -201,10 +239,16 @@
     this->placesChanged();
 }
 
-std::chrono::milliseconds ForwardTask::retryAfter()
+// Callers come back within a part of the time that they have, spread out. Where the host is at fault and not the load,
+// another host can serve them at once.
+std::chrono::milliseconds ForwardTask::retryAfter(ErrorKind kind, std::chrono::milliseconds timeLeft)
 {
-    return config::ForwardRetryAfterLeast
-        + std::chrono::milliseconds(this->random() % static_cast<std::uint64_t>(config::ForwardRetryAfterSpread.count()));
+    const bool loaded = kind == ErrorKind::Overloaded || kind == ErrorKind::NoServer;
+    const auto least = config::ForwardRetryAfterLeast;
+    const auto most = loaded ? std::max<std::chrono::milliseconds>(timeLeft / config::ForwardRetryAfterPart, 2 * least)
+                             : 2 * least;
+    const auto spread = static_cast<std::uint64_t>((most - least).count());
+    return least + std::chrono::milliseconds(this->random() % (spread + 1));
 }
 
 } // namespace endivespan
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -82,7 +82,17 @@
     /// Ends a run; it is destroyed once the current callbacks have returned.
     void finish(ForwardRun &run);
 
-    [[nodiscard]] std::chrono::milliseconds retryAfter();
+    /// Refuses a request that has certainly not run.
+    /// @returns when its caller is told to come back.
+    std::chrono::milliseconds replyRefusal(HttpExchange &exchange,
+                                           const std::string &requestId,
+                                           const Error &error,
+                                           std::chrono::milliseconds timeLeft);
+
+    /// Takes that a connection broke before the request on it had an answer. It counts once the list of servers
+    /// confirms that the server died.
+    void accuse(const std::string &server, const Fingerprint &fingerprint, TimePoint now);
+
     [[nodiscard]] std::size_t hosts() const;
 
     ForwardParts parts;
@@ -91,7 +101,16 @@
     std::mt19937_64 random;
 
 private:
-    void refuse(HttpExchange &exchange, const std::string &requestId, const Error &error);
+    struct Accusation {
+        std::string server;
+        std::uint64_t born = 0;
+        Fingerprint fingerprint;
+        TimePoint at;
+    };
+
+    void refuse(HttpExchange &exchange, const ForwardRequest &request, const Error &error);
+    void confirmDeaths(TimePoint now);
+    [[nodiscard]] std::chrono::milliseconds retryAfter(ErrorKind kind, std::chrono::milliseconds timeLeft);
 
     std::unique_ptr<Placement> placement;
     std::map<const ForwardRun *, std::unique_ptr<ForwardRun>> runs;
@@ -99,6 +118,7 @@
     std::unique_ptr<Timer> cleanup;
     std::unique_ptr<Timer> wakeup;
     std::vector<ForwardRun *> waiting;
+    std::vector<Accusation> accused;
     bool refusing = false;
 };
 
