Save prompt parts to the stores and fetch them from there

Ruled out: more affinity alone, since the subjects of one engine are about twice its memory. Change: SharedStores follows each store's events and plans fetches bound to the engines' clock and saves by rendezvous; parts of replaced weights are freed once no host can use them. Engines must confirm the weights an attempt counts on.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -249,17 +249,28 @@
 constexpr std::chrono::microseconds RunningCost = 2000us; ///< Slower steps for all.
 constexpr std::chrono::milliseconds PlainRunCost = 60ms;
 
+// Forwarded requests: stores of prompt parts
+constexpr std::chrono::milliseconds StoreViewTime = 1200ms; ///< Less than a store takes to start again.
+constexpr double StoreFillShare = 0.97; ///< The rest covers parts that are being written.
+constexpr std::chrono::milliseconds StoreSaveAgain = 4000ms; ///< After a save that no event has confirmed.
+constexpr std::chrono::milliseconds StoreEventsWait = 250ms; ///< Shorter waits count as probes.
+constexpr std::chrono::milliseconds StoreEventsPause = 250ms;
+constexpr std::chrono::milliseconds StoreEventsTimeout = 600ms;
+constexpr std::chrono::milliseconds OldScopeUse = 4000ms; ///< After newer weights were named.
+constexpr std::chrono::milliseconds OldScopeFree = 7500ms; ///< Every host has stopped using it, and fetches are over.
+constexpr std::size_t StoreFreeParts = 500; ///< In one call.
+
 // Forwarded requests: repeats
 constexpr double SpareHostFactor = 1.4; ///< Hosts that may join before the others know them.
 constexpr double RetryRatioUsed = 0.85; ///< Part of the ratio; the rest covers windows that end elsewhere.
 
 // Orders to engines
 constexpr std::chrono::milliseconds OrderRetryPause = 300ms;
-constexpr std::chrono::milliseconds OrderBusyPause = 300ms;
-constexpr std::chrono::milliseconds LoadTime = 1200ms; ///< Until an engine is asked whether it is done.
+constexpr std::chrono::milliseconds OrderBusyPause = 200ms;
+constexpr std::chrono::milliseconds LoadTime = 1050ms; ///< Until an engine is asked whether it is done.
 constexpr std::chrono::milliseconds ListLag = 2500ms; ///< Two heartbeats of a server, and the poll.
 
-constexpr std::size_t EnginesLoadingAtOnce = 3; ///< More at once take longer each.
+constexpr std::size_t EnginesLoadingAtOnce = 5; ///< Three load at full speed; the others finish their runs.
 constexpr std::chrono::milliseconds OrderLeaseTerm = 1200ms; ///< A few calls to a slow log.
 constexpr std::chrono::milliseconds OrderLeaseMargin = 200ms;
 constexpr std::chrono::milliseconds OrderLeaseRankStep = 150ms; ///< An append and the read that sees it.
@@ -301,7 +312,7 @@
 constexpr std::chrono::seconds DeathConfirmedWithin = 6s; ///< Missed heartbeats, and the poll.
 constexpr std::uint32_t EngineInFlight = 24; ///< Own attempts at one engine.
 constexpr std::uint32_t PlainInFlight = 6; ///< Own attempts at one plain server.
-constexpr std::chrono::milliseconds OldWeightsMargin = 1500ms; ///< Before older weights may no longer be used.
+constexpr std::chrono::milliseconds OldWeightsMargin = 2500ms; ///< Before older weights may no longer be used.
 constexpr std::chrono::milliseconds StopRefuseAfter = 2500ms; ///< From SIGTERM; the balancer has looked twice by then.
 constexpr std::chrono::milliseconds StopLeastTime = 3000ms;
 constexpr std::chrono::milliseconds StopMargin = 400ms; ///< Before the process would be killed.
--- a/packages/core/include/endivespan/forward.h
+++ b/packages/core/include/endivespan/forward.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <endivespan/clock.h>
+#include <endivespan/shared_store.h>
 
 #include <cstdint>
 #include <map>
@@ -72,6 +73,7 @@
     std::uint64_t version = 0;
     std::vector<ForwardRoute> routes;
     std::unordered_map<std::string, ForwardService> services;
+    std::vector<ForwardStore> stores;
     std::vector<ForwardOrganisation> organisations;
     std::unordered_map<std::string, std::size_t> keys; ///< Index into organisations, by API key.
     ForwardLimits limits;
--- a/packages/core/include/endivespan/server_table.h
+++ b/packages/core/include/endivespan/server_table.h
@@ -101,6 +101,9 @@
 
     void reported(const std::string &id, const ServerLoadReport &load, TimePoint now);
 
+    /// Takes a weight version that a server itself has named; the list lags.
+    void saidWeights(const std::string &id, const std::string &model, std::uint64_t version);
+
     /// @returns whether the server takes new work at all now, by what is known.
     [[nodiscard]] bool isOpen(const ServerView &server, TimePoint now) const;
 
--- /dev/null
+++ b/packages/core/include/endivespan/shared_store.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <endivespan/clock.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Which parts of prompts the stores hold, and which of them an attempt fetches or saves.
+namespace endivespan {
+
+/// A store of cached prompt parts. It drops nothing by itself.
+struct ForwardStore {
+    std::string name;
+    std::string address; ///< "a.b.c.d:port".
+    std::string domain;
+    std::uint64_t capacityTokens = 0;
+
+    bool operator==(const ForwardStore &) const = default;
+};
+
+/// A part within the scope of its weights and, where isolated, its organisation.
+struct ScopedPart {
+    std::string scope;
+    std::string id;
+
+    auto operator<=>(const ScopedPart &) const = default; // NOLINT(modernize-use-nullptr): false positive
+};
+
+/// One change of what a store holds.
+struct StoreEvent {
+    ScopedPart part;
+    bool stored = false; ///< False: freed.
+    std::uint64_t tokens = 0;
+};
+
+/// What a store answers when asked for its events.
+struct StoreEvents {
+    std::uint64_t epoch = 0; ///< Changes when the store starts again, empty.
+    std::uint64_t next = 0; ///< What to ask after next.
+    std::optional<std::chrono::milliseconds> clock; ///< The engines' clock, at the answer.
+    std::vector<StoreEvent> events;
+};
+
+/// Where an attempt's parts come from and go to, by place in the prompt; empty for none.
+struct TransferPlan {
+    std::vector<std::string> fetch; ///< Store addresses.
+    std::vector<std::string> save;
+    /// On the engines' clock: a fetch that ends later is to be thrown away.
+    std::optional<std::chrono::milliseconds> fetchUntil;
+};
+
+/// A part that a plan asks about.
+struct PlannedPart {
+    std::string id;
+    std::uint64_t tokens = 0;
+};
+
+/// The stores as this host sees them. A store that starts again may be written anew, so that what is known of it only
+/// holds for a short time on the engines' clock, shorter than a store takes to start; each fetch is bound to that time.
+/// Answers a load of many long prefixes that return within seconds and that the engines' memory cannot hold.
+class SharedStores
+{
+public:
+    void setStores(const std::vector<ForwardStore> &stores);
+
+    /// @returns the address and the next event number of each store.
+    [[nodiscard]] std::vector<std::pair<std::string, std::uint64_t>> toAsk() const;
+
+    /// Takes an answer of the store at @p address that was asked for at @p askedAt.
+    /// @returns false when the store has started again, so that it must be asked from the first event on.
+    bool answered(const std::string &address, const StoreEvents &events, TimePoint askedAt);
+
+    /// Plans the transfers of the parts that a prompt shares with others, and takes note of what it saves.
+    /// @param domain Failure domain of the engine.
+    [[nodiscard]] TransferPlan
+    plan(const std::string &scope, const std::vector<PlannedPart> &parts, const std::string &domain, TimePoint now);
+
+    /// @returns the parts held at @p address outside of the scopes in use, at most @p limit, with the store's epoch.
+    /// @param isOld Tells whether a scope is used no more.
+    [[nodiscard]] std::pair<std::uint64_t, std::vector<ScopedPart>>
+    toFree(const std::string &address, const std::function<bool(const std::string &scope)> &isOld, std::size_t limit) const;
+
+    /// Takes that parts were freed, before the store's own events tell.
+    void freed(const std::string &address, const std::vector<ScopedPart> &parts);
+
+    /// @returns how many parts all stores hold, as far as known.
+    [[nodiscard]] std::size_t parts() const;
+
+private:
+    struct View {
+        ForwardStore store;
+        std::uint64_t epoch = 0;
+        std::uint64_t next = 0;
+        std::optional<TimePoint> asOf;
+        std::optional<std::chrono::milliseconds> clock;
+        std::map<ScopedPart, std::uint64_t> held; ///< Tokens by part.
+        std::uint64_t usedTokens = 0;
+        std::map<ScopedPart, TimePoint> saving; ///< Sent along with an attempt and not reported yet.
+    };
+
+    [[nodiscard]] static bool isFresh(const View &view, TimePoint now);
+    const View *holder(const ScopedPart &part, const std::string &domain, TimePoint now) const;
+    View *saver(const ScopedPart &part, std::uint64_t tokens, TimePoint now);
+
+    std::map<std::string, View> views; ///< By address.
+};
+
+} // namespace endivespan
--- a/packages/core/src/server_table.cpp
+++ b/packages/core/src/server_table.cpp
@@ -44,7 +44,13 @@
         || view.entry.draining != entry.draining || view.entry.born != entry.born
         || view.entry.weights != entry.weights;
     const bool advanced = isNew || entry.heartbeat > view.entry.heartbeat || entry.born > view.entry.born;
+    // Within one life versions only rise, and the server itself may have named a newer one than its entry.
+    const auto weights = view.entry.born == entry.born ? view.entry.weights : entry.weights;
     view.entry = entry;
+    for (const auto &[model, version] : weights) {
+        std::uint64_t &listed = view.entry.weights[model];
+        listed = std::max(listed, version);
+    }
     view.withdrawAt.reset();
     view.coldUntil = std::max(view.coldUntil, now + entry.coldFor);
     if (advanced) {
@@ -153,6 +159,14 @@
     }
 }
 
+void ServerTable::saidWeights(const std::string &id, const std::string &model, std::uint64_t version)
+{
+    if (const auto found = this->views.find(id); found != this->views.end()) {
+        std::uint64_t &known = found->second.entry.weights[model];
+        known = std::max(known, version);
+    }
+}
+
 bool ServerTable::isOpen(const ServerView &server, TimePoint now) const
 {
     return !server.entry.draining && now >= server.avoidUntil && !this->evacuatedDomains.contains(server.entry.domain);
--- /dev/null
+++ b/packages/core/src/shared_store.cpp
@@ -0,0 +1,174 @@
+#include <endivespan/config.h>
+#include <endivespan/placement.h>
+#include <endivespan/shared_store.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace endivespan {
+
+void SharedStores::setStores(const std::vector<ForwardStore> &stores)
+{
+    std::set<std::string> present;
+    for (const ForwardStore &store : stores) {
+        present.insert(store.address);
+        View &view = this->views[store.address];
+        if (view.store != store) {
+            view = View {};
+            view.store = store;
+        }
+    }
+    std::erase_if(this->views, [&present](const auto &entry) { return !present.contains(entry.first); });
+}
+
+std::vector<std::pair<std::string, std::uint64_t>> SharedStores::toAsk() const
+{
+    std::vector<std::pair<std::string, std::uint64_t>> list;
+    for (const auto &[address, view] : this->views) {
+        list.emplace_back(address, view.next);
+    }
+    return list;
+}
+
+bool SharedStores::answered(const std::string &address, const StoreEvents &events, TimePoint askedAt)
+{
+    const auto found = this->views.find(address);
+    if (found == this->views.end()) {
+        return true;
+    }
+    View &view = found->second;
+    if (view.asOf && events.epoch != view.epoch) {
+        const ForwardStore store = view.store;
+        view = View {};
+        view.store = store;
+        return false;
+    }
+    view.epoch = events.epoch;
+    view.next = events.next;
+    view.asOf = askedAt;
+    view.clock = events.clock;
+    for (const StoreEvent &event : events.events) {
+        view.saving.erase(event.part);
+        if (event.stored) {
+            std::uint64_t &tokens = view.held[event.part];
+            view.usedTokens += event.tokens - std::min(tokens, event.tokens);
+            tokens = std::max(tokens, event.tokens);
+        } else if (const auto entry = view.held.find(event.part); entry != view.held.end()) {
+            view.usedTokens -= std::min(view.usedTokens, entry->second);
+            view.held.erase(entry);
+        }
+    }
+    return true;
+}
+
+bool SharedStores::isFresh(const View &view, TimePoint now)
+{
+    return view.asOf && now - *view.asOf <= config::StoreViewTime;
+}
+
+const SharedStores::View *
+SharedStores::holder(const ScopedPart &part, const std::string &domain, TimePoint now) const
+{
+    const View *best = nullptr;
+    for (const auto &[address, view] : this->views) {
+        if (isFresh(view, now) && view.held.contains(part) && (best == nullptr || view.store.domain == domain)) {
+            best = &view;
+        }
+    }
+    return best;
+}
+
+// Rendezvous by capacity, so that all hosts save a part in the same place.
+SharedStores::View *SharedStores::saver(const ScopedPart &part, std::uint64_t tokens, TimePoint now)
+{
+    View *best = nullptr;
+    double most = -std::numeric_limits<double>::infinity();
+    for (auto &[address, view] : this->views) {
+        const double room = config::StoreFillShare * static_cast<double>(view.store.capacityTokens);
+        if (!isFresh(view, now) || static_cast<double>(view.usedTokens + tokens) > room) {
+            continue;
+        }
+        const double place = static_cast<double>(hashPrefix(hashPrefix(0, part.id), address) >> 11U) * 0x1.0p-53;
+        const double score = std::log(std::max(place, 1e-300)) / static_cast<double>(view.store.capacityTokens);
+        if (best == nullptr || score > most) {
+            most = score;
+            best = &view;
+        }
+    }
+    return best;
+}
+
+TransferPlan SharedStores::plan(const std::string &scope,
+                                const std::vector<PlannedPart> &parts,
+                                const std::string &domain,
+                                TimePoint now)
+{
+    TransferPlan plan;
+    plan.fetch.resize(parts.size());
+    plan.save.resize(parts.size());
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        const ScopedPart part {scope, parts[i].id};
+        if (const View *view = this->holder(part, domain, now)) {
+            plan.fetch[i] = view->store.address;
+            if (view->clock) {
+                const auto until = *view->clock + config::StoreViewTime;
+                plan.fetchUntil = std::min(plan.fetchUntil.value_or(until), until);
+            }
+            continue;
+        }
+        View *view = this->saver(part, parts[i].tokens, now);
+        if (view == nullptr) {
+            continue;
+        }
+        const auto sent = view->saving.find(part);
+        if (sent == view->saving.end() || now - sent->second > config::StoreSaveAgain) {
+            view->saving[part] = now;
+            plan.save[i] = view->store.address;
+        }
+    }
+    return plan;
+}
+
+std::pair<std::uint64_t, std::vector<ScopedPart>>
+SharedStores::toFree(const std::string &address,
+                     const std::function<bool(const std::string &scope)> &isOld,
+                     std::size_t limit) const
+{
+    std::vector<ScopedPart> parts;
+    const auto found = this->views.find(address);
+    if (found == this->views.end()) {
+        return {0, parts};
+    }
+    for (const auto &[part, tokens] : found->second.held) {
+        if (parts.size() < limit && isOld(part.scope)) {
+            parts.push_back(part);
+        }
+    }
+    return {found->second.epoch, parts};
+}
+
+void SharedStores::freed(const std::string &address, const std::vector<ScopedPart> &parts)
+{
+    const auto found = this->views.find(address);
+    if (found == this->views.end()) {
+        return;
+    }
+    for (const ScopedPart &part : parts) {
+        if (const auto entry = found->second.held.find(part); entry != found->second.held.end()) {
+            found->second.usedTokens -= std::min(found->second.usedTokens, entry->second);
+            found->second.held.erase(entry);
+        }
+    }
+}
+
+std::size_t SharedStores::parts() const
+{
+    std::size_t count = 0;
+    for (const auto &[address, view] : this->views) {
+        count += view.held.size();
+    }
+    return count;
+}
+
+} // namespace endivespan
--- a/packages/node/include/endivespan/forward_codec.h
+++ b/packages/node/include/endivespan/forward_codec.h
@@ -5,6 +5,7 @@
 #include <endivespan/http_server.h>
 #include <endivespan/rollout.h>
 #include <endivespan/server_table.h>
+#include <endivespan/shared_store.h>
 
 #include <chrono>
 #include <cstdint>
@@ -50,6 +51,7 @@
     std::string cacheScope; ///< Requests with different ones share no cached prefix.
     std::optional<std::uint64_t> weights; ///< A server with other weights refuses.
     std::optional<std::uint64_t> lastEvent; ///< The answer goes on after this event.
+    TransferPlan transfers;
 };
 
 /// What the head of a server's answer says beside its status.
@@ -58,6 +60,7 @@
     std::string server; ///< Who answered, where the answer says so.
     bool genuine = false; ///< It bears the server's mark.
     std::optional<ServerLoadReport> load;
+    std::optional<std::uint64_t> weights; ///< Version that the server has.
 };
 
 /// Translates between one wire and the types above.
@@ -142,4 +145,25 @@
         = 0;
 };
 
+/// Asks stores of prompt parts what they hold, and frees parts.
+class StoreControl
+{
+public:
+    virtual ~StoreControl() = default;
+
+    /// Asks for events from number @p since on; the store may hold the call for @p wait.
+    virtual void events(const std::string &address,
+                        std::uint64_t since,
+                        std::chrono::milliseconds wait,
+                        std::function<void(Result<StoreEvents>)> done)
+        = 0;
+
+    /// Frees parts, unless the store has started again since @p epoch.
+    virtual void free(const std::string &address,
+                      std::uint64_t epoch,
+                      const std::vector<ScopedPart> &parts,
+                      std::function<void(Result<void>)> done)
+        = 0;
+};
+
 } // namespace endivespan
--- a/packages/node/include/endivespan/forward_node.h
+++ b/packages/node/include/endivespan/forward_node.h
@@ -18,6 +18,7 @@
     const RecordCodec &records;
     KeyedLog &log;
     EngineControl &engines;
+    StoreControl &stores;
 };
 
 /// Owns every task of the process.
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -4,6 +4,7 @@
 #include "peer_task.h"
 #include "rollout_task.h"
 #include "server_feed.h"
+#include "store_task.h"
 
 #include <endivespan/config.h>
 #include <endivespan/forward_node.h>
@@ -70,11 +71,13 @@
                   this->servers,
                   this->settings.host + "#" + std::to_string(this->membership.self().status.version.incarnation),
                   this->settings.bounds.leaseGap)
+        , stores(loop, adapters.stores, this->events, this->sharedStores, this->operators, this->membership)
         , forward(ForwardParts {loop,
                                 this->settings,
                                 adapters.codec,
                                 this->operators,
                                 this->servers,
+                                this->sharedStores,
                                 this->membership,
                                 this->confirmation,
                                 this->peers.suspicions,
@@ -204,6 +207,7 @@
         this->metrics.gauge("stray_answers", "", static_cast<double>(pool.strayAnswers));
         this->metrics.gauge("hosts", "", static_cast<double>(this->forward.hosts()));
         this->metrics.gauge("servers", "", static_cast<double>(this->servers.servers().size()));
+        this->metrics.gauge("stored_parts", "", static_cast<double>(this->sharedStores.parts()));
         this->metrics.gauge("ready", "", this->isReady(now) ? 1 : 0);
         this->metrics.gauge("log_lines_suppressed", "", static_cast<double>(this->events.suppressed()));
         const auto &config = this->operators.state().config;
@@ -216,6 +220,9 @@
         const OperatorState &state = this->operators.state();
         this->servers.setEvacuated(state.evacuated);
         this->rollout.setTargets(state.weights);
+        if (state.config) {
+            this->stores.setStores(state.config->stores);
+        }
         this->callers->setLimits(this->callerLimits());
     }
 
@@ -225,6 +232,7 @@
         this->peers.tick(now);
         this->rankHosts(now);
         this->rollout.tick(now);
+        this->stores.tick(now);
         this->forward.tick(now);
         if (const bool ready = this->isReady(now); ready != this->wasReady) {
             this->wasReady = ready;
@@ -276,11 +284,13 @@
     Membership membership;
     Confirmation confirmation;
     ServerTable servers;
+    SharedStores sharedStores;
     OperatorFeed operators;
     ServerFeed serverFeed;
     HostFeed hostFeed;
     PeerTask peers;
     RolloutTask rollout;
+    StoreTask stores;
     ForwardTask forward;
     std::unique_ptr<HttpServer> callers;
     std::unique_ptr<HttpServer> readiness;
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -1,6 +1,7 @@
 #include "forward_run.h"
 
 #include "answer.h"
+#include "store_task.h"
 
 #include <endivespan/config.h>
 
@@ -121,10 +122,34 @@
     return false;
 }
 
-std::string ForwardRun::cacheScope() const
+// What is cached belongs to one version of the weights, which the engine is made to confirm.
+void ForwardRun::prepareEngine(ForwardDispatch &dispatch, const ServerView &view, TimePoint now)
 {
+    const auto own = this->work.organisation == nullptr ? std::nullopt : this->work.organisation->priority;
+    dispatch.priority = own.value_or(this->work.route->priority);
+    const std::string &model = this->work.request.model;
+    const auto weights = view.entry.weights.find(model);
+    if (weights == view.entry.weights.end()) {
+        return;
+    }
+    dispatch.weights = weights->second;
     // Organisations that are not isolated share one scope.
-    return this->work.organisation != nullptr && this->work.organisation->isolated ? this->work.organisation->name : "";
+    const bool isolated = this->work.organisation != nullptr && this->work.organisation->isolated;
+    dispatch.cacheScope = cacheScope(model, weights->second, isolated ? this->work.organisation->name : "");
+    const OperatorState &state = this->task.parts.operators.state();
+    const auto newest = state.weights.find(model);
+    if (newest != state.weights.end() && weights->second < newest->second) {
+        const auto seenAt = state.weightsSeenAt.find(model);
+        if (seenAt == state.weightsSeenAt.end() || now - seenAt->second > config::OldScopeUse) {
+            return;
+        }
+    }
+    std::vector<PlannedPart> shared;
+    const auto &parts = this->work.request.parts;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        shared.push_back({parts[i].id, parts[i].tokens});
+    }
+    dispatch.transfers = this->task.parts.stores.plan(dispatch.cacheScope, shared, view.entry.domain, now);
 }
 
 void ForwardRun::send(const PlacementChoice &choice, TimePoint now)
@@ -151,16 +176,7 @@
     dispatch.organisation = this->work.organisation == nullptr ? "" : this->work.organisation->name;
     dispatch.timeLeft = toMilliseconds(this->work.deadline - now);
     if (!this->work.request.model.empty()) {
-        const auto own = this->work.organisation == nullptr ? std::nullopt : this->work.organisation->priority;
-        dispatch.priority = own.value_or(this->work.route->priority);
-        dispatch.cacheScope = this->cacheScope();
-        PlacementNeed weights;
-        weights.service = this->work.service;
-        weights.model = this->work.request.model;
-        this->task.completeNeed(weights, now);
-        if (weights.oldestWeights > 0) {
-            dispatch.weights = weights.oldestWeights;
-        }
+        this->prepareEngine(dispatch, view, now);
     }
     dispatch.lastEvent = this->lastEvent ? this->lastEvent : this->work.request.lastEvent;
 
@@ -215,6 +231,9 @@
     if (answer.load) {
         this->task.parts.servers.reported(this->server, *answer.load, now);
     }
+    if (answer.weights && !this->work.request.model.empty()) {
+        this->task.parts.servers.saidWeights(this->server, this->work.request.model, *answer.weights);
+    }
     this->status = answerStatus;
     this->headers = fields;
     if (answer.notRun) {
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -46,7 +46,7 @@
     bool tryPlace(TimePoint now);
     void send(const PlacementChoice &choice, TimePoint now);
     [[nodiscard]] PlacementNeed need() const;
-    [[nodiscard]] std::string cacheScope() const;
+    void prepareEngine(ForwardDispatch &dispatch, const ServerView &view, TimePoint now);
 
     void onHead(int status, const HttpHeaders &headers);
     void onBody(std::string_view bytes);
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -35,6 +35,7 @@
     const ForwardCodec &codec;
     const OperatorFeed &operators;
     ServerTable &servers;
+    SharedStores &stores;
     Membership &membership;
     Confirmation &confirmation;
     SuspicionTable &suspicions;
--- a/packages/node/src/operator_feed.cpp
+++ b/packages/node/src/operator_feed.cpp
@@ -160,7 +160,8 @@
         std::uint64_t &known = this->current.weights[weights->model];
         if (weights->version > known) {
             known = weights->version;
-            this->current.weightsSeenAt[weights->model] = this->loop.now();
+            // How long ago the first record that is found was written is not known.
+            this->current.weightsSeenAt[weights->model] = this->followed ? this->loop.now() : TimePoint {};
             this->events.line("weights_named").with("model", weights->model).with("version", weights->version);
         }
     }
--- /dev/null
+++ b/packages/node/src/store_task.cpp
@@ -0,0 +1,137 @@
+#include "store_task.h"
+
+#include <endivespan/config.h>
+#include <endivespan/ownership.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace endivespan {
+
+std::string cacheScope(const std::string &model, std::uint64_t version, const std::string &organisation)
+{
+    return model + "/" + std::to_string(version) + "/" + organisation;
+}
+
+std::optional<std::pair<std::string, std::uint64_t>> readScope(const std::string &scope)
+{
+    const std::size_t first = scope.find('/');
+    const std::size_t second = first == std::string::npos ? first : scope.find('/', first + 1);
+    if (second == std::string::npos) {
+        return std::nullopt;
+    }
+    std::uint64_t version = 0;
+    const char *end = scope.data() + second;
+    if (std::from_chars(scope.data() + first + 1, end, version).ptr != end) {
+        return std::nullopt;
+    }
+    return std::pair(scope.substr(0, first), version);
+}
+
+StoreTask::StoreTask(Loop &loop,
+                     StoreControl &control,
+                     EventLog &events,
+                     SharedStores &stores,
+                     const OperatorFeed &operators,
+                     const Membership &membership)
+    : loop(loop)
+    , control(control)
+    , events(events)
+    , stores(stores)
+    , operators(operators)
+    , membership(membership)
+    , random(std::random_device {}())
+    , startedAt(loop.now())
+{
+}
+
+void StoreTask::setStores(const std::vector<ForwardStore> &list)
+{
+    this->stores.setStores(list);
+}
+
+void StoreTask::tick(TimePoint now)
+{
+    for (const auto &[address, next] : this->stores.toAsk()) {
+        Line &line = this->lines[address];
+        if (!line.asking && now >= line.askAt) {
+            line.asking = true;
+            this->ask(address, next);
+        }
+        if (now >= line.freeAt) {
+            line.freeAt = now + config::OwnershipPeriod;
+            this->freeOld(address, now);
+        }
+    }
+}
+
+void StoreTask::ask(const std::string &address, std::uint64_t since)
+{
+    const TimePoint askedAt = this->loop.now();
+    this->control.events(address,
+                         since,
+                         config::StoreEventsWait,
+                         [this, address, askedAt](const Result<StoreEvents> &answer) {
+                             this->answered(address, answer, askedAt);
+                         });
+}
+
+void StoreTask::answered(const std::string &address, const Result<StoreEvents> &answer, TimePoint askedAt)
+{
+    const TimePoint now = this->loop.now();
+    Line &line = this->lines[address];
+    line.asking = false;
+    // Hosts that ask in step would all be refused at once.
+    line.askAt = now + config::StoreEventsPause / 2
+        + std::chrono::milliseconds(this->random() % static_cast<std::uint64_t>(config::StoreEventsPause.count()));
+    if (answer.has_value() != line.reachable) {
+        line.reachable = answer.has_value();
+        this->events.line(line.reachable ? "dependency_regained" : "dependency_lost", LogRank::Failure)
+            .with("dependency", "store")
+            .with("address", address)
+            .with("why", answer ? "" : answer.error().detail);
+    }
+    if (answer && !this->stores.answered(address, answer.value(), askedAt)) {
+        this->events.line("store_started_again").with("address", address).with("epoch", answer.value().epoch);
+        line.askAt = now;
+    }
+}
+
+bool StoreTask::isOld(const std::string &scope, TimePoint now) const
+{
+    const auto made = readScope(scope);
+    if (!made) {
+        return false;
+    }
+    const OperatorState &state = this->operators.state();
+    const auto newest = state.weights.find(made->first);
+    const auto seenAt = state.weightsSeenAt.find(made->first);
+    if (newest == state.weights.end() || seenAt == state.weightsSeenAt.end() || made->second >= newest->second) {
+        return false;
+    }
+    return now - std::max(seenAt->second, this->startedAt) > config::OldScopeFree;
+}
+
+void StoreTask::freeOld(const std::string &address, TimePoint now)
+{
+    if (proposedOwner(this->membership.owners(), "store/" + address) != this->membership.self().name) {
+        return;
+    }
+    auto [epoch, parts] = this->stores.toFree(
+        address, [this, now](const std::string &scope) { return this->isOld(scope, now); }, config::StoreFreeParts);
+    if (parts.empty()) {
+        return;
+    }
+    this->events.line("parts_freed").with("store", address).with("parts", parts.size()).with("epoch", epoch);
+    this->control.free(address, epoch, parts, [this, address, freed = parts](const Result<void> &done) {
+        if (done) {
+            this->stores.freed(address, freed);
+        } else {
+            this->events.line("parts_not_freed", LogRank::Failure)
+                .with("store", address)
+                .with("why", done.error().detail);
+        }
+    });
+}
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/node/src/store_task.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "operator_feed.h"
+
+#include <endivespan/event_log.h>
+#include <endivespan/forward_codec.h>
+#include <endivespan/loop.h>
+#include <endivespan/membership.h>
+#include <endivespan/shared_store.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+/// Keeps up with the stores of prompt parts, and frees what no request will use again.
+namespace endivespan {
+
+/// Asks each store in turn. One host a store frees; two at once do no harm.
+class StoreTask
+{
+public:
+    StoreTask(Loop &loop,
+              StoreControl &control,
+              EventLog &events,
+              SharedStores &stores,
+              const OperatorFeed &operators,
+              const Membership &membership);
+
+    void setStores(const std::vector<ForwardStore> &list);
+    void tick(TimePoint now);
+
+private:
+    struct Line {
+        bool asking = false;
+        bool reachable = true;
+        TimePoint askAt;
+        TimePoint freeAt;
+    };
+
+    void ask(const std::string &address, std::uint64_t since);
+    void answered(const std::string &address, const Result<StoreEvents> &answer, TimePoint askedAt);
+    void freeOld(const std::string &address, TimePoint now);
+    [[nodiscard]] bool isOld(const std::string &scope, TimePoint now) const;
+
+    Loop &loop;
+    StoreControl &control;
+    EventLog &events;
+    SharedStores &stores;
+    const OperatorFeed &operators;
+    const Membership &membership;
+    std::mt19937_64 random;
+    TimePoint startedAt;
+    std::map<std::string, Line> lines; ///< By address.
+};
+
+/// @returns the scope of parts made with weights @p version for @p organisation; empty for one that shares with others.
+std::string cacheScope(const std::string &model, std::uint64_t version, const std::string &organisation);
+
+/// @returns model and version of a scope made by cacheScope(), or nothing for another text.
+std::optional<std::pair<std::string, std::uint64_t>> readScope(const std::string &scope);
+
+} // namespace endivespan
