--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -23,6 +23,7 @@
     std::uint64_t newestWeights = 0; ///< Newest version named for the model.
     std::uint64_t oldestWeights = 0; ///< Servers with older ones may not be used.
     ColdShare cold;
+    std::vector<std::string> loadingNext; ///< Servers that are about to change their weights, the first ones first.
     std::uint32_t mostInFlight = 0; ///< Own attempts at one server.
     std::set<std::string> tried; ///< Servers that have had the request.
 };
@@ -51,7 +52,8 @@
 std::unique_ptr<Placement> makeLeastInFlightPlacement();
 
 /// @returns least expected time to the first byte, where a shared prefix is expected at the first servers of its
-///     rendezvous order. Answers a load of many subjects that each come back seldom to any one host.
+///     rendezvous order. Answers a load of many subjects that each come back seldom to any one host. Long prefixes have
+///     servers of their own to go to first, since one of them drives dozens of short ones out of a server's memory.
 std::unique_ptr<Placement> makeExpectedStartPlacement();
 
 /// @returns a number for a sequence of prefix parts.
--- a/packages/core/include/endivespan/rollout.h
+++ b/packages/core/include/endivespan/rollout.h
@@ -37,6 +37,10 @@
     WeightOrder order;
 };
 
+/// @returns the engines that have older weights of @p model than @p version, in the order in which they are to change.
+///     Every host comes to the same order, and so can leave the next ones time to finish.
+std::vector<std::string> rolloutOrder(const ServerTable &table, const std::string &model, std::uint64_t version);
+
 /// Decides which engine is next. Answers the load of a whole pool that has to change its weights while it serves: at
 /// most a few engines are away at a time.
 class Rollout
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -91,8 +91,12 @@
         PlacementChoice choice = forEachCandidate(table, need, now, [&](const std::string &id, const ServerView &view) {
             candidates.push_back({&id, &view, mix(need.prefixHash ^ hashText(id))});
         });
-        std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
-            return a.rank > b.rank;
+        const auto preferred = [&need](const Candidate &candidate) {
+            return need.sharedTokens == 0
+                || isForLongPrefixes(*candidate.id) == (need.sharedTokens >= config::LongPrefixTokens);
+        };
+        std::sort(candidates.begin(), candidates.end(), [&preferred](const Candidate &a, const Candidate &b) {
+            return std::pair(preferred(a), a.rank) > std::pair(preferred(b), b.rank);
         });
         double least = std::numeric_limits<double>::max();
         for (std::size_t place = 0; place < candidates.size(); ++place) {
@@ -112,6 +116,11 @@
     }
 
 private:
+    static bool isForLongPrefixes(const std::string &id)
+    {
+        return static_cast<double>(mix(hashText(id)) % 1000) < 1000 * config::LongPrefixServers;
+    }
+
     // In milliseconds.
     static double costOf(const ServerView &view, const PlacementNeed &need, std::size_t place, TimePoint now)
     {
@@ -147,6 +156,11 @@
         if (weights != view.entry.weights.end() && weights->second < need.newestWeights) {
             cost += Milliseconds(config::OldWeightsCost).count();
         }
+        const auto next = std::find(need.loadingNext.begin(), need.loadingNext.end(), view.entry.id);
+        if (next != need.loadingNext.end()) {
+            const auto ahead = static_cast<std::size_t>(next - need.loadingNext.begin());
+            cost += Milliseconds(ahead < config::EnginesLoadingAtOnce ? config::LoadingCost : config::LoadingSoonCost).count();
+        }
         return cost;
     }
 
--- a/packages/core/src/rollout.cpp
+++ b/packages/core/src/rollout.cpp
@@ -1,4 +1,5 @@
 #include <endivespan/config.h>
+#include <endivespan/placement.h>
 #include <endivespan/rollout.h>
 
 #include <algorithm>
@@ -6,6 +7,24 @@
 
 namespace endivespan {
 
+std::vector<std::string> rolloutOrder(const ServerTable &table, const std::string &model, std::uint64_t version)
+{
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (const auto &[id, view] : table.servers()) {
+        const auto weights = view.entry.weights.find(model);
+        if (weights != view.entry.weights.end() && weights->second < version && !view.entry.draining) {
+            ranked.emplace_back(hashPrefix(version, id), id);
+        }
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<std::string> order;
+    order.reserve(ranked.size());
+    for (const auto &[rank, id] : ranked) {
+        order.push_back(id);
+    }
+    return order;
+}
+
 Rollout::Rollout(std::size_t atOnce)
     : atOnce(atOnce)
 {
@@ -57,12 +76,21 @@
         }
     }
     for (const auto &[id, view] : table.servers()) {
+        const auto done = this->work.find(id);
+        if (done != this->work.end() && !this->lacking(view)) {
+            away -= std::min<std::size_t>(away, done->second.phase == Phase::Waiting ? 0 : 1);
+            this->work.erase(done);
+        }
+    }
+    std::vector<std::string> order;
+    for (const auto &[model, version] : this->wanted) {
+        const auto ofModel = rolloutOrder(table, model, version);
+        order.insert(order.end(), ofModel.begin(), ofModel.end());
+    }
+    for (const std::string &id : order) {
+        const ServerView &view = *table.find(id);
         const auto need = this->lacking(view);
         if (!need) {
-            if (const auto done = this->work.find(id); done != this->work.end()) {
-                away -= std::min<std::size_t>(away, done->second.phase == Phase::Waiting ? 0 : 1);
-                this->work.erase(done);
-            }
             continue;
         }
         const auto [place, isNew] = this->work.try_emplace(id);
--- a/packages/core/src/server_table.cpp
+++ b/packages/core/src/server_table.cpp
@@ -132,9 +132,14 @@
     case AttemptOutcome::Failed:
         view.failed += 1;
         break;
-    case AttemptOutcome::Refused:
-        view.avoidUntil = std::max(view.avoidUntil, now + config::RefusedPause);
+    case AttemptOutcome::Refused: {
+        // A server that refuses with places free loads weights, or is at fault.
+        const bool full = !view.load || view.load->running + view.load->waiting >= view.load->slots;
+        view.failed += full ? 0 : 1;
+        view.avoidUntil = std::max<TimePoint>(view.avoidUntil,
+                                              now + (full ? config::RefusedPause : config::RefusedFreePause));
         break;
+    }
     case AttemptOutcome::Unreachable:
         view.failed += 1;
         view.unconfirmedSince = now;
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -162,6 +162,8 @@
     const OperatorState &state = this->parts.operators.state();
     if (const auto named = state.weights.find(need.model); named != state.weights.end()) {
         need.newestWeights = named->second;
+        need.loadingNext = rolloutOrder(this->parts.servers, need.model, named->second);
+        need.loadingNext.resize(std::min(need.loadingNext.size(), config::LoadingSoon));
         const auto seenAt = state.weightsSeenAt.find(need.model);
         const Duration bound = this->parts.settings.bounds.weights - config::OldWeightsMargin;
         if (seenAt != state.weightsSeenAt.end() && now - seenAt->second > bound) {
