Skip slow stores for short parts and free replaced parts sooner

Cause: fetches from a slowed store queued for up to 3 s; parts of replaced weights kept their space for 7.5 s, so that nothing new could be saved. Ruled out: fetching long parts from elsewhere, no store has room for two copies. Change: the excess of first tokens over the fastest store marks a slow one; transfers need the operators' word at most 2.2 s old, so that old parts can be freed 3.7 s after newer weights were named.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -249,8 +249,6 @@
 constexpr std::chrono::milliseconds LoadingCost = 400ms; ///< Of a server that is to load weights now.
 constexpr std::chrono::milliseconds LoadingSoonCost = 50ms;
 constexpr std::size_t LoadingSoon = 8; ///< Servers that count as about to load.
-constexpr std::uint64_t LongPrefixTokens = 4000; ///< A few per cent of an engine's memory.
-constexpr double LongPrefixServers = 0.45; ///< Part of the servers that long prefixes go to first.
 constexpr std::chrono::milliseconds WaitingCost = 25ms; ///< Prefill of a middling prompt.
 constexpr std::chrono::microseconds RunningCost = 2000us; ///< Slower steps for all.
 constexpr std::chrono::milliseconds PlainRunCost = 60ms;
@@ -262,9 +260,14 @@
 constexpr std::chrono::milliseconds StoreEventsWait = 250ms; ///< Shorter waits count as probes.
 constexpr std::chrono::milliseconds StoreEventsPause = 250ms;
 constexpr std::chrono::milliseconds StoreEventsTimeout = 600ms;
-constexpr std::chrono::milliseconds OldScopeUse = 4000ms; ///< After newer weights were named.
-constexpr std::chrono::milliseconds OldScopeFree = 7500ms; ///< Every host has stopped using it, and fetches are over.
-constexpr std::size_t StoreFreeParts = 500; ///< In one call.
+constexpr std::chrono::milliseconds OldScopeUse = 1000ms; ///< After newer weights were named.
+constexpr std::chrono::milliseconds TransferFreshness = 2200ms; ///< Age of what operators said: two waiting reads.
+constexpr std::chrono::milliseconds OldScopeFree = TransferFreshness + StoreViewTime + 300ms; ///< Fetches are over.
+constexpr std::size_t StoreFreeParts = 1000; ///< In one call.
+constexpr std::chrono::milliseconds SlowStoreExcess = 150ms; ///< Of fetches, beyond those from the fastest store.
+constexpr std::chrono::milliseconds StoreSpeedMemory = 1500ms;
+constexpr double StoreSpeedSmoothing = 0.2; ///< Share of a new sample.
+constexpr std::uint64_t ShortPartTokens = 4000; ///< Read in less time than a slow fetch takes.
 
 // Forwarded requests: repeats
 constexpr double SpareHostFactor = 1.4; ///< Hosts that may join before the others know them.
--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -52,8 +52,7 @@
 std::unique_ptr<Placement> makeLeastInFlightPlacement();
 
 /// @returns least expected time to the first byte, where a shared prefix is expected at the first servers of its
-///     rendezvous order. Answers a load of many subjects that each come back seldom to any one host. Long prefixes have
-///     servers of their own to go to first, since one of them drives dozens of short ones out of a server's memory.
+///     rendezvous order. Answers a load of many subjects that each come back seldom to any one host.
 std::unique_ptr<Placement> makeExpectedStartPlacement();
 
 /// @returns a number for a sequence of prefix parts.
--- a/packages/core/include/endivespan/shared_store.h
+++ b/packages/core/include/endivespan/shared_store.h
@@ -81,6 +81,10 @@
     [[nodiscard]] TransferPlan
     plan(const std::string &scope, const std::vector<PlannedPart> &parts, const std::string &domain, TimePoint now);
 
+    /// Takes how long a first token took beyond the reading of the own prompt, for an attempt that fetched from
+    /// @p address.
+    void observed(const std::string &address, Duration excess, TimePoint now);
+
     /// @returns the parts held at @p address outside of the scopes in use, at most @p limit, with the store's epoch.
     /// @param isOld Tells whether a scope is used no more.
     [[nodiscard]] std::pair<std::uint64_t, std::vector<ScopedPart>>
@@ -101,10 +105,13 @@
         std::optional<std::chrono::milliseconds> clock;
         std::map<ScopedPart, std::uint64_t> held; ///< Tokens by part.
         std::uint64_t usedTokens = 0;
+        Duration excess {}; ///< Smoothed.
+        TimePoint excessAt;
         std::map<ScopedPart, TimePoint> saving; ///< Sent along with an attempt and not reported yet.
     };
 
     [[nodiscard]] static bool isFresh(const View &view, TimePoint now);
+    [[nodiscard]] bool isSlow(const View &view, TimePoint now) const;
     const View *holder(const ScopedPart &part, const std::string &domain, TimePoint now) const;
     View *saver(const ScopedPart &part, std::uint64_t tokens, TimePoint now);
 
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -91,12 +91,8 @@
         PlacementChoice choice = forEachCandidate(table, need, now, [&](const std::string &id, const ServerView &view) {
             candidates.push_back({&id, &view, mix(need.prefixHash ^ hashText(id))});
         });
-        const auto preferred = [&need](const Candidate &candidate) {
-            return need.sharedTokens == 0
-                || isForLongPrefixes(*candidate.id) == (need.sharedTokens >= config::LongPrefixTokens);
-        };
-        std::sort(candidates.begin(), candidates.end(), [&preferred](const Candidate &a, const Candidate &b) {
-            return std::pair(preferred(a), a.rank) > std::pair(preferred(b), b.rank);
+        std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
+            return a.rank > b.rank;
         });
         double least = std::numeric_limits<double>::max();
         for (std::size_t place = 0; place < candidates.size(); ++place) {
@@ -116,11 +112,6 @@
     }
 
 private:
-    static bool isForLongPrefixes(const std::string &id)
-    {
-        return static_cast<double>(mix(hashText(id)) % 1000) < 1000 * config::LongPrefixServers;
-    }
-
     // In milliseconds.
     static double costOf(const ServerView &view, const PlacementNeed &need, std::size_t place, TimePoint now)
     {
--- a/packages/core/src/shared_store.cpp
+++ b/packages/core/src/shared_store.cpp
@@ -67,6 +67,34 @@
     return view.asOf && now - *view.asOf <= config::StoreViewTime;
 }
 
+void SharedStores::observed(const std::string &address, Duration excess, TimePoint now)
+{
+    const auto found = this->views.find(address);
+    if (found == this->views.end()) {
+        return;
+    }
+    View &view = found->second;
+    const bool isOld = now - view.excessAt > config::StoreSpeedMemory;
+    const auto smoothed = config::StoreSpeedSmoothing * excess + (1 - config::StoreSpeedSmoothing) * view.excess;
+    view.excess = isOld ? excess : std::chrono::duration_cast<Duration>(smoothed);
+    view.excessAt = now;
+}
+
+// Compared with the fastest store, since a busy pool of engines makes all fetches seem slow.
+bool SharedStores::isSlow(const View &view, TimePoint now) const
+{
+    if (now - view.excessAt > config::StoreSpeedMemory) {
+        return false;
+    }
+    Duration fastest = view.excess;
+    for (const auto &[address, other] : this->views) {
+        if (now - other.excessAt <= config::StoreSpeedMemory) {
+            fastest = std::min(fastest, other.excess);
+        }
+    }
+    return view.excess - fastest > config::SlowStoreExcess;
+}
+
 const SharedStores::View *
 SharedStores::holder(const ScopedPart &part, const std::string &domain, TimePoint now) const
 {
@@ -110,6 +138,10 @@
     for (std::size_t i = 0; i < parts.size(); ++i) {
         const ScopedPart part {scope, parts[i].id};
         if (const View *view = this->holder(part, domain, now)) {
+            // A short part is read sooner than it comes; a long one costs the engine too much.
+            if (parts[i].tokens < config::ShortPartTokens && this->isSlow(*view, now)) {
+                continue;
+            }
             plan.fetch[i] = view->store.address;
             if (view->clock) {
                 const auto until = *view->clock + config::StoreViewTime;
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -144,6 +144,9 @@
             return;
         }
     }
+    if (!this->task.mayTransfer(now)) {
+        return;
+    }
     std::vector<PlannedPart> shared;
     const auto &parts = this->work.request.parts;
     for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
@@ -168,6 +171,7 @@
         this->waited = now - this->work.arrivedAt;
     }
     this->attemptTokens = 0;
+    this->fetchedFrom.clear();
     for (const PromptPart &part : this->work.request.parts) {
         this->attemptTokens += part.tokens;
     }
@@ -180,6 +184,10 @@
     }
     dispatch.lastEvent = this->lastEvent ? this->lastEvent : this->work.request.lastEvent;
 
+    for (const std::string &store : dispatch.transfers.fetch) {
+        this->fetchedFrom = store.empty() ? this->fetchedFrom : store;
+    }
+
     const HttpRequest &received = this->work.exchange->request();
     PooledCall call;
     call.address = this->address;
@@ -248,6 +256,13 @@
         return;
     }
     this->markPrefilled();
+    if (!this->fetchedFrom.empty()) {
+        const std::uint64_t own = this->work.request.parts.back().tokens;
+        const auto reading = std::chrono::duration<double, std::milli>(
+            static_cast<double>(own) / config::PrefillTokensPerMillisecond);
+        this->task.parts.stores.observed(
+            this->fetchedFrom, now - this->attemptAt - std::chrono::duration_cast<Duration>(reading), now);
+    }
     if (!this->streaming) {
         this->streaming = true;
         this->work.exchange->startStream(answerStatus, this->task.parts.codec.callerHeaders(fields));
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -76,6 +76,7 @@
     std::string server; ///< Of the current attempt, empty between attempts.
     std::string address;
     std::uint64_t attemptTokens = 0; ///< To be read before the answer begins.
+    std::string fetchedFrom; ///< Store of the longest shared part, empty for none.
     TimePoint attemptAt;
     bool prefilled = false;
     int status = 0;
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -37,6 +37,14 @@
         && this->parts.confirmation.standing(this->parts.membership, now) != ConfigStanding::Stale;
 }
 
+bool ForwardTask::mayTransfer(TimePoint now) const
+{
+    const Confirmation &confirmation = this->parts.confirmation;
+    const auto age = confirmation.statement(this->parts.membership, now).confirmedAge;
+    return (age && *age <= config::TransferFreshness)
+        || confirmation.standing(this->parts.membership, now) == ConfigStanding::LogDownForAll;
+}
+
 void ForwardTask::serve(const std::shared_ptr<HttpExchange> &exchange)
 {
     const TimePoint now = this->parts.loop.now();
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -67,6 +67,9 @@
 
     // For the runs.
 
+    /// @returns whether it is known well enough which weights are in use to move prompt parts made with them.
+    [[nodiscard]] bool mayTransfer(TimePoint now) const;
+
     /// @returns the server for an attempt, if there is one with room.
     [[nodiscard]] PlacementChoice place(PlacementNeed need, TimePoint now);
 
