Count each weight version from its own naming

Ruled out: wrong scopes in the free call (the freed parts are of version 1 only, by the log). Change: WeightHistory keeps when each version was named; a silent server is given up only for another one.

--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -219,7 +219,7 @@
     {
         const OperatorState &state = this->operators.state();
         this->servers.setEvacuated(state.evacuated);
-        this->rollout.setTargets(state.weights);
+        this->rollout.setTargets(state.weights.newest());
         if (state.config) {
             this->stores.setStores(state.config->stores);
         }
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -15,6 +15,7 @@
 constexpr int StatusOk = 200;
 constexpr int StatusMultiple = 300;
 constexpr int StatusServerError = 500;
+constexpr std::string_view SilentServer = "silent for too long";
 
 bool isSuccess(int status)
 {
@@ -136,13 +137,9 @@
     // Organisations that are not isolated share one scope.
     const bool isolated = this->work.organisation != nullptr && this->work.organisation->isolated;
     dispatch.cacheScope = cacheScope(model, weights->second, isolated ? this->work.organisation->name : "");
-    const OperatorState &state = this->task.parts.operators.state();
-    const auto newest = state.weights.find(model);
-    if (newest != state.weights.end() && weights->second < newest->second) {
-        const auto seenAt = state.weightsSeenAt.find(model);
-        if (seenAt == state.weightsSeenAt.end() || now - seenAt->second > config::OldScopeUse) {
-            return;
-        }
+    const auto replacedAt = this->task.parts.operators.state().weights.replacedAt(model, weights->second);
+    if (replacedAt && now - *replacedAt > config::OldScopeUse) {
+        return;
     }
     if (!this->task.mayTransfer(now)) {
         return;
@@ -418,6 +415,7 @@
     this->attemptFailed(broken ? AttemptOutcome::Unreachable : AttemptOutcome::Failed, failure.error.detail);
 }
 
+// A silent server is given up only for another one that can take over now.
 void ForwardRun::onImpatient()
 {
     const TimePoint now = this->task.parts.loop.now();
@@ -425,10 +423,14 @@
     if (!this->streaming && this->status != 0) {
         return;
     }
-    if (!this->mayRepeat(now)) {
+    const bool hasOther = !this->task.place(this->need(), now).server.empty();
+    if (this->ran + 1 >= this->work.route->maxAttempts || !hasOther || !this->mayRepeat(now)) {
+        if (this->streaming) {
+            this->watchStream();
+        }
         return;
     }
-    this->attemptFailed(AttemptOutcome::Failed, "silent for too long");
+    this->attemptFailed(AttemptOutcome::Failed, SilentServer);
 }
 
 // The attempt may have run.
@@ -437,7 +439,7 @@
     const TimePoint now = this->task.parts.loop.now();
     const std::string failedServer = this->server;
     const Duration age = now - this->attemptAt;
-    const bool budgeted = why == "silent for too long";
+    const bool budgeted = why == SilentServer;
     this->endAttempt(outcome);
     ++this->ran;
     this->task.parts.events.line("attempt_failed", LogRank::Failure)
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -168,15 +168,12 @@
 void ForwardTask::completeNeed(PlacementNeed &need, TimePoint now) const
 {
     const OperatorState &state = this->parts.operators.state();
-    if (const auto named = state.weights.find(need.model); named != state.weights.end()) {
-        need.newestWeights = named->second;
-        need.loadingNext = rolloutOrder(this->parts.servers, need.model, named->second);
+    if (const auto newest = state.weights.newest(need.model)) {
+        need.newestWeights = *newest;
+        need.loadingNext = rolloutOrder(this->parts.servers, need.model, *newest);
         need.loadingNext.resize(std::min(need.loadingNext.size(), config::LoadingSoon));
-        const auto seenAt = state.weightsSeenAt.find(need.model);
         const Duration bound = this->parts.settings.bounds.weights - config::OldWeightsMargin;
-        if (seenAt != state.weightsSeenAt.end() && now - seenAt->second > bound) {
-            need.oldestWeights = named->second;
-        }
+        need.oldestWeights = state.weights.oldestUsable(need.model, bound, now);
     }
     if (const ForwardService *service = state.config->service(need.service)) {
         if (service->coldRate > 0) {
--- a/packages/node/src/operator_feed.cpp
+++ b/packages/node/src/operator_feed.cpp
@@ -157,11 +157,9 @@
                 .with("in_force", evacuation->inForce ? "yes" : "no");
         }
     } else if (const auto *weights = std::get_if<WeightsRecord>(&decoded.value())) {
-        std::uint64_t &known = this->current.weights[weights->model];
-        if (weights->version > known) {
-            known = weights->version;
-            // How long ago the first record that is found was written is not known.
-            this->current.weightsSeenAt[weights->model] = this->followed ? this->loop.now() : TimePoint {};
+        // How long ago the first record that is found was written is not known.
+        const TimePoint at = this->followed ? this->loop.now() : TimePoint {};
+        if (this->current.weights.named(weights->model, weights->version, at)) {
             this->events.line("weights_named").with("model", weights->model).with("version", weights->version);
         }
     }
--- a/packages/node/src/operator_feed.h
+++ b/packages/node/src/operator_feed.h
@@ -7,6 +7,7 @@
 #include <endivespan/forward_codec.h>
 #include <endivespan/keyed_log.h>
 #include <endivespan/loop.h>
+#include <endivespan/weight_history.h>
 
 #include <cstdint>
 #include <functional>
@@ -22,8 +23,7 @@
 struct OperatorState {
     std::shared_ptr<const ForwardConfig> config; ///< Null before the first one.
     std::set<std::string> evacuated; ///< Failure domains.
-    std::map<std::string, std::uint64_t> weights; ///< Newest version by model.
-    std::map<std::string, TimePoint> weightsSeenAt; ///< When that version was first read.
+    WeightHistory weights;
 };
 
 /// Reads the newest records once and then waits for new ones, so that a change is known within one round trip.
--- a/packages/node/src/store_task.cpp
+++ b/packages/node/src/store_task.cpp
@@ -103,13 +103,8 @@
     if (!made) {
         return false;
     }
-    const OperatorState &state = this->operators.state();
-    const auto newest = state.weights.find(made->first);
-    const auto seenAt = state.weightsSeenAt.find(made->first);
-    if (newest == state.weights.end() || seenAt == state.weightsSeenAt.end() || made->second >= newest->second) {
-        return false;
-    }
-    return now - std::max(seenAt->second, this->startedAt) > config::OldScopeFree;
+    const auto replacedAt = this->operators.state().weights.replacedAt(made->first, made->second);
+    return replacedAt && now - std::max(*replacedAt, this->startedAt) > config::OldScopeFree;
 }
 
 void StoreTask::freeOld(const std::string &address, TimePoint now)
