--- a/packages/core/include/endivespan/rollout.h
+++ b/packages/core/include/endivespan/rollout.h
@@ -80,6 +80,7 @@
         std::string model;
         std::uint64_t version = 0;
         std::uint64_t expected = 0;
+        bool loading = false; ///< As far as known; an order without an answer may have been accepted.
         TimePoint until; ///< Of Loading and Waiting.
     };
 
--- a/packages/core/src/rollout.cpp
+++ b/packages/core/src/rollout.cpp
@@ -68,19 +68,16 @@
         return view == nullptr || view->entry.born != entry.second.born;
     });
     std::size_t away = 0;
-    for (auto &[server, task] : this->work) {
-        if ((task.phase == Phase::Loading || task.phase == Phase::Waiting) && now >= task.until) {
-            task.phase = Phase::Waiting;
-        } else {
-            away += task.phase == Phase::Waiting ? 0 : 1;
+    for (const auto &[id, view] : table.servers()) {
+        if (!this->lacking(view)) {
+            this->work.erase(id);
         }
     }
-    for (const auto &[id, view] : table.servers()) {
-        const auto done = this->work.find(id);
-        if (done != this->work.end() && !this->lacking(view)) {
-            away -= std::min<std::size_t>(away, done->second.phase == Phase::Waiting ? 0 : 1);
-            this->work.erase(done);
+    for (auto &[server, task] : this->work) {
+        if (task.phase == Phase::Loading && now >= task.until) {
+            task.phase = Phase::Waiting;
         }
+        away += task.phase == Phase::Waiting && !task.loading ? 0 : 1;
     }
     std::vector<std::string> order;
     for (const auto &[model, version] : this->wanted) {
@@ -106,9 +103,9 @@
             task.phase = Phase::Ordering;
             step.kind = RolloutStep::Kind::Order;
             steps.push_back(step);
-        } else if (task.phase == Phase::Waiting && now >= task.until && away < this->atOnce) {
+        } else if (task.phase == Phase::Waiting && now >= task.until && (task.loading || away < this->atOnce)) {
             task.phase = Phase::Asking;
-            ++away;
+            away += task.loading ? 0 : 1;
             steps.push_back(step);
         }
     }
@@ -128,6 +125,7 @@
         return;
     }
     const auto weights = state->weights.find(task.model);
+    task.loading = state->busy;
     const bool done = weights != state->weights.end() && weights->second >= task.version;
     if (done || state->busy) {
         // Done engines wait for the list to say so; busy ones are asked again.
@@ -146,9 +144,10 @@
         return;
     }
     Work &task = found->second;
-    const bool loading = accepted.value_or(false);
-    task.phase = loading ? Phase::Loading : Phase::Waiting;
-    task.until = now + (loading ? config::LoadTime : config::OrderRetryPause);
+    task.loading = accepted.value_or(true);
+    const bool sure = accepted.value_or(false);
+    task.phase = sure ? Phase::Loading : Phase::Waiting;
+    task.until = now + (sure ? config::LoadTime : config::OrderRetryPause);
 }
 
 } // namespace endivespan
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -672,6 +672,14 @@
         this->fail(BadRequest, "the length of the body is given twice");
         return false;
     }
+    // A list of equal lengths is one length to some parsers and none to others.
+    if (const auto length = request.find(http::field::content_length); length != request.end()) {
+        const std::string_view digits = viewOf(length->value());
+        if (!std::all_of(digits.begin(), digits.end(), [](unsigned char c) { return std::isdigit(c) != 0; })) {
+            this->fail(BadRequest, "the length is no number");
+            return false;
+        }
+    }
     if (const auto coding = request.find(http::field::transfer_encoding);
         coding != request.end() && lowerCase(viewOf(coding->value())) != "chunked") {
         this->fail(NotImplemented, "unknown transfer coding");
--- /dev/null
+++ b/tests/core/forward.cpp
@@ -0,0 +1,417 @@
+#include <endivespan/config.h>
+#include <endivespan/forward.h>
+#include <endivespan/order_lease.h>
+#include <endivespan/placement.h>
+#include <endivespan/retry_share.h>
+#include <endivespan/rollout.h>
+#include <endivespan/server_table.h>
+#include <endivespan/weight_history.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+#include <random>
+#include <rapidcheck.h>
+
+using namespace endivespan;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start {std::chrono::hours(1)};
+
+ServerEntry engine(const std::string &id, std::uint64_t weights = 1, std::uint64_t heartbeat = 1)
+{
+    ServerEntry entry;
+    entry.id = id;
+    entry.service = "llm";
+    entry.address = "10.0.0.1:80";
+    entry.domain = "z";
+    entry.born = 1000;
+    entry.heartbeat = heartbeat;
+    entry.slots = 64;
+    entry.weights["m"] = weights;
+    return entry;
+}
+
+PlacementNeed promptNeed(std::uint64_t prefix)
+{
+    PlacementNeed need;
+    need.service = "llm";
+    need.model = "m";
+    need.prefixHash = prefix;
+    need.sharedTokens = 2000;
+    need.ownTokens = 500;
+    need.domain = "z";
+    return need;
+}
+
+ServerTable enginePool(std::size_t count, std::uint64_t weights = 1)
+{
+    ServerTable table;
+    for (std::size_t i = 0; i < count; ++i) {
+        table.learn(engine("e" + std::to_string(i), weights), Start);
+    }
+    return table;
+}
+
+} // namespace
+
+TEST_CASE("split routes choose by weight")
+{
+    ForwardRoute route;
+    route.targets = {{"a", 90}, {"b", 10}};
+    std::map<std::string, int> chosen;
+    for (std::uint64_t random = 0; random < 1'000'000; random += 1000) {
+        ++chosen[chooseTarget(route, random)];
+    }
+    CHECK(chosen["a"] == 900);
+    CHECK(chosen["b"] == 100);
+}
+
+TEST_CASE("weights: a version counts as replaced since the first newer one, also after a third was named")
+{
+    WeightHistory history;
+    history.named("m", 1, TimePoint {});
+    history.named("m", 2, Start);
+    CHECK(history.replacedAt("m", 1) == Start);
+    history.named("m", 3, Start + 4s);
+    CHECK(history.replacedAt("m", 1) == Start);
+    CHECK(history.replacedAt("m", 2) == Start + 4s);
+    CHECK_FALSE(history.replacedAt("m", 3));
+    CHECK_FALSE(history.replacedAt("other", 1));
+    CHECK(history.newest("m") == 3);
+    CHECK(history.oldestUsable("m", 5s, Start + 4s) == 1);
+    CHECK(history.oldestUsable("m", 5s, Start + 6s) == 2);
+    CHECK(history.oldestUsable("m", 5s, Start + 10s) == 3);
+    CHECK_FALSE(history.named("m", 3, Start + 20s));
+}
+
+TEST_CASE("server table: old heartbeats, another start under one id, and weights that the server named itself")
+{
+    ServerTable table;
+    CHECK(table.learn(engine("e", 1, 5), Start));
+    CHECK_FALSE(table.learn(engine("e", 9, 4), Start));
+    CHECK(table.find("e")->entry.weights.at("m") == 1);
+    table.saidWeights("e", "m", 2);
+    table.learn(engine("e", 1, 6), Start);
+    CHECK(table.find("e")->entry.weights.at("m") == 2);
+    ServerEntry reborn = engine("e", 1, 1);
+    reborn.born = 2000;
+    reborn.coldFor = 3s;
+    CHECK(table.learn(reborn, Start));
+    CHECK(table.find("e")->entry.weights.at("m") == 1);
+    CHECK(ServerTable::isCold(*table.find("e"), Start + 2s));
+    CHECK_FALSE(ServerTable::isCold(*table.find("e"), Start + 4s));
+    CHECK_FALSE(table.learn(engine("e", 1, 9), Start));
+}
+
+TEST_CASE("server table: entries that lapsed with the list are kept until the list is whole again")
+{
+    ServerTable table = enginePool(3);
+    table.withdraw("e0", std::nullopt, Start);
+    CHECK(table.find("e0") == nullptr);
+    table.withdraw("e1", Start + 2s, Start);
+    table.withdraw("e2", Start + 2s, Start);
+    REQUIRE(table.find("e1") != nullptr);
+    CHECK(table.isOpen(*table.find("e1"), Start));
+    table.learn(engine("e1", 1, 2), Start + 1s);
+    table.tick(Start + 3s);
+    CHECK(table.find("e1") != nullptr);
+    CHECK(table.find("e2") == nullptr);
+}
+
+TEST_CASE("server table: nothing goes to draining and evacuated servers, nor for a while to those that refuse")
+{
+    ServerTable table = enginePool(2);
+    ServerEntry leaving = engine("e0", 1, 2);
+    leaving.draining = true;
+    table.learn(leaving, Start);
+    CHECK_FALSE(table.isOpen(*table.find("e0"), Start));
+    table.setEvacuated({"z"});
+    CHECK_FALSE(table.isOpen(*table.find("e1"), Start));
+    table.setEvacuated({});
+    CHECK(table.isOpen(*table.find("e1"), Start));
+    table.started("e1", 10, Start);
+    table.reported("e1", {2, 0, 64}, Start);
+    table.ended("e1", AttemptOutcome::Refused, Start);
+    CHECK_FALSE(table.isOpen(*table.find("e1"), Start + 400ms));
+    CHECK(table.isOpen(*table.find("e1"), Start + 600ms));
+}
+
+TEST_CASE("cold servers: all hosts together stay within the bound, in any second, however they are asked")
+{
+    CHECK(rc::check([] {
+        const auto hosts = *rc::gen::inRange<std::size_t>(1, 30);
+        const double bound = *rc::gen::inRange(10, 60);
+        const ColdShare share {bound / (config::SpareHostFactor * static_cast<double>(hosts))};
+        std::vector<ServerTable> tables(hosts);
+        ServerEntry cold = engine("e");
+        cold.coldFor = 60s;
+        for (ServerTable &table : tables) {
+            table.learn(cold, Start);
+        }
+        std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+        std::vector<TimePoint> sent;
+        for (TimePoint now = Start; now < Start + 8s; now += std::chrono::milliseconds(1 + random() % 3)) {
+            ServerTable &table = tables[random() % hosts];
+            if (ServerTable::hasColdRoom(*table.find("e"), share, now)) {
+                table.started("e", 0, now);
+                sent.push_back(now);
+            }
+        }
+        for (std::size_t first = 0, last = 0; first < sent.size(); ++first) {
+            while (last < sent.size() && sent[last] - sent[first] < 1s) {
+                ++last;
+            }
+            RC_ASSERT(static_cast<double>(last - first) <= std::max(bound, static_cast<double>(hosts)));
+        }
+    }));
+}
+
+TEST_CASE("cold servers: one that could not be reached counts as cold until its next heartbeat")
+{
+    ServerTable table = enginePool(1);
+    CHECK_FALSE(ServerTable::isCold(*table.find("e0"), Start));
+    table.started("e0", 0, Start);
+    table.ended("e0", AttemptOutcome::Unreachable, Start);
+    CHECK(ServerTable::isCold(*table.find("e0"), Start + 30s));
+    table.learn(engine("e0", 1, 1), Start + 1s);
+    CHECK(ServerTable::isCold(*table.find("e0"), Start + 30s));
+    table.learn(engine("e0", 1, 2), Start + 1s);
+    CHECK_FALSE(ServerTable::isCold(*table.find("e0"), Start + 30s));
+}
+
+TEST_CASE("retry share: many hosts whose requests all fail stay within the budget of all")
+{
+    CHECK(rc::check([] {
+        const auto hosts = *rc::gen::inRange<std::size_t>(1, 25);
+        const RetryBounds bounds {0.2, 126, 10s};
+        std::vector<RetryShare> shares(hosts, RetryShare(bounds));
+        std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+        const int rate = 1 + static_cast<int>(random() % 300);
+        std::vector<TimePoint> requests;
+        std::vector<TimePoint> repeats;
+        for (TimePoint now = Start; now < Start + 40s; now += std::chrono::microseconds(1'000'000 / rate)) {
+            // The load falls by half and comes back.
+            if (now > Start + 15s && now < Start + 25s && random() % 2 == 0) {
+                continue;
+            }
+            RetryShare &share = shares[random() % hosts];
+            share.requested("s", now);
+            requests.push_back(now);
+            if (share.take("s", hosts, now)) {
+                repeats.push_back(now);
+            }
+        }
+        const auto count = [](const std::vector<TimePoint> &times, TimePoint from, TimePoint to) {
+            return static_cast<double>(std::lower_bound(times.begin(), times.end(), to)
+                                       - std::lower_bound(times.begin(), times.end(), from));
+        };
+        for (TimePoint from = Start; from < Start + 30s; from += 500ms) {
+            const double asked = std::max({count(requests, from, from + 10s),
+                                           count(requests, from - 10s, from),
+                                           count(requests, from - 5s, from + 5s)});
+            RC_ASSERT(count(repeats, from, from + 10s) <= 0.2 * asked + 126);
+        }
+    }));
+}
+
+TEST_CASE("order lease: holders never overlap nor follow each other within the gap, and fences rise")
+{
+    CHECK(rc::check([] {
+        struct Record {
+            std::string holder;
+        };
+        struct Call {
+            std::size_t host;
+            bool isAppend;
+            std::uint64_t at;
+            TimePoint sentAt;
+            TimePoint done;
+            bool lost;
+        };
+        constexpr OrderLeaseTimes Times {1200ms, 3200ms};
+        std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+        std::vector<OrderLease> hosts;
+        std::vector<bool> calling(4, false);
+        std::vector<TimePoint> frozenUntil(4);
+        for (int i = 0; i < 4; ++i) {
+            hosts.emplace_back("h" + std::to_string(i), Times);
+        }
+        std::vector<Record> log;
+        std::vector<Call> calls;
+        std::optional<std::pair<std::string, TimePoint>> lastOrder;
+        std::uint64_t lastFence = 0;
+        for (TimePoint now = Start; now < Start + 60s; now += 20ms) {
+            // The log handles calls when they are due; a host that is frozen sees the answer later.
+            for (std::size_t i = 0; i < calls.size();) {
+                Call call = calls[i];
+                if (call.done > now || frozenUntil[call.host] > now) {
+                    ++i;
+                    continue;
+                }
+                calls.erase(calls.begin() + static_cast<std::ptrdiff_t>(i));
+                calling[call.host] = false;
+                OrderLease &host = hosts[call.host];
+                bool applied = false;
+                if (call.isAppend && call.at == log.size()) {
+                    log.push_back({"h" + std::to_string(call.host)});
+                    applied = true;
+                }
+                if (call.lost) {
+                    host.unknown();
+                } else if (!call.isAppend) {
+                    host.seen(log.empty() ? "" : log.back().holder, log.size(), now);
+                } else if (applied) {
+                    host.appended(log.size() - 1, call.sentAt);
+                } else {
+                    host.refused();
+                }
+            }
+            for (std::size_t i = 0; i < hosts.size(); ++i) {
+                if (random() % 600 == 0) {
+                    frozenUntil[i] = now + std::chrono::milliseconds(random() % 6000);
+                }
+                if (frozenUntil[i] > now) {
+                    continue;
+                }
+                if (const auto fence = hosts[i].fence(now)) {
+                    const std::string name = "h" + std::to_string(i);
+                    RC_ASSERT(*fence >= lastFence);
+                    if (lastOrder && lastOrder->first != name) {
+                        RC_ASSERT(now - lastOrder->second >= 3000ms);
+                    }
+                    lastFence = *fence;
+                    lastOrder = {name, now};
+                }
+                const OrderLeaseStep step = hosts[i].next(now);
+                if (!calling[i] && (step == OrderLeaseStep::Read || step == OrderLeaseStep::Append)) {
+                    calling[i] = true;
+                    calls.push_back({i,
+                                     step == OrderLeaseStep::Append,
+                                     hosts[i].end(),
+                                     now,
+                                     now + std::chrono::milliseconds(random() % 300),
+                                     random() % 10 == 0});
+                }
+            }
+        }
+        RC_ASSERT(lastFence > 0);
+    }));
+}
+
+TEST_CASE("rollout: a few engines at a time, each brought to the newest weights, whatever is lost")
+{
+    CHECK(rc::check([] {
+        std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+        ServerTable table = enginePool(18);
+        std::map<std::string, EngineState> engines;
+        std::map<std::string, TimePoint> loadedAt;
+        for (const auto &[id, view] : table.servers()) {
+            engines[id].weights["m"] = 1;
+        }
+        Rollout rollout(5);
+        rollout.setTargets({{"m", 2}});
+        TimePoint now = Start;
+        for (; now < Start + 60s && rollout.isNeeded(table, now); now += 50ms) {
+            if (now >= Start + 4s) {
+                rollout.setTargets({{"m", 3}});
+            }
+            std::size_t loading = 0;
+            for (auto &[id, state] : engines) {
+                if (state.busy && now >= loadedAt[id]) {
+                    state.busy = false;
+                    ServerEntry entry = table.find(id)->entry;
+                    ++entry.heartbeat;
+                    entry.weights = state.weights;
+                    table.learn(entry, now);
+                }
+                loading += state.busy ? 1 : 0;
+            }
+            RC_ASSERT(loading <= 5U);
+            for (int round = 0; round < 2; ++round) {
+                for (const RolloutStep &step : rollout.next(table, now)) {
+                    const std::string &id = step.order.server;
+                    EngineState &state = engines[id];
+                    const bool lost = random() % 8 == 0;
+                    if (step.kind == RolloutStep::Kind::Ask) {
+                        rollout.answered(id, lost ? std::nullopt : std::optional(state), now);
+                        continue;
+                    }
+                    RC_ASSERT(step.order.version > state.weights["m"] || state.busy);
+                    const bool accepted = !state.busy && step.order.expected == state.ordersAccepted;
+                    if (accepted) {
+                        state.busy = true;
+                        ++state.ordersAccepted;
+                        state.weights["m"] = step.order.version;
+                        loadedAt[id] = now + 1s;
+                    }
+                    rollout.ordered(id, lost ? std::nullopt : std::optional(accepted), now);
+                }
+            }
+        }
+        RC_ASSERT_FALSE(rollout.isNeeded(table, now));
+    }));
+}
+
+TEST_CASE("rollout: every host comes to the same order")
+{
+    ServerTable table = enginePool(18);
+    const auto order = rolloutOrder(table, "m", 2);
+    CHECK(order.size() == 18);
+    table.saidWeights(order[0], "m", 2);
+    const auto rest = rolloutOrder(table, "m", 2);
+    CHECK(rest == std::vector<std::string>(order.begin() + 1, order.end()));
+}
+
+TEST_CASE("placement: hosts that know nothing of each other send one prefix to one engine")
+{
+    const auto placement = makeExpectedStartPlacement();
+    const ServerTable table = enginePool(18);
+    for (std::uint64_t prefix = 1; prefix < 200; ++prefix) {
+        const auto first = placement->choose(table, promptNeed(prefix), prefix * 7, Start);
+        const auto second = placement->choose(table, promptNeed(prefix), prefix * 13 + 5, Start);
+        REQUIRE(first.server == second.server);
+    }
+}
+
+TEST_CASE("placement: an engine that fails its requests while it seems healthy is left, a busy one is passed over")
+{
+    const auto placement = makeExpectedStartPlacement();
+    ServerTable table = enginePool(6);
+    const std::string home = placement->choose(table, promptNeed(7), 0, Start).server;
+    for (int i = 0; i < 4; ++i) {
+        table.started(home, 0, Start);
+        table.ended(home, AttemptOutcome::Failed, Start);
+    }
+    CHECK(placement->choose(table, promptNeed(7), 0, Start).server != home);
+    CHECK(placement->choose(table, promptNeed(7), 0, Start + 60s).server == home);
+    table.reported(home, {64, 30, 64}, Start + 60s);
+    CHECK(placement->choose(table, promptNeed(7), 0, Start + 60s).server != home);
+}
+
+TEST_CASE("placement: engines that are about to load weights get no more work than needed")
+{
+    const auto placement = makeExpectedStartPlacement();
+    const ServerTable table = enginePool(18);
+    std::map<std::string, int> chosen;
+    for (std::uint64_t prefix = 0; prefix < 300; ++prefix) {
+        PlacementNeed need = promptNeed(prefix);
+        need.loadingNext = rolloutOrder(table, "m", 2);
+        need.loadingNext.resize(5);
+        ++chosen[placement->choose(table, need, prefix, Start).server];
+    }
+    for (const std::string &id : rolloutOrder(table, "m", 2)) {
+        if (chosen[id] == 0) {
+            continue;
+        }
+        CHECK(chosen.size() >= 13);
+    }
+    const auto next = rolloutOrder(table, "m", 2);
+    for (std::size_t i = 0; i < 5; ++i) {
+        CHECK(chosen[next[i]] == 0);
+    }
+}
--- /dev/null
+++ b/tests/core/shared_store.cpp
@@ -0,0 +1,170 @@
+#include <endivespan/config.h>
+#include <endivespan/shared_store.h>
+
+#include <doctest/doctest.h>
+
+#include <random>
+#include <rapidcheck.h>
+
+using namespace endivespan;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start {std::chrono::hours(1)};
+
+const std::vector<ForwardStore> Stores {{"a", "10.0.0.1:1", "z1", 10'000}, {"b", "10.0.0.2:1", "z2", 30'000}};
+
+StoreEvents stored(std::uint64_t epoch, std::uint64_t number, const ScopedPart &part, std::uint64_t tokens)
+{
+    return {epoch, number + 1, 1000ms, {{part, true, tokens}}};
+}
+
+SharedStores freshStores()
+{
+    SharedStores stores;
+    stores.setStores(Stores);
+    for (const ForwardStore &store : Stores) {
+        stores.answered(store.address, {1, 0, 1000ms, {}}, Start);
+    }
+    return stores;
+}
+
+} // namespace
+
+TEST_CASE("a part is saved once, in the same place by every host, and fetched once the store reports it whole")
+{
+    SharedStores one = freshStores();
+    SharedStores two = freshStores();
+    const std::vector<PlannedPart> parts {{"p", 500}};
+    const TransferPlan first = one.plan("s", parts, "z1", Start);
+    const TransferPlan other = two.plan("s", parts, "z1", Start);
+    REQUIRE_FALSE(first.save[0].empty());
+    CHECK(first.save[0] == other.save[0]);
+    CHECK(first.fetch[0].empty());
+    const TransferPlan again = one.plan("s", parts, "z1", Start + 100ms);
+    CHECK(again.save[0].empty());
+    CHECK(again.fetch[0].empty());
+    one.answered(first.save[0], stored(1, 0, {"s", "p"}, 500), Start + 200ms);
+    const TransferPlan later = one.plan("s", parts, "z1", Start + 300ms);
+    CHECK(later.fetch[0] == first.save[0]);
+    CHECK(later.fetchUntil == 1000ms + config::StoreViewTime);
+    CHECK(one.plan("other", parts, "z1", Start + 300ms).fetch[0].empty());
+}
+
+TEST_CASE("nothing is fetched from or saved to a store that has not answered lately")
+{
+    SharedStores stores = freshStores();
+    stores.answered(Stores[0].address, stored(1, 0, {"s", "p"}, 500), Start);
+    const TransferPlan plan = stores.plan("s", {{"p", 500}}, "z1", Start + config::StoreViewTime + 1ms);
+    CHECK(plan.fetch[0].empty());
+    CHECK(plan.save[0].empty());
+}
+
+TEST_CASE("a store that starts again is known to be empty")
+{
+    SharedStores stores = freshStores();
+    stores.answered(Stores[0].address, stored(1, 0, {"s", "p"}, 500), Start);
+    CHECK_FALSE(stores.answered(Stores[0].address, {2, 7, 1000ms, {}}, Start + 100ms));
+    CHECK(stores.plan("s", {{"p", 500}}, "z1", Start + 100ms).fetch[0].empty());
+    CHECK(stores.toAsk()[0].second == 0);
+}
+
+TEST_CASE("a full store takes no more, and parts of old scopes make room")
+{
+    SharedStores stores;
+    stores.setStores({Stores[0]});
+    stores.answered(Stores[0].address, {1, 0, 1000ms, {}}, Start);
+    for (std::uint64_t i = 0; i < 9; ++i) {
+        stores.answered(Stores[0].address, stored(1, i, {"old", std::to_string(i)}, 1000), Start);
+    }
+    CHECK(stores.plan("new", {{"p", 1000}}, "z1", Start).save[0].empty());
+    const auto [epoch, parts] = stores.toFree(
+        Stores[0].address, [](const std::string &scope) { return scope == "old"; }, 100);
+    CHECK(epoch == 1);
+    CHECK(parts.size() == 9);
+    stores.freed(Stores[0].address, parts);
+    CHECK_FALSE(stores.plan("new", {{"p", 1000}}, "z1", Start).save[0].empty());
+}
+
+TEST_CASE("short parts are read rather than fetched from a store that has become slow")
+{
+    SharedStores stores = freshStores();
+    for (const ForwardStore &store : Stores) {
+        stores.answered(store.address, stored(1, 0, {"s", "short" + store.name}, 500), Start);
+        stores.answered(store.address, stored(1, 1, {"s", "long" + store.name}, 9000), Start);
+    }
+    for (int i = 0; i < 20; ++i) {
+        stores.observed(Stores[0].address, 900ms, Start);
+        stores.observed(Stores[1].address, 80ms, Start);
+    }
+    CHECK(stores.plan("s", {{"shorta", 500}}, "z1", Start).fetch[0].empty());
+    CHECK_FALSE(stores.plan("s", {{"longa", 9000}}, "z1", Start).fetch[0].empty());
+    CHECK_FALSE(stores.plan("s", {{"shortb", 500}}, "z1", Start).fetch[0].empty());
+}
+
+// Hosts with views of different age, and a store that starts again after it was away for longer than a view holds.
+TEST_CASE("no fetch that counts reads a part which is being written again")
+{
+    CHECK(rc::check([] {
+        std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+        const ForwardStore store = Stores[0];
+        std::vector<SharedStores> hosts(3);
+        for (SharedStores &host : hosts) {
+            host.setStores({store});
+        }
+        constexpr auto Away = config::StoreViewTime + 300ms;
+        constexpr auto WriteTime = 250ms;
+        std::uint64_t epoch = 1;
+        std::uint64_t number = 0;
+        TimePoint wholeAt; ///< When the part is or will be whole; the epoch while nobody saves it.
+        TimePoint downUntil;
+        std::vector<StoreEvent> events;
+        struct Fetch {
+            TimePoint begin;
+            TimePoint until;
+        };
+        std::vector<Fetch> fetches;
+        std::vector<std::pair<TimePoint, TimePoint>> writes;
+        for (TimePoint now = Start; now < Start + 30s; now += 10ms) {
+            const auto clock = std::chrono::duration_cast<std::chrono::milliseconds>(now - Start);
+            if (now >= downUntil && random() % 700 == 0) {
+                downUntil = now + Away;
+                ++epoch;
+                number = 0;
+                wholeAt = {};
+                events.clear();
+            }
+            if (now < downUntil) {
+                continue;
+            }
+            if (wholeAt != TimePoint {} && now >= wholeAt && events.empty()) {
+                events.push_back({{"s", "p"}, true, 500});
+                number = 1;
+            }
+            SharedStores &host = hosts[random() % hosts.size()];
+            if (random() % 20 == 0) {
+                const auto [address, since] = host.toAsk()[0];
+                StoreEvents answer {epoch, number, clock, {}};
+                if (since < number) {
+                    answer.events = events;
+                }
+                host.answered(address, answer, now);
+            }
+            const TransferPlan plan = host.plan("s", {{"p", 500}}, "z1", now);
+            if (!plan.save[0].empty() && wholeAt == TimePoint {}) {
+                wholeAt = now + WriteTime;
+                writes.emplace_back(now, wholeAt);
+            }
+            if (!plan.fetch[0].empty()) {
+                fetches.push_back({now, Start + *plan.fetchUntil});
+            }
+        }
+        for (const Fetch &fetch : fetches) {
+            for (const auto &[begin, end] : writes) {
+                RC_ASSERT_FALSE(fetch.begin < end && begin < fetch.until && fetch.begin >= begin);
+            }
+        }
+        RC_ASSERT_FALSE(fetches.empty());
+    }));
+}
