--- /dev/null
+++ b/tests/platform/serving.cpp
@@ -0,0 +1,351 @@
+#include "raw_socket.h"
+#include "world.h"
+
+#include <doctest/doctest.h>
+
+using namespace endivespan;
+using namespace endivespan::tests;
+using namespace std::chrono_literals;
+using Then = RunnerStandin::Reply::Then;
+
+namespace {
+
+std::size_t received(const World &world)
+{
+    std::size_t count = 0;
+    for (const auto &runner : world.runners) {
+        count += runner->received.size();
+    }
+    return count;
+}
+
+void scriptAll(World &world, const RunnerStandin::Script &script)
+{
+    for (const auto &runner : world.runners) {
+        runner->script = script;
+    }
+}
+
+} // namespace
+
+TEST_CASE("a request reaches one runner unchanged and its answer comes back whole")
+{
+    World world(3);
+    scriptAll(world, [](const ReceivedRequest &request) {
+        return RunnerStandin::Reply {answerTo(request, 201, "the answer", "X-Other: 1\r\nKeep-Alive: timeout=5\r\n")};
+    });
+    const auto call = world.ask("/once/a%2Fb?x=1%20", {{"x-mine", "2"}, {"x-endivespan-tenant", "forged"}}, "POST", "body");
+    const CallerAnswer &answer = world.answer(call);
+    CHECK(answer.status == 201);
+    CHECK(answer.body == "the answer");
+    CHECK(answer.headers.at("x-other") == "1");
+    CHECK(answer.headers.at("x-endivespan-server-seal") == "seal");
+    CHECK_FALSE(answer.headers.contains("keep-alive"));
+    REQUIRE(received(world) == 1);
+    for (const auto &runner : world.runners) {
+        for (const ReceivedRequest &request : runner->received) {
+            CHECK(request.head.starts_with("POST /once/a%2Fb?x=1%20 HTTP/1.1\r\n"));
+            CHECK(request.body == "body");
+            CHECK(request.field("x-mine") == "2");
+            CHECK(request.field("x-endivespan-tenant") == "org");
+            CHECK(request.field("x-endivespan-expect-instance") == runner->id);
+            CHECK(request.field("api-key").empty());
+            const int left = std::stoi(request.field("x-endivespan-deadline-ms"));
+            CHECK(left <= 2000);
+            CHECK(left > 1500);
+        }
+    }
+}
+
+TEST_CASE("what no route, key or id allows is refused and reaches no runner")
+{
+    World world(1);
+    CHECK(world.answer(world.ask("/nowhere/")).status == 404);
+    CHECK(world.answer(world.ask("/once/", {{"host", "other"}})).status == 404);
+    CHECK(world.answer(world.ask("/once/", {{"api-key", "wrong"}})).status == 401);
+    CHECK(world.answer(world.ask("/once/", {{"x-endivespan-request-id", ""}})).status == 400);
+    CHECK(received(world) == 0);
+}
+
+TEST_CASE("a key that is taken away is refused as soon as the record is read")
+{
+    World world(1);
+    CHECK(world.answer(world.ask("/once/")).status == 200);
+    world.configure([](nlohmann::json &config) { config["tenants"][0]["api_keys"] = {"new"}; });
+    world.runFor(300ms);
+    CHECK(world.answer(world.ask("/once/")).status == 401);
+    CHECK(world.answer(world.ask("/once/", {{"api-key", "new"}})).status == 200);
+}
+
+TEST_CASE("a host that can no longer confirm its configuration refuses as not run, and serves again later")
+{
+    World world(1);
+    world.store.silent = true;
+    CHECK(world.until([&world] { return !world.isReady(); }));
+    const std::size_t before = received(world);
+    const CallerAnswer refused = world.answer(world.ask("/once/"));
+    CHECK(refused.status == 503);
+    CHECK(refused.headers.contains("retry-after"));
+    CHECK(received(world) == before);
+    world.store.silent = false;
+    CHECK(world.until([&world] { return world.isReady(); }));
+    CHECK(world.answer(world.ask("/once/")).status == 200);
+}
+
+TEST_CASE("a runner that has not run a request sends it on to another; if all refuse, the refusal is true")
+{
+    World world(2);
+    int refusals = 0;
+    scriptAll(world, [&refusals](const ReceivedRequest &request) {
+        if (refusals++ == 0) {
+            return RunnerStandin::Reply {"HTTP/1.1 503 X\r\nX-Endivespan-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+        }
+        return RunnerStandin::Reply {answerTo(request, 200, "second")};
+    });
+    CHECK(world.answer(world.ask("/once/")).body == "second");
+    CHECK(received(world) == 2);
+    world.runFor(700ms);
+    scriptAll(world, [](const ReceivedRequest &) {
+        return RunnerStandin::Reply {"HTTP/1.1 503 X\r\nX-Endivespan-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+    });
+    const CallerAnswer answer = world.answer(world.ask("/once/"));
+    CHECK(answer.status == 503);
+    CHECK(std::stod(answer.headers.at("retry-after")) < 1.0);
+}
+
+TEST_CASE("once: an attempt that may have run is never repeated and never called not run")
+{
+    for (const RunnerStandin::Reply &reply : std::vector<RunnerStandin::Reply> {
+             {"", Then::Close},
+             {"", Then::Reset},
+             {"no answer at all\r\n\r\n", Then::Close},
+             {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\nX-Endivespan-Server-Seal: s\r\n\r\ncut", Then::Close},
+             {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", Then::Keep},
+             {"HTTP/1.1 200 OK\r\nX-Endivespan-Server-Seal: s\r\n\r\nno length", Then::Reset}}) {
+        CAPTURE(reply.bytes);
+        World world(3);
+        scriptAll(world, [&reply](const ReceivedRequest &) { return reply; });
+        const CallerAnswer answer = world.answer(world.ask("/once/"));
+        CHECK(answer.status == 502);
+        CHECK(received(world) == 1);
+    }
+}
+
+TEST_CASE("repeatable: a broken attempt is repeated at another runner, as often as the route allows")
+{
+    World world(3);
+    scriptAll(world, [](const ReceivedRequest &) { return RunnerStandin::Reply {"", Then::Reset}; });
+    CHECK(world.answer(world.ask("/again/", {}, "GET")).status == 502);
+    CHECK(received(world) == 2);
+    world.runFor(1s);
+    int attempts = 0;
+    scriptAll(world, [&attempts](const ReceivedRequest &request) {
+        return attempts++ == 0 ? RunnerStandin::Reply {"", Then::Hang}
+                               : RunnerStandin::Reply {answerTo(request, 200, "second")};
+    });
+    CHECK(world.answer(world.ask("/again/", {}, "GET")).body == "second");
+}
+
+TEST_CASE("an answer without a length is whole when its connection ends in order")
+{
+    World world(1);
+    scriptAll(world, [](const ReceivedRequest &request) {
+        return RunnerStandin::Reply {"HTTP/1.1 200 OK\r\nX-Endivespan-Request-Id: "
+                                         + request.field("x-endivespan-request-id")
+                                         + "\r\nX-Endivespan-Server-Seal: s\r\n\r\nall of it",
+                                     Then::Close};
+    });
+    const CallerAnswer answer = world.answer(world.ask("/once/"));
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "all of it");
+}
+
+TEST_CASE("bytes after an answer, at once or late, never reach another caller")
+{
+    World world(1);
+    int number = 0;
+    scriptAll(world, [&number](const ReceivedRequest &request) {
+        const std::string extra
+            = "HTTP/1.1 200 OK\r\nX-Endivespan-Request-Id: stray\r\nX-Endivespan-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwrong";
+        const std::string own = answerTo(request, 200, "own " + request.field("x-endivespan-request-id"));
+        return RunnerStandin::Reply {++number % 2 == 0 ? own + extra : extra + own};
+    });
+    for (int i = 0; i < 10; ++i) {
+        const auto call = world.ask("/once/");
+        CHECK(world.answer(call).body == "own r" + std::to_string(call));
+    }
+}
+
+TEST_CASE("a stream passes event by event and a broken one that may be resumed goes on elsewhere without a gap")
+{
+    World world(3);
+    scriptAll(world, [](const ReceivedRequest &request) {
+        const std::string last = request.field("last-event-id");
+        const int from = last.empty() ? 1 : std::stoi(last) + 1;
+        std::string bytes = streamHead(request);
+        if (last.empty()) {
+            return RunnerStandin::Reply {bytes + eventChunk(1, "a") + eventChunk(2, "b") + "9\r\nid: 3\ndat\r\n", Then::Reset};
+        }
+        for (int i = from; i <= 5; ++i) {
+            bytes += eventChunk(i, std::string(1, static_cast<char>('a' + i - 1)));
+        }
+        return RunnerStandin::Reply {bytes + "0\r\n\r\n"};
+    });
+    const CallerAnswer answer = world.answer(world.ask("/resume/"));
+    CHECK(answer.whole);
+    CHECK(answer.body
+          == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\nid: 5\ndata: e\n\n");
+    const CallerAnswer cut = world.answer(world.ask("/stream/"));
+    CHECK(cut.failed);
+    CHECK_FALSE(cut.whole);
+}
+
+// The failure behind it: a stream was cut while its runner was silent, although no other could take it over.
+TEST_CASE("a silent stream is not given up while no other runner can take it over")
+{
+    World world(1);
+    scriptAll(world, [](const ReceivedRequest &request) {
+        return RunnerStandin::Reply {streamHead(request) + eventChunk(1, "a"), Then::Hang};
+    });
+    const auto call = world.ask("/resume/", {{"x-endivespan-deadline-ms", "2600"}});
+    world.runFor(2200ms);
+    CHECK_FALSE(world.answers[call].failed);
+    CHECK(received(world) == 1);
+}
+
+TEST_CASE("when a caller goes, its runner is told at once")
+{
+    World world(1);
+    scriptAll(world, [](const ReceivedRequest &) { return RunnerStandin::Reply {"", Then::Hang}; });
+    const auto call = world.ask("/once/");
+    REQUIRE(world.until([&world] { return received(world) == 1; }));
+    world.leave(call);
+    CHECK(world.until([&world] { return world.runners[0]->received[0].callerGone; }, 300ms));
+}
+
+TEST_CASE("the time of a route ends a request, with no promise about it")
+{
+    World world(1);
+    world.configure([](nlohmann::json &config) { config["routes"][0]["timeout_ms"] = 300; });
+    world.runFor(200ms);
+    scriptAll(world, [](const ReceivedRequest &) { return RunnerStandin::Reply {"", Then::Hang}; });
+    const TimePoint begin = world.loop.now();
+    CHECK(world.answer(world.ask("/once/")).status == 502);
+    CHECK(world.loop.now() - begin < 500ms);
+    CHECK(world.runners[0]->received[0].field("x-endivespan-deadline-ms").size() == 3);
+}
+
+TEST_CASE("draining, dropped and unreadable entries get no new work")
+{
+    World world(3);
+    world.list(*world.runners[0], {{"state", "draining"}});
+    world.store.put("keyed.servers", world.runners[1]->id, std::nullopt);
+    world.store.put("keyed.servers", "forged", "{\"service\":\"llm\"}");
+    world.runFor(1500ms);
+    for (int i = 0; i < 20; ++i) {
+        CHECK(world.answer(world.ask("/once/")).status == 200);
+    }
+    CHECK(world.runners[0]->received.empty());
+    CHECK(world.runners[1]->received.empty());
+    CHECK(world.runners[2]->received.size() == 20);
+}
+
+TEST_CASE("a failure domain that is evacuated gets nothing until it is taken back")
+{
+    World world(1);
+    world.store.put("keyed.op", "evacuate/z", "{}");
+    world.runFor(300ms);
+    CHECK(world.answer(world.ask("/once/")).status == 503);
+    CHECK(received(world) == 0);
+    world.store.put("keyed.op", "evacuate/z", std::nullopt);
+    world.runFor(300ms);
+    CHECK(world.answer(world.ask("/once/")).status == 200);
+}
+
+TEST_CASE("history that the store forgets is read again from the newest records")
+{
+    World world(1);
+    world.store.put("keyed.op", "evacuate/z", "{}");
+    world.runFor(200ms);
+    world.store.silent = true;
+    world.runFor(100ms);
+    world.store.put("keyed.op", "evacuate/z", std::nullopt);
+    world.configure([](nlohmann::json &config) { config["tenants"][0]["api_keys"] = {"new"}; });
+    world.store.forgetHistory("keyed.op");
+    world.store.forgetHistory("keyed.servers");
+    world.store.silent = false;
+    REQUIRE(world.until([&world] { return world.answer(world.ask("/once/", {{"api-key", "new"}})).status == 200; }));
+    CHECK(world.answer(world.ask("/once/")).status == 401);
+}
+
+TEST_CASE("new weights: one holder orders each engine with its expected count, also when an append's answer is lost")
+{
+    World world(4);
+    std::map<std::string, int> accepted;
+    for (const auto &runner : world.runners) {
+        RunnerStandin *self = runner.get();
+        runner->script = [&world, &accepted, self](const ReceivedRequest &request) {
+            if (request.head.starts_with("GET /v1/report")) {
+                return RunnerStandin::Reply {answerTo(
+                    request,
+                    200,
+                    nlohmann::json {{"busy", false},
+                                    {"seq", accepted[self->id]},
+                                    {"models", {{{"name", "m"}, {"version", accepted[self->id] > 0 ? 2 : 1}}}}}
+                        .dump())};
+            }
+            const auto order = nlohmann::json::parse(request.body);
+            CHECK(order["expected"] == accepted[self->id]);
+            CHECK(order["fence"].get<std::uint64_t>() > 0);
+            CHECK(request.field("x-endivespan-expect-instance") == self->id);
+            ++accepted[self->id];
+            world.list(*self, {{"models", {{{"name", "m"}, {"version", 2}}}}});
+            return RunnerStandin::Reply {answerTo(request, 202, "")};
+        };
+    }
+    world.store.lostAppends = 1;
+    world.store.put("keyed.op", "version/m", R"({"model":"m","version":2})");
+    CHECK(world.until([&accepted] { return accepted.size() == 4; }));
+    world.runFor(1500ms);
+    for (const auto &[id, count] : accepted) {
+        CHECK(count == 1);
+    }
+    CHECK(world.store.plain("orders").size() >= 1);
+}
+
+TEST_CASE("a stop finishes what runs, refuses new work as not run and ends in time")
+{
+    World world(1);
+    (void)world.answer(world.ask("/once/"));
+    scriptAll(world, [](const ReceivedRequest &request) {
+        return RunnerStandin::Reply {streamHead(request) + eventChunk(1, "a"), Then::Hang};
+    });
+    const auto running = world.ask("/stream/", {{"x-endivespan-deadline-ms", "3500"}});
+    REQUIRE(world.until([&world, running] { return !world.answers[running].body.empty(); }));
+    const TimePoint begin = world.loop.now();
+    world.node->beginStop();
+    CHECK_FALSE(world.isReady());
+    world.runFor(2700ms);
+    const std::size_t before = received(world);
+    CHECK(world.answer(world.ask("/once/")).status == 503);
+    CHECK(received(world) == before);
+    CHECK_FALSE(world.answers[running].failed);
+    CHECK(world.until([&world] { return world.stopped; }));
+    CHECK(world.loop.now() - begin < 6s);
+}
+
+TEST_CASE("malformed requests reach no runner through the host either")
+{
+    World world(1);
+    for (const std::string &bytes :
+         {std::string("POST /once/ HTTP/1.1\r\nHost: h.example\r\nX-Endivespan-Request-Id: a\r\nX-Endivespan-Request-Id: "
+                      "b\r\nApi-Key: key\r\nContent-Length: 0\r\n\r\n"),
+          std::string("POST /once/ HTTP/1.1\r\nHost: h.example\r\nX-Endivespan-Request-Id: a\r\nApi-Key: key\r\n"
+                      "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /once/smuggled HTTP/1.1\r\n\r\n")}) {
+        RawSocket caller(world.callerPort);
+        caller.send(bytes);
+        world.runFor(100ms);
+        CHECK(statusOf(caller.readAnswer()) == 400);
+    }
+    CHECK(received(world) == 0);
+}
--- /dev/null
+++ b/tests/platform/world.cpp
@@ -0,0 +1,477 @@
+#include "world.h"
+
+#include <endivespan/base64.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace endivespan::tests {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+const HttpServerLimits WideLimits {16 * 1024 * 1024, 64 * 1024, std::chrono::seconds(60)};
+
+std::string offsetBytes(std::uint64_t value)
+{
+    std::string bytes;
+    for (int shift = 56; shift >= 0; shift -= 8) {
+        bytes += static_cast<char>((value >> static_cast<unsigned>(shift)) & 0xffU);
+    }
+    return bytes;
+}
+
+int freePort()
+{
+    const int probe = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in place {};
+    place.sin_family = AF_INET;
+    place.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(probe, reinterpret_cast<sockaddr *>(&place), sizeof(place));
+    socklen_t size = sizeof(place);
+    getsockname(probe, reinterpret_cast<sockaddr *>(&place), &size);
+    close(probe);
+    return ntohs(place.sin_port);
+}
+
+std::string loopback(int port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+} // namespace
+
+StoreStandin::StoreStandin(Loop &loop)
+    : loop(loop)
+{
+    auto listening = HttpServer::listen(loop, "127.0.0.1:0", WideLimits, [this](const auto &exchange) {
+        this->handle(exchange);
+    });
+    this->server = std::move(listening.value());
+}
+
+std::string StoreStandin::address() const
+{
+    return loopback(this->server->port());
+}
+
+void StoreStandin::put(const std::string &name, const std::string &key, const std::optional<std::string> &value)
+{
+    Topic &topic = this->topics[name];
+    const std::uint64_t offset = topic.first + topic.records.size();
+    topic.records.push_back(platform::encodeKeyed(key, value.value_or("")));
+    if (value) {
+        topic.newest[key] = {*value, offset};
+    } else {
+        topic.newest.erase(key);
+    }
+}
+
+void StoreStandin::forgetHistory(const std::string &name)
+{
+    Topic &topic = this->topics[name];
+    topic.first += topic.records.size();
+    topic.records.clear();
+}
+
+std::vector<std::string> StoreStandin::plain(const std::string &topic) const
+{
+    const auto found = this->topics.find(topic);
+    return found == this->topics.end() ? std::vector<std::string> {} : found->second.records;
+}
+
+void StoreStandin::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const HttpRequest &request = exchange->request();
+    if (this->silent) {
+        this->held.push_back(exchange);
+        return;
+    }
+    if (this->down) {
+        exchange->reply(503, {}, "");
+        return;
+    }
+    const std::string name = request.query.contains("topic") ? request.query.at("topic") : "";
+    Topic &topic = this->topics[name];
+    if (request.path == "/v1/log-newest") {
+        json items = json::array();
+        for (const auto &[key, entry] : topic.newest) {
+            items.push_back({{"key", key}, {"value", toBase64(entry.first)}, {"offset", entry.second}});
+        }
+        exchange->reply(
+            200,
+            {},
+            json {{"items", items}, {"has_more", false}, {"end", topic.first + topic.records.size()}}.dump());
+    } else if (request.path == "/v1/log-read") {
+        const auto wait = std::chrono::milliseconds(std::stol(request.query.at("wait_ms")));
+        this->read(exchange, topic, this->loop.now() + wait);
+    } else {
+        this->append(*exchange, name);
+    }
+}
+
+void StoreStandin::read(const std::shared_ptr<HttpExchange> &exchange, Topic &topic, TimePoint until)
+{
+    const std::uint64_t from = std::stoul(exchange->request().query.at("from"));
+    const std::uint64_t end = topic.first + topic.records.size();
+    if (from < topic.first) {
+        exchange->reply(410, {}, json {{"first", topic.first}}.dump());
+        return;
+    }
+    if (from < end || this->loop.now() >= until) {
+        std::string body = offsetBytes(end) + offsetBytes(topic.first);
+        for (std::uint64_t i = from; i < end; ++i) {
+            body += platform::encodeRecord(topic.records[i - topic.first]);
+        }
+        exchange->reply(200, {}, body);
+        return;
+    }
+    this->timers.push_back(
+        this->loop.after(5ms, [this, exchange, &topic, until] { this->read(exchange, topic, until); }));
+}
+
+void StoreStandin::append(HttpExchange &exchange, const std::string &name)
+{
+    const HttpRequest &request = exchange.request();
+    Topic &topic = this->topics[name];
+    const std::uint64_t end = topic.first + topic.records.size();
+    if (request.query.contains("at") && std::stoul(request.query.at("at")) != end) {
+        exchange.reply(412, {}, json {{"end", end}}.dump());
+        return;
+    }
+    const std::string content = request.body.substr(4);
+    if (name.starts_with("keyed.")) {
+        const auto size = static_cast<unsigned char>(content[0]);
+        this->put(name, content.substr(1, size), content.substr(1 + size));
+    } else {
+        topic.records.push_back(content);
+    }
+    if (this->lostAppends > 0) {
+        --this->lostAppends;
+        exchange.abort();
+        return;
+    }
+    exchange.reply(200, {}, json {{"offset", end}, {"end", end + 1}}.dump());
+}
+
+std::string ReceivedRequest::field(const std::string &name) const
+{
+    const std::string start = "\r\n" + name + ": ";
+    const std::size_t at = this->head.find(start);
+    if (at == std::string::npos) {
+        return "";
+    }
+    const std::size_t begin = at + start.size();
+    return this->head.substr(begin, this->head.find("\r\n", begin) - begin);
+}
+
+RunnerStandin::RunnerStandin(Loop &loop, std::string id)
+    : id(std::move(id))
+    , script([](const ReceivedRequest &request) { return Reply {answerTo(request, 200, "done")}; })
+    , loop(loop)
+{
+    sockaddr_in place {};
+    place.sin_family = AF_INET;
+    place.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    this->listener = evconnlistener_new_bind(loop.base(),
+                                             &RunnerStandin::accepted,
+                                             this,
+                                             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                             64,
+                                             reinterpret_cast<sockaddr *>(&place),
+                                             sizeof(place));
+    socklen_t size = sizeof(place);
+    getsockname(evconnlistener_get_fd(this->listener), reinterpret_cast<sockaddr *>(&place), &size);
+    this->port = ntohs(place.sin_port);
+}
+
+RunnerStandin::~RunnerStandin()
+{
+    this->die();
+}
+
+void RunnerStandin::die()
+{
+    if (this->listener != nullptr) {
+        evconnlistener_free(this->listener);
+        this->listener = nullptr;
+    }
+    while (!this->connections.empty()) {
+        this->drop(this->connections.begin()->first);
+    }
+}
+
+std::string RunnerStandin::address() const
+{
+    return loopback(this->port);
+}
+
+void RunnerStandin::accepted(evconnlistener *, int socket, sockaddr *, int, void *context)
+{
+    auto *self = static_cast<RunnerStandin *>(context);
+    bufferevent *stream = bufferevent_socket_new(self->loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(stream, &RunnerStandin::onRead, nullptr, &RunnerStandin::onEvent, self);
+    bufferevent_enable(stream, EV_READ | EV_WRITE);
+    self->connections[stream] = {stream, "", 0};
+}
+
+void RunnerStandin::onEvent(bufferevent *stream, short, void *context)
+{
+    auto *self = static_cast<RunnerStandin *>(context);
+    if (const std::size_t current = self->connections.at(stream).current; current > 0) {
+        self->received[current - 1].callerGone = true;
+    }
+    self->drop(stream);
+}
+
+void RunnerStandin::drop(bufferevent *stream)
+{
+    if (this->connections.erase(stream) > 0) {
+        bufferevent_free(stream);
+    }
+}
+
+void RunnerStandin::onRead(bufferevent *stream, void *context)
+{
+    auto *self = static_cast<RunnerStandin *>(context);
+    Connection &connection = self->connections.at(stream);
+    char buffer[65536];
+    while (const std::size_t got = bufferevent_read(stream, buffer, sizeof(buffer))) {
+        connection.input.append(buffer, got);
+    }
+    self->serve(stream);
+}
+
+void RunnerStandin::serve(bufferevent *stream)
+{
+    Connection &connection = this->connections.at(stream);
+    const std::size_t end = connection.input.find("\r\n\r\n");
+    if (end == std::string::npos) {
+        return;
+    }
+    ReceivedRequest request;
+    request.head = connection.input.substr(0, end + 2);
+    const std::string length = request.field("content-length");
+    const std::size_t size = length.empty() ? 0 : std::stoul(length);
+    if (connection.input.size() < end + 4 + size) {
+        return;
+    }
+    request.body = connection.input.substr(end + 4, size);
+    connection.input.erase(0, end + 4 + size);
+    this->received.push_back(request);
+    connection.current = this->received.size();
+    const Reply reply = this->script(request);
+    switch (reply.then) {
+    case Reply::Then::Keep:
+        bufferevent_write(stream, reply.bytes.data(), reply.bytes.size());
+        connection.current = 0;
+        break;
+    case Reply::Then::Hang:
+        bufferevent_write(stream, reply.bytes.data(), reply.bytes.size());
+        break;
+    case Reply::Then::Close:
+    case Reply::Then::Reset:
+        // At once, since what a bufferevent holds goes with it.
+        (void)::send(bufferevent_getfd(stream), reply.bytes.data(), reply.bytes.size(), MSG_NOSIGNAL);
+        if (reply.then == Reply::Then::Close) {
+            this->drop(stream);
+        } else {
+            this->closing.push_back(this->loop.after(20ms, [this, stream] {
+                if (this->connections.contains(stream)) {
+                    const linger off {1, 0};
+                    setsockopt(bufferevent_getfd(stream), SOL_SOCKET, SO_LINGER, &off, sizeof(off));
+                    this->drop(stream);
+                }
+            }));
+        }
+        break;
+    }
+}
+
+std::string answerTo(const ReceivedRequest &request, int status, const std::string &body, const std::string &fields)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Endivespan-Request-Id: "
+        + request.field("x-endivespan-request-id") + "\r\nX-Endivespan-Server-Seal: seal\r\n" + fields
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string streamHead(const ReceivedRequest &request)
+{
+    return "HTTP/1.1 200 OK\r\nX-Endivespan-Request-Id: " + request.field("x-endivespan-request-id")
+        + "\r\nX-Endivespan-Server-Seal: seal\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string eventChunk(int id, const std::string &data)
+{
+    const std::string event = "id: " + std::to_string(id) + "\ndata: " + data + "\n\n";
+    char size[16];
+    std::snprintf(size, sizeof(size), "%zx", event.size());
+    return std::string(size) + "\r\n" + event + "\r\n";
+}
+
+World::World(std::size_t count)
+    : store(this->loop)
+    , callers(HttpPool::create(this->loop, 5s))
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        this->runners.push_back(std::make_unique<RunnerStandin>(this->loop, "i-" + std::to_string(i)));
+        this->list(*this->runners.back());
+    }
+    this->configure();
+    this->startNode();
+}
+
+World::~World()
+{
+    this->calls.clear();
+    this->node.reset();
+}
+
+void World::startNode()
+{
+    ForwardSettings settings;
+    settings.host = "host-1";
+    settings.region = "r";
+    settings.failureDomain = "z";
+    this->callerPort = freePort();
+    this->readinessPort = freePort();
+    settings.listenCallers = loopback(this->callerPort);
+    settings.listenReadiness = loopback(this->readinessPort);
+    settings.listenPeers = "127.0.0.1:0";
+    settings.listenMetrics = "127.0.0.1:0";
+    settings.logAddress = this->store.address();
+    settings.bounds.retrySlack = 100;
+    settings.bounds.stopTime = 6s;
+    this->log = std::make_unique<platform::KeyedLogClient>(this->loop, settings.logAddress);
+    this->engines = std::make_unique<platform::RunnerControl>(this->loop);
+    this->node = ForwardNode::create(this->loop,
+                                     settings,
+                                     {this->requests, this->records, *this->log, *this->engines, *this->engines},
+                                     [this] { this->stopped = true; });
+    const auto started = this->node->start();
+    if (!started) {
+        throw std::runtime_error(started.error().detail);
+    }
+    this->until([this] { return this->isReady(); });
+}
+
+bool World::until(const std::function<bool()> &condition, std::chrono::milliseconds patience)
+{
+    const TimePoint end = this->loop.now() + patience;
+    bool holds = condition();
+    while (!holds && this->loop.now() < end) {
+        this->runFor(2ms);
+        holds = condition();
+    }
+    return holds;
+}
+
+void World::runFor(std::chrono::milliseconds time)
+{
+    const auto timer = this->loop.after(time, [this] { this->loop.stop(); });
+    this->loop.run();
+}
+
+void World::list(const RunnerStandin &runner, const json &changes)
+{
+    json entry {{"service", "llm"},
+                {"address", runner.address()},
+                {"zone", "z"},
+                {"version", "v1"},
+                {"slots", 64},
+                {"state", "ready"},
+                {"cold_ms", 0},
+                {"models", json::array({json {{"name", "m"}, {"version", 1}}})},
+                {"seq", ++this->heartbeat},
+                {"born", 1000}};
+    entry.update(changes);
+    this->store.put("keyed.servers", runner.id, entry.dump());
+}
+
+void World::configure(const std::function<void(json &)> &change)
+{
+    const auto route = [](const char *path, const char *type, int attempts, bool resumable) {
+        return json {{"name", path},      {"host", "h.example"},      {"path_prefix", path}, {"type", type},
+                     {"timeout_ms", 3000}, {"aim_ms", 400},            {"priority", 1},       {"service", "llm"},
+                     {"public", false},   {"max_attempts", attempts}, {"resumable", resumable}};
+    };
+    json config {{"version", ++this->configVersion},
+                 {"routes",
+                  json::array({route("/once/", "non_idempotent", 1, false),
+                               route("/again/", "idempotent", 2, false),
+                               route("/stream/", "streaming", 1, false),
+                               route("/resume/", "streaming", 2, true)})},
+                 {"services", json::array({json {{"name", "llm"}, {"engine", {{"slots", 64}}}}})},
+                 {"tenants", json::array({json {{"name", "org"}, {"api_keys", json::array({"key"})}}})}};
+    if (change) {
+        change(config);
+    }
+    this->store.put("keyed.op", "config", config.dump());
+}
+
+std::size_t
+World::ask(const std::string &path, const HttpHeaders &headers, const std::string &method, const std::string &body)
+{
+    const std::size_t number = this->answers.size();
+    this->answers.emplace_back();
+    PooledCall call;
+    call.address = loopback(this->callerPort);
+    call.method = method;
+    call.target = path;
+    call.headers = {{"host", "h.example"},
+                    {"x-endivespan-request-id", "r" + std::to_string(number)},
+                    {"x-endivespan-deadline-ms", "2000"},
+                    {"api-key", "key"}};
+    for (const auto &[name, value] : headers) {
+        call.headers[name] = value;
+    }
+    call.body = body;
+    this->calls.push_back(this->callers->start(
+        std::move(call),
+        {[this, number](int status, const HttpHeaders &fields) {
+             this->answers[number].status = status;
+             this->answers[number].headers = fields;
+         },
+         [this, number](std::string_view bytes) { this->answers[number].body += bytes; },
+         [this, number] { this->answers[number].whole = true; },
+         [this, number](const HttpFailure &) { this->answers[number].failed = true; }}));
+    return number;
+}
+
+void World::leave(std::size_t call)
+{
+    this->calls[call].reset();
+}
+
+bool World::isReady()
+{
+    bool done = false;
+    bool ready = false;
+    PooledCall call;
+    call.address = loopback(this->readinessPort);
+    call.target = "/v1/ready";
+    const auto pending = this->callers->start(std::move(call),
+                                              {[&ready](int status, const HttpHeaders &) { ready = status == 200; },
+                                               {},
+                                               [&done] { done = true; },
+                                               [&done](const HttpFailure &) { done = true; }});
+    const TimePoint end = this->loop.now() + 2s;
+    while (!done && this->loop.now() < end) {
+        this->runFor(2ms);
+    }
+    return ready;
+}
+
+const CallerAnswer &World::answer(std::size_t call)
+{
+    this->until([this, call] { return this->answers[call].whole || this->answers[call].failed; });
+    return this->answers[call];
+}
+
+} // namespace endivespan::tests
--- /dev/null
+++ b/tests/platform/world.h
@@ -0,0 +1,189 @@
+#pragma once
+
+#include "engine_control.h"
+#include "keyed_log_client.h"
+#include "record_codec.h"
+#include "request_codec.h"
+
+#include <endivespan/forward_node.h>
+#include <endivespan/http_pool.h>
+#include <endivespan/http_server.h>
+#include <endivespan/loop.h>
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+/// A host with stand-ins of the platform's store and runners, all on one loop.
+namespace endivespan::tests {
+
+/// Stand-in of the store: keyed and plain topics with one partition.
+class StoreStandin
+{
+public:
+    explicit StoreStandin(Loop &loop);
+
+    [[nodiscard]] std::string address() const;
+
+    /// Appends to a keyed topic; no value drops the key.
+    void put(const std::string &topic, const std::string &key, const std::optional<std::string> &value);
+
+    /// Drops all records of a topic but the newest of each key.
+    void forgetHistory(const std::string &topic);
+
+    /// @returns the values of a plain topic.
+    [[nodiscard]] std::vector<std::string> plain(const std::string &topic) const;
+
+    bool down = false; ///< Answers 503.
+    bool silent = false; ///< Answers nothing.
+    int lostAppends = 0; ///< So many appends are done and not answered.
+
+private:
+    struct Topic {
+        std::vector<std::string> records;
+        std::map<std::string, std::pair<std::string, std::uint64_t>> newest;
+        std::uint64_t first = 0;
+    };
+    void handle(const std::shared_ptr<HttpExchange> &exchange);
+    void read(const std::shared_ptr<HttpExchange> &exchange, Topic &topic, TimePoint until);
+    void append(HttpExchange &exchange, const std::string &name);
+
+    Loop &loop;
+    std::map<std::string, Topic> topics;
+    std::vector<std::shared_ptr<HttpExchange>> held;
+    std::vector<std::unique_ptr<Timer>> timers;
+    std::unique_ptr<HttpServer> server;
+};
+
+/// One request as a runner received it.
+struct ReceivedRequest {
+    std::string head; ///< Request line and header fields, as sent.
+    std::string body;
+    bool callerGone = false; ///< Its connection closed before the answer was complete.
+
+    [[nodiscard]] std::string field(const std::string &name) const;
+};
+
+/// Stand-in of a runner that answers with exact bytes.
+class RunnerStandin
+{
+public:
+    /// What to do with one request: bytes to send, and whether to close or reset after them.
+    struct Reply {
+        std::string bytes;
+        enum class Then { Keep, Close, Reset, Hang } then = Then::Keep;
+    };
+    using Script = std::function<Reply(const ReceivedRequest &request)>;
+
+    RunnerStandin(Loop &loop, std::string id);
+    ~RunnerStandin();
+    RunnerStandin(const RunnerStandin &) = delete;
+    RunnerStandin &operator=(const RunnerStandin &) = delete;
+
+    [[nodiscard]] std::string address() const;
+
+    /// Stops to listen and closes every connection.
+    void die();
+
+    std::string id;
+    Script script;
+    std::vector<ReceivedRequest> received;
+
+private:
+    struct Connection {
+        bufferevent *stream;
+        std::string input;
+        std::size_t current = 0; ///< Index into received, plus one; 0 for none.
+    };
+    static void accepted(evconnlistener *listener, int socket, sockaddr *address, int size, void *context);
+    static void onRead(bufferevent *stream, void *context);
+    static void onEvent(bufferevent *stream, short what, void *context);
+    void drop(bufferevent *stream);
+    void serve(bufferevent *stream);
+
+    Loop &loop;
+    evconnlistener *listener;
+    int port;
+    std::map<bufferevent *, Connection> connections;
+    std::vector<std::unique_ptr<Timer>> closing; ///< Resets to come, after what was sent has arrived.
+};
+
+/// @returns a whole answer with its mark and the id of @p request.
+std::string answerTo(const ReceivedRequest &request, int status, const std::string &body, const std::string &fields = "");
+
+/// @returns the head of a chunked stream.
+std::string streamHead(const ReceivedRequest &request);
+
+/// @returns one event in a chunk of its own.
+std::string eventChunk(int id, const std::string &data);
+
+/// What a caller got.
+struct CallerAnswer {
+    int status = 0;
+    HttpHeaders headers;
+    std::string body;
+    bool whole = false;
+    bool failed = false;
+};
+
+/// The host under test and its world.
+class World
+{
+public:
+    /// @param runners How many runners there are of the one service.
+    explicit World(std::size_t runners);
+    ~World();
+    World(const World &) = delete;
+    World &operator=(const World &) = delete;
+
+    /// Runs the loop until @p condition holds. @returns false after @p patience.
+    bool until(const std::function<bool()> &condition, std::chrono::milliseconds patience = std::chrono::seconds(10));
+    void runFor(std::chrono::milliseconds time);
+
+    /// Lists a runner.
+    void list(const RunnerStandin &runner, const nlohmann::json &changes = nlohmann::json::object());
+
+    /// Writes a configuration with one more version.
+    void configure(const std::function<void(nlohmann::json &)> &change = {});
+
+    /// Sends a request. @returns its place in answers.
+    std::size_t ask(const std::string &path,
+                    const HttpHeaders &headers = {},
+                    const std::string &method = "POST",
+                    const std::string &body = "");
+    void leave(std::size_t call);
+
+    [[nodiscard]] bool isReady();
+    [[nodiscard]] const CallerAnswer &answer(std::size_t call);
+
+    Loop loop;
+    StoreStandin store;
+    std::vector<std::unique_ptr<RunnerStandin>> runners;
+    std::vector<CallerAnswer> answers;
+    std::unique_ptr<ForwardNode> node;
+    bool stopped = false;
+    int callerPort = 0;
+
+private:
+    void startNode();
+
+    std::uint64_t configVersion = 0;
+    std::uint64_t heartbeat = 0;
+    int readinessPort = 0;
+    platform::RequestCodec requests;
+    platform::StoreRecordCodec records;
+    std::unique_ptr<platform::KeyedLogClient> log;
+    std::unique_ptr<platform::RunnerControl> engines;
+    std::unique_ptr<HttpPool> callers;
+    std::vector<std::unique_ptr<HttpPending>> calls;
+};
+
+} // namespace endivespan::tests
