Wait with a stop until callers have read their last answers

Ruled out: the runner (its run ended whole 9 ms before), the balancer (the connection was old). Change: the process ends once callers have closed their connections; a draining connection with unsent output stays.

--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -580,6 +580,11 @@
         bufferevent_enable(this->stream, EV_READ);
         return;
     }
+    // The caller still reads its answer; the write timeout ends those that do not.
+    if (this->state == State::Draining && this->backlogBytes() > 0) {
+        bufferevent_enable(this->stream, EV_READ);
+        return;
+    }
     this->remove();
 }
 
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -264,7 +264,13 @@
             this->forward.refuseNew();
             this->callers->closeIdle();
         }
-        const bool finished = this->forward.inFlight() == 0 && since >= config::StopLeastTime;
+        if (this->forward.inFlight() == 0 && since >= config::StopLeastTime) {
+            this->callers->stopAccepting();
+            this->callers->closeIdle();
+        }
+        // Connections close once their callers have read the last answer.
+        const bool finished
+            = this->forward.inFlight() == 0 && since >= config::StopLeastTime && this->callers->connections() == 0;
         const bool overdue = since >= this->settings.bounds.stopTime - config::StopMargin;
         if (!finished && !overdue) {
             return;
--- a/tests/platform/serving.cpp
+++ b/tests/platform/serving.cpp
@@ -349,3 +349,24 @@
     }
     CHECK(received(world) == 0);
 }
+
+// The failure behind it: a host exited as soon as its last request was over, with the end of the answer still unsent.
+TEST_CASE("a stop waits until callers have taken their last answers")
+{
+    World world(1);
+    const std::string body = std::string(6'000'000, 'x') + "END";
+    scriptAll(world, [&body](const ReceivedRequest &request) { return RunnerStandin::Reply {answerTo(request, 200, body)}; });
+    RawSocket caller(world.callerPort);
+    caller.send("GET /once/ HTTP/1.1\r\nHost: h.example\r\nX-Endivespan-Request-Id: a\r\nApi-Key: key\r\n\r\n");
+    REQUIRE(world.until([&world] { return received(world) == 1; }));
+    world.node->beginStop();
+    world.runFor(3600ms);
+    CHECK_FALSE(world.stopped);
+    std::string got;
+    REQUIRE(world.until([&] {
+        got += caller.readUntil("END", 1ms);
+        return got.ends_with("END");
+    }));
+    CHECK(got.size() > body.size());
+    CHECK(world.until([&world] { return world.stopped; }));
+}
