--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -319,6 +319,8 @@
 constexpr int ForwardRetryAfterPart = 4; ///< Of the time that a caller has left, after which it should be back.
 constexpr std::size_t ForwardDeathsUntilRefused = 3;
 constexpr std::chrono::seconds DeathConfirmedWithin = 6s; ///< Missed heartbeats, and the poll.
+constexpr std::array<double, 3> EngineWaiting {14.0, 8.0, 4.0}; ///< Waiting at an engine, by priority of a request.
+constexpr double HedgeShare = 0.5; ///< Part of a route's aim within which another server must be expected to answer.
 constexpr std::uint32_t EngineInFlight = 24; ///< Own attempts at one engine.
 constexpr std::uint32_t PlainInFlight = 6; ///< Own attempts at one plain server.
 constexpr std::chrono::milliseconds OldWeightsMargin = 2500ms; ///< Before older weights may no longer be used.
--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -25,6 +25,7 @@
     ColdShare cold;
     std::vector<std::string> loadingNext; ///< Servers that are about to change their weights, the first ones first.
     std::uint32_t mostInFlight = 0; ///< Own attempts at one server.
+    double mostWaiting = 0; ///< Requests that wait at one server, by its latest report; 0 for no bound.
     std::set<std::string> tried; ///< Servers that have had the request.
 };
 
--- a/packages/core/include/endivespan/shared_store.h
+++ b/packages/core/include/endivespan/shared_store.h
@@ -39,10 +39,11 @@
     std::uint64_t tokens = 0;
 };
 
-/// What a store answers when asked for its events.
+/// What a store answers when asked for its events, or for all that it holds.
 struct StoreEvents {
     std::uint64_t epoch = 0; ///< Changes when the store starts again, empty.
     std::uint64_t next = 0; ///< What to ask after next.
+    bool gap = false; ///< Events that were asked for are gone.
     std::optional<std::chrono::milliseconds> clock; ///< The engines' clock, at the answer.
     std::vector<StoreEvent> events;
 };
@@ -74,7 +75,10 @@
 
     /// Takes an answer of the store at @p address that was asked for at @p askedAt.
     /// @returns false when the store has started again, so that it must be asked from the first event on.
-    bool answered(const std::string &address, const StoreEvents &events, TimePoint askedAt);
+    [[nodiscard]] bool answered(const std::string &address, const StoreEvents &events, TimePoint askedAt);
+
+    /// Takes everything that a store holds.
+    void listed(const std::string &address, const StoreEvents &all, TimePoint askedAt);
 
     /// Plans the transfers of the parts that a prompt shares with others, and takes note of what it saves.
     /// @param domain Failure domain of the engine.
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -28,6 +28,18 @@
     return hash;
 }
 
+// Part of a load report that still counts: others act on it meanwhile.
+double reportWeight(const ServerView &view, TimePoint now)
+{
+    const double age = Milliseconds(now - view.loadAt).count();
+    return std::max(0.0, 1.0 - age / Milliseconds(config::LoadReportStaleAfter).count());
+}
+
+bool isCrowded(const ServerView &view, const PlacementNeed &need, TimePoint now)
+{
+    return need.mostWaiting > 0 && view.load && reportWeight(view, now) * view.load->waiting > need.mostWaiting;
+}
+
 /// Visits the servers that may take the request, and counts the others.
 template<typename Visit>
 PlacementChoice forEachCandidate(const ServerTable &table, const PlacementNeed &need, TimePoint now, Visit visit)
@@ -46,7 +58,7 @@
             continue;
         }
         ++choice.open;
-        if (!ServerTable::hasColdRoom(view, need.cold, now)
+        if (!ServerTable::hasColdRoom(view, need.cold, now) || isCrowded(view, need, now)
             || (need.mostInFlight > 0 && view.inFlight >= need.mostInFlight)) {
             ++choice.full;
             continue;
@@ -164,11 +176,6 @@
         return busy / std::max<std::uint32_t>(view.entry.slots, 1) * Milliseconds(config::PlainRunCost).count();
     }
 
-    static double reportWeight(const ServerView &view, TimePoint now)
-    {
-        const double age = Milliseconds(now - view.loadAt).count();
-        return std::max(0.0, 1.0 - age / Milliseconds(config::LoadReportStaleAfter).count());
-    }
 };
 
 } // namespace
--- a/packages/core/src/shared_store.cpp
+++ b/packages/core/src/shared_store.cpp
@@ -62,6 +62,19 @@
     return true;
 }
 
+void SharedStores::listed(const std::string &address, const StoreEvents &all, TimePoint askedAt)
+{
+    const auto found = this->views.find(address);
+    if (found == this->views.end()) {
+        return;
+    }
+    const ForwardStore store = found->second.store;
+    found->second = View {};
+    found->second.store = store;
+    found->second.epoch = all.epoch;
+    (void)this->answered(address, all, askedAt);
+}
+
 bool SharedStores::isFresh(const View &view, TimePoint now)
 {
     return view.asOf && now - *view.asOf <= config::StoreViewTime;
--- a/packages/node/include/endivespan/forward_codec.h
+++ b/packages/node/include/endivespan/forward_codec.h
@@ -158,6 +158,9 @@
                         std::function<void(Result<StoreEvents>)> done)
         = 0;
 
+    /// Asks for all parts; dear to the store.
+    virtual void list(const std::string &address, std::function<void(Result<StoreEvents>)> done) = 0;
+
     /// Frees parts, unless the store has started again since @p epoch.
     virtual void free(const std::string &address,
                       std::uint64_t epoch,
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -56,6 +56,10 @@
     need.service = this->work.service;
     need.model = this->work.request.model;
     need.tried = this->tried;
+    if (!need.model.empty()) {
+        const auto rank = static_cast<std::size_t>(std::max(this->work.route->priority, 0));
+        need.mostWaiting = config::EngineWaiting[std::min(rank, config::EngineWaiting.size() - 1)];
+    }
     const auto &parts = this->work.request.parts;
     for (std::size_t i = 0; i < parts.size(); ++i) {
         // The last part belongs to this request or session alone.
@@ -183,7 +187,12 @@
 
     for (const std::string &store : dispatch.transfers.fetch) {
         this->fetchedFrom = store.empty() ? this->fetchedFrom : store;
+        this->partsFetched += store.empty() ? 0 : 1;
+    }
+    for (const std::string &store : dispatch.transfers.save) {
+        this->partsSaved += store.empty() ? 0 : 1;
     }
+    this->weights = dispatch.weights.value_or(0);
 
     const HttpRequest &received = this->work.exchange->request();
     PooledCall call;
@@ -423,7 +432,9 @@
     if (!this->streaming && this->status != 0) {
         return;
     }
-    const bool hasOther = !this->task.place(this->need(), now).server.empty();
+    const PlacementChoice other = this->task.place(this->need(), now);
+    // Where all are late, asking twice makes all later.
+    const bool hasOther = !other.server.empty() && other.expected <= this->work.route->aim * config::HedgeShare;
     if (this->ran + 1 >= this->work.route->maxAttempts || !hasOther || !this->mayRepeat(now)) {
         if (this->streaming) {
             this->watchStream();
@@ -544,6 +555,9 @@
         .with("organisation", this->work.organisation == nullptr ? "-" : this->work.organisation->name)
         .with("servers", servers)
         .with("attempts", this->sends)
+        .with("parts_fetched", this->partsFetched)
+        .with("parts_saved", this->partsSaved)
+        .with("weights", this->weights)
         .with("config", this->work.config->version)
         .with("confirmed_ms", age.value_or(Duration::zero()))
         .with("waited_ms", this->waited)
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -87,6 +87,9 @@
     std::uint32_t sends = 0;
     std::uint32_t ran = 0; ///< Attempts that may have run.
     std::uint32_t notRun = 0;
+    std::uint32_t partsFetched = 0; ///< Over all attempts, as is the next.
+    std::uint32_t partsSaved = 0;
+    std::uint64_t weights = 0; ///< Version that the last attempt counted on.
     bool streaming = false; ///< The caller has the head of the answer.
     EventSplitter events;
     std::optional<std::uint64_t> lastEvent; ///< Last one that the caller has whole.
--- a/packages/node/src/store_task.cpp
+++ b/packages/node/src/store_task.cpp
@@ -91,12 +91,35 @@
             .with("address", address)
             .with("why", answer ? "" : answer.error().detail);
     }
+    if (answer && answer.value().gap) {
+        return this->list(address);
+    }
     if (answer && !this->stores.answered(address, answer.value(), askedAt)) {
         this->events.line("store_started_again").with("address", address).with("epoch", answer.value().epoch);
         line.askAt = now;
     }
 }
 
+// A host that starts late finds only the latest events.
+void StoreTask::list(const std::string &address)
+{
+    const TimePoint askedAt = this->loop.now();
+    this->lines[address].asking = true;
+    this->control.list(address, [this, address, askedAt](const Result<StoreEvents> &all) {
+        Line &line = this->lines[address];
+        line.asking = false;
+        line.askAt = this->loop.now() + config::StoreEventsPause;
+        if (!all) {
+            this->events.line("store_not_listed", LogRank::Failure)
+                .with("address", address)
+                .with("why", all.error().detail);
+            return;
+        }
+        this->stores.listed(address, all.value(), askedAt);
+        this->events.line("store_listed").with("address", address).with("parts", all.value().events.size());
+    });
+}
+
 bool StoreTask::isOld(const std::string &scope, TimePoint now) const
 {
     const auto made = readScope(scope);
--- a/packages/node/src/store_task.h
+++ b/packages/node/src/store_task.h
@@ -40,6 +40,7 @@
 
     void ask(const std::string &address, std::uint64_t since);
     void answered(const std::string &address, const Result<StoreEvents> &answer, TimePoint askedAt);
+    void list(const std::string &address);
     void freeOld(const std::string &address, TimePoint now);
     [[nodiscard]] bool isOld(const std::string &scope, TimePoint now) const;
 
--- a/tests/core/forward.cpp
+++ b/tests/core/forward.cpp
@@ -393,6 +393,24 @@
     CHECK(placement->choose(table, promptNeed(7), 0, Start + 60s).server != home);
 }
 
+// Replays a pool on which more arrives than it can read: the less urgent leave room to the more urgent, all wait less.
+TEST_CASE("placement: on a crowded pool the least urgent are held back first")
+{
+    const auto placement = makeExpectedStartPlacement();
+    ServerTable table = enginePool(4);
+    for (const char *id : {"e0", "e1", "e2", "e3"}) {
+        table.reported(id, {60, 10, 64}, Start);
+    }
+    std::vector<bool> placed;
+    for (const double mostWaiting : config::EngineWaiting) {
+        PlacementNeed need = promptNeed(3);
+        need.mostWaiting = mostWaiting;
+        placed.push_back(!placement->choose(table, need, 0, Start).server.empty());
+        CHECK_FALSE(placement->choose(table, need, 0, Start + 2s).server.empty());
+    }
+    CHECK(placed == std::vector<bool> {true, false, false});
+}
+
 TEST_CASE("placement: engines that are about to load weights get no more work than needed")
 {
     const auto placement = makeExpectedStartPlacement();
--- a/tests/core/shared_store.cpp
+++ b/tests/core/shared_store.cpp
@@ -17,7 +17,7 @@
 
 StoreEvents stored(std::uint64_t epoch, std::uint64_t number, const ScopedPart &part, std::uint64_t tokens)
 {
-    return {epoch, number + 1, 1000ms, {{part, true, tokens}}};
+    return {epoch, number + 1, false, 1000ms, {{part, true, tokens}}};
 }
 
 SharedStores freshStores()
@@ -25,7 +25,7 @@
     SharedStores stores;
     stores.setStores(Stores);
     for (const ForwardStore &store : Stores) {
-        stores.answered(store.address, {1, 0, 1000ms, {}}, Start);
+        (void)stores.answered(store.address, {1, 0, false, 1000ms, {}}, Start);
     }
     return stores;
 }
@@ -45,7 +45,7 @@
     const TransferPlan again = one.plan("s", parts, "z1", Start + 100ms);
     CHECK(again.save[0].empty());
     CHECK(again.fetch[0].empty());
-    one.answered(first.save[0], stored(1, 0, {"s", "p"}, 500), Start + 200ms);
+    (void)one.answered(first.save[0], stored(1, 0, {"s", "p"}, 500), Start + 200ms);
     const TransferPlan later = one.plan("s", parts, "z1", Start + 300ms);
     CHECK(later.fetch[0] == first.save[0]);
     CHECK(later.fetchUntil == 1000ms + config::StoreViewTime);
@@ -55,7 +55,7 @@
 TEST_CASE("nothing is fetched from or saved to a store that has not answered lately")
 {
     SharedStores stores = freshStores();
-    stores.answered(Stores[0].address, stored(1, 0, {"s", "p"}, 500), Start);
+    (void)stores.answered(Stores[0].address, stored(1, 0, {"s", "p"}, 500), Start);
     const TransferPlan plan = stores.plan("s", {{"p", 500}}, "z1", Start + config::StoreViewTime + 1ms);
     CHECK(plan.fetch[0].empty());
     CHECK(plan.save[0].empty());
@@ -64,19 +64,29 @@
 TEST_CASE("a store that starts again is known to be empty")
 {
     SharedStores stores = freshStores();
-    stores.answered(Stores[0].address, stored(1, 0, {"s", "p"}, 500), Start);
-    CHECK_FALSE(stores.answered(Stores[0].address, {2, 7, 1000ms, {}}, Start + 100ms));
+    (void)stores.answered(Stores[0].address, stored(1, 0, {"s", "p"}, 500), Start);
+    CHECK_FALSE(stores.answered(Stores[0].address, {2, 7, false, 1000ms, {}}, Start + 100ms));
     CHECK(stores.plan("s", {{"p", 500}}, "z1", Start + 100ms).fetch[0].empty());
     CHECK(stores.toAsk()[0].second == 0);
 }
 
+// The failure behind it: hosts that started late saved again and again what they did not know to be there.
+TEST_CASE("a host that starts late takes over what the store lists")
+{
+    SharedStores stores = freshStores();
+    stores.listed(Stores[0].address, {1, 5000, false, 1000ms, {{{"s", "p"}, true, 500}, {{"s", "q"}, true, 700}}}, Start);
+    CHECK(stores.plan("s", {{"p", 500}, {"q", 700}}, "z1", Start).fetch[1] == Stores[0].address);
+    CHECK(stores.parts() == 2);
+    CHECK(stores.toAsk()[0].second == 5000);
+}
+
 TEST_CASE("a full store takes no more, and parts of old scopes make room")
 {
     SharedStores stores;
     stores.setStores({Stores[0]});
-    stores.answered(Stores[0].address, {1, 0, 1000ms, {}}, Start);
+    (void)stores.answered(Stores[0].address, {1, 0, false, 1000ms, {}}, Start);
     for (std::uint64_t i = 0; i < 9; ++i) {
-        stores.answered(Stores[0].address, stored(1, i, {"old", std::to_string(i)}, 1000), Start);
+        (void)stores.answered(Stores[0].address, stored(1, i, {"old", std::to_string(i)}, 1000), Start);
     }
     CHECK(stores.plan("new", {{"p", 1000}}, "z1", Start).save[0].empty());
     const auto [epoch, parts] = stores.toFree(
@@ -91,8 +101,8 @@
 {
     SharedStores stores = freshStores();
     for (const ForwardStore &store : Stores) {
-        stores.answered(store.address, stored(1, 0, {"s", "short" + store.name}, 500), Start);
-        stores.answered(store.address, stored(1, 1, {"s", "long" + store.name}, 9000), Start);
+        (void)stores.answered(store.address, stored(1, 0, {"s", "short" + store.name}, 500), Start);
+        (void)stores.answered(store.address, stored(1, 1, {"s", "long" + store.name}, 9000), Start);
     }
     for (int i = 0; i < 20; ++i) {
         stores.observed(Stores[0].address, 900ms, Start);
@@ -145,11 +155,11 @@
             SharedStores &host = hosts[random() % hosts.size()];
             if (random() % 20 == 0) {
                 const auto [address, since] = host.toAsk()[0];
-                StoreEvents answer {epoch, number, clock, {}};
+                StoreEvents answer {epoch, number, false, clock, {}};
                 if (since < number) {
                     answer.events = events;
                 }
-                host.answered(address, answer, now);
+                (void)host.answered(address, answer, now);
             }
             const TransferPlan plan = host.plan("s", {{"p", 500}}, "z1", now);
             if (!plan.save[0].empty() && wholeAt == TimePoint {}) {
--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -216,6 +216,7 @@
         (void)decodeRecords(bytes, from, false);
         (void)decodeState(bytes);
         (void)decodeEvents(bytes);
+        (void)decodeList(bytes);
         const StoreRecordCodec records;
         (void)records.decodeServer("i", bytes);
         (void)records.decodeOperator("config", bytes);
@@ -234,6 +235,9 @@
     const auto events = decodeEvents(
         R"({"epoch":77120,"next":120,"lost":false,"clock_ms":5000.5,"events":[[119,"+","s1","5c",800,"m"],[120,"-","s1","91",128,"m"]]})");
     REQUIRE(events);
+    CHECK_FALSE(events.value().gap);
+    CHECK(decodeEvents(R"({"epoch":1,"next":2,"lost":true,"events":[]})").value().gap);
+    CHECK(decodeList(R"({"epoch":1,"next":2,"held":[["s1","5c",800,"m"]]})").value().events[0].tokens == 800);
     CHECK(events.value().clock == 5000ms);
     CHECK(events.value().events[0].stored);
     CHECK_FALSE(events.value().events[1].stored);
