Bound what an engine takes by its memory, and hedge only while first bytes are quick

Ruled out: stores (events and views were in order), weights (one version). Change: what runs and waits at an engine is bounded by its memory over the smoothed size of a request, less for the less urgent; a second attempt at an engine request needs a pool that answers within half of the aim. Conclusion: by test only so far.

--- a/packages/core/include/endivespan/order_lease.h
+++ b/packages/core/include/endivespan/order_lease.h
@@ -22,8 +22,8 @@
     Append, ///< Append a record at end().
 };
 
-/// Decides when to append. Each record's offset is a fencing number; only the newest record counts. A holder goes by the
-/// clock that counts suspended time, and needs no clock in common with others.
+/// Decides when to append. Each record's offset is a fencing number; only the newest record counts. A holder goes by
+/// the clock that counts suspended time, and needs no clock in common with others.
 class OrderLease
 {
 public:
--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -24,8 +24,11 @@
     std::uint64_t oldestWeights = 0; ///< Servers with older ones may not be used.
     ColdShare cold;
     std::vector<std::string> loadingNext; ///< Servers that are about to change their weights, the first ones first.
+    std::size_t urgency = 0; ///< 0 is the most urgent.
     std::uint32_t mostInFlight = 0; ///< Own attempts at one server.
     double mostWaiting = 0; ///< Requests that wait at one server, by its latest report; 0 for no bound.
+    double mostAtOnce
+        = 0; ///< Requests that run or wait there; beyond its memory it puts runs back and reads them again.
     std::set<std::string> tried; ///< Servers that have had the request.
 };
 
--- a/packages/core/include/endivespan/retry_share.h
+++ b/packages/core/include/endivespan/retry_share.h
@@ -17,8 +17,8 @@
     Duration window = std::chrono::seconds(10);
 };
 
-/// Counts requests and repeats by service. Takes a fixed part of the slack, so that hosts need not agree. Answers a load
-/// where many servers fail at once and each failed request would be sent again.
+/// Counts requests and repeats by service. Takes a fixed part of the slack, so that hosts need not agree. Answers a
+/// load where many servers fail at once and each failed request would be sent again.
 class RetryShare
 {
 public:
--- a/packages/core/include/endivespan/shared_store.h
+++ b/packages/core/include/endivespan/shared_store.h
@@ -92,7 +92,9 @@
     /// @returns the parts held at @p address outside of the scopes in use, at most @p limit, with the store's epoch.
     /// @param isOld Tells whether a scope is used no more.
     [[nodiscard]] std::pair<std::uint64_t, std::vector<ScopedPart>>
-    toFree(const std::string &address, const std::function<bool(const std::string &scope)> &isOld, std::size_t limit) const;
+    toFree(const std::string &address,
+           const std::function<bool(const std::string &scope)> &isOld,
+           std::size_t limit) const;
 
     /// Takes that parts were freed, before the store's own events tell.
     void freed(const std::string &address, const std::vector<ScopedPart> &parts);
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -37,7 +37,12 @@
 
 bool isCrowded(const ServerView &view, const PlacementNeed &need, TimePoint now)
 {
-    return need.mostWaiting > 0 && view.load && reportWeight(view, now) * view.load->waiting > need.mostWaiting;
+    if (!view.load) {
+        return false;
+    }
+    const double weight = reportWeight(view, now);
+    return (need.mostWaiting > 0 && weight * view.load->waiting > need.mostWaiting)
+        || (need.mostAtOnce > 0 && weight * (view.load->running + view.load->waiting) > need.mostAtOnce);
 }
 
 /// Visits the servers that may take the request, and counts the others.
@@ -162,7 +167,8 @@
         const auto next = std::find(need.loadingNext.begin(), need.loadingNext.end(), view.entry.id);
         if (next != need.loadingNext.end()) {
             const auto ahead = static_cast<std::size_t>(next - need.loadingNext.begin());
-            cost += Milliseconds(ahead < config::EnginesLoadingAtOnce ? config::LoadingCost : config::LoadingSoonCost).count();
+            cost += Milliseconds(ahead < config::EnginesLoadingAtOnce ? config::LoadingCost : config::LoadingSoonCost)
+                        .count();
         }
         return cost;
     }
@@ -171,11 +177,11 @@
     {
         double busy = view.inFlight;
         if (view.load) {
-            busy = std::max(busy, reportWeight(view, now) * (view.load->running + view.load->waiting)) + view.sentSinceLoad;
+            busy = std::max(busy, reportWeight(view, now) * (view.load->running + view.load->waiting))
+                + view.sentSinceLoad;
         }
         return busy / std::max<std::uint32_t>(view.entry.slots, 1) * Milliseconds(config::PlainRunCost).count();
     }
-
 };
 
 } // namespace
--- a/packages/core/src/retry_share.cpp
+++ b/packages/core/src/retry_share.cpp
@@ -37,7 +37,8 @@
             repeats += slot.repeats;
         }
     }
-    const double share = this->bounds.slack / (config::SpareHostFactor * static_cast<double>(std::max<std::size_t>(hosts, 1)));
+    const double share
+        = this->bounds.slack / (config::SpareHostFactor * static_cast<double>(std::max<std::size_t>(hosts, 1)));
     if (repeats + 1 > config::RetryRatioUsed * this->bounds.ratio * requests + share) {
         return false;
     }
--- a/packages/core/src/server_table.cpp
+++ b/packages/core/src/server_table.cpp
@@ -84,9 +84,8 @@
 
 void ServerTable::tick(TimePoint now)
 {
-    std::erase_if(this->views, [now](const auto &entry) {
-        return entry.second.withdrawAt && *entry.second.withdrawAt <= now;
-    });
+    std::erase_if(this->views,
+                  [now](const auto &entry) { return entry.second.withdrawAt && *entry.second.withdrawAt <= now; });
 }
 
 void ServerTable::started(const std::string &id, std::uint64_t prefillTokens, TimePoint now)
@@ -136,14 +135,15 @@
         // A server that refuses with places free loads weights, or is at fault.
         const bool full = !view.load || view.load->running + view.load->waiting >= view.load->slots;
         view.failed += full ? 0 : 1;
-        view.avoidUntil = std::max<TimePoint>(view.avoidUntil,
-                                              now + (full ? config::RefusedPause : config::RefusedFreePause));
+        view.avoidUntil
+            = std::max<TimePoint>(view.avoidUntil, now + (full ? config::RefusedPause : config::RefusedFreePause));
         break;
     }
     case AttemptOutcome::Unreachable:
         view.failed += 1;
         view.unconfirmedSince = now;
-        view.avoidStep = std::clamp<Duration>(2 * view.avoidStep, config::UnreachablePause, config::UnreachablePauseMost);
+        view.avoidStep
+            = std::clamp<Duration>(2 * view.avoidStep, config::UnreachablePause, config::UnreachablePauseMost);
         view.avoidUntil = std::max(view.avoidUntil, now + view.avoidStep);
         break;
     case AttemptOutcome::Misdirected:
@@ -189,8 +189,8 @@
         return true;
     }
     // Shares below one a second are kept by a longer span between two requests.
-    const auto span = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(std::max(1.0, 1.0 / share.perSecond)));
+    const auto span
+        = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::max(1.0, 1.0 / share.perSecond)));
     const auto most = static_cast<std::ptrdiff_t>(std::max(1.0, std::floor(share.perSecond)));
     return std::count_if(server.coldSends.begin(),
                          server.coldSends.end(),
--- a/packages/core/src/shared_store.cpp
+++ b/packages/core/src/shared_store.cpp
@@ -108,8 +108,7 @@
     return view.excess - fastest > config::SlowStoreExcess;
 }
 
-const SharedStores::View *
-SharedStores::holder(const ScopedPart &part, const std::string &domain, TimePoint now) const
+const SharedStores::View *SharedStores::holder(const ScopedPart &part, const std::string &domain, TimePoint now) const
 {
     const View *best = nullptr;
     for (const auto &[address, view] : this->views) {
@@ -175,10 +174,8 @@
     return plan;
 }
 
-std::pair<std::uint64_t, std::vector<ScopedPart>>
-SharedStores::toFree(const std::string &address,
-                     const std::function<bool(const std::string &scope)> &isOld,
-                     std::size_t limit) const
+std::pair<std::uint64_t, std::vector<ScopedPart>> SharedStores::toFree(
+    const std::string &address, const std::function<bool(const std::string &scope)> &isOld, std::size_t limit) const
 {
     std::vector<ScopedPart> parts;
     const auto found = this->views.find(address);
--- a/packages/core/src/suspect.cpp
+++ b/packages/core/src/suspect.cpp
@@ -57,10 +57,9 @@
 
 std::size_t SuspicionTable::openDeathsOf(const Entry &entry)
 {
-    return static_cast<std::size_t>(
-        std::count_if(entry.deaths.begin(), entry.deaths.end(), [&entry](DeathId death) {
-            return !std::binary_search(entry.cleared.begin(), entry.cleared.end(), death);
-        }));
+    return static_cast<std::size_t>(std::count_if(entry.deaths.begin(), entry.deaths.end(), [&entry](DeathId death) {
+        return !std::binary_search(entry.cleared.begin(), entry.cleared.end(), death);
+    }));
 }
 
 Verdict SuspicionTable::verdictOf(const Entry &entry)
--- a/packages/net/include/endivespan/keyed_log.h
+++ b/packages/net/include/endivespan/keyed_log.h
@@ -32,8 +32,8 @@
     std::uint64_t offset = 0; ///< Of the record; when not applied, the end.
 };
 
-/// Client of the log service. All calls report exactly once, unless the log is destroyed first; LogUnavailable says that
-/// certainly nothing was done, OutcomeUnknown that it may have been.
+/// Client of the log service. All calls report exactly once, unless the log is destroyed first; LogUnavailable says
+/// that certainly nothing was done, OutcomeUnknown that it may have been.
 class KeyedLog
 {
 public:
@@ -51,8 +51,10 @@
         = 0;
 
     /// Sets the newest record of @p key.
-    virtual void
-    put(const std::string &topic, const std::string &key, const std::string &value, std::function<void(Result<void>)> done)
+    virtual void put(const std::string &topic,
+                     const std::string &key,
+                     const std::string &value,
+                     std::function<void(Result<void>)> done)
         = 0;
 
     /// Reads the last record of a plain topic.
--- a/packages/net/src/event_log.cpp
+++ b/packages/net/src/event_log.cpp
@@ -1,10 +1,9 @@
 #include <endivespan/config.h>
 #include <endivespan/event_log.h>
 
+#include <cerrno>
 #include <fcntl.h>
 #include <unistd.h>
-
-#include <cerrno>
 #include <utility>
 
 namespace endivespan {
@@ -32,10 +31,7 @@
     }
     const auto wall = std::chrono::system_clock::now().time_since_epoch();
     return {this,
-            fmt::format("t={:.3f} host={} event={}",
-                        std::chrono::duration<double>(wall).count(),
-                        this->host,
-                        event)};
+            fmt::format("t={:.3f} host={} event={}", std::chrono::duration<double>(wall).count(), this->host, event)};
 }
 
 std::uint64_t EventLog::suppressed() const
@@ -45,8 +41,7 @@
 
 bool EventLog::admit(std::string_view event, LogRank rank)
 {
-    const auto second
-        = std::chrono::duration_cast<std::chrono::seconds>(this->loop.now().time_since_epoch()).count();
+    const auto second = std::chrono::duration_cast<std::chrono::seconds>(this->loop.now().time_since_epoch()).count();
     auto found = this->bounds.find(event);
     if (found == this->bounds.end()) {
         found = this->bounds.emplace(std::string(event), Bound {}).first;
@@ -72,8 +67,10 @@
 {
     for (auto &[event, bound] : this->bounds) {
         if (bound.suppressed > 0 && this->buffer.size() < config::LogBufferBytes) {
-            this->take(fmt::format(
-                "host={} event=lines_suppressed of={} count={}\n", this->host, event, std::exchange(bound.suppressed, 0)));
+            this->take(fmt::format("host={} event=lines_suppressed of={} count={}\n",
+                                   this->host,
+                                   event,
+                                   std::exchange(bound.suppressed, 0)));
         }
     }
 }
--- a/packages/net/src/http_pool.cpp
+++ b/packages/net/src/http_pool.cpp
@@ -3,14 +3,12 @@
 #include <endivespan/config.h>
 #include <endivespan/http_pool.h>
 
+#include <arpa/inet.h>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
-
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -282,9 +280,8 @@
     }
     watchForSilence(bufferevent_getfd(this->stream));
     bufferevent_enable(this->stream, EV_READ | EV_WRITE);
-    this->connectTimer = this->pool.loop.after(timeout, [this] {
-        this->fail(ErrorKind::ConnectionFailed, "connect timed out");
-    });
+    this->connectTimer
+        = this->pool.loop.after(timeout, [this] { this->fail(ErrorKind::ConnectionFailed, "connect timed out"); });
     ++this->pool.counters.opened;
     return true;
 }
@@ -430,8 +427,7 @@
 void Connection::fail(ErrorKind kind, std::string detail)
 {
     const std::shared_ptr<Call> failed = this->call;
-    const std::size_t unsent
-        = this->stream == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(this->stream));
+    const std::size_t unsent = this->stream == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(this->stream));
     const bool sent = this->connected && failed && unsent < failed->requestSize;
     this->close();
     if (failed) {
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -5,17 +5,15 @@
 #include <endivespan/http_server.h>
 #include <endivespan/log.h>
 
+#include <arpa/inet.h>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
-
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
-
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
--- a/packages/node/include/endivespan/forward_codec.h
+++ b/packages/node/include/endivespan/forward_codec.h
@@ -73,8 +73,8 @@
     [[nodiscard]] virtual Result<ForwardRequest> decodeRequest(const HttpRequest &request) const = 0;
 
     /// @returns the header fields for a server.
-    [[nodiscard]] virtual HttpHeaders encodeDispatch(const ForwardRequest &request, const ForwardDispatch &dispatch) const
-        = 0;
+    [[nodiscard]] virtual HttpHeaders encodeDispatch(const ForwardRequest &request,
+                                                     const ForwardDispatch &dispatch) const = 0;
 
     [[nodiscard]] virtual ServerAnswer decodeAnswer(int status, const HttpHeaders &headers) const = 0;
 
@@ -103,7 +103,8 @@
     std::string model;
     std::uint64_t version = 0;
 };
-using OperatorRecord = std::variant<std::monostate, std::shared_ptr<const ForwardConfig>, EvacuationRecord, WeightsRecord>;
+using OperatorRecord
+    = std::variant<std::monostate, std::shared_ptr<const ForwardConfig>, EvacuationRecord, WeightsRecord>;
 
 /// Reads records of the log that others write.
 class RecordCodec
@@ -119,8 +120,7 @@
     /// @param value Nothing when the key was dropped.
     /// @returns what the record says, std::monostate for keys of no concern, or ProtocolError.
     [[nodiscard]] virtual Result<OperatorRecord> decodeOperator(const std::string &key,
-                                                                const std::optional<std::string> &value) const
-        = 0;
+                                                                const std::optional<std::string> &value) const = 0;
 
     /// @returns the entry, or ProtocolError for one that names no server to use.
     [[nodiscard]] virtual Result<ServerEntry> decodeServer(const std::string &key, const std::string &value) const = 0;
@@ -133,9 +133,7 @@
     virtual ~EngineControl() = default;
 
     /// Asks for an engine's state.
-    virtual void
-    ask(const std::string &address, std::function<void(Result<EngineState>)> done)
-        = 0;
+    virtual void ask(const std::string &address, std::function<void(Result<EngineState>)> done) = 0;
 
     /// Gives an order. @param done Gets whether it was accepted or already holds; OutcomeUnknown without an answer.
     virtual void give(const WeightOrder &order,
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -12,9 +12,8 @@
 #include <endivespan/log.h>
 #include <endivespan/ownership.h>
 
-#include <unistd.h>
-
 #include <algorithm>
+#include <unistd.h>
 #include <utility>
 
 namespace endivespan {
@@ -147,26 +146,26 @@
     Result<void> listen()
     {
         const HttpServerLimits limits = this->callerLimits();
-        auto callersListening = HttpServer::listen(this->loop,
-                                                   this->settings.listenCallers,
-                                                   limits,
-                                                   [this](const auto &exchange) { this->forward.serve(exchange); });
+        auto callersListening
+            = HttpServer::listen(this->loop, this->settings.listenCallers, limits, [this](const auto &exchange) {
+                  this->forward.serve(exchange);
+              });
         if (!callersListening) {
             return callersListening.error();
         }
         this->callers = std::move(callersListening.value());
-        auto readinessListening = HttpServer::listen(this->loop,
-                                                     this->settings.listenReadiness,
-                                                     limits,
-                                                     [this](const auto &exchange) { this->answerReadiness(*exchange); });
+        auto readinessListening
+            = HttpServer::listen(this->loop, this->settings.listenReadiness, limits, [this](const auto &exchange) {
+                  this->answerReadiness(*exchange);
+              });
         if (!readinessListening) {
             return readinessListening.error();
         }
         this->readiness = std::move(readinessListening.value());
-        auto metricsListening = HttpServer::listen(this->loop,
-                                                   this->settings.listenMetrics,
-                                                   limits,
-                                                   [this](const auto &exchange) { this->answerMetrics(*exchange); });
+        auto metricsListening
+            = HttpServer::listen(this->loop, this->settings.listenMetrics, limits, [this](const auto &exchange) {
+                  this->answerMetrics(*exchange);
+              });
         if (!metricsListening) {
             return metricsListening.error();
         }
@@ -193,7 +192,8 @@
     {
         const bool known = exchange.request().path == this->adapters.codec.readinessPath();
         const bool ready = known && this->isReady(this->loop.now());
-        exchange.reply(known ? (ready ? 200 : 503) : 404, {{"Content-Type", "text/plain"}}, ready ? "ready" : "not ready");
+        exchange.reply(
+            known ? (ready ? 200 : 503) : 404, {{"Content-Type", "text/plain"}}, ready ? "ready" : "not ready");
     }
 
     void answerMetrics(HttpExchange &exchange)
@@ -251,8 +251,8 @@
         this->nextRanking = now + config::OwnershipPeriod;
         const std::uint64_t own = rendezvousWeight(this->settings.host, "orders");
         const auto owners = this->membership.owners();
-        this->rollout.setRank(static_cast<std::size_t>(
-            std::count_if(owners.begin(), owners.end(), [own](const std::string &host) {
+        this->rollout.setRank(
+            static_cast<std::size_t>(std::count_if(owners.begin(), owners.end(), [own](const std::string &host) {
                 return rendezvousWeight(host, "orders") > own;
             })));
     }
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -45,8 +45,8 @@
 void ForwardRun::start()
 {
     this->work.exchange->onClosed([this] { this->onCallerGone(); });
-    this->deadlineTimer = this->task.parts.loop.after(this->work.deadline - this->work.arrivedAt,
-                                                      [this] { this->onDeadline(); });
+    this->deadlineTimer
+        = this->task.parts.loop.after(this->work.deadline - this->work.arrivedAt, [this] { this->onDeadline(); });
     this->attempt();
 }
 
@@ -56,10 +56,7 @@
     need.service = this->work.service;
     need.model = this->work.request.model;
     need.tried = this->tried;
-    if (!need.model.empty()) {
-        const auto rank = static_cast<std::size_t>(std::max(this->work.route->priority, 0));
-        need.mostWaiting = config::EngineWaiting[std::min(rank, config::EngineWaiting.size() - 1)];
-    }
+    need.urgency = static_cast<std::size_t>(std::max(this->work.route->priority, 0));
     const auto &parts = this->work.request.parts;
     for (std::size_t i = 0; i < parts.size(); ++i) {
         // The last part belongs to this request or session alone.
@@ -88,9 +85,8 @@
         const auto longest = std::max<std::chrono::milliseconds>(
             std::chrono::duration_cast<std::chrono::milliseconds>(this->work.route->aim * config::ForwardWaitShare),
             config::ForwardLeastWait);
-        this->patienceTimer = this->task.parts.loop.after(longest, [this] {
-            this->refuse(ErrorKind::Overloaded, "no place came free in time");
-        });
+        this->patienceTimer = this->task.parts.loop.after(
+            longest, [this] { this->refuse(ErrorKind::Overloaded, "no place came free in time"); });
         return;
     }
     this->refuse(ErrorKind::Overloaded, "too many requests wait");
@@ -262,10 +258,13 @@
         return;
     }
     this->markPrefilled();
+    if (!this->work.request.model.empty()) {
+        this->task.observedEngine(this->attemptTokens + this->work.request.answerTokens, now - this->attemptAt);
+    }
     if (!this->fetchedFrom.empty()) {
         const std::uint64_t own = this->work.request.parts.back().tokens;
-        const auto reading = std::chrono::duration<double, std::milli>(
-            static_cast<double>(own) / config::PrefillTokensPerMillisecond);
+        const auto reading
+            = std::chrono::duration<double, std::milli>(static_cast<double>(own) / config::PrefillTokensPerMillisecond);
         this->task.parts.stores.observed(
             this->fetchedFrom, now - this->attemptAt - std::chrono::duration_cast<Duration>(reading), now);
     }
@@ -282,7 +281,8 @@
     this->patienceTimer.reset();
     this->lastByteAt = this->task.parts.loop.now();
     if (this->work.route->repeat == RepeatRule::Resumable) {
-        this->patienceTimer = this->task.parts.loop.after(config::ForwardStreamSilence, [this] { this->onImpatient(); });
+        this->patienceTimer
+            = this->task.parts.loop.after(config::ForwardStreamSilence, [this] { this->onImpatient(); });
     }
 }
 
@@ -357,10 +357,8 @@
     }
     this->firstByteAt = this->task.parts.loop.now();
     this->work.exchange->reply(this->status, this->task.parts.codec.callerHeaders(this->headers), this->body);
-    this->finish(this->status,
-                 isFailure ? "server_failed" : "answered",
-                 "",
-                 isFailure ? LogRank::Failure : LogRank::Routine);
+    this->finish(
+        this->status, isFailure ? "server_failed" : "answered", "", isFailure ? LogRank::Failure : LogRank::Routine);
 }
 
 // The server has promised that it did not run the request, so that any other one may.
@@ -434,7 +432,9 @@
     }
     const PlacementChoice other = this->task.place(this->need(), now);
     // Where all are late, asking twice makes all later.
-    const bool hasOther = !other.server.empty() && other.expected <= this->work.route->aim * config::HedgeShare;
+    const auto soon = this->work.route->aim * config::HedgeShare;
+    const bool hasOther = !other.server.empty() && other.expected <= soon
+        && (this->work.request.model.empty() || this->task.firstByteTime() <= soon);
     if (this->ran + 1 >= this->work.route->maxAttempts || !hasOther || !this->mayRepeat(now)) {
         if (this->streaming) {
             this->watchStream();
@@ -561,7 +561,8 @@
         .with("config", this->work.config->version)
         .with("confirmed_ms", age.value_or(Duration::zero()))
         .with("waited_ms", this->waited)
-        .with("first_ms", this->firstByteAt == TimePoint {} ? Duration::zero() : this->firstByteAt - this->work.arrivedAt)
+        .with("first_ms",
+              this->firstByteAt == TimePoint {} ? Duration::zero() : this->firstByteAt - this->work.arrivedAt)
         .with("total_ms", now - this->work.arrivedAt);
     this->task.parts.metrics.count("outcomes_total", "outcome=\"" + std::string(outcome) + "\"");
     this->task.parts.metrics.observe("request_seconds", now - this->work.arrivedAt);
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -26,6 +26,7 @@
     , retries(retryBounds(parts.settings.bounds))
     , random(std::random_device {}())
     , placement(makeExpectedStartPlacement())
+    , requestTokens(config::StartRequestTokens)
 {
 }
 
@@ -61,7 +62,8 @@
         return this->refuse(*exchange, job.request, {ErrorKind::HostStopping, "this host stops"});
     }
     if (!this->isInForce(now)) {
-        return this->refuse(*exchange, job.request, {ErrorKind::ConfigurationStale, "the configuration is not confirmed"});
+        return this->refuse(
+            *exchange, job.request, {ErrorKind::ConfigurationStale, "the configuration is not confirmed"});
     }
     job.route = job.config->route(job.request.host, job.request.path);
     if (job.route == nullptr) {
@@ -82,7 +84,8 @@
     this->retries.requested(job.service, now);
     this->parts.metrics.count("requests_total");
     if (this->parts.suspicions.openDeaths(job.fingerprint) >= config::ForwardDeathsUntilRefused) {
-        return this->refuse(*exchange, job.request, {ErrorKind::Overloaded, "servers died while they ran this request"});
+        return this->refuse(
+            *exchange, job.request, {ErrorKind::Overloaded, "servers died while they ran this request"});
     }
     auto run = std::make_unique<ForwardRun>(*this, std::move(job));
     ForwardRun &started = *run;
@@ -110,8 +113,8 @@
 void ForwardTask::refuse(HttpExchange &exchange, const ForwardRequest &request, const Error &error)
 {
     const ErrorAnswer &answer = errorAnswer(error.kind);
-    const auto retryAfter = this->replyRefusal(
-        exchange, request.id, error, request.deadline.value_or(config::ForwardDefaultDeadline));
+    const auto retryAfter
+        = this->replyRefusal(exchange, request.id, error, request.deadline.value_or(config::ForwardDefaultDeadline));
     const OperatorState &state = this->parts.operators.state();
     this->parts.events.line("request_refused", LogRank::Failure)
         .with("request", request.id)
@@ -182,6 +185,12 @@
             need.cold.perSecond = all / (config::SpareHostFactor * static_cast<double>(this->hosts()));
         }
         need.mostInFlight = service->slots > 0 ? config::EngineInFlight : config::PlainInFlight;
+        if (service->memoryTokens > 0) {
+            const double share
+                = config::EngineMemoryShares[std::min(need.urgency, config::EngineMemoryShares.size() - 1)];
+            need.mostAtOnce = share * static_cast<double>(service->memoryTokens) / this->requestTokens;
+            need.mostWaiting = config::EngineWaiting[std::min(need.urgency, config::EngineWaiting.size() - 1)];
+        }
     }
     need.domain = this->parts.settings.failureDomain;
 }
@@ -192,6 +201,17 @@
     return this->placement->choose(this->parts.servers, need, this->random(), now);
 }
 
+void ForwardTask::observedEngine(std::uint64_t tokens, Duration time)
+{
+    this->requestTokens += config::RequestTokensSmoothing * (static_cast<double>(tokens) - this->requestTokens);
+    this->firstByte += std::chrono::duration_cast<Duration>(config::FirstByteSmoothing * (time - this->firstByte));
+}
+
+Duration ForwardTask::firstByteTime() const
+{
+    return this->firstByte;
+}
+
 bool ForwardTask::wait(ForwardRun &run)
 {
     if (this->waiting.size() >= config::ForwardQueueBound) {
@@ -252,8 +272,8 @@
 {
     const bool loaded = kind == ErrorKind::Overloaded || kind == ErrorKind::NoServer;
     const auto least = config::ForwardRetryAfterLeast;
-    const auto most = loaded ? std::max<std::chrono::milliseconds>(timeLeft / config::ForwardRetryAfterPart, 2 * least)
-                             : 2 * least;
+    const auto most
+        = loaded ? std::max<std::chrono::milliseconds>(timeLeft / config::ForwardRetryAfterPart, 2 * least) : 2 * least;
     const auto spread = static_cast<std::uint64_t>((most - least).count());
     return least + std::chrono::milliseconds(this->random() % (spread + 1));
 }
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -76,6 +76,12 @@
     /// Fills in what @p need says of weights and cold servers.
     void completeNeed(PlacementNeed &need, TimePoint now) const;
 
+    /// Takes the size of an engine request and how long its first byte took.
+    void observedEngine(std::uint64_t tokens, Duration firstByte);
+
+    /// @returns how long first bytes of engines have taken of late.
+    [[nodiscard]] Duration firstByteTime() const;
+
     /// Lets a run wait for a place. @returns false when too many wait.
     bool wait(ForwardRun &run);
     void stopWaiting(const ForwardRun &run);
@@ -123,6 +129,8 @@
     std::unique_ptr<Timer> wakeup;
     std::vector<ForwardRun *> waiting;
     std::vector<Accusation> accused;
+    double requestTokens; ///< Smoothed size of a request.
+    Duration firstByte {}; ///< Smoothed.
     bool refusing = false;
 };
 
--- a/packages/node/src/host_feed.cpp
+++ b/packages/node/src/host_feed.cpp
@@ -6,8 +6,7 @@
 
 namespace endivespan {
 
-HostFeed::HostFeed(
-    Loop &loop, KeyedLog &log, const RecordCodec &codec, EventLog &events, Membership &membership)
+HostFeed::HostFeed(Loop &loop, KeyedLog &log, const RecordCodec &codec, EventLog &events, Membership &membership)
     : loop(loop)
     , log(log)
     , codec(codec)
@@ -45,8 +44,8 @@
                 this->take(record);
             }
         }
-        this->readTimer = this->loop.after(batch ? config::HostReadPeriod : config::HostAnnouncePause,
-                                           [this] { this->read(); });
+        this->readTimer
+            = this->loop.after(batch ? config::HostReadPeriod : config::HostAnnouncePause, [this] { this->read(); });
     });
 }
 
@@ -69,7 +68,9 @@
             this->events.line("host_listed").with("peer", record.key).with("address", report.address);
         }
     } catch (const nlohmann::json::exception &problem) {
-        this->events.line("host_record_unreadable", LogRank::Failure).with("peer", record.key).with("why", problem.what());
+        this->events.line("host_record_unreadable", LogRank::Failure)
+            .with("peer", record.key)
+            .with("why", problem.what());
     }
 }
 
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -38,14 +38,13 @@
     , membership(reportOf(this->settings), loop.now())
     , confirmation(!this->settings.peers.empty())
     , config(std::make_unique<ConfigTask>(loop, *this->log, this->settings, this->membership, this->confirmation))
-    , peers(std::make_unique<PeerTask>(
-          PeerTaskParts {loop,
-                         this->settings.listen.peers,
-                         this->settings.peers,
-                         this->metrics,
-                         this->membership,
-                         this->confirmation,
-                         *this->config}))
+    , peers(std::make_unique<PeerTask>(PeerTaskParts {loop,
+                                                      this->settings.listen.peers,
+                                                      this->settings.peers,
+                                                      this->metrics,
+                                                      this->membership,
+                                                      this->confirmation,
+                                                      *this->config}))
     , leases(std::make_unique<LeaseTask>(
           loop, *this->log, LeaseOwner {this->settings.host, this->membership.self().status.version.incarnation}))
     , backends(std::make_unique<Backends>(loop, *this->config, *this->engines))
--- a/packages/node/src/rollout_task.cpp
+++ b/packages/node/src/rollout_task.cpp
@@ -109,10 +109,7 @@
 {
     this->calling = true;
     this->log.appendAt(
-        this->codec.leaseTopic(),
-        this->lease.end(),
-        this->holder,
-        [this, now](const Result<ConditionalAppend> &done) {
+        this->codec.leaseTopic(), this->lease.end(), this->holder, [this, now](const Result<ConditionalAppend> &done) {
             this->calling = false;
             this->nextCall = this->loop.now();
             if (!done) {
--- a/packages/node/src/store_task.cpp
+++ b/packages/node/src/store_task.cpp
@@ -68,12 +68,10 @@
 void StoreTask::ask(const std::string &address, std::uint64_t since)
 {
     const TimePoint askedAt = this->loop.now();
-    this->control.events(address,
-                         since,
-                         config::StoreEventsWait,
-                         [this, address, askedAt](const Result<StoreEvents> &answer) {
-                             this->answered(address, answer, askedAt);
-                         });
+    this->control.events(
+        address, since, config::StoreEventsWait, [this, address, askedAt](const Result<StoreEvents> &answer) {
+            this->answered(address, answer, askedAt);
+        });
 }
 
 void StoreTask::answered(const std::string &address, const Result<StoreEvents> &answer, TimePoint askedAt)
--- a/packages/wire/src/yaml.cpp
+++ b/packages/wire/src/yaml.cpp
@@ -174,8 +174,8 @@
     const auto [end, problem] = std::from_chars(text->data(), text->data() + text->size(), value);
     const bool whole = problem == std::errc() && end == text->data() + text->size();
     if (!whole || !(value >= least && value <= most)) {
-        this->reportAt(
-            key, fmt::format("{} is '{}', must be a number from {} to {}", this->label(key), *text, least, most));
+        this->reportAt(key,
+                       fmt::format("{} is '{}', must be a number from {} to {}", this->label(key), *text, least, most));
         return fallback;
     }
     return value;
--- a/tests/core/forward.cpp
+++ b/tests/core/forward.cpp
@@ -411,6 +411,24 @@
     CHECK(placed == std::vector<bool> {true, false, false});
 }
 
+// Replays a pool that has taken more than its memory holds and would read the same prompts again and again.
+TEST_CASE("placement: an engine gets no more than its memory holds")
+{
+    const auto placement = makeExpectedStartPlacement();
+    ServerTable table = enginePool(2);
+    table.reported("e0", {40, 0, 64}, Start);
+    table.reported("e1", {12, 0, 64}, Start);
+    PlacementNeed need = promptNeed(3);
+    need.mostAtOnce = 20;
+    for (std::uint64_t prefix = 0; prefix < 50; ++prefix) {
+        need.prefixHash = prefix;
+        CHECK(placement->choose(table, need, prefix, Start).server == "e1");
+    }
+    table.reported("e1", {30, 0, 64}, Start);
+    CHECK(placement->choose(table, need, 0, Start).server.empty());
+    CHECK(placement->choose(table, need, 0, Start).full == 2);
+}
+
 TEST_CASE("placement: engines that are about to load weights get no more work than needed")
 {
     const auto placement = makeExpectedStartPlacement();
--- a/tests/core/shared_store.cpp
+++ b/tests/core/shared_store.cpp
@@ -74,7 +74,8 @@
 TEST_CASE("a host that starts late takes over what the store lists")
 {
     SharedStores stores = freshStores();
-    stores.listed(Stores[0].address, {1, 5000, false, 1000ms, {{{"s", "p"}, true, 500}, {{"s", "q"}, true, 700}}}, Start);
+    stores.listed(
+        Stores[0].address, {1, 5000, false, 1000ms, {{{"s", "p"}, true, 500}, {{"s", "q"}, true, 700}}}, Start);
     CHECK(stores.plan("s", {{"p", 500}, {"q", 700}}, "z1", Start).fetch[1] == Stores[0].address);
     CHECK(stores.parts() == 2);
     CHECK(stores.toAsk()[0].second == 5000);
--- a/tests/net/http_server.cpp
+++ b/tests/net/http_server.cpp
@@ -141,7 +141,9 @@
         {"control byte in a value", post("X-A: a\x01\r\n"), 400},
         {"head too large", post("X-A: " + std::string(MaxHead, 'a') + "\r\n"), 431},
         {"body too large", post("Content-Length: 1001\r\n", std::string(1001, 'x')), 413},
-        {"chunks too large", post("Transfer-Encoding: chunked\r\n", "3e9\r\n" + std::string(1001, 'x') + "\r\n0\r\n\r\n"), 413},
+        {"chunks too large",
+         post("Transfer-Encoding: chunked\r\n", "3e9\r\n" + std::string(1001, 'x') + "\r\n0\r\n\r\n"),
+         413},
     };
 }
 
@@ -175,8 +177,8 @@
     RawSocket caller(server.port);
     for (int i = 0; i < 1000; ++i) {
         const std::string body = "body " + std::to_string(i);
-        caller.send("POST /" + std::to_string(i) + " HTTP/1.1\r\nHost: a\r\nContent-Length: "
-                    + std::to_string(body.size()) + "\r\n\r\n" + body);
+        caller.send("POST /" + std::to_string(i)
+                    + " HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
         REQUIRE(caller.readAnswer().ends_with("POST /" + std::to_string(i) + " " + body));
     }
     CHECK(server.handled().size() == 1000);
@@ -199,7 +201,8 @@
 TEST_CASE("bodies in chunks, with extensions and trailers, arrive whole, also byte by byte")
 {
     EchoServer server;
-    const std::string request = post("Transfer-Encoding: chunked\r\n", "3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nX-T: 1\r\n\r\n");
+    const std::string request
+        = post("Transfer-Encoding: chunked\r\n", "3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nX-T: 1\r\n\r\n");
     for (const bool slowly : {false, true}) {
         RawSocket caller(server.port);
         if (slowly) {
--- a/tests/net/raw_socket.cpp
+++ b/tests/net/raw_socket.cpp
@@ -3,11 +3,11 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <cstdlib>
+#include <poll.h>
+#include <unistd.h>
 #include <utility>
 
 namespace endivespan::tests {
--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -93,16 +93,16 @@
 TEST_CASE("requests with facts that cannot be read are refused")
 {
     const RequestCodec codec;
-    for (const auto &[name, value] : std::vector<std::pair<std::string, std::string>> {
-             {"x-endivespan-request-id", ""},
-             {"x-endivespan-deadline-ms", "soon"},
-             {"x-endivespan-deadline-ms", "-5"},
-             {"x-endivespan-deadline-ms", "nan"},
-             {"x-endivespan-token-count", "5"},
-             {"x-endivespan-token-count", "5,x"},
-             {"x-endivespan-prompt-prefix", "a"},
-             {"x-endivespan-prompt-prefix", "a:1,,b:2"},
-             {"x-endivespan-prompt-prefix", "a:-1"}}) {
+    for (const auto &[name, value] :
+         std::vector<std::pair<std::string, std::string>> {{"x-endivespan-request-id", ""},
+                                                           {"x-endivespan-deadline-ms", "soon"},
+                                                           {"x-endivespan-deadline-ms", "-5"},
+                                                           {"x-endivespan-deadline-ms", "nan"},
+                                                           {"x-endivespan-token-count", "5"},
+                                                           {"x-endivespan-token-count", "5,x"},
+                                                           {"x-endivespan-prompt-prefix", "a"},
+                                                           {"x-endivespan-prompt-prefix", "a:1,,b:2"},
+                                                           {"x-endivespan-prompt-prefix", "a:-1"}}) {
         CAPTURE(name);
         CAPTURE(value);
         HttpRequest request = promptRequest();
@@ -185,7 +185,8 @@
     const auto evacuation = codec.decodeOperator("evacuate/z", "{}");
     CHECK(std::get<EvacuationRecord>(evacuation.value()).inForce);
     CHECK_FALSE(std::get<EvacuationRecord>(codec.decodeOperator("evacuate/z", std::nullopt).value()).inForce);
-    CHECK(std::get<WeightsRecord>(codec.decodeOperator("version/m", R"({"model":"m","version":2})").value()).version == 2);
+    CHECK(std::get<WeightsRecord>(codec.decodeOperator("version/m", R"({"model":"m","version":2})").value()).version
+          == 2);
     CHECK(std::holds_alternative<std::monostate>(codec.decodeOperator("other", "x").value()));
 }
 
--- a/tests/platform/serving.cpp
+++ b/tests/platform/serving.cpp
@@ -34,7 +34,8 @@
     scriptAll(world, [](const ReceivedRequest &request) {
         return RunnerStandin::Reply {answerTo(request, 201, "the answer", "X-Other: 1\r\nKeep-Alive: timeout=5\r\n")};
     });
-    const auto call = world.ask("/once/a%2Fb?x=1%20", {{"x-mine", "2"}, {"x-endivespan-tenant", "forged"}}, "POST", "body");
+    const auto call
+        = world.ask("/once/a%2Fb?x=1%20", {{"x-mine", "2"}, {"x-endivespan-tenant", "forged"}}, "POST", "body");
     const CallerAnswer &answer = world.answer(call);
     CHECK(answer.status == 201);
     CHECK(answer.body == "the answer");
@@ -165,8 +166,8 @@
     World world(1);
     int number = 0;
     scriptAll(world, [&number](const ReceivedRequest &request) {
-        const std::string extra
-            = "HTTP/1.1 200 OK\r\nX-Endivespan-Request-Id: stray\r\nX-Endivespan-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwrong";
+        const std::string extra = "HTTP/1.1 200 OK\r\nX-Endivespan-Request-Id: stray\r\nX-Endivespan-Server-Seal: "
+                                  "s\r\nContent-Length: 5\r\n\r\nwrong";
         const std::string own = answerTo(request, 200, "own " + request.field("x-endivespan-request-id"));
         return RunnerStandin::Reply {++number % 2 == 0 ? own + extra : extra + own};
     });
@@ -184,7 +185,8 @@
         const int from = last.empty() ? 1 : std::stoi(last) + 1;
         std::string bytes = streamHead(request);
         if (last.empty()) {
-            return RunnerStandin::Reply {bytes + eventChunk(1, "a") + eventChunk(2, "b") + "9\r\nid: 3\ndat\r\n", Then::Reset};
+            return RunnerStandin::Reply {bytes + eventChunk(1, "a") + eventChunk(2, "b") + "9\r\nid: 3\ndat\r\n",
+                                         Then::Reset};
         }
         for (int i = from; i <= 5; ++i) {
             bytes += eventChunk(i, std::string(1, static_cast<char>('a' + i - 1)));
@@ -193,8 +195,7 @@
     });
     const CallerAnswer answer = world.answer(world.ask("/resume/"));
     CHECK(answer.whole);
-    CHECK(answer.body
-          == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\nid: 5\ndata: e\n\n");
+    CHECK(answer.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\nid: 5\ndata: e\n\n");
     const CallerAnswer cut = world.answer(world.ask("/stream/"));
     CHECK(cut.failed);
     CHECK_FALSE(cut.whole);
@@ -286,13 +287,13 @@
         RunnerStandin *self = runner.get();
         runner->script = [&world, &accepted, self](const ReceivedRequest &request) {
             if (request.head.starts_with("GET /v1/report")) {
-                return RunnerStandin::Reply {answerTo(
-                    request,
-                    200,
-                    nlohmann::json {{"busy", false},
-                                    {"seq", accepted[self->id]},
-                                    {"models", {{{"name", "m"}, {"version", accepted[self->id] > 0 ? 2 : 1}}}}}
-                        .dump())};
+                return RunnerStandin::Reply {
+                    answerTo(request,
+                             200,
+                             nlohmann::json {{"busy", false},
+                                             {"seq", accepted[self->id]},
+                                             {"models", {{{"name", "m"}, {"version", accepted[self->id] > 0 ? 2 : 1}}}}}
+                                 .dump())};
             }
             const auto order = nlohmann::json::parse(request.body);
             CHECK(order["expected"] == accepted[self->id]);
@@ -338,10 +339,12 @@
 {
     World world(1);
     for (const std::string &bytes :
-         {std::string("POST /once/ HTTP/1.1\r\nHost: h.example\r\nX-Endivespan-Request-Id: a\r\nX-Endivespan-Request-Id: "
-                      "b\r\nApi-Key: key\r\nContent-Length: 0\r\n\r\n"),
+         {std::string(
+              "POST /once/ HTTP/1.1\r\nHost: h.example\r\nX-Endivespan-Request-Id: a\r\nX-Endivespan-Request-Id: "
+              "b\r\nApi-Key: key\r\nContent-Length: 0\r\n\r\n"),
           std::string("POST /once/ HTTP/1.1\r\nHost: h.example\r\nX-Endivespan-Request-Id: a\r\nApi-Key: key\r\n"
-                      "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /once/smuggled HTTP/1.1\r\n\r\n")}) {
+                      "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /once/smuggled "
+                      "HTTP/1.1\r\n\r\n")}) {
         RawSocket caller(world.callerPort);
         caller.send(bytes);
         world.runFor(100ms);
@@ -355,7 +358,8 @@
 {
     World world(1);
     const std::string body = std::string(6'000'000, 'x') + "END";
-    scriptAll(world, [&body](const ReceivedRequest &request) { return RunnerStandin::Reply {answerTo(request, 200, body)}; });
+    scriptAll(world,
+              [&body](const ReceivedRequest &request) { return RunnerStandin::Reply {answerTo(request, 200, body)}; });
     RawSocket caller(world.callerPort);
     caller.send("GET /once/ HTTP/1.1\r\nHost: h.example\r\nX-Endivespan-Request-Id: a\r\nApi-Key: key\r\n\r\n");
     REQUIRE(world.until([&world] { return received(world) == 1; }));
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -5,9 +5,9 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
+#include <unistd.h>
 
 namespace endivespan::tests {
 
@@ -50,9 +50,8 @@
 StoreStandin::StoreStandin(Loop &loop)
     : loop(loop)
 {
-    auto listening = HttpServer::listen(loop, "127.0.0.1:0", WideLimits, [this](const auto &exchange) {
-        this->handle(exchange);
-    });
+    auto listening
+        = HttpServer::listen(loop, "127.0.0.1:0", WideLimits, [this](const auto &exchange) { this->handle(exchange); });
     this->server = std::move(listening.value());
 }
 
@@ -105,9 +104,7 @@
             items.push_back({{"key", key}, {"value", toBase64(entry.first)}, {"offset", entry.second}});
         }
         exchange->reply(
-            200,
-            {},
-            json {{"items", items}, {"has_more", false}, {"end", topic.first + topic.records.size()}}.dump());
+            200, {}, json {{"items", items}, {"has_more", false}, {"end", topic.first + topic.records.size()}}.dump());
     } else if (request.path == "/v1/log-read") {
         const auto wait = std::chrono::milliseconds(std::stol(request.query.at("wait_ms")));
         this->read(exchange, topic, this->loop.now() + wait);
@@ -397,9 +394,17 @@
 void World::configure(const std::function<void(json &)> &change)
 {
     const auto route = [](const char *path, const char *type, int attempts, bool resumable) {
-        return json {{"name", path},      {"host", "h.example"},      {"path_prefix", path}, {"type", type},
-                     {"timeout_ms", 3000}, {"aim_ms", 400},            {"priority", 1},       {"service", "llm"},
-                     {"public", false},   {"max_attempts", attempts}, {"resumable", resumable}};
+        return json {{"name", path},
+                     {"host", "h.example"},
+                     {"path_prefix", path},
+                     {"type", type},
+                     {"timeout_ms", 3000},
+                     {"aim_ms", 400},
+                     {"priority", 1},
+                     {"service", "llm"},
+                     {"public", false},
+                     {"max_attempts", attempts},
+                     {"resumable", resumable}};
     };
     json config {{"version", ++this->configVersion},
                  {"routes",
@@ -432,15 +437,15 @@
         call.headers[name] = value;
     }
     call.body = body;
-    this->calls.push_back(this->callers->start(
-        std::move(call),
-        {[this, number](int status, const HttpHeaders &fields) {
-             this->answers[number].status = status;
-             this->answers[number].headers = fields;
-         },
-         [this, number](std::string_view bytes) { this->answers[number].body += bytes; },
-         [this, number] { this->answers[number].whole = true; },
-         [this, number](const HttpFailure &) { this->answers[number].failed = true; }}));
+    this->calls.push_back(
+        this->callers->start(std::move(call),
+                             {[this, number](int status, const HttpHeaders &fields) {
+                                  this->answers[number].status = status;
+                                  this->answers[number].headers = fields;
+                              },
+                              [this, number](std::string_view bytes) { this->answers[number].body += bytes; },
+                              [this, number] { this->answers[number].whole = true; },
+                              [this, number](const HttpFailure &) { this->answers[number].failed = true; }}));
     return number;
 }
 
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -12,7 +12,6 @@
 
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
-
 #include <nlohmann/json.hpp>
 
 #include <functional>
@@ -117,7 +116,8 @@
 };
 
 /// @returns a whole answer with its mark and the id of @p request.
-std::string answerTo(const ReceivedRequest &request, int status, const std::string &body, const std::string &fields = "");
+std::string
+answerTo(const ReceivedRequest &request, int status, const std::string &body, const std::string &fields = "");
 
 /// @returns the head of a chunked stream.
 std::string streamHead(const ReceivedRequest &request);
