--- a/packages/net/include/endivespan/event_log.h
+++ b/packages/net/include/endivespan/event_log.h
@@ -45,7 +45,7 @@
 private:
     friend class LogLine;
     bool admit(std::string_view event, LogRank rank);
-    void take(std::string line);
+    void take(std::string_view line);
     void reportSuppressed();
 
     struct Bound {
--- a/packages/net/src/event_log.cpp
+++ b/packages/net/src/event_log.cpp
@@ -75,7 +75,7 @@
     }
 }
 
-void EventLog::take(std::string line)
+void EventLog::take(std::string_view line)
 {
     this->buffer += line;
     if (this->flushTimer == nullptr) {
@@ -114,7 +114,7 @@
 {
     if (this->log != nullptr) {
         this->text += '\n';
-        this->log->take(std::move(this->text));
+        this->log->take(this->text);
     }
 }
 
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -103,7 +103,7 @@
     out += "\r\n";
     for (const auto &[name, value] : headers) {
         if (!isFramingField(name)) {
-            out += name + ": " + value + "\r\n";
+            out.append(name).append(": ").append(value).append("\r\n");
         }
     }
 }
