--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -15,7 +15,6 @@
 constexpr int StatusOk = 200;
 constexpr int StatusMultiple = 300;
 constexpr int StatusServerError = 500;
-constexpr std::string_view SilentServer = "silent for too long";
 
 bool isSuccess(int status)
 {
@@ -81,7 +80,6 @@
         return;
     }
     if (this->task.wait(*this)) {
-        this->isWaiting = true;
         const auto longest = std::max<std::chrono::milliseconds>(
             std::chrono::duration_cast<std::chrono::milliseconds>(this->work.route->aim * config::ForwardWaitShare),
             config::ForwardLeastWait);
@@ -100,7 +98,6 @@
     if (!this->tryPlace(now)) {
         return this->ended;
     }
-    this->isWaiting = false;
     return true;
 }
 
@@ -279,7 +276,6 @@
 void ForwardRun::watchStream()
 {
     this->patienceTimer.reset();
-    this->lastByteAt = this->task.parts.loop.now();
     if (this->work.route->repeat == RepeatRule::Resumable) {
         this->patienceTimer
             = this->task.parts.loop.after(config::ForwardStreamSilence, [this] { this->onImpatient(); });
@@ -441,16 +437,15 @@
         }
         return;
     }
-    this->attemptFailed(AttemptOutcome::Failed, SilentServer);
+    this->attemptFailed(AttemptOutcome::Failed, "silent for too long", true);
 }
 
 // The attempt may have run.
-void ForwardRun::attemptFailed(AttemptOutcome outcome, std::string_view why)
+void ForwardRun::attemptFailed(AttemptOutcome outcome, std::string_view why, bool repeatGranted)
 {
     const TimePoint now = this->task.parts.loop.now();
     const std::string failedServer = this->server;
     const Duration age = now - this->attemptAt;
-    const bool budgeted = why == SilentServer;
     this->endAttempt(outcome);
     ++this->ran;
     this->task.parts.events.line("attempt_failed", LogRank::Failure)
@@ -462,7 +457,7 @@
     this->events.takeRest();
     const bool allowed = this->streaming ? this->work.route->repeat == RepeatRule::Resumable
                                          : this->work.route->repeat != RepeatRule::Once;
-    if (allowed && this->ran < this->work.route->maxAttempts && (budgeted || this->mayRepeat(now))) {
+    if (allowed && this->ran < this->work.route->maxAttempts && (repeatGranted || this->mayRepeat(now))) {
         if (this->tryPlace(now) || this->ended) {
             return;
         }
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -57,7 +57,8 @@
     void onCallerGone();
 
     void answerNotRun(const ServerAnswer &answer);
-    void attemptFailed(AttemptOutcome outcome, std::string_view why);
+    /// @param repeatGranted Whether the budget has already granted another attempt.
+    void attemptFailed(AttemptOutcome outcome, std::string_view why, bool repeatGranted = false);
     [[nodiscard]] bool mayRepeat(TimePoint now);
     void endAttempt(AttemptOutcome outcome);
     void markPrefilled();
@@ -93,10 +94,8 @@
     bool streaming = false; ///< The caller has the head of the answer.
     EventSplitter events;
     std::optional<std::uint64_t> lastEvent; ///< Last one that the caller has whole.
-    TimePoint lastByteAt;
     TimePoint firstByteAt;
     Duration waited {};
-    bool isWaiting = false;
     bool ended = false;
 };
 
