--- a/tests/core/forward.cpp
+++ b/tests/core/forward.cpp
@@ -238,6 +238,7 @@
         std::vector<OrderLease> hosts;
         std::vector<bool> calling(4, false);
         std::vector<TimePoint> frozenUntil(4);
+        hosts.reserve(4);
         for (int i = 0; i < 4; ++i) {
             hosts.emplace_back("h" + std::to_string(i), Times);
         }
--- a/tests/core/shared_store.cpp
+++ b/tests/core/shared_store.cpp
@@ -119,7 +119,7 @@
 {
     CHECK(rc::check([] {
         std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
-        const ForwardStore store = Stores[0];
+        const ForwardStore &store = Stores[0];
         std::vector<SharedStores> hosts(3);
         for (SharedStores &host : hosts) {
             host.setStores({store});
