--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -93,7 +93,7 @@
 TEST_CASE("requests with facts that cannot be read are refused")
 {
     const RequestCodec codec;
-    for (const auto &[name, value] :
+    for (const auto &field :
          std::vector<std::pair<std::string, std::string>> {{"x-endivespan-request-id", ""},
                                                            {"x-endivespan-deadline-ms", "soon"},
                                                            {"x-endivespan-deadline-ms", "-5"},
@@ -103,10 +103,10 @@
                                                            {"x-endivespan-prompt-prefix", "a"},
                                                            {"x-endivespan-prompt-prefix", "a:1,,b:2"},
                                                            {"x-endivespan-prompt-prefix", "a:-1"}}) {
-        CAPTURE(name);
-        CAPTURE(value);
+        CAPTURE(field.first);
+        CAPTURE(field.second);
         HttpRequest request = promptRequest();
-        request.headers[name] = value;
+        request.headers[field.first] = field.second;
         CHECK_FALSE(codec.decodeRequest(request));
     }
 }
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <stdexcept>
 #include <unistd.h>
 
 namespace endivespan::tests {
@@ -33,7 +34,9 @@
     sockaddr_in place {};
     place.sin_family = AF_INET;
     place.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(probe, reinterpret_cast<sockaddr *>(&place), sizeof(place));
+    if (bind(probe, reinterpret_cast<sockaddr *>(&place), sizeof(place)) != 0) {
+        throw std::runtime_error("no free port");
+    }
     socklen_t size = sizeof(place);
     getsockname(probe, reinterpret_cast<sockaddr *>(&place), &size);
     close(probe);
