Count an engine's memory in tokens, and let its load report stand

A swamped engine answers seldom, and the weight of its last report faded to nothing within 1.5 s, so that every host took it for empty. The bound also counted requests by the mean size of arrivals (4,000 tokens); what long prompts hold while they run is larger. Ruled out: the sum of arrivals (a pool of 13 engines still reads what comes in half of its time), stores and transfers. Change: a report stands for 2 s, then own attempts times hosts stand for all; room is counted in tokens held by runs under way plus those of the request itself, so that a short request still fits where a long one does not. Tests: 'an engine that answers seldom stays crowded' fails on the code before (a place was given 1.5 s after the report); 'a short request fits where a long one does not'. The old test of the memory bound is kept with tokens in place of requests.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -320,9 +320,10 @@
 constexpr std::size_t ForwardDeathsUntilRefused = 3;
 constexpr std::chrono::seconds DeathConfirmedWithin = 6s; ///< Missed heartbeats, and the poll.
 constexpr std::array<double, 3> EngineWaiting {14.0, 8.0, 4.0}; ///< Waiting at an engine, by priority of a request.
-constexpr std::array<double, 3> EngineMemoryShares {0.9, 0.75, 0.6}; ///< Of an engine's memory, by priority.
-constexpr double StartRequestTokens = 4000; ///< Of a request, before any has come.
-constexpr double RequestTokensSmoothing = 0.02; ///< Share of a new sample.
+constexpr std::array<double, 3> EngineMemoryShares {0.95, 0.9, 0.8}; ///< Of an engine's memory, by priority.
+constexpr double StartRunTokens = 5000; ///< That a run holds of its engine's memory, before any has been seen.
+constexpr double RunTokensSmoothing = 0.005; ///< Share of a new sample: some 20 runs, looked at ten times a second.
+constexpr std::chrono::milliseconds CrowdReportTime = 2000ms; ///< About one run; then a load report counts no more.
 constexpr double FirstByteSmoothing = 0.05; ///< Share of a new sample.
 constexpr double HedgeShare = 0.5; ///< Part of a route's aim within which another server must be expected to answer.
 constexpr std::uint32_t EngineInFlight = 24; ///< Own attempts at one engine.
--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -19,6 +19,7 @@
     std::uint64_t prefixHash = 0; ///< Of the parts that other requests share.
     std::uint64_t sharedTokens = 0; ///< In those parts.
     std::uint64_t ownTokens = 0; ///< Prompt tokens beyond them.
+    std::uint64_t answerTokens = 0; ///< At most.
     std::string domain; ///< Failure domain of this host.
     std::uint64_t newestWeights = 0; ///< Newest version named for the model.
     std::uint64_t oldestWeights = 0; ///< Servers with older ones may not be used.
@@ -27,8 +28,9 @@
     std::size_t urgency = 0; ///< 0 is the most urgent.
     std::uint32_t mostInFlight = 0; ///< Own attempts at one server.
     double mostWaiting = 0; ///< Requests that wait at one server, by its latest report; 0 for no bound.
-    double mostAtOnce
-        = 0; ///< Requests that run or wait there; beyond its memory it puts runs back and reads them again.
+    double memoryTokens = 0; ///< Of an engine's memory, for requests this urgent; 0 for no bound.
+    double tokensPerRun = 0; ///< That a request holds of it on average.
+    std::size_t hosts = 1; ///< That send to the same servers.
     std::set<std::string> tried; ///< Servers that have had the request.
 };
 
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -35,14 +35,23 @@
     return std::max(0.0, 1.0 - age / Milliseconds(config::LoadReportStaleAfter).count());
 }
 
+// Requests at the server. A report stands for a while, since as many come as go; later only the own share is known.
+// A server that is swamped answers seldom: what was said of it must not fade before it can speak again.
+double requestsAt(const ServerView &view, const PlacementNeed &need, TimePoint now)
+{
+    if (view.load && now - view.loadAt <= config::CrowdReportTime) {
+        return view.load->running + view.load->waiting + view.sentSinceLoad;
+    }
+    return static_cast<double>(view.inFlight) * static_cast<double>(need.hosts);
+}
+
 bool isCrowded(const ServerView &view, const PlacementNeed &need, TimePoint now)
 {
-    if (!view.load) {
-        return false;
+    if (need.mostWaiting > 0 && view.load && reportWeight(view, now) * view.load->waiting > need.mostWaiting) {
+        return true;
     }
-    const double weight = reportWeight(view, now);
-    return (need.mostWaiting > 0 && weight * view.load->waiting > need.mostWaiting)
-        || (need.mostAtOnce > 0 && weight * (view.load->running + view.load->waiting) > need.mostAtOnce);
+    const double own = static_cast<double>(need.sharedTokens + need.ownTokens + need.answerTokens);
+    return need.memoryTokens > 0 && requestsAt(view, need, now) * need.tokensPerRun + own > need.memoryTokens;
 }
 
 /// Visits the servers that may take the request, and counts the others.
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -41,6 +41,12 @@
     return this->work;
 }
 
+std::uint64_t ForwardRun::tokensHeld() const
+{
+    const bool atEngine = !this->server.empty() && !this->work.request.model.empty();
+    return atEngine ? this->attemptTokens + this->work.request.answerTokens : 0;
+}
+
 void ForwardRun::start()
 {
     this->work.exchange->onClosed([this] { this->onCallerGone(); });
@@ -55,6 +61,7 @@
     need.service = this->work.service;
     need.model = this->work.request.model;
     need.tried = this->tried;
+    need.answerTokens = this->work.request.answerTokens;
     need.urgency = static_cast<std::size_t>(std::max(this->work.route->priority, 0));
     const auto &parts = this->work.request.parts;
     for (std::size_t i = 0; i < parts.size(); ++i) {
@@ -256,7 +263,7 @@
     }
     this->markPrefilled();
     if (!this->work.request.model.empty()) {
-        this->task.observedEngine(this->attemptTokens + this->work.request.answerTokens, now - this->attemptAt);
+        this->task.observedEngine(now - this->attemptAt);
     }
     if (!this->fetchedFrom.empty()) {
         const std::uint64_t own = this->work.request.parts.back().tokens;
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -41,6 +41,9 @@
 
     [[nodiscard]] const ForwardJob &job() const;
 
+    /// @returns the tokens that its attempt may hold of an engine's memory; 0 when none is under way there.
+    [[nodiscard]] std::uint64_t tokensHeld() const;
+
 private:
     void attempt();
     bool tryPlace(TimePoint now);
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -26,7 +26,6 @@
     , retries(retryBounds(parts.settings.bounds))
     , random(std::random_device {}())
     , placement(makeExpectedStartPlacement())
-    , requestTokens(config::StartRequestTokens)
 {
 }
 
@@ -188,7 +187,9 @@
         if (service->memoryTokens > 0) {
             const double share
                 = config::EngineMemoryShares[std::min(need.urgency, config::EngineMemoryShares.size() - 1)];
-            need.mostAtOnce = share * static_cast<double>(service->memoryTokens) / this->requestTokens;
+            need.memoryTokens = share * static_cast<double>(service->memoryTokens);
+            need.tokensPerRun = this->runTokens.mean();
+            need.hosts = this->hosts();
             need.mostWaiting = config::EngineWaiting[std::min(need.urgency, config::EngineWaiting.size() - 1)];
         }
     }
@@ -201,12 +202,21 @@
     return this->placement->choose(this->parts.servers, need, this->random(), now);
 }
 
-void ForwardTask::observedEngine(std::uint64_t tokens, Duration time)
+void ForwardTask::observedEngine(Duration time)
 {
-    this->requestTokens += config::RequestTokensSmoothing * (static_cast<double>(tokens) - this->requestTokens);
     this->firstByte += std::chrono::duration_cast<Duration>(config::FirstByteSmoothing * (time - this->firstByte));
 }
 
+// What a run holds counts for as long as it runs, so that runs are looked at and not arrivals.
+void ForwardTask::observeRuns()
+{
+    for (const auto &[run, owned] : this->runs) {
+        if (const std::uint64_t tokens = run->tokensHeld(); tokens > 0) {
+            this->runTokens.add(static_cast<double>(tokens));
+        }
+    }
+}
+
 Duration ForwardTask::firstByteTime() const
 {
     return this->firstByte;
@@ -250,6 +260,7 @@
 {
     this->parts.servers.tick(now);
     this->confirmDeaths(now);
+    this->observeRuns();
     this->placesChanged();
 }
 
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -4,6 +4,7 @@
 #include "operator_feed.h"
 #include "server_feed.h"
 
+#include <endivespan/config.h>
 #include <endivespan/confirmation.h>
 #include <endivespan/event_log.h>
 #include <endivespan/forward_codec.h>
@@ -43,6 +44,31 @@
     EventLog &events;
 };
 
+/// A mean in which each new sample has a fixed share.
+class SmoothedMean
+{
+public:
+    SmoothedMean(double start, double share)
+        : value(start)
+        , share(share)
+    {
+    }
+
+    void add(double sample)
+    {
+        this->value += this->share * (sample - this->value);
+    }
+
+    [[nodiscard]] double mean() const
+    {
+        return this->value;
+    }
+
+private:
+    double value;
+    double share;
+};
+
 /// Owns the requests under way and the connections to servers.
 class ForwardTask
 {
@@ -76,8 +102,8 @@
     /// Fills in what @p need says of weights and cold servers.
     void completeNeed(PlacementNeed &need, TimePoint now) const;
 
-    /// Takes the size of an engine request and how long its first byte took.
-    void observedEngine(std::uint64_t tokens, Duration firstByte);
+    /// Takes how long the first byte of an engine took.
+    void observedEngine(Duration firstByte);
 
     /// @returns how long first bytes of engines have taken of late.
     [[nodiscard]] Duration firstByteTime() const;
@@ -120,6 +146,7 @@
 
     void refuse(HttpExchange &exchange, const ForwardRequest &request, const Error &error);
     void confirmDeaths(TimePoint now);
+    void observeRuns();
     [[nodiscard]] std::chrono::milliseconds retryAfter(ErrorKind kind, std::chrono::milliseconds timeLeft);
 
     std::unique_ptr<Placement> placement;
@@ -129,7 +156,7 @@
     std::unique_ptr<Timer> wakeup;
     std::vector<ForwardRun *> waiting;
     std::vector<Accusation> accused;
-    double requestTokens; ///< Smoothed size of a request.
+    SmoothedMean runTokens {config::StartRunTokens, config::RunTokensSmoothing};
     Duration firstByte {}; ///< Smoothed.
     bool refusing = false;
 };
--- a/tests/core/forward.cpp
+++ b/tests/core/forward.cpp
@@ -420,7 +420,8 @@
     table.reported("e0", {40, 0, 64}, Start);
     table.reported("e1", {12, 0, 64}, Start);
     PlacementNeed need = promptNeed(3);
-    need.mostAtOnce = 20;
+    need.tokensPerRun = 5000;
+    need.memoryTokens = 20 * need.tokensPerRun + static_cast<double>(need.sharedTokens + need.ownTokens);
     for (std::uint64_t prefix = 0; prefix < 50; ++prefix) {
         need.prefixHash = prefix;
         CHECK(placement->choose(table, need, prefix, Start).server == "e1");
@@ -430,6 +431,49 @@
     CHECK(placement->choose(table, need, 0, Start).full == 2);
 }
 
+// Replays a pool that a third of its engines have left: the others are swamped, answer seldom, and each host takes an
+// old report for none.
+TEST_CASE("placement: an engine that answers seldom stays crowded")
+{
+    const auto placement = makeExpectedStartPlacement();
+    ServerTable table = enginePool(2);
+    table.reported("e0", {64, 32, 64}, Start);
+    table.reported("e1", {64, 32, 64}, Start);
+    PlacementNeed need = promptNeed(3);
+    need.tokensPerRun = 5000;
+    need.memoryTokens = 100'000;
+    need.hosts = 12;
+    for (Duration age {}; age <= config::CrowdReportTime; age += 100ms) {
+        CHECK(placement->choose(table, need, 0, Start + age).server.empty());
+    }
+    // Once a report is too old, what this host has there stands for what the others have.
+    const TimePoint later = Start + config::CrowdReportTime + 1ms;
+    CHECK_FALSE(placement->choose(table, need, 0, later).server.empty());
+    for (const char *id : {"e0", "e1"}) {
+        table.started(id, 1000, later);
+        table.started(id, 1000, later);
+    }
+    CHECK(placement->choose(table, need, 0, later).server.empty());
+}
+
+// Replays a pool that is nearly full of long prompts: a short one still finds room.
+TEST_CASE("placement: a short request fits where a long one does not")
+{
+    const auto placement = makeExpectedStartPlacement();
+    ServerTable table = enginePool(1);
+    table.reported("e0", {18, 0, 64}, Start);
+    PlacementNeed need = promptNeed(3);
+    need.tokensPerRun = 5000;
+    need.memoryTokens = 100'000;
+    need.sharedTokens = 9000;
+    need.ownTokens = 2900;
+    CHECK(placement->choose(table, need, 0, Start).server.empty());
+    need.sharedTokens = 600;
+    need.ownTokens = 200;
+    need.answerTokens = 300;
+    CHECK(placement->choose(table, need, 0, Start).server == "e0");
+}
+
 TEST_CASE("placement: engines that are about to load weights get no more work than needed")
 {
     const auto placement = makeExpectedStartPlacement();
