Carry a pool over new weights: parts of the old ones stay, long runs keep away from loads

The rollout gave about 1.6 orders a second, as each ordered engine first ends runs of 3 to 5 s and only five are away at once. An engine that came back was flooded: 65 requests in one second from 12 hosts that all saw it empty. Change: parts of old weights end one after the other over 6 s and are freed with the same margin as before; a request avoids engines that load before it would end; the order is by age of the weights and the same for each version; requests at an engine are estimated from its report, as far as those still run, and from own sends times hosts; a request that goes elsewhere fetches from the engine that its prefix usually goes to; an engine whose streams are all silent is passed over, and its streams are resumed also where all engines are late. The margin before parts are freed no longer includes use after naming: before, a host that heard late could fetch 0.7 s longer than the margin covered. Tests: 'hosts that act at the same moment do not flood an engine that has come free', 'long runs keep away from engines that are to load soon', 'parts of old weights end one after the other...', 'the oldest engines go first...', 'an engine whose streams have all fallen silent is passed over', 'a request that goes elsewhere learns where its prefix most likely is'. They use the new interfaces, so that they weren't run against the code before.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -243,12 +243,15 @@
 constexpr std::array<double, 3> PrefixHitShares {0.8, 0.4, 0.2}; ///< Chance of a hit, by rendezvous place.
 constexpr double PrefillTokensPerMillisecond = 125.0; ///< Of the engines served.
 constexpr std::chrono::milliseconds FailureCost = 4000ms; ///< Of a request at a server that fails all.
+constexpr std::chrono::milliseconds SilentAvoidAfter = 400ms; ///< Longer than prompts of others hold up all streams.
+constexpr std::chrono::milliseconds SilentCost = 1000ms; ///< Of a server whose streams are all silent.
 constexpr std::chrono::milliseconds ColdCost = 30ms;
 constexpr std::chrono::milliseconds OtherDomainCost = 4ms; ///< One round trip.
 constexpr std::chrono::milliseconds OldWeightsCost = 60ms;
 constexpr std::chrono::milliseconds LoadingCost = 400ms; ///< Of a server that is to load weights now.
-constexpr std::chrono::milliseconds LoadingSoonCost = 50ms;
-constexpr std::size_t LoadingSoon = 8; ///< Servers that count as about to load.
+constexpr double LoadingOverlapCost = 0.1; ///< Of each moment that a run would hold up its engine's load.
+constexpr double LoadsPerSecond = 2.5; ///< Of a pool in which three load at full speed, and some wait for their runs.
+constexpr std::chrono::milliseconds AnswerTokenTime = 7ms; ///< One step of a middling batch, with prompts read between.
 constexpr std::chrono::milliseconds WaitingCost = 25ms; ///< Prefill of a middling prompt.
 constexpr std::chrono::microseconds RunningCost = 2000us; ///< Slower steps for all.
 constexpr std::chrono::milliseconds PlainRunCost = 60ms;
@@ -260,13 +263,14 @@
 constexpr std::chrono::milliseconds StoreEventsWait = 250ms; ///< Shorter waits count as probes.
 constexpr std::chrono::milliseconds StoreEventsPause = 250ms;
 constexpr std::chrono::milliseconds StoreEventsTimeout = 600ms;
-constexpr std::chrono::milliseconds OldScopeUse = 1000ms; ///< After newer weights were named.
+constexpr std::chrono::milliseconds OldPartsSpan = 6000ms; ///< About a whole rollout; parts go one by one.
 constexpr std::chrono::milliseconds TransferFreshness = 2200ms; ///< Age of what operators said: two waiting reads.
-constexpr std::chrono::milliseconds OldScopeFree = TransferFreshness + StoreViewTime + 300ms; ///< Fetches are over.
+constexpr std::chrono::milliseconds OldPartsFree = TransferFreshness + StoreViewTime + 300ms; ///< Fetches are over.
 constexpr std::size_t StoreFreeParts = 1000; ///< In one call.
 constexpr std::chrono::milliseconds SlowStoreExcess = 150ms; ///< Of fetches, beyond those from the fastest store.
 constexpr std::chrono::milliseconds StoreSpeedMemory = 1500ms;
 constexpr double StoreSpeedSmoothing = 0.2; ///< Share of a new sample.
+constexpr std::chrono::seconds StoreLinePeriod = 5s; ///< Between log lines on what is known of a store.
 constexpr std::uint64_t ShortPartTokens = 4000; ///< Read in less time than a slow fetch takes.
 
 // Forwarded requests: repeats
@@ -310,6 +314,7 @@
 constexpr double ForwardWaitShare = 0.125; ///< Part of a route's aim that a request may wait for a place.
 constexpr double ForwardPatienceShare = 0.75; ///< Part of a route's aim before a repeatable request is sent once more.
 constexpr std::chrono::milliseconds ForwardStreamSilence = 1000ms; ///< In a resumable stream, before it is resumed.
+constexpr std::chrono::milliseconds SilenceMargin = 100ms; ///< Between the last bytes of two streams of a dead server.
 constexpr std::size_t ForwardAnswerBytes = 8 * 1024 * 1024; ///< Of an answer that is not streamed.
 constexpr std::size_t ForwardStreamBacklog = 1024 * 1024; ///< Unread by a caller.
 constexpr std::uint32_t ForwardNotRunAttempts = 3; ///< Servers that may refuse a request before its caller hears of it.
@@ -323,7 +328,9 @@
 constexpr std::array<double, 3> EngineMemoryShares {0.95, 0.9, 0.8}; ///< Of an engine's memory, by priority.
 constexpr double StartRunTokens = 5000; ///< That a run holds of its engine's memory, before any has been seen.
 constexpr double RunTokensSmoothing = 0.005; ///< Share of a new sample: some 20 runs, looked at ten times a second.
-constexpr std::chrono::milliseconds CrowdReportTime = 2000ms; ///< About one run; then a load report counts no more.
+constexpr std::chrono::milliseconds StartEngineRunTime = 1000ms; ///< Before any run has ended.
+constexpr double RunTimeSmoothing = 0.02; ///< Share of a new sample.
+constexpr std::chrono::milliseconds CrowdReportTime = 2000ms; ///< About two runs; then a load report counts no more.
 constexpr double FirstByteSmoothing = 0.05; ///< Share of a new sample.
 constexpr double HedgeShare = 0.5; ///< Part of a route's aim within which another server must be expected to answer.
 constexpr std::uint32_t EngineInFlight = 24; ///< Own attempts at one engine.
--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -30,6 +30,7 @@
     double mostWaiting = 0; ///< Requests that wait at one server, by its latest report; 0 for no bound.
     double memoryTokens = 0; ///< Of an engine's memory, for requests this urgent; 0 for no bound.
     double tokensPerRun = 0; ///< That a request holds of it on average.
+    Duration runTime {}; ///< Of a request at an engine, on average.
     std::size_t hosts = 1; ///< That send to the same servers.
     std::set<std::string> tried; ///< Servers that have had the request.
 };
@@ -38,6 +39,7 @@
 struct PlacementChoice {
     std::string server; ///< Empty when there is none.
     Duration expected {}; ///< Until the first byte of the answer.
+    std::string likelyHolder; ///< Address of the other engine that most likely keeps the shared parts; may be empty.
     std::uint32_t known = 0; ///< Servers of the service in the list.
     std::uint32_t open = 0; ///< Of these, those that take new work.
     std::uint32_t full = 0; ///< Of the open ones, those with no room for this host now.
--- a/packages/core/include/endivespan/server_table.h
+++ b/packages/core/include/endivespan/server_table.h
@@ -53,6 +53,8 @@
     std::vector<TimePoint> coldSends; ///< The latest ones while it was cold.
     std::uint32_t inFlight = 0; ///< Own attempts.
     std::uint64_t prefillTokens = 0; ///< Of own attempts that have no answer yet.
+    std::uint32_t streams = 0; ///< Own attempts whose answer has begun and goes on.
+    TimePoint heardAt; ///< When any byte of an answer came last.
     std::optional<ServerLoadReport> load;
     TimePoint loadAt;
     std::uint32_t sentSinceLoad = 0;
@@ -63,6 +65,11 @@
 
     /// @returns the share of recent attempts that failed, drawn towards zero while there are few.
     [[nodiscard]] double failureShare(TimePoint now) const;
+
+    /// @returns whether every stream from the server has been silent for @p time: it has most likely died or is cut
+    /// off.
+    ///     One stream alone may pause.
+    [[nodiscard]] bool isSilent(Duration time, TimePoint now) const;
 };
 
 /// Bounds on cold servers for this host.
@@ -96,6 +103,13 @@
     /// Takes the first sign of an answer: the prompt has been read.
     void prefilled(const std::string &id, std::uint64_t prefillTokens);
 
+    /// Takes that the answer of a stream begins, and that it has ended.
+    void streamBegan(const std::string &id, TimePoint now);
+    void streamEnded(const std::string &id);
+
+    /// Takes any byte of an answer.
+    void heard(const std::string &id, TimePoint now);
+
     /// Takes the end of an attempt.
     void ended(const std::string &id, AttemptOutcome outcome, TimePoint now);
 
--- a/packages/core/include/endivespan/shared_store.h
+++ b/packages/core/include/endivespan/shared_store.h
@@ -62,6 +62,22 @@
     std::uint64_t tokens = 0;
 };
 
+/// What is known of one store.
+struct SharedStoreStats {
+    std::string address;
+    std::size_t parts = 0;
+    std::uint64_t usedTokens = 0;
+    std::uint64_t capacityTokens = 0;
+    std::size_t saving = 0; ///< Parts sent there and not reported yet.
+    Duration age {}; ///< Of the view.
+    Duration excess {}; ///< Of a first token, for parts that come from there.
+};
+
+/// @returns how long after newer weights were named the part @p id of older ones may be fetched. Parts end one after
+/// the
+///     other, so that the stores go over to the new weights together with the engines.
+Duration oldPartUse(const std::string &id);
+
 /// The stores as this host sees them. A store that starts again may be written anew, so that what is known of it only
 /// holds for a short time on the engines' clock, shorter than a store takes to start; each fetch is bound to that time.
 /// Answers a load of many long prefixes that return within seconds and that the engines' memory cannot hold.
@@ -82,19 +98,21 @@
 
     /// Plans the transfers of the parts that a prompt shares with others, and takes note of what it saves.
     /// @param domain Failure domain of the engine.
-    [[nodiscard]] TransferPlan
-    plan(const std::string &scope, const std::vector<PlannedPart> &parts, const std::string &domain, TimePoint now);
+    /// @param sinceReplaced Time since newer weights than those of the scope were named; nothing is saved then.
+    [[nodiscard]] TransferPlan plan(const std::string &scope,
+                                    const std::vector<PlannedPart> &parts,
+                                    const std::string &domain,
+                                    std::optional<Duration> sinceReplaced,
+                                    TimePoint now);
 
     /// Takes how long a first token took beyond the reading of the own prompt, for an attempt that fetched from
     /// @p address.
     void observed(const std::string &address, Duration excess, TimePoint now);
 
-    /// @returns the parts held at @p address outside of the scopes in use, at most @p limit, with the store's epoch.
-    /// @param isOld Tells whether a scope is used no more.
-    [[nodiscard]] std::pair<std::uint64_t, std::vector<ScopedPart>>
-    toFree(const std::string &address,
-           const std::function<bool(const std::string &scope)> &isOld,
-           std::size_t limit) const;
+    /// @returns the parts held at @p address that nobody fetches any more, at most @p limit, with the store's epoch.
+    /// @param isOld Tells which those are.
+    [[nodiscard]] std::pair<std::uint64_t, std::vector<ScopedPart>> toFree(
+        const std::string &address, const std::function<bool(const ScopedPart &part)> &isOld, std::size_t limit) const;
 
     /// Takes that parts were freed, before the store's own events tell.
     void freed(const std::string &address, const std::vector<ScopedPart> &parts);
@@ -102,6 +120,9 @@
     /// @returns how many parts all stores hold, as far as known.
     [[nodiscard]] std::size_t parts() const;
 
+    /// @returns what is known of each store, for logs.
+    [[nodiscard]] std::vector<SharedStoreStats> stats(TimePoint now) const;
+
 private:
     struct View {
         ForwardStore store;
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -2,6 +2,7 @@
 #include <endivespan/placement.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace endivespan {
@@ -35,14 +36,18 @@
     return std::max(0.0, 1.0 - age / Milliseconds(config::LoadReportStaleAfter).count());
 }
 
-// Requests at the server. A report stands for a while, since as many come as go; later only the own share is known.
-// A server that is swamped answers seldom: what was said of it must not fade before it can speak again.
+// Requests at the server: those reported, as far as they still run, and those sent since, as the other hosts do the
+// same. Without them all hosts would flood an engine that has just come free. Once a report is too old, the own share
+// stands for all: a swamped server answers seldom, and must not look empty before it can speak again.
 double requestsAt(const ServerView &view, const PlacementNeed &need, TimePoint now)
 {
-    if (view.load && now - view.loadAt <= config::CrowdReportTime) {
-        return view.load->running + view.load->waiting + view.sentSinceLoad;
+    const auto hosts = static_cast<double>(need.hosts);
+    double estimate = view.inFlight * hosts;
+    if (const Duration age = now - view.loadAt; view.load && age <= config::CrowdReportTime) {
+        const double left = std::exp(-Milliseconds(age).count() / std::max(1.0, Milliseconds(need.runTime).count()));
+        estimate = left * (view.load->running + view.load->waiting) + view.sentSinceLoad * hosts;
     }
-    return static_cast<double>(view.inFlight) * static_cast<double>(need.hosts);
+    return std::max(estimate, static_cast<double>(view.inFlight));
 }
 
 bool isCrowded(const ServerView &view, const PlacementNeed &need, TimePoint now)
@@ -133,11 +138,34 @@
         }
         if (!choice.server.empty()) {
             choice.expected = std::chrono::duration_cast<Duration>(Milliseconds(least));
+            choice.likelyHolder = likelyHolder(table, need, choice.server, now);
         }
         return choice;
     }
 
 private:
+    // The first of the prefix's order, unless that is the chosen one. A crowded one counts: it need not run this
+    // request.
+    static std::string
+    likelyHolder(const ServerTable &table, const PlacementNeed &need, const std::string &chosen, TimePoint now)
+    {
+        if (need.sharedTokens == 0) {
+            return {};
+        }
+        std::uint64_t highest = 0;
+        const ServerView *first = nullptr;
+        const auto weights = table.find(chosen)->entry.weights;
+        for (const auto &[id, view] : table.servers()) {
+            const std::uint64_t rank = mix(need.prefixHash ^ hashText(id));
+            const bool isSound = table.isOpen(view, now) && !need.tried.contains(id) && view.entry.weights == weights;
+            if (view.entry.service == need.service && isSound && rank >= highest) {
+                highest = rank;
+                first = &view;
+            }
+        }
+        return first == nullptr || first->entry.id == chosen ? "" : first->entry.address;
+    }
+
     // In milliseconds.
     static double costOf(const ServerView &view, const PlacementNeed &need, std::size_t place, TimePoint now)
     {
@@ -145,6 +173,9 @@
         double cost = isEngine ? engineCost(view, need, place, now) : plainCost(view, now);
         const double failures = view.failureShare(now);
         cost += failures * failures * Milliseconds(config::FailureCost).count();
+        if (view.isSilent(config::SilentAvoidAfter, now)) {
+            cost += Milliseconds(config::SilentCost).count();
+        }
         if (ServerTable::isCold(view, now)) {
             cost += Milliseconds(config::ColdCost).count();
         }
@@ -164,22 +195,31 @@
         tokens += static_cast<double>(view.prefillTokens);
         double cost = tokens / config::PrefillTokensPerMillisecond;
         if (view.load) {
-            const double weight = reportWeight(view, now);
-            cost += weight * view.load->waiting * Milliseconds(config::WaitingCost).count();
-            cost += weight * view.load->running * Milliseconds(config::RunningCost).count();
+            cost += reportWeight(view, now) * view.load->waiting * Milliseconds(config::WaitingCost).count();
         }
-        cost += view.inFlight * Milliseconds(config::RunningCost).count();
+        cost += requestsAt(view, need, now) * Milliseconds(config::RunningCost).count();
         const auto weights = view.entry.weights.find(need.model);
         if (weights != view.entry.weights.end() && weights->second < need.newestWeights) {
             cost += Milliseconds(config::OldWeightsCost).count();
         }
-        const auto next = std::find(need.loadingNext.begin(), need.loadingNext.end(), view.entry.id);
-        if (next != need.loadingNext.end()) {
-            const auto ahead = static_cast<std::size_t>(next - need.loadingNext.begin());
-            cost += Milliseconds(ahead < config::EnginesLoadingAtOnce ? config::LoadingCost : config::LoadingSoonCost)
-                        .count();
+        return cost + loadingCost(view, need);
+    }
+
+    // A run that is still under way when its engine has to load holds up the load, and with it the whole rollout.
+    static double loadingCost(const ServerView &view, const PlacementNeed &need)
+    {
+        const auto place = std::find(need.loadingNext.begin(), need.loadingNext.end(), view.entry.id);
+        if (place == need.loadingNext.end()) {
+            return 0;
+        }
+        const auto ahead = static_cast<std::size_t>(place - need.loadingNext.begin());
+        if (ahead < config::EnginesLoadingAtOnce) {
+            return Milliseconds(config::LoadingCost).count();
         }
-        return cost;
+        const double untilLoad
+            = 1000 * static_cast<double>(ahead + 1 - config::EnginesLoadingAtOnce) / config::LoadsPerSecond;
+        const double runTime = static_cast<double>(need.answerTokens) * Milliseconds(config::AnswerTokenTime).count();
+        return std::max(0.0, runTime - untilLoad) * config::LoadingOverlapCost;
     }
 
     static double plainCost(const ServerView &view, TimePoint now)
--- a/packages/core/src/rollout.cpp
+++ b/packages/core/src/rollout.cpp
@@ -3,23 +3,26 @@
 #include <endivespan/rollout.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace endivespan {
 
 std::vector<std::string> rolloutOrder(const ServerTable &table, const std::string &model, std::uint64_t version)
 {
-    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    // The oldest first: nobody may use them soonest. The rest is the same for each version, so that engines which have
+    // been left time to finish stay next when another version is named meanwhile.
+    std::vector<std::tuple<std::uint64_t, std::uint64_t, std::string>> ranked;
     for (const auto &[id, view] : table.servers()) {
         const auto weights = view.entry.weights.find(model);
         if (weights != view.entry.weights.end() && weights->second < version && !view.entry.draining) {
-            ranked.emplace_back(hashPrefix(version, id), id);
+            ranked.emplace_back(weights->second, hashPrefix(0, id), id);
         }
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<std::string> order;
     order.reserve(ranked.size());
-    for (const auto &[rank, id] : ranked) {
+    for (const auto &[weights, rank, id] : ranked) {
         order.push_back(id);
     }
     return order;
--- a/packages/core/src/server_table.cpp
+++ b/packages/core/src/server_table.cpp
@@ -23,6 +23,11 @@
     return bad / (bad + decayed(this->answered, age) + config::OutcomePrior);
 }
 
+bool ServerView::isSilent(Duration time, TimePoint now) const
+{
+    return this->streams > 0 && now - this->heardAt > time;
+}
+
 bool ServerTable::learn(const ServerEntry &entry, TimePoint now)
 {
     const auto [place, isNew] = this->views.try_emplace(entry.id);
@@ -36,8 +41,11 @@
         if (entry.born > known.born) {
             // Nothing of the earlier start holds, except that its attempts still have to end.
             const std::uint32_t inFlight = view.inFlight;
+            const std::uint32_t streams = view.streams;
             view = ServerView {};
             view.inFlight = inFlight;
+            view.streams = streams;
+            view.heardAt = now;
         }
     }
     const bool news = isNew || view.entry.address != entry.address || view.entry.service != entry.service
@@ -104,6 +112,28 @@
     }
 }
 
+void ServerTable::streamBegan(const std::string &id, TimePoint now)
+{
+    if (const auto found = this->views.find(id); found != this->views.end()) {
+        ++found->second.streams;
+        found->second.heardAt = now;
+    }
+}
+
+void ServerTable::streamEnded(const std::string &id)
+{
+    if (const auto found = this->views.find(id); found != this->views.end() && found->second.streams > 0) {
+        --found->second.streams;
+    }
+}
+
+void ServerTable::heard(const std::string &id, TimePoint now)
+{
+    if (const auto found = this->views.find(id); found != this->views.end()) {
+        found->second.heardAt = now;
+    }
+}
+
 void ServerTable::prefilled(const std::string &id, std::uint64_t prefillTokens)
 {
     if (const auto found = this->views.find(id); found != this->views.end()) {
--- a/packages/core/src/shared_store.cpp
+++ b/packages/core/src/shared_store.cpp
@@ -8,6 +8,23 @@
 
 namespace endivespan {
 
+namespace {
+
+constexpr std::uint64_t OldPartSeed = 1; // Another order than that of the stores.
+
+// At least 0 and less than 1.
+double rankOf(std::string_view id, std::uint64_t seed)
+{
+    return static_cast<double>(hashPrefix(seed, id) >> 11U) * 0x1.0p-53;
+}
+
+} // namespace
+
+Duration oldPartUse(const std::string &id)
+{
+    return std::chrono::duration_cast<Duration>(rankOf(id, OldPartSeed) * config::OldPartsSpan);
+}
+
 void SharedStores::setStores(const std::vector<ForwardStore> &stores)
 {
     std::set<std::string> present;
@@ -129,7 +146,7 @@
         if (!isFresh(view, now) || static_cast<double>(view.usedTokens + tokens) > room) {
             continue;
         }
-        const double place = static_cast<double>(hashPrefix(hashPrefix(0, part.id), address) >> 11U) * 0x1.0p-53;
+        const double place = rankOf(address, hashPrefix(0, part.id));
         const double score = std::log(std::max(place, 1e-300)) / static_cast<double>(view.store.capacityTokens);
         if (best == nullptr || score > most) {
             most = score;
@@ -142,6 +159,7 @@
 TransferPlan SharedStores::plan(const std::string &scope,
                                 const std::vector<PlannedPart> &parts,
                                 const std::string &domain,
+                                std::optional<Duration> sinceReplaced,
                                 TimePoint now)
 {
     TransferPlan plan;
@@ -149,6 +167,9 @@
     plan.save.resize(parts.size());
     for (std::size_t i = 0; i < parts.size(); ++i) {
         const ScopedPart part {scope, parts[i].id};
+        if (sinceReplaced && *sinceReplaced > oldPartUse(part.id)) {
+            continue;
+        }
         if (const View *view = this->holder(part, domain, now)) {
             // A short part is read sooner than it comes; a long one costs the engine too much.
             if (parts[i].tokens < config::ShortPartTokens && this->isSlow(*view, now)) {
@@ -161,7 +182,7 @@
             }
             continue;
         }
-        View *view = this->saver(part, parts[i].tokens, now);
+        View *view = sinceReplaced ? nullptr : this->saver(part, parts[i].tokens, now);
         if (view == nullptr) {
             continue;
         }
@@ -175,7 +196,7 @@
 }
 
 std::pair<std::uint64_t, std::vector<ScopedPart>> SharedStores::toFree(
-    const std::string &address, const std::function<bool(const std::string &scope)> &isOld, std::size_t limit) const
+    const std::string &address, const std::function<bool(const ScopedPart &part)> &isOld, std::size_t limit) const
 {
     std::vector<ScopedPart> parts;
     const auto found = this->views.find(address);
@@ -183,7 +204,7 @@
         return {0, parts};
     }
     for (const auto &[part, tokens] : found->second.held) {
-        if (parts.size() < limit && isOld(part.scope)) {
+        if (parts.size() < limit && isOld(part)) {
             parts.push_back(part);
         }
     }
@@ -204,6 +225,21 @@
     }
 }
 
+std::vector<SharedStoreStats> SharedStores::stats(TimePoint now) const
+{
+    std::vector<SharedStoreStats> all;
+    for (const auto &[address, view] : this->views) {
+        all.push_back({address,
+                       view.held.size(),
+                       view.usedTokens,
+                       view.store.capacityTokens,
+                       view.saving.size(),
+                       view.asOf ? now - *view.asOf : Duration::max(),
+                       now - view.excessAt <= config::StoreSpeedMemory ? view.excess : Duration::zero()});
+    }
+    return all;
+}
+
 std::size_t SharedStores::parts() const
 {
     std::size_t count = 0;
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -128,7 +128,10 @@
 }
 
 // What is cached belongs to one version of the weights, which the engine is made to confirm.
-void ForwardRun::prepareEngine(ForwardDispatch &dispatch, const ServerView &view, TimePoint now)
+void ForwardRun::prepareEngine(ForwardDispatch &dispatch,
+                               const ServerView &view,
+                               const std::string &likelyHolder,
+                               TimePoint now)
 {
     const auto own = this->work.organisation == nullptr ? std::nullopt : this->work.organisation->priority;
     dispatch.priority = own.value_or(this->work.route->priority);
@@ -142,9 +145,6 @@
     const bool isolated = this->work.organisation != nullptr && this->work.organisation->isolated;
     dispatch.cacheScope = cacheScope(model, weights->second, isolated ? this->work.organisation->name : "");
     const auto replacedAt = this->task.parts.operators.state().weights.replacedAt(model, weights->second);
-    if (replacedAt && now - *replacedAt > config::OldScopeUse) {
-        return;
-    }
     if (!this->task.mayTransfer(now)) {
         return;
     }
@@ -153,7 +153,23 @@
     for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
         shared.push_back({parts[i].id, parts[i].tokens});
     }
-    dispatch.transfers = this->task.parts.stores.plan(dispatch.cacheScope, shared, view.entry.domain, now);
+    const auto sinceReplaced = replacedAt ? std::optional(now - *replacedAt) : std::nullopt;
+    dispatch.transfers
+        = this->task.parts.stores.plan(dispatch.cacheScope, shared, view.entry.domain, sinceReplaced, now);
+    for (const std::string &store : dispatch.transfers.fetch) {
+        this->fetchedFrom = store.empty() ? this->fetchedFrom : store;
+        this->partsFetched += store.empty() ? 0 : 1;
+    }
+    for (const std::string &store : dispatch.transfers.save) {
+        this->partsSaved += store.empty() ? 0 : 1;
+    }
+    // What no store holds may be in another engine's memory. Asking there in vain costs a millisecond.
+    for (std::size_t i = 0; i < shared.size(); ++i) {
+        if (dispatch.transfers.fetch[i].empty() && !likelyHolder.empty()) {
+            dispatch.transfers.fetch[i] = likelyHolder;
+            ++this->partsSought;
+        }
+    }
 }
 
 void ForwardRun::send(const PlacementChoice &choice, TimePoint now)
@@ -181,17 +197,9 @@
     dispatch.organisation = this->work.organisation == nullptr ? "" : this->work.organisation->name;
     dispatch.timeLeft = toMilliseconds(this->work.deadline - now);
     if (!this->work.request.model.empty()) {
-        this->prepareEngine(dispatch, view, now);
+        this->prepareEngine(dispatch, view, choice.likelyHolder, now);
     }
     dispatch.lastEvent = this->lastEvent ? this->lastEvent : this->work.request.lastEvent;
-
-    for (const std::string &store : dispatch.transfers.fetch) {
-        this->fetchedFrom = store.empty() ? this->fetchedFrom : store;
-        this->partsFetched += store.empty() ? 0 : 1;
-    }
-    for (const std::string &store : dispatch.transfers.save) {
-        this->partsSaved += store.empty() ? 0 : 1;
-    }
     this->weights = dispatch.weights.value_or(0);
 
     const HttpRequest &received = this->work.exchange->request();
@@ -231,6 +239,10 @@
 void ForwardRun::endAttempt(AttemptOutcome outcome)
 {
     this->markPrefilled();
+    if (this->streamBegan) {
+        this->streamBegan = false;
+        this->task.parts.servers.streamEnded(this->server);
+    }
     this->patienceTimer.reset();
     this->task.parts.servers.ended(this->server, outcome, this->task.parts.loop.now());
     this->server.clear();
@@ -262,6 +274,10 @@
         return;
     }
     this->markPrefilled();
+    if (!this->streamBegan) {
+        this->streamBegan = true;
+        this->task.parts.servers.streamBegan(this->server, now);
+    }
     if (!this->work.request.model.empty()) {
         this->task.observedEngine(now - this->attemptAt);
     }
@@ -276,11 +292,11 @@
         this->streaming = true;
         this->work.exchange->startStream(answerStatus, this->task.parts.codec.callerHeaders(fields));
     }
-    this->watchStream();
+    this->watchSilence();
 }
 
 // From the first event on a resumable stream is watched for silence.
-void ForwardRun::watchStream()
+void ForwardRun::watchSilence()
 {
     this->patienceTimer.reset();
     if (this->work.route->repeat == RepeatRule::Resumable) {
@@ -299,6 +315,7 @@
         return;
     }
     const TimePoint now = this->task.parts.loop.now();
+    this->task.parts.servers.heard(this->server, now);
     const std::string complete = this->events.feed(bytes);
     if (!complete.empty()) {
         if (this->firstByteAt == TimePoint {}) {
@@ -314,7 +331,7 @@
         return;
     }
     if (this->work.route->repeat == RepeatRule::Resumable) {
-        this->watchStream();
+        this->watchSilence();
     }
 }
 
@@ -324,8 +341,12 @@
         if (const std::string rest = this->events.takeRest(); !rest.empty()) {
             this->work.exchange->sendChunk(rest);
         }
+        const TimePoint now = this->task.parts.loop.now();
+        if (!this->work.request.model.empty()) {
+            this->task.observedRun(now - this->attemptAt);
+        }
         this->endAttempt(AttemptOutcome::Answered);
-        this->task.parts.suspicions.clear(this->work.fingerprint, this->task.parts.loop.now());
+        this->task.parts.suspicions.clear(this->work.fingerprint, now);
         this->work.exchange->endStream();
         this->finish(StatusOk, "answered", "", LogRank::Routine);
         return;
@@ -434,14 +455,15 @@
         return;
     }
     const PlacementChoice other = this->task.place(this->need(), now);
-    // Where all are late, asking twice makes all later.
+    // Where all are late, asking twice makes all later; a server that has died never answers.
     const auto soon = this->work.route->aim * config::HedgeShare;
-    const bool hasOther = !other.server.empty() && other.expected <= soon
-        && (this->work.request.model.empty() || this->task.firstByteTime() <= soon);
+    const bool isSoon
+        = other.expected <= soon && (this->work.request.model.empty() || this->task.firstByteTime() <= soon);
+    const ServerView *asked = this->task.parts.servers.find(this->server);
+    const bool isGone = asked == nullptr || asked->isSilent(config::ForwardStreamSilence - config::SilenceMargin, now);
+    const bool hasOther = !other.server.empty() && (isSoon || isGone);
     if (this->ran + 1 >= this->work.route->maxAttempts || !hasOther || !this->mayRepeat(now)) {
-        if (this->streaming) {
-            this->watchStream();
-        }
+        this->watchSilence();
         return;
     }
     this->attemptFailed(AttemptOutcome::Failed, "silent for too long", true);
@@ -559,6 +581,7 @@
         .with("attempts", this->sends)
         .with("parts_fetched", this->partsFetched)
         .with("parts_saved", this->partsSaved)
+        .with("parts_sought", this->partsSought)
         .with("weights", this->weights)
         .with("config", this->work.config->version)
         .with("confirmed_ms", age.value_or(Duration::zero()))
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -49,7 +49,8 @@
     bool tryPlace(TimePoint now);
     void send(const PlacementChoice &choice, TimePoint now);
     [[nodiscard]] PlacementNeed need() const;
-    void prepareEngine(ForwardDispatch &dispatch, const ServerView &view, TimePoint now);
+    void
+    prepareEngine(ForwardDispatch &dispatch, const ServerView &view, const std::string &likelyHolder, TimePoint now);
 
     void onHead(int status, const HttpHeaders &headers);
     void onBody(std::string_view bytes);
@@ -65,7 +66,7 @@
     [[nodiscard]] bool mayRepeat(TimePoint now);
     void endAttempt(AttemptOutcome outcome);
     void markPrefilled();
-    void watchStream();
+    void watchSilence();
 
     void refuse(ErrorKind kind, std::string_view why);
     void cut(std::string_view why);
@@ -93,7 +94,9 @@
     std::uint32_t notRun = 0;
     std::uint32_t partsFetched = 0; ///< Over all attempts, as is the next.
     std::uint32_t partsSaved = 0;
+    std::uint64_t partsSought = 0; ///< In the memory of another engine.
     std::uint64_t weights = 0; ///< Version that the last attempt counted on.
+    bool streamBegan = false; ///< Of the attempt under way.
     bool streaming = false; ///< The caller has the head of the answer.
     EventSplitter events;
     std::optional<std::uint64_t> lastEvent; ///< Last one that the caller has whole.
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -173,7 +173,6 @@
     if (const auto newest = state.weights.newest(need.model)) {
         need.newestWeights = *newest;
         need.loadingNext = rolloutOrder(this->parts.servers, need.model, *newest);
-        need.loadingNext.resize(std::min(need.loadingNext.size(), config::LoadingSoon));
         const Duration bound = this->parts.settings.bounds.weights - config::OldWeightsMargin;
         need.oldestWeights = state.weights.oldestUsable(need.model, bound, now);
     }
@@ -189,6 +188,8 @@
                 = config::EngineMemoryShares[std::min(need.urgency, config::EngineMemoryShares.size() - 1)];
             need.memoryTokens = share * static_cast<double>(service->memoryTokens);
             need.tokensPerRun = this->runTokens.mean();
+            need.runTime
+                = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(this->runTime.mean()));
             need.hosts = this->hosts();
             need.mostWaiting = config::EngineWaiting[std::min(need.urgency, config::EngineWaiting.size() - 1)];
         }
@@ -202,6 +203,11 @@
     return this->placement->choose(this->parts.servers, need, this->random(), now);
 }
 
+void ForwardTask::observedRun(Duration time)
+{
+    this->runTime.add(std::chrono::duration<double, std::milli>(time).count());
+}
+
 void ForwardTask::observedEngine(Duration time)
 {
     this->firstByte += std::chrono::duration_cast<Duration>(config::FirstByteSmoothing * (time - this->firstByte));
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -105,6 +105,9 @@
     /// Takes how long the first byte of an engine took.
     void observedEngine(Duration firstByte);
 
+    /// Takes how long a whole run at an engine took.
+    void observedRun(Duration time);
+
     /// @returns how long first bytes of engines have taken of late.
     [[nodiscard]] Duration firstByteTime() const;
 
@@ -157,6 +160,8 @@
     std::vector<ForwardRun *> waiting;
     std::vector<Accusation> accused;
     SmoothedMean runTokens {config::StartRunTokens, config::RunTokensSmoothing};
+    SmoothedMean runTime {std::chrono::duration<double, std::milli>(config::StartEngineRunTime).count(),
+                          config::RunTimeSmoothing}; ///< In milliseconds.
     Duration firstByte {}; ///< Smoothed.
     bool refusing = false;
 };
--- a/packages/node/src/store_task.cpp
+++ b/packages/node/src/store_task.cpp
@@ -52,6 +52,7 @@
 
 void StoreTask::tick(TimePoint now)
 {
+    this->logStores(now);
     for (const auto &[address, next] : this->stores.toAsk()) {
         Line &line = this->lines[address];
         if (!line.asking && now >= line.askAt) {
@@ -65,6 +66,24 @@
     }
 }
 
+void StoreTask::logStores(TimePoint now)
+{
+    if (now < this->logAt) {
+        return;
+    }
+    this->logAt = now + config::StoreLinePeriod;
+    for (const SharedStoreStats &store : this->stores.stats(now)) {
+        this->events.line("store_view")
+            .with("store", store.address)
+            .with("parts", store.parts)
+            .with("used_tokens", store.usedTokens)
+            .with("capacity_tokens", store.capacityTokens)
+            .with("saving", store.saving)
+            .with("age_ms", store.age)
+            .with("excess_ms", store.excess);
+    }
+}
+
 void StoreTask::ask(const std::string &address, std::uint64_t since)
 {
     const TimePoint askedAt = this->loop.now();
@@ -118,14 +137,14 @@
     });
 }
 
-bool StoreTask::isOld(const std::string &scope, TimePoint now) const
+bool StoreTask::isOld(const ScopedPart &part, TimePoint now) const
 {
-    const auto made = readScope(scope);
+    const auto made = readScope(part.scope);
     if (!made) {
         return false;
     }
     const auto replacedAt = this->operators.state().weights.replacedAt(made->first, made->second);
-    return replacedAt && now - std::max(*replacedAt, this->startedAt) > config::OldScopeFree;
+    return replacedAt && now - std::max(*replacedAt, this->startedAt) > oldPartUse(part.id) + config::OldPartsFree;
 }
 
 void StoreTask::freeOld(const std::string &address, TimePoint now)
@@ -134,7 +153,7 @@
         return;
     }
     auto [epoch, parts] = this->stores.toFree(
-        address, [this, now](const std::string &scope) { return this->isOld(scope, now); }, config::StoreFreeParts);
+        address, [this, now](const ScopedPart &part) { return this->isOld(part, now); }, config::StoreFreeParts);
     if (parts.empty()) {
         return;
     }
--- a/packages/node/src/store_task.h
+++ b/packages/node/src/store_task.h
@@ -38,11 +38,12 @@
         TimePoint freeAt;
     };
 
+    void logStores(TimePoint now);
     void ask(const std::string &address, std::uint64_t since);
     void answered(const std::string &address, const Result<StoreEvents> &answer, TimePoint askedAt);
     void list(const std::string &address);
     void freeOld(const std::string &address, TimePoint now);
-    [[nodiscard]] bool isOld(const std::string &scope, TimePoint now) const;
+    [[nodiscard]] bool isOld(const ScopedPart &part, TimePoint now) const;
 
     Loop &loop;
     StoreControl &control;
@@ -52,6 +53,7 @@
     const Membership &membership;
     std::mt19937_64 random;
     TimePoint startedAt;
+    TimePoint logAt;
     std::map<std::string, Line> lines; ///< By address.
 };
 
--- a/tests/core/forward.cpp
+++ b/tests/core/forward.cpp
@@ -368,6 +368,19 @@
     CHECK(rest == std::vector<std::string>(order.begin() + 1, order.end()));
 }
 
+// Replays weights that are named again while the engines still change to the ones before.
+TEST_CASE("rollout: the oldest engines go first, and the next ones stay next when another version is named")
+{
+    ServerTable table = enginePool(18);
+    const auto second = rolloutOrder(table, "m", 2);
+    for (std::size_t i = 0; i < 5; ++i) {
+        table.saidWeights(second[i], "m", 2);
+    }
+    auto expected = std::vector<std::string>(second.begin() + 5, second.end());
+    expected.insert(expected.end(), second.begin(), second.begin() + 5);
+    CHECK(rolloutOrder(table, "m", 3) == expected);
+}
+
 TEST_CASE("placement: hosts that know nothing of each other send one prefix to one engine")
 {
     const auto placement = makeExpectedStartPlacement();
@@ -443,6 +456,7 @@
     need.tokensPerRun = 5000;
     need.memoryTokens = 100'000;
     need.hosts = 12;
+    need.runTime = 3s;
     for (Duration age {}; age <= config::CrowdReportTime; age += 100ms) {
         CHECK(placement->choose(table, need, 0, Start + age).server.empty());
     }
@@ -456,6 +470,87 @@
     CHECK(placement->choose(table, need, 0, later).server.empty());
 }
 
+// Replays an engine that comes back with new weights, empty, to a pool that is short of engines: each host sees it
+// free.
+TEST_CASE("placement: hosts that act at the same moment do not flood an engine that has come free")
+{
+    const auto placement = makeExpectedStartPlacement();
+    PlacementNeed need = promptNeed(3);
+    need.tokensPerRun = 5000;
+    need.memoryTokens = 100'000;
+    need.hosts = 12;
+    need.runTime = 1s;
+    int sent = 0;
+    for (std::size_t host = 0; host < need.hosts; ++host) {
+        ServerTable table = enginePool(1);
+        table.reported("e0", {0, 0, 64}, Start);
+        for (int request = 0; request < 8; ++request) {
+            if (!placement->choose(table, need, 0, Start + 100ms).server.empty()) {
+                table.started("e0", 2500, Start + 100ms);
+                ++sent;
+            }
+        }
+    }
+    CHECK(sent >= 12);
+    CHECK(sent <= 40);
+}
+
+// Replays engines that go dark: their connections stay open, and the list drops them only seconds later.
+TEST_CASE("placement: an engine whose streams have all fallen silent is passed over")
+{
+    const auto placement = makeExpectedStartPlacement();
+    ServerTable table = enginePool(6);
+    const std::string home = placement->choose(table, promptNeed(7), 0, Start).server;
+    table.streamBegan(home, Start);
+    table.streamBegan(home, Start);
+    // One of two streams still gets bytes: the other one only waits.
+    table.heard(home, Start + config::SilentAvoidAfter);
+    CHECK(placement->choose(table, promptNeed(7), 0, Start + config::SilentAvoidAfter + 1ms).server == home);
+    const TimePoint later = Start + 2 * config::SilentAvoidAfter + 1ms;
+    CHECK(table.find(home)->isSilent(config::SilentAvoidAfter, later));
+    CHECK(placement->choose(table, promptNeed(7), 0, later).server != home);
+    table.streamEnded(home);
+    table.streamEnded(home);
+    CHECK(placement->choose(table, promptNeed(7), 0, later).server == home);
+}
+
+TEST_CASE("placement: a request that goes elsewhere learns where its prefix most likely is")
+{
+    const auto placement = makeExpectedStartPlacement();
+    ServerTable table = enginePool(6);
+    const auto first = placement->choose(table, promptNeed(7), 0, Start);
+    CHECK(first.likelyHolder.empty());
+    table.reported(first.server, {64, 30, 64}, Start);
+    const auto second = placement->choose(table, promptNeed(7), 0, Start);
+    REQUIRE(second.server != first.server);
+    CHECK(second.likelyHolder == table.find(first.server)->entry.address);
+    // What other weights made is of no use.
+    table.saidWeights(first.server, "m", 2);
+    CHECK(placement->choose(table, promptNeed(7), 0, Start).likelyHolder != second.likelyHolder);
+}
+
+// Replays a rollout: runs that last until their engine has to load hold it up, short ones do not.
+TEST_CASE("placement: long runs keep away from engines that are to load soon")
+{
+    const auto placement = makeExpectedStartPlacement();
+    const ServerTable table = enginePool(12);
+    const auto order = rolloutOrder(table, "m", 2);
+    const auto soon = std::vector<std::string>(order.begin() + config::EnginesLoadingAtOnce, order.begin() + 8);
+    const auto placedSoon = [&](std::uint64_t answerTokens) {
+        int count = 0;
+        for (std::uint64_t prefix = 0; prefix < 300; ++prefix) {
+            PlacementNeed need = promptNeed(prefix);
+            need.loadingNext = order;
+            need.answerTokens = answerTokens;
+            const std::string chosen = placement->choose(table, need, prefix, Start).server;
+            count += std::find(soon.begin(), soon.end(), chosen) == soon.end() ? 0 : 1;
+        }
+        return count;
+    };
+    CHECK(placedSoon(20) > 100);
+    CHECK(placedSoon(400) < 10);
+}
+
 // Replays a pool that is nearly full of long prompts: a short one still finds room.
 TEST_CASE("placement: a short request fits where a long one does not")
 {
--- a/tests/core/shared_store.cpp
+++ b/tests/core/shared_store.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <random>
 #include <rapidcheck.h>
 
@@ -37,26 +38,26 @@
     SharedStores one = freshStores();
     SharedStores two = freshStores();
     const std::vector<PlannedPart> parts {{"p", 500}};
-    const TransferPlan first = one.plan("s", parts, "z1", Start);
-    const TransferPlan other = two.plan("s", parts, "z1", Start);
+    const TransferPlan first = one.plan("s", parts, "z1", std::nullopt, Start);
+    const TransferPlan other = two.plan("s", parts, "z1", std::nullopt, Start);
     REQUIRE_FALSE(first.save[0].empty());
     CHECK(first.save[0] == other.save[0]);
     CHECK(first.fetch[0].empty());
-    const TransferPlan again = one.plan("s", parts, "z1", Start + 100ms);
+    const TransferPlan again = one.plan("s", parts, "z1", std::nullopt, Start + 100ms);
     CHECK(again.save[0].empty());
     CHECK(again.fetch[0].empty());
     (void)one.answered(first.save[0], stored(1, 0, {"s", "p"}, 500), Start + 200ms);
-    const TransferPlan later = one.plan("s", parts, "z1", Start + 300ms);
+    const TransferPlan later = one.plan("s", parts, "z1", std::nullopt, Start + 300ms);
     CHECK(later.fetch[0] == first.save[0]);
     CHECK(later.fetchUntil == 1000ms + config::StoreViewTime);
-    CHECK(one.plan("other", parts, "z1", Start + 300ms).fetch[0].empty());
+    CHECK(one.plan("other", parts, "z1", std::nullopt, Start + 300ms).fetch[0].empty());
 }
 
 TEST_CASE("nothing is fetched from or saved to a store that has not answered lately")
 {
     SharedStores stores = freshStores();
     (void)stores.answered(Stores[0].address, stored(1, 0, {"s", "p"}, 500), Start);
-    const TransferPlan plan = stores.plan("s", {{"p", 500}}, "z1", Start + config::StoreViewTime + 1ms);
+    const TransferPlan plan = stores.plan("s", {{"p", 500}}, "z1", std::nullopt, Start + config::StoreViewTime + 1ms);
     CHECK(plan.fetch[0].empty());
     CHECK(plan.save[0].empty());
 }
@@ -66,7 +67,7 @@
     SharedStores stores = freshStores();
     (void)stores.answered(Stores[0].address, stored(1, 0, {"s", "p"}, 500), Start);
     CHECK_FALSE(stores.answered(Stores[0].address, {2, 7, false, 1000ms, {}}, Start + 100ms));
-    CHECK(stores.plan("s", {{"p", 500}}, "z1", Start + 100ms).fetch[0].empty());
+    CHECK(stores.plan("s", {{"p", 500}}, "z1", std::nullopt, Start + 100ms).fetch[0].empty());
     CHECK(stores.toAsk()[0].second == 0);
 }
 
@@ -76,7 +77,7 @@
     SharedStores stores = freshStores();
     stores.listed(
         Stores[0].address, {1, 5000, false, 1000ms, {{{"s", "p"}, true, 500}, {{"s", "q"}, true, 700}}}, Start);
-    CHECK(stores.plan("s", {{"p", 500}, {"q", 700}}, "z1", Start).fetch[1] == Stores[0].address);
+    CHECK(stores.plan("s", {{"p", 500}, {"q", 700}}, "z1", std::nullopt, Start).fetch[1] == Stores[0].address);
     CHECK(stores.parts() == 2);
     CHECK(stores.toAsk()[0].second == 5000);
 }
@@ -89,13 +90,41 @@
     for (std::uint64_t i = 0; i < 9; ++i) {
         (void)stores.answered(Stores[0].address, stored(1, i, {"old", std::to_string(i)}, 1000), Start);
     }
-    CHECK(stores.plan("new", {{"p", 1000}}, "z1", Start).save[0].empty());
+    CHECK(stores.plan("new", {{"p", 1000}}, "z1", std::nullopt, Start).save[0].empty());
     const auto [epoch, parts] = stores.toFree(
-        Stores[0].address, [](const std::string &scope) { return scope == "old"; }, 100);
+        Stores[0].address, [](const ScopedPart &part) { return part.scope == "old"; }, 100);
     CHECK(epoch == 1);
     CHECK(parts.size() == 9);
     stores.freed(Stores[0].address, parts);
-    CHECK_FALSE(stores.plan("new", {{"p", 1000}}, "z1", Start).save[0].empty());
+    CHECK_FALSE(stores.plan("new", {{"p", 1000}}, "z1", std::nullopt, Start).save[0].empty());
+}
+
+// Replays new weights on a pool whose stores are full of parts of the old ones, which most engines still run.
+TEST_CASE("parts of old weights end one after the other, and none is freed while a host may fetch it")
+{
+    SharedStores stores = freshStores();
+    std::vector<PlannedPart> parts;
+    for (int i = 0; i < 40; ++i) {
+        parts.push_back({"part" + std::to_string(i), 10});
+        (void)stores.answered(Stores[0].address, stored(1, i, {"old", parts.back().id}, 10), Start);
+    }
+    const auto fetched = [&](Duration since) {
+        const TransferPlan plan = stores.plan("old", parts, "z1", since, Start);
+        CHECK(std::all_of(plan.save.begin(), plan.save.end(), [](const auto &place) { return place.empty(); }));
+        return std::count_if(plan.fetch.begin(), plan.fetch.end(), [](const auto &place) { return !place.empty(); });
+    };
+    CHECK(fetched(0ms) == 40);
+    CHECK(fetched(config::OldPartsSpan / 2) > 10);
+    CHECK(fetched(config::OldPartsSpan / 2) < 30);
+    CHECK(fetched(config::OldPartsSpan) == 0);
+    CHECK(rc::check([] {
+        const auto id = *rc::gen::nonEmpty<std::string>();
+        RC_ASSERT(oldPartUse(id) >= Duration::zero());
+        RC_ASSERT(oldPartUse(id) < config::OldPartsSpan);
+        // A host that hears of the new weights as late as it may still fetch, with the longest fetch that it may begin.
+        const Duration lastFetch = config::TransferFreshness + oldPartUse(id) + config::StoreViewTime;
+        RC_ASSERT(oldPartUse(id) + config::OldPartsFree > lastFetch);
+    }));
 }
 
 TEST_CASE("short parts are read rather than fetched from a store that has become slow")
@@ -109,9 +138,9 @@
         stores.observed(Stores[0].address, 900ms, Start);
         stores.observed(Stores[1].address, 80ms, Start);
     }
-    CHECK(stores.plan("s", {{"shorta", 500}}, "z1", Start).fetch[0].empty());
-    CHECK_FALSE(stores.plan("s", {{"longa", 9000}}, "z1", Start).fetch[0].empty());
-    CHECK_FALSE(stores.plan("s", {{"shortb", 500}}, "z1", Start).fetch[0].empty());
+    CHECK(stores.plan("s", {{"shorta", 500}}, "z1", std::nullopt, Start).fetch[0].empty());
+    CHECK_FALSE(stores.plan("s", {{"longa", 9000}}, "z1", std::nullopt, Start).fetch[0].empty());
+    CHECK_FALSE(stores.plan("s", {{"shortb", 500}}, "z1", std::nullopt, Start).fetch[0].empty());
 }
 
 // Hosts with views of different age, and a store that starts again after it was away for longer than a view holds.
@@ -162,7 +191,7 @@
                 }
                 (void)host.answered(address, answer, now);
             }
-            const TransferPlan plan = host.plan("s", {{"p", 500}}, "z1", now);
+            const TransferPlan plan = host.plan("s", {{"p", 500}}, "z1", std::nullopt, now);
             if (!plan.save[0].empty() && wholeAt == TimePoint {}) {
                 wholeAt = now + WriteTime;
                 writes.emplace_back(now, wholeAt);
