Give back credits that nobody uses any more; say once that a prompt waits for one

Cause: with the gate of cold servers set, all runners restarting at once left every host without a credit for 30 s. A host dropped the credits that it held, and a grant under way, when a server turned cold; a late grant was dropped as well. The owner counted each as work at a server that bears one request, for CreditTtl + CreditRunBound, 32 s. Ruled out: the owner's wait after a cold start (1.7 s), and a change of owner (3.7 s); both are far below 30 s. Change: such credits go back unused with the next tick, a repeated grant gives nothing back, and a return that is not answered is sent again. A prompt that waits for a credit says so once: the decisions of its 20 tries a second filled what a request may tell, so that the last decision was missing from its explanation. Tests: 'credits of the time before a server turned cold go back at once' (written with the mend, not run against the code before).

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -179,6 +179,9 @@
 constexpr std::chrono::milliseconds CreditPatience = 6000ms;
 constexpr std::chrono::milliseconds CreditRecheckPeriod = 50ms;
 constexpr unsigned CreditEpochBits = 20;
+constexpr std::chrono::milliseconds CreditReturnPause = 500ms; ///< Before a return that was not answered is repeated.
+constexpr std::size_t CreditReturnsKept = 256;
+constexpr std::size_t AbandonedRequestsKept = 64; ///< For credits, and each server.
 
 // Poison requests
 constexpr std::size_t SuspectTableSize = 4096;
@@ -300,6 +303,10 @@
 constexpr std::chrono::milliseconds HostReadPeriod = 10000ms;
 
 // Structured log
+constexpr std::chrono::seconds StoryStaleSpan = 30s; ///< Before a refusal, in which a lost log may be its cause.
+constexpr std::chrono::seconds StoryCauseSpan = 15s; ///< Around a failure; the list drops dead servers in a part of it.
+constexpr std::chrono::seconds StoryLoadSpan = 6s; ///< From an order to load weights until the engine serves again.
+constexpr std::chrono::milliseconds StoryPause = 1500ms; ///< Without a line under load, after which a host stood still.
 constexpr std::size_t LogBufferBytes = 256 * 1024;
 constexpr std::uint32_t LogLinesPerSecond = 60; ///< Of one event, for routine lines.
 constexpr std::chrono::milliseconds LogFlushDelay = 100ms;
--- a/packages/core/include/endivespan/credit.h
+++ b/packages/core/include/endivespan/credit.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -176,7 +177,7 @@
     /// @returns a request to send to the owner, or nothing while one is under way.
     [[nodiscard]] std::optional<CreditRequest> ask(ServerHandle server, std::uint32_t wanted, TimePoint now);
 
-    /// Takes the answer of the owner. A repeated or late one is ignored.
+    /// Takes the answer of the owner. A repeated one is ignored; the credits of a late one go back unused.
     void granted(const CreditGrant &grant, TimePoint now);
 
     /// @returns the right to send one request, or nothing. Call it right before dispatch.
@@ -189,7 +190,7 @@
     /// Ends a use. @returns the message to the owner, or nothing for a warm use.
     [[nodiscard]] std::optional<CreditReturn> finish(const CreditUse &use, CreditOutcome outcome);
 
-    /// Drops expired credits. @returns the messages that give unused ones back.
+    /// Drops expired credits. @returns the messages that give unused ones back, those of dropped ones as well.
     [[nodiscard]] std::vector<CreditReturn> tick(TimePoint now);
 
     /// @returns the credits of @p server that could be taken now.
@@ -213,10 +214,15 @@
         std::optional<WarmStatement> warm;
         std::uint64_t coldSinceEpoch = 0; ///< Statements up to this epoch are void.
         std::optional<Pending> pending;
+        std::set<std::uint64_t> abandoned; ///< Requests whose answer is no longer wanted.
         std::vector<Credit> credits;
     };
 
+    static void abandonPending(Held &held);
+    void giveBack(const CreditGrant &grant);
+
     std::map<ServerHandle, Held> servers;
+    std::vector<CreditReturn> unused; ///< To give back with the next tick.
     std::uint64_t nextRequestId = 1;
 };
 
--- a/packages/core/src/credit.cpp
+++ b/packages/core/src/credit.cpp
@@ -187,11 +187,27 @@
         held.coldSinceEpoch = std::max(held.coldSinceEpoch, held.warm->epoch);
     }
     held.warm.reset();
-    // A grant under way may stand for the time before; its answer is dropped and the owner reclaims it.
-    held.pending.reset();
+    // They stand for the time before, as does a grant under way. Kept by nobody, they would count as work at the server
+    // until the longest run had ended.
+    abandonPending(held);
+    for (const Credit &credit : held.credits) {
+        this->unused.push_back({server, credit.fence, credit.id, CreditOutcome::Unused});
+    }
     held.credits.clear();
 }
 
+void CreditPurse::abandonPending(Held &held)
+{
+    if (!held.pending) {
+        return;
+    }
+    held.abandoned.insert(held.pending->requestId);
+    if (held.abandoned.size() > config::AbandonedRequestsKept) {
+        held.abandoned.erase(held.abandoned.begin());
+    }
+    held.pending.reset();
+}
+
 void CreditPurse::learnWarm(const WarmStatement &statement)
 {
     Held &held = this->servers[statement.server];
@@ -240,6 +256,7 @@
     if (waiting || wanted == 0) {
         return {};
     }
+    abandonPending(held);
     held.pending = Pending {this->nextRequestId, now};
     return CreditRequest {server, this->nextRequestId++, wanted};
 }
@@ -248,6 +265,9 @@
 {
     Held &held = this->servers[grant.server];
     if (!held.pending || held.pending->requestId != grant.requestId) {
+        if (held.abandoned.erase(grant.requestId) > 0) {
+            this->giveBack(grant);
+        }
         return;
     }
     // Counted from the sending of the request, so that no credit outlives the owner's own count.
@@ -257,6 +277,7 @@
         this->learnWarm(*grant.warm);
     }
     if (expires <= now) {
+        this->giveBack(grant);
         return;
     }
     for (std::uint32_t i = 0; i < grant.count; ++i) {
@@ -264,6 +285,13 @@
     }
 }
 
+void CreditPurse::giveBack(const CreditGrant &grant)
+{
+    for (std::uint32_t i = 0; i < grant.count; ++i) {
+        this->unused.push_back({grant.server, grant.fence, grant.firstId + i, CreditOutcome::Unused});
+    }
+}
+
 std::optional<CreditUse> CreditPurse::take(ServerHandle server, TimePoint now)
 {
     if (this->isWarm(server, now)) {
@@ -300,7 +328,7 @@
 
 std::vector<CreditReturn> CreditPurse::tick(TimePoint now)
 {
-    std::vector<CreditReturn> returns;
+    std::vector<CreditReturn> returns = std::exchange(this->unused, {});
     for (auto &[server, held] : this->servers) {
         for (const Credit &credit : held.credits) {
             if (credit.expires <= now) {
--- a/packages/node/src/credit_task.cpp
+++ b/packages/node/src/credit_task.cpp
@@ -242,8 +242,31 @@
         this->owner.giveBack(credit);
         return;
     }
-    if (const auto holder = this->leases.holderOf(serverResource(name))) {
-        this->peers.ask(*holder, CreditBack {name, credit.fence, credit.id, credit.outcome}, [](const auto &) {});
+    const auto holder = this->leases.holderOf(serverResource(name));
+    if (!holder) {
+        return;
+    }
+    // A return that is lost would count as work at the server until the longest run had ended.
+    this->peers.ask(*holder,
+                    CreditBack {name, credit.fence, credit.id, credit.outcome},
+                    [this, credit](const Result<PeerMessage> &answer) {
+                        if (!answer && this->unreturned.size() < config::CreditReturnsKept) {
+                            this->unreturned.push_back({credit, this->loop.now() + config::CreditReturnPause});
+                        }
+                    });
+}
+
+// The owner ignores what is no longer outstanding, and a new owner what was granted under an older fence.
+void CreditTask::repeatReturns(TimePoint now)
+{
+    std::vector<Unreturned> due;
+    std::swap(due, this->unreturned);
+    for (const Unreturned &entry : due) {
+        if (now < entry.at) {
+            this->unreturned.push_back(entry);
+        } else {
+            this->giveBack(entry.credit);
+        }
     }
 }
 
@@ -266,6 +289,7 @@
     this->followLeases(now);
     this->followNotes(now);
     this->owner.tick(now);
+    this->repeatReturns(now);
     for (const CreditReturn &credit : this->purse.tick(now)) {
         this->giveBack(credit);
     }
--- a/packages/node/src/credit_task.h
+++ b/packages/node/src/credit_task.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 /// The task that keeps the work of cold backend servers within what they bear, as owner and as holder of credits.
 namespace endivespan {
@@ -36,6 +37,11 @@
     void tick(TimePoint now);
 
 private:
+    struct Unreturned {
+        CreditReturn credit;
+        TimePoint at; ///< When to try again.
+    };
+
     [[nodiscard]] std::optional<ServerHandle> handleOf(const std::string &name) const;
     void followLeases(TimePoint now);
     void followNotes(TimePoint now);
@@ -43,6 +49,7 @@
     void ask(ServerHandle server, TimePoint now);
     void granted(const CreditReply &reply);
     void giveBack(const CreditReturn &credit);
+    void repeatReturns(TimePoint now);
     void writeNote(ServerHandle server, std::uint32_t inFlight, std::uint32_t capacity);
     [[nodiscard]] CreditReply grant(const CreditAsk &ask);
 
@@ -56,6 +63,7 @@
     std::map<ServerHandle, std::uint64_t> owned; ///< Fences of the servers owned here.
     std::map<std::string, TimePoint> demand; ///< When each pool last had work for a server.
     std::map<ServerHandle, TimePoint> askedAt;
+    std::vector<Unreturned> unreturned;
     std::uint64_t noteSequence = 0;
 };
 
--- a/packages/node/src/prompt_run.cpp
+++ b/packages/node/src/prompt_run.cpp
@@ -133,9 +133,9 @@
     request.random = this->context.random();
     const RouteView view {this->context.backends.loads, this->context.backends.directory};
     this->decision = this->router.route(request, view, this->context.loop.now());
-    this->explain(this->decision);
     if (this->decision.isValid()) {
         if (this->takeCredit(this->decision)) {
+            this->explain(this->decision);
             this->dispatch(this->decision);
             return;
         }
@@ -145,10 +145,12 @@
         this->attempt();
         return;
     }
-    this->excluded.clear();
     if (this->waitForCredit()) {
+        this->excluded.clear();
         return;
     }
+    this->explain(this->decision);
+    this->excluded.clear();
     this->retry({ErrorKind::NoServer, "no runner of '" + this->job.model.name + "' may take work"});
 }
 
@@ -212,6 +214,14 @@
         return false;
     }
     gate->onDemand(this->job.model.name);
+    // Said once: it is tried again many times, and what an answer tells of its decisions is bounded.
+    if (!this->waitedForCredit) {
+        this->waitedForCredit = true;
+        const std::string line
+            = fmt::format("attempt {}: waits for a credit, {} without one", this->attempts, this->excluded.size());
+        logLine("route", "{} {}", this->job.caller.requestId, line);
+        this->context.explain.add(this->job.caller.requestId, line);
+    }
     --this->attempts;
     this->retryTimer = this->context.loop.after(config::CreditRecheckPeriod, [this] { this->attempt(); });
     return true;
--- a/packages/node/src/prompt_run.h
+++ b/packages/node/src/prompt_run.h
@@ -115,6 +115,7 @@
     std::uint32_t nextIndex;
     bool firstTokenSeen = false;
     bool started = false;
+    bool waitedForCredit = false;
     bool ended = false;
     int fairness = 0;
     std::string attemptId;
--- a/tests/core/credit.cpp
+++ b/tests/core/credit.cpp
@@ -268,6 +268,64 @@
     }
 }
 
+// Replays all servers turning cold at once while hosts hold credits or wait for them: kept by nobody, the credits would
+// count as work until the longest run had ended, and no host would get another one.
+TEST_CASE("credits of the time before a server turned cold go back at once")
+{
+    CreditOwner owner;
+    CreditPurse purse;
+    const TimePoint now {1h};
+    owner.own(Server, Limits, 1, {}, true, now);
+    owner.heard(Server, "s0", 0, now);
+    purse.heard(Server, "s0", now);
+    const auto held = purse.ask(Server, 1, now);
+    REQUIRE(held);
+    const CreditGrant grant = owner.request(*held, now);
+    REQUIRE(grant.count == 1);
+
+    SUBCASE("those that a host holds")
+    {
+        purse.granted(grant, now);
+        purse.turnCold(Server);
+    }
+    SUBCASE("those under way, also when the grant comes twice")
+    {
+        purse.turnCold(Server);
+        purse.granted(grant, now);
+        purse.granted(grant, now);
+    }
+    SUBCASE("those that come after the host has asked again")
+    {
+        REQUIRE(purse.ask(Server, 1, now + config::CreditAskTimeout));
+        purse.granted(grant, now + config::CreditAskTimeout);
+    }
+    SUBCASE("those that come when they have expired")
+    {
+        purse.granted(grant, now + config::CreditTtl);
+    }
+    CHECK(purse.usable(Server, now) == 0);
+    const auto returns = purse.tick(now);
+    REQUIRE(returns.size() == 1);
+    owner.giveBack(returns.front());
+    CHECK(owner.request({Server, 9, 1}, now).count == 1);
+}
+
+TEST_CASE("a grant that comes twice gives nothing back")
+{
+    CreditOwner owner;
+    CreditPurse purse;
+    const TimePoint now {1h};
+    owner.own(Server, Limits, 1, {}, true, now);
+    owner.heard(Server, "s0", 0, now);
+    const auto asked = purse.ask(Server, 1, now);
+    REQUIRE(asked);
+    const CreditGrant grant = owner.request(*asked, now);
+    purse.granted(grant, now);
+    purse.granted(grant, now);
+    CHECK(purse.tick(now).empty());
+    CHECK(purse.usable(Server, now) == 1);
+}
+
 TEST_CASE("a new owner grants nothing before the credits of the earlier one have expired")
 {
     World world = readyWorld();
