Keep one copy of readFile, lowerCase, viewOf and toTimeval

Cause: readFile stood three times, lowerCase, viewOf and toTimeval twice. Ruled out: nothing to measure. Change: text.h in core, net_p.h in net. Conclusion: no behaviour changes.

--- a/packages/cli/src/check.cpp
+++ b/packages/cli/src/check.cpp
@@ -2,6 +2,7 @@
 
 #include <endivespan/note.h>
 #include <endivespan/settings.h>
+#include <endivespan/text.h>
 
 #include <CLI/CLI.hpp>
 #include <fmt/core.h>
--- a/packages/cli/src/command.cpp
+++ b/packages/cli/src/command.cpp
@@ -2,22 +2,8 @@
 
 #include <endivespan/names.h>
 
-#include <fstream>
-#include <sstream>
-
 namespace endivespan::cli {
 
-std::optional<std::string> readFile(const std::string &path)
-{
-    std::ifstream file(path);
-    if (!file) {
-        return std::nullopt;
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 Result<HttpAnswer> get(const std::string &address, const std::string &target)
 {
     Loop loop;
--- a/packages/cli/src/command.h
+++ b/packages/cli/src/command.h
@@ -37,9 +37,6 @@
 /// Adds `key`.
 void addKey(CLI::App &app, int &exitCode);
 
-/// @returns the whole file, or nothing when it cannot be read.
-std::optional<std::string> readFile(const std::string &path);
-
 /// Makes one GET call and waits for its answer.
 Result<HttpAnswer> get(const std::string &address, const std::string &target);
 
--- a/packages/cli/src/publish.cpp
+++ b/packages/cli/src/publish.cpp
@@ -4,6 +4,7 @@
 #include <endivespan/config.h>
 #include <endivespan/config_codec.h>
 #include <endivespan/note.h>
+#include <endivespan/text.h>
 
 #include <CLI/CLI.hpp>
 #include <fmt/core.h>
--- a/packages/net/src/http_pool.cpp
+++ b/packages/net/src/http_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <endivespan/config.h>
 #include <endivespan/http_pool.h>
+#include <endivespan/text.h>
 
 #include <arpa/inet.h>
 #include <boost/beast/http/parser.hpp>
@@ -29,18 +30,11 @@
 
 using Parser = http::response_parser<http::string_body>;
 
-std::string_view viewOf(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 HttpHeaders headersOf(const Parser &parser)
 {
     HttpHeaders headers;
     for (const auto &field : parser.get()) {
-        std::string name(viewOf(field.name_string()));
-        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
-        const auto [entry, isNew] = headers.emplace(std::move(name), viewOf(field.value()));
+        const auto [entry, isNew] = headers.emplace(lowerCase(viewOf(field.name_string())), viewOf(field.value()));
         if (!isNew) {
             entry->second.append(", ").append(viewOf(field.value()));
         }
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -4,6 +4,7 @@
 #include <endivespan/config.h>
 #include <endivespan/http_server.h>
 #include <endivespan/log.h>
+#include <endivespan/text.h>
 
 #include <arpa/inet.h>
 #include <boost/beast/http/parser.hpp>
@@ -45,18 +46,6 @@
     VersionNotSupported = 505,
 };
 
-std::string lowerCase(std::string_view text)
-{
-    std::string lower(text);
-    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) { return std::tolower(c); });
-    return lower;
-}
-
-std::string_view viewOf(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 std::map<std::string, std::string> parseQuery(const std::string &text)
 {
     std::map<std::string, std::string> fields;
@@ -79,11 +68,6 @@
     return text;
 }
 
-timeval toTimeval(std::chrono::milliseconds time)
-{
-    return {time.count() / 1000, static_cast<suseconds_t>(time.count() % 1000) * 1000};
-}
-
 bool hasBody(int status)
 {
     return status >= 200 && status != 204 && status != 304;
--- a/packages/net/src/loop.cpp
+++ b/packages/net/src/loop.cpp
@@ -1,3 +1,5 @@
+#include "net_p.h"
+
 #include <endivespan/loop.h>
 
 #include <event2/event.h>
@@ -9,14 +11,6 @@
 
 namespace {
 
-timeval toTimeval(Duration duration)
-{
-    timeval value;
-    value.tv_sec = duration.count() / 1'000'000;
-    value.tv_usec = duration.count() % 1'000'000;
-    return value;
-}
-
 class LoopTimer : public Timer
 {
 public:
--- a/packages/net/src/net.cpp
+++ b/packages/net/src/net.cpp
@@ -50,4 +50,16 @@
     return bytes;
 }
 
+std::string_view viewOf(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+timeval toTimeval(Duration time)
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(time);
+    const std::chrono::microseconds rest = time - seconds;
+    return {static_cast<time_t>(seconds.count()), static_cast<suseconds_t>(rest.count())};
+}
+
 } // namespace endivespan
--- a/packages/net/src/net_p.h
+++ b/packages/net/src/net_p.h
@@ -1,8 +1,13 @@
 #pragma once
 
+#include <endivespan/clock.h>
 #include <endivespan/http_server.h>
 
+#include <boost/beast/core/string.hpp>
+#include <sys/time.h>
+
 #include <string>
+#include <string_view>
 #include <utility>
 
 struct evbuffer;
@@ -23,4 +28,8 @@
 /// @returns everything in @p buffer, which is left empty.
 std::string takeBuffer(evbuffer *buffer);
 
+std::string_view viewOf(boost::beast::string_view text);
+
+timeval toTimeval(Duration time);
+
 } // namespace endivespan
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -1,30 +1,18 @@
 #include "node.h"
 
 #include <endivespan/log.h>
+#include <endivespan/text.h>
 
 #include <CLI/CLI.hpp>
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace {
 
 constexpr int ExitBadSettings = 2;
 constexpr int ExitCannotStart = 1;
 
-std::optional<std::string> readFile(const std::string &path)
-{
-    std::ifstream file(path);
-    if (!file) {
-        return std::nullopt;
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 int serve(endivespan::Settings settings)
 {
     endivespan::Loop loop;
@@ -48,7 +36,7 @@
     app.add_option("settings", path, "Settings of this host, in YAML")->required();
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
-    const auto text = readFile(path);
+    const auto text = endivespan::readFile(path);
     if (!text) {
         std::cerr << path << ": cannot be read\n";
         return ExitBadSettings;
