Explain a failed request from the logs of all hosts

Cause: a request's story had to be put together by grep, attempt_failed named two fields 'event', a refusal did not say how many servers were open and full, and a store with too many callers (429) was logged as a lost dependency. Ruled out: asking the hosts, which forget and die. The final line has known, open, full, expected_ms; last_event; store_busy. Processor time of logging is not measured.

--- a/packages/cli/src/explain.cpp
+++ b/packages/cli/src/explain.cpp
@@ -1,10 +1,15 @@
 #include "command.h"
 
+#include <endivespan/log_story.h>
+
 #include <CLI/CLI.hpp>
 #include <fmt/core.h>
 #include <nlohmann/json.hpp>
 
+#include <fstream>
+#include <iostream>
 #include <memory>
+#include <vector>
 
 namespace endivespan::cli {
 
@@ -13,8 +18,50 @@
 struct Arguments {
     std::string request;
     std::string host;
+    std::vector<std::string> logs;
+    bool why = false;
 };
 
+bool readLog(const std::string &path, LogBook &book)
+{
+    std::ifstream file;
+    if (path != "-") {
+        file.open(path);
+        if (!file) {
+            fmt::print(stderr, "{}: cannot be read\n", path);
+            return false;
+        }
+    }
+    std::istream &input = path == "-" ? std::cin : file;
+    for (std::string line; std::getline(input, line);) {
+        book.add(line);
+    }
+    return true;
+}
+
+int explainFromLogs(const Arguments &arguments)
+{
+    LogBook book;
+    for (const std::string &path : arguments.logs) {
+        if (!readLog(path, book)) {
+            return ExitFailed;
+        }
+    }
+    book.finish();
+    const auto cause = book.cause(arguments.request);
+    if (!cause) {
+        fmt::print(stderr, "none of {} lines names request {}\n", book.size(), arguments.request);
+        return ExitFailed;
+    }
+    for (const LogEntry *entry : book.story(arguments.request)) {
+        fmt::print("{}\n", entry->text);
+    }
+    if (arguments.why) {
+        fmt::print("cause: {}\n", *cause);
+    }
+    return ExitDone;
+}
+
 int explain(const Arguments &arguments)
 {
     const auto answer = get(arguments.host, "/explain/" + arguments.request);
@@ -42,10 +89,21 @@
         ->required()
         ->check(CLI::Validator(
             [](std::string &text) { return CLI::detail::valid_name_string(text) ? "" : "no request id"; }, "ID"));
-    command->add_option("--host", arguments->host, "Address for callers of the host that took the request")
-        ->required()
-        ->check(addressProblem);
-    command->callback([arguments, &exitCode] { exitCode = explain(*arguments); });
+    CLI::Option *host
+        = command->add_option("--host", arguments->host, "Address for callers of the host that took the request")
+              ->check(addressProblem);
+    CLI::Option *logs = command
+                            ->add_option("--log",
+                                         arguments->logs,
+                                         "Logs of any number of hosts to read instead; - for standard input")
+                            ->excludes(host);
+    command->add_flag("--why", arguments->why, "With --log: names the first cause that the lines show")->needs(logs);
+    command->callback([arguments, &exitCode] {
+        if (arguments->host.empty() && arguments->logs.empty()) {
+            throw CLI::RequiredError("--host or --log");
+        }
+        exitCode = arguments->logs.empty() ? explain(*arguments) : explainFromLogs(*arguments);
+    });
 }
 
 } // namespace endivespan::cli
--- /dev/null
+++ b/packages/core/src/log_story.cpp
@@ -0,0 +1,292 @@
+#include <endivespan/config.h>
+#include <endivespan/log_story.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <set>
+#include <utility>
+
+namespace endivespan {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+// A number as in "12.3 s".
+std::string inSeconds(double value)
+{
+    const long tenths = std::lround(value * 10);
+    return std::to_string(tenths / 10) + "." + std::to_string(tenths % 10) + " s";
+}
+
+double numberOf(const std::string &text)
+{
+    return std::strtod(text.c_str(), nullptr);
+}
+
+// Values with spaces are quoted.
+std::pair<std::string, std::string> takeField(std::string_view &rest)
+{
+    rest.remove_prefix(std::min(rest.find_first_not_of(' '), rest.size()));
+    const std::size_t equals = rest.find('=');
+    if (equals == std::string_view::npos || rest.substr(0, equals).find(' ') != std::string_view::npos) {
+        rest = {};
+        return {};
+    }
+    std::string key(rest.substr(0, equals));
+    rest.remove_prefix(equals + 1);
+    const bool quoted = !rest.empty() && rest.front() == '"';
+    const std::size_t end = quoted ? rest.find('"', 1) : rest.find(' ');
+    const std::size_t length = std::min(end, rest.size());
+    std::string value(quoted ? rest.substr(1, length - 1) : rest.substr(0, length));
+    rest.remove_prefix(std::min(length + (quoted ? 1 : 0), rest.size()));
+    return {std::move(key), std::move(value)};
+}
+
+std::string lastServer(const std::vector<const LogEntry *> &story)
+{
+    std::string last;
+    for (const LogEntry *entry : story) {
+        const std::string servers = entry->field("servers");
+        if (const std::string server = entry->field("server"); !server.empty()) {
+            last = server;
+        } else if (!servers.empty()) {
+            last = servers.substr(servers.rfind(',') + 1);
+        }
+    }
+    return last;
+}
+
+} // namespace
+
+std::string LogEntry::field(const std::string &name) const
+{
+    const auto found = this->fields.find(name);
+    return found == this->fields.end() ? std::string() : found->second;
+}
+
+std::optional<LogEntry> parseLogLine(std::string_view line)
+{
+    while (!line.empty() && (line.back() == '\n' || line.back() == '\r')) {
+        line.remove_suffix(1);
+    }
+    const std::size_t begin = line.substr(0, 2) == "t=" ? 0 : line.find(" t=");
+    if (begin == std::string_view::npos) {
+        return std::nullopt;
+    }
+    LogEntry entry;
+    std::string_view rest = line.substr(begin == 0 ? 0 : begin + 1);
+    entry.text = rest;
+    while (!rest.empty()) {
+        auto [key, value] = takeField(rest);
+        if (!key.empty()) {
+            entry.fields.emplace(std::move(key), std::move(value));
+        }
+    }
+    entry.at = numberOf(entry.field("t"));
+    entry.host = entry.field("host");
+    entry.event = entry.field("event");
+    for (const char *name : {"t", "host", "event"}) {
+        entry.fields.erase(name);
+    }
+    return entry.event.empty() || entry.host.empty() ? std::nullopt : std::optional(std::move(entry));
+}
+
+void LogBook::add(std::string_view line)
+{
+    if (auto entry = parseLogLine(line)) {
+        this->entries.push_back(std::move(*entry));
+    }
+}
+
+void LogBook::finish()
+{
+    std::stable_sort(
+        this->entries.begin(), this->entries.end(), [](const LogEntry &a, const LogEntry &b) { return a.at < b.at; });
+}
+
+std::size_t LogBook::size() const
+{
+    return this->entries.size();
+}
+
+std::vector<const LogEntry *> LogBook::story(const std::string &request) const
+{
+    std::vector<const LogEntry *> lines;
+    for (const LogEntry &entry : this->entries) {
+        if (entry.field("request") == request) {
+            lines.push_back(&entry);
+        }
+    }
+    return lines;
+}
+
+std::vector<const LogEntry *> LogBook::around(const LogEntry &entry, double before, double after) const
+{
+    std::vector<const LogEntry *> lines;
+    for (const LogEntry &other : this->entries) {
+        if (other.at >= entry.at - before && other.at <= entry.at + after) {
+            lines.push_back(&other);
+        }
+    }
+    return lines;
+}
+
+std::optional<std::string> LogBook::cause(const std::string &request) const
+{
+    const auto lines = this->story(request);
+    if (lines.empty()) {
+        return std::nullopt;
+    }
+    const LogEntry &last = *lines.back();
+    const std::string outcome = last.event == "request_refused" ? last.field("kind") : last.field("outcome");
+    const std::string why = last.field("why");
+    const std::string server = lastServer(lines);
+    if (last.event != "request" && last.event != "request_refused") {
+        return "the host wrote no final line: " + last.text;
+    }
+    if (outcome == "answered") {
+        return "it was answered";
+    }
+    if (outcome == "configuration_stale") {
+        return this->causeOfStale(last);
+    }
+    if (outcome == "unauthorized" || outcome == "not_found") {
+        return why + " in configuration " + last.field("config");
+    }
+    if (outcome == "host_stopping") {
+        return "host " + last.host + " was stopping";
+    }
+    if (outcome == "server_failed") {
+        return "server " + server + " itself answered with status " + last.field("status");
+    }
+    if (why == "servers died while they ran this request") {
+        return "it was held back as one that makes servers die";
+    }
+    if (outcome == "overloaded" || outcome == "no_server") {
+        return this->causeOfRefusal(last);
+    }
+    if (auto pause = this->pauseOf(last)) {
+        return pause;
+    }
+    if (outcome == "caller_gone" && !server.empty()) {
+        const bool began = numberOf(last.field("first_ms")) > 0;
+        return "its caller left after " + inSeconds(numberOf(last.field("total_ms")) / 1000) + "; server " + server
+            + (began ? " was still answering" : " had not begun to answer, expected after ")
+            + (began ? "" : inSeconds(numberOf(last.field("expected_ms")) / 1000));
+    }
+    return this->causeOfFailure(last, server);
+}
+
+std::string LogBook::causeOfStale(const LogEntry &last) const
+{
+    const LogEntry *lost = nullptr;
+    const LogEntry *started = nullptr;
+    for (const LogEntry *entry : this->around(last, Seconds(config::StoryStaleSpan).count(), 0)) {
+        const bool isOwn = entry->host == last.host;
+        if (isOwn && entry->event == "started") {
+            started = entry;
+            lost = nullptr;
+        } else if (isOwn && entry->event == "dependency_lost" && entry->field("dependency") == "log") {
+            lost = lost == nullptr ? entry : lost;
+        } else if (isOwn && entry->event == "dependency_regained" && entry->field("dependency") == "log") {
+            lost = nullptr;
+        }
+    }
+    if (lost != nullptr) {
+        return "host " + last.host + " had lost the log " + inSeconds(last.at - lost->at) + " before ("
+            + lost->field("why") + ")";
+    }
+    if (started != nullptr) {
+        return "host " + last.host + " had started " + inSeconds(last.at - started->at)
+            + " before and had not read the configuration yet";
+    }
+    return "host " + last.host + " had not heard from the log lately; no line tells why";
+}
+
+std::string LogBook::causeOfRefusal(const LogEntry &last) const
+{
+    std::set<std::string> gone;
+    std::set<std::string> loading;
+    std::set<std::string> unreachable;
+    for (const LogEntry *entry : this->around(last, Seconds(config::StoryCauseSpan).count(), 0)) {
+        const std::string server = entry->field("server");
+        if (entry->event == "server_gone") {
+            gone.insert(server);
+        } else if (entry->event == "server_listed") {
+            gone.erase(server);
+            unreachable.erase(server);
+        } else if (entry->event == "weights_ordered" && last.at - entry->at < Seconds(config::StoryLoadSpan).count()) {
+            loading.insert(server);
+        } else if (entry->event == "server_unreachable") {
+            unreachable.insert(server);
+        }
+    }
+    const std::string counts = "of " + last.field("known") + " servers " + last.field("open") + " were open and "
+        + last.field("full") + " of these full";
+    if (!loading.empty()) {
+        return std::to_string(loading.size()) + " servers had been ordered to load weights shortly before; " + counts;
+    }
+    if (!gone.empty()) {
+        return std::to_string(gone.size()) + " servers had gone from the list shortly before, the last one "
+            + *gone.rbegin() + "; " + counts;
+    }
+    if (!unreachable.empty()) {
+        return std::to_string(unreachable.size()) + " servers could not be reached shortly before, the last one "
+            + *unreachable.rbegin() + "; " + counts;
+    }
+    return "load: " + counts;
+}
+
+std::string LogBook::causeOfFailure(const LogEntry &last, const std::string &server) const
+{
+    if (server.empty()) {
+        return last.field("why").empty() ? "its caller left before it was sent" : last.field("why");
+    }
+    std::size_t failures = 0;
+    for (const LogEntry *entry :
+         this->around(last, Seconds(config::StoryLoadSpan).count(), Seconds(config::StoryCauseSpan).count())) {
+        if (entry->field("server") != server) {
+            continue;
+        }
+        const bool isBefore = entry->at <= last.at;
+        if (entry->event == "server_gone") {
+            return "server " + server + " died: it went from the list "
+                + (isBefore ? inSeconds(last.at - entry->at) + " before" : inSeconds(entry->at - last.at) + " later");
+        }
+        if (entry->event == "weights_ordered" && isBefore) {
+            return "server " + server + " had been ordered to load weights " + inSeconds(last.at - entry->at)
+                + " before";
+        }
+        const bool isFailure = entry->event == "attempt_failed" || entry->event == "server_unreachable";
+        failures += isFailure && entry->field("request") != last.field("request") ? 1 : 0;
+    }
+    if (failures > 0) {
+        return "server " + server + " failed " + std::to_string(failures) + " other requests at the time";
+    }
+    const std::string waited
+        = numberOf(last.field("first_ms")) > 0 ? "stopped in the middle of its answer" : "gave no answer";
+    return "server " + server + " " + waited + " (" + last.field("why") + "); it failed no other request at the time";
+}
+
+// A host that runs writes some line each second under load.
+std::optional<std::string> LogBook::pauseOf(const LogEntry &last) const
+{
+    const double span = std::max(numberOf(last.field("total_ms")) / 1000, 0.0);
+    const LogEntry *before = nullptr;
+    double longest = 0;
+    for (const LogEntry *entry : this->around(last, span + 1, 0)) {
+        if (entry->host != last.host) {
+            continue;
+        }
+        longest = before == nullptr ? longest : std::max(longest, entry->at - before->at);
+        before = entry;
+    }
+    if (longest < Seconds(config::StoryPause).count()) {
+        return std::nullopt;
+    }
+    return "host " + last.host + " stood still for " + inSeconds(longest) + " meanwhile";
+}
+
+} // namespace endivespan
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -120,6 +120,7 @@
         return false;
     }
     const PlacementChoice choice = this->task.place(this->need(), now);
+    this->lastChoice = choice;
     if (!choice.server.empty()) {
         this->send(choice, now);
         return true;
@@ -482,7 +483,7 @@
         .with("server", failedServer)
         .with("after_ms", age)
         .with("why", why)
-        .with("event", this->lastEvent.value_or(0));
+        .with("last_event", this->lastEvent.value_or(0));
     this->events.takeRest();
     const bool allowed = this->streaming ? this->work.route->repeat == RepeatRule::Resumable
                                          : this->work.route->repeat != RepeatRule::Once;
@@ -578,6 +579,10 @@
         .with("service", this->work.service)
         .with("organisation", this->work.organisation == nullptr ? "-" : this->work.organisation->name)
         .with("servers", servers)
+        .with("known", this->lastChoice.known)
+        .with("open", this->lastChoice.open)
+        .with("full", this->lastChoice.full)
+        .with("expected_ms", this->lastChoice.expected)
         .with("attempts", this->sends)
         .with("parts_fetched", this->partsFetched)
         .with("parts_saved", this->partsSaved)
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -96,6 +96,7 @@
     std::uint32_t partsSaved = 0;
     std::uint64_t partsSought = 0; ///< In the memory of another engine.
     std::uint64_t weights = 0; ///< Version that the last attempt counted on.
+    PlacementChoice lastChoice; ///< Of the latest try to find a server.
     bool streamBegan = false; ///< Of the attempt under way.
     bool streaming = false; ///< The caller has the head of the answer.
     EventSplitter events;
--- a/packages/node/src/store_task.cpp
+++ b/packages/node/src/store_task.cpp
@@ -101,6 +101,11 @@
     // Hosts that ask in step would all be refused at once.
     line.askAt = now + config::StoreEventsPause / 2
         + std::chrono::milliseconds(this->random() % static_cast<std::uint64_t>(config::StoreEventsPause.count()));
+    if (!answer && answer.error().kind == ErrorKind::Overloaded) {
+        // It lives, and serves other hosts; what is known of it grows old until the next try.
+        this->events.line("store_busy").with("address", address).with("why", answer.error().detail);
+        return;
+    }
     if (answer.has_value() != line.reachable) {
         line.reachable = answer.has_value();
         this->events.line(line.reachable ? "dependency_regained" : "dependency_lost", LogRank::Failure)
