Choose a server in one pass

Cause: a decision over 620 servers in one pool took 190 us (p99 236), and 1,080 us (p99 5,188) while weights roll out: candidates were sorted and hashed, and the order of the rollout was worked out each time. Ruled out: a sample of the servers (the first of a prefix's order must be among them). Change: the hash of a server's id is kept, the first three ranks are found in the same pass as the costs, the estimate of requests is made once, and the rollout's order ten times a second. endivespan bench decisions has rows for it.

--- a/packages/cli/src/bench_decisions.cpp
+++ b/packages/cli/src/bench_decisions.cpp
@@ -4,6 +4,8 @@
 
 #include <endivespan/admit.h>
 #include <endivespan/directory.h>
+#include <endivespan/placement.h>
+#include <endivespan/rollout.h>
 #include <endivespan/route.h>
 
 #include <fmt/core.h>
@@ -95,6 +97,8 @@
         rows.push_back(this->learnRuns());
         rows.push_back(this->routeAll());
         rows.push_back(this->admitAll());
+        rows.push_back(this->placeAll("place", 1));
+        rows.push_back(this->placeAll("place, rollout", 2));
         return rows;
     }
 
@@ -227,6 +231,44 @@
         return row;
     }
 
+    // All runners in one pool, half full, with or without newer weights to load.
+    Row placeAll(const std::string &what, std::uint64_t newest)
+    {
+        Row row = this->rowFor(what);
+        ServerTable table;
+        const TimePoint now {1h};
+        for (std::uint32_t i = 0; i < this->size.runners; ++i) {
+            ServerEntry entry;
+            entry.id = fmt::format("i-{:010x}", i * MixMultiplier >> 24U);
+            entry.service = "pool";
+            entry.address = fmt::format("10.0.{}.{}:8000", i / 250, i % 250);
+            entry.slots = 64;
+            entry.weights["model"] = 1;
+            table.learn(entry, now);
+            table.reported(entry.id, {static_cast<std::uint32_t>(this->random() % 24), 0, 64}, now);
+        }
+        const auto placement = makeExpectedStartPlacement();
+        PlacementNeed need;
+        need.service = "pool";
+        need.model = "model";
+        need.sharedTokens = 9000;
+        need.ownTokens = 3000;
+        need.memoryTokens = 120'000;
+        need.tokensPerRun = 6000;
+        need.runTime = 1s;
+        need.hosts = 400;
+        need.loadingNext = rolloutPlaces(table, "model", newest);
+        const WallClock::time_point start = WallClock::now();
+        for (std::uint32_t i = 0; i < this->options.rounds; ++i) {
+            need.prefixHash = i * MixMultiplier;
+            const WallClock::time_point one = WallClock::now();
+            (void)placement->choose(table, need, this->random(), now + 100ms);
+            row.seconds.add(since(one));
+        }
+        row.perSecond = this->options.rounds / since(start);
+        return row;
+    }
+
     [[nodiscard]] Row rowFor(const std::string &what) const
     {
         Row row;
--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -7,7 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <vector>
+#include <unordered_map>
 
 /// Chooses the server of one attempt at a forwarded request.
 namespace endivespan {
@@ -24,7 +24,8 @@
     std::uint64_t newestWeights = 0; ///< Newest version named for the model.
     std::uint64_t oldestWeights = 0; ///< Servers with older ones may not be used.
     ColdShare cold;
-    std::vector<std::string> loadingNext; ///< Servers that are about to change their weights, the first ones first.
+    /// Servers that are about to change their weights, with how many go before each; null for none.
+    std::shared_ptr<const std::unordered_map<std::string, std::size_t>> loadingNext;
     std::size_t urgency = 0; ///< 0 is the most urgent.
     std::uint32_t mostInFlight = 0; ///< Own attempts at one server.
     double mostWaiting = 0; ///< Requests that wait at one server, by its latest report; 0 for no bound.
--- a/packages/core/include/endivespan/rollout.h
+++ b/packages/core/include/endivespan/rollout.h
@@ -4,8 +4,10 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 /// Brings engines to the weight versions that operators name, a few at a time.
@@ -41,6 +43,10 @@
 ///     Every host comes to the same order, and so can leave the next ones time to finish.
 std::vector<std::string> rolloutOrder(const ServerTable &table, const std::string &model, std::uint64_t version);
 
+/// @returns the place of each engine in rolloutOrder(), or null when all have @p version.
+std::shared_ptr<const std::unordered_map<std::string, std::size_t>>
+rolloutPlaces(const ServerTable &table, const std::string &model, std::uint64_t version);
+
 /// Decides which engine is next. Answers the load of a whole pool that has to change its weights while it serves: at
 /// most a few engines are away at a time.
 class Rollout
--- a/packages/core/include/endivespan/server_table.h
+++ b/packages/core/include/endivespan/server_table.h
@@ -46,6 +46,7 @@
 /// Everything believed of one server.
 struct ServerView {
     ServerEntry entry;
+    std::uint64_t idHash = 0; ///< For rendezvous orders.
     TimePoint coldUntil;
     TimePoint unconfirmedSince; ///< When a connection failed and no later heartbeat has come; epoch if none has.
     TimePoint avoidUntil; ///< Refused or unreachable: not chosen before.
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -2,8 +2,10 @@
 #include <endivespan/placement.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace endivespan {
 
@@ -50,16 +52,16 @@
     return std::max(estimate, static_cast<double>(view.inFlight));
 }
 
-bool isCrowded(const ServerView &view, const PlacementNeed &need, TimePoint now)
+bool isCrowded(const ServerView &view, const PlacementNeed &need, double requests, TimePoint now)
 {
     if (need.mostWaiting > 0 && view.load && reportWeight(view, now) * view.load->waiting > need.mostWaiting) {
         return true;
     }
     const double own = static_cast<double>(need.sharedTokens + need.ownTokens + need.answerTokens);
-    return need.memoryTokens > 0 && requestsAt(view, need, now) * need.tokensPerRun + own > need.memoryTokens;
+    return need.memoryTokens > 0 && requests * need.tokensPerRun + own > need.memoryTokens;
 }
 
-/// Visits the servers that may take the request, and counts the others.
+/// Visits the servers that take new work and may have the request, those without room for it too, and counts them.
 template<typename Visit>
 PlacementChoice forEachCandidate(const ServerTable &table, const PlacementNeed &need, TimePoint now, Visit visit)
 {
@@ -77,12 +79,11 @@
             continue;
         }
         ++choice.open;
-        if (!ServerTable::hasColdRoom(view, need.cold, now) || isCrowded(view, need, now)
-            || (need.mostInFlight > 0 && view.inFlight >= need.mostInFlight)) {
-            ++choice.full;
-            continue;
-        }
-        visit(id, view);
+        const double requests = requestsAt(view, need, now);
+        const bool hasRoom = ServerTable::hasColdRoom(view, need.cold, now) && !isCrowded(view, need, requests, now)
+            && (need.mostInFlight == 0 || view.inFlight < need.mostInFlight);
+        choice.full += hasRoom ? 0 : 1;
+        visit(view, hasRoom, requests);
     }
     return choice;
 }
@@ -95,13 +96,14 @@
     {
         std::pair<std::uint32_t, std::uint64_t> least {std::numeric_limits<std::uint32_t>::max(), 0};
         std::string best;
-        PlacementChoice choice = forEachCandidate(table, need, now, [&](const std::string &id, const ServerView &view) {
-            const std::pair<std::uint32_t, std::uint64_t> order {view.inFlight, mix(random ^ hashText(id))};
-            if (order < least) {
+        const auto visit = [&](const ServerView &view, bool hasRoom, double) {
+            const std::pair<std::uint32_t, std::uint64_t> order {view.inFlight, mix(random ^ view.idHash)};
+            if (hasRoom && order < least) {
                 least = order;
-                best = id;
+                best = view.entry.id;
             }
-        });
+        };
+        PlacementChoice choice = forEachCandidate(table, need, now, visit);
         choice.server = best;
         return choice;
     }
@@ -113,64 +115,87 @@
     PlacementChoice
     choose(const ServerTable &table, const PlacementNeed &need, std::uint64_t random, TimePoint now) const override
     {
-        struct Candidate {
-            const std::string *id;
-            const ServerView *view;
-            std::uint64_t rank;
-        };
-        std::vector<Candidate> candidates;
-        PlacementChoice choice = forEachCandidate(table, need, now, [&](const std::string &id, const ServerView &view) {
-            candidates.push_back({&id, &view, mix(need.prefixHash ^ hashText(id))});
-        });
-        std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
-            return a.rank > b.rank;
-        });
-        double least = std::numeric_limits<double>::max();
-        for (std::size_t place = 0; place < candidates.size(); ++place) {
-            const Candidate &candidate = candidates[place];
+        FirstRanks withRoom;
+        FirstRanks all;
+        Candidate best;
+        const auto visit = [&](const ServerView &view, bool hasRoom, double requests) {
+            Candidate candidate {&view, mix(need.prefixHash ^ view.idHash), 0};
+            all.offer(candidate);
+            if (!hasRoom) {
+                return;
+            }
             // Less than a millisecond decides between equals.
             const double jitter = static_cast<double>(mix(random ^ candidate.rank) % 1000) / 1000.0;
-            const double cost = costOf(*candidate.view, need, place, now) + jitter;
-            if (cost < least) {
-                least = cost;
-                choice.server = *candidate.id;
+            candidate.cost = costOf(view, need, requests, now) + jitter;
+            best = best.view == nullptr || candidate.cost < best.cost ? candidate : best;
+            withRoom.offer(candidate);
+        };
+        PlacementChoice choice = forEachCandidate(table, need, now, visit);
+        for (std::size_t place = 0; place < withRoom.first.size(); ++place) {
+            Candidate candidate = withRoom.first.at(place);
+            if (candidate.view != nullptr) {
+                candidate.cost -= hitGain(need, place);
+                best = candidate.cost < best.cost ? candidate : best;
             }
         }
-        if (!choice.server.empty()) {
-            choice.expected = std::chrono::duration_cast<Duration>(Milliseconds(least));
-            choice.likelyHolder = likelyHolder(table, need, choice.server, now);
+        if (best.view != nullptr) {
+            choice.server = best.view->entry.id;
+            choice.expected = std::chrono::duration_cast<Duration>(Milliseconds(std::max(best.cost, 0.0)));
+            choice.likelyHolder = need.sharedTokens > 0 ? likelyHolder(all, *best.view) : std::string();
         }
         return choice;
     }
 
 private:
-    // The first of the prefix's order, unless that is the chosen one. A crowded one counts: it need not run this
-    // request.
-    static std::string
-    likelyHolder(const ServerTable &table, const PlacementNeed &need, const std::string &chosen, TimePoint now)
+    struct Candidate {
+        const ServerView *view = nullptr;
+        std::uint64_t rank = 0; ///< In the rendezvous order of the prefix.
+        double cost = 0; ///< In milliseconds, when nothing of the prompt is in its memory.
+    };
+
+    /// The first few servers of the order.
+    struct FirstRanks {
+        std::array<Candidate, config::PrefixHitShares.size()> first;
+
+        void offer(Candidate candidate)
+        {
+            for (Candidate &place : this->first) {
+                if (place.view == nullptr || candidate.rank > place.rank) {
+                    std::swap(place, candidate);
+                }
+                if (candidate.view == nullptr) {
+                    return;
+                }
+            }
+        }
+    };
+
+    // The first of the prefix's order with the same weights, unless that is the chosen one. A crowded one counts: it
+    // need not run this request.
+    static std::string likelyHolder(const FirstRanks &all, const ServerView &chosen)
     {
-        if (need.sharedTokens == 0) {
-            return {};
-        }
-        std::uint64_t highest = 0;
-        const ServerView *first = nullptr;
-        const auto weights = table.find(chosen)->entry.weights;
-        for (const auto &[id, view] : table.servers()) {
-            const std::uint64_t rank = mix(need.prefixHash ^ hashText(id));
-            const bool isSound = table.isOpen(view, now) && !need.tried.contains(id) && view.entry.weights == weights;
-            if (view.entry.service == need.service && isSound && rank >= highest) {
-                highest = rank;
-                first = &view;
+        for (const Candidate &candidate : all.first) {
+            if (candidate.view != nullptr && candidate.view->entry.weights == chosen.entry.weights) {
+                return candidate.view == &chosen ? "" : candidate.view->entry.address;
             }
         }
-        return first == nullptr || first->entry.id == chosen ? "" : first->entry.address;
+        return {};
+    }
+
+    // Saved time where the prefix is in memory, by how likely that is.
+    static double hitGain(const PlacementNeed &need, std::size_t place)
+    {
+        const bool isEngine = !need.model.empty();
+        return isEngine ? config::PrefixHitShares.at(place) * static_cast<double>(need.sharedTokens)
+                / config::PrefillTokensPerMillisecond
+                        : 0;
     }
 
     // In milliseconds.
-    static double costOf(const ServerView &view, const PlacementNeed &need, std::size_t place, TimePoint now)
+    static double costOf(const ServerView &view, const PlacementNeed &need, double requests, TimePoint now)
     {
         const bool isEngine = !need.model.empty();
-        double cost = isEngine ? engineCost(view, need, place, now) : plainCost(view, now);
+        double cost = isEngine ? engineCost(view, need, requests, now) : plainCost(view, now);
         const double failures = view.failureShare(now);
         cost += failures * failures * Milliseconds(config::FailureCost).count();
         if (view.isSilent(config::SilentAvoidAfter, now)) {
@@ -185,19 +210,14 @@
         return cost;
     }
 
-    static double engineCost(const ServerView &view, const PlacementNeed &need, std::size_t place, TimePoint now)
+    static double engineCost(const ServerView &view, const PlacementNeed &need, double requests, TimePoint now)
     {
-        double hit = 0;
-        if (need.sharedTokens > 0 && place < config::PrefixHitShares.size()) {
-            hit = config::PrefixHitShares[place];
-        }
-        double tokens = static_cast<double>(need.ownTokens) + (1 - hit) * static_cast<double>(need.sharedTokens);
-        tokens += static_cast<double>(view.prefillTokens);
+        const auto tokens = static_cast<double>(need.ownTokens + need.sharedTokens + view.prefillTokens);
         double cost = tokens / config::PrefillTokensPerMillisecond;
         if (view.load) {
             cost += reportWeight(view, now) * view.load->waiting * Milliseconds(config::WaitingCost).count();
         }
-        cost += requestsAt(view, need, now) * Milliseconds(config::RunningCost).count();
+        cost += requests * Milliseconds(config::RunningCost).count();
         const auto weights = view.entry.weights.find(need.model);
         if (weights != view.entry.weights.end() && weights->second < need.newestWeights) {
             cost += Milliseconds(config::OldWeightsCost).count();
@@ -208,11 +228,14 @@
     // A run that is still under way when its engine has to load holds up the load, and with it the whole rollout.
     static double loadingCost(const ServerView &view, const PlacementNeed &need)
     {
-        const auto place = std::find(need.loadingNext.begin(), need.loadingNext.end(), view.entry.id);
-        if (place == need.loadingNext.end()) {
+        if (need.loadingNext == nullptr) {
+            return 0;
+        }
+        const auto place = need.loadingNext->find(view.entry.id);
+        if (place == need.loadingNext->end()) {
             return 0;
         }
-        const auto ahead = static_cast<std::size_t>(place - need.loadingNext.begin());
+        const std::size_t ahead = place->second;
         if (ahead < config::EnginesLoadingAtOnce) {
             return Milliseconds(config::LoadingCost).count();
         }
--- a/packages/core/src/rollout.cpp
+++ b/packages/core/src/rollout.cpp
@@ -28,6 +28,20 @@
     return order;
 }
 
+std::shared_ptr<const std::unordered_map<std::string, std::size_t>>
+rolloutPlaces(const ServerTable &table, const std::string &model, std::uint64_t version)
+{
+    const std::vector<std::string> order = rolloutOrder(table, model, version);
+    if (order.empty()) {
+        return nullptr;
+    }
+    auto places = std::make_shared<std::unordered_map<std::string, std::size_t>>();
+    for (const std::string &id : order) {
+        places->emplace(id, places->size());
+    }
+    return places;
+}
+
 Rollout::Rollout(std::size_t atOnce)
     : atOnce(atOnce)
 {
--- a/packages/core/src/server_table.cpp
+++ b/packages/core/src/server_table.cpp
@@ -1,4 +1,5 @@
 #include <endivespan/config.h>
+#include <endivespan/placement.h>
 #include <endivespan/server_table.h>
 
 #include <algorithm>
@@ -18,6 +19,9 @@
 
 double ServerView::failureShare(TimePoint now) const
 {
+    if (this->failed <= 0) {
+        return 0;
+    }
     const Duration age = now - this->countsAt;
     const double bad = decayed(this->failed, age);
     return bad / (bad + decayed(this->answered, age) + config::OutcomePrior);
@@ -55,6 +59,7 @@
     // Within one life versions only rise, and the server itself may have named a newer one than its entry.
     const auto weights = view.entry.born == entry.born ? view.entry.weights : entry.weights;
     view.entry = entry;
+    view.idHash = hashPrefix(0, entry.id);
     for (const auto &[model, version] : weights) {
         std::uint64_t &listed = view.entry.weights[model];
         listed = std::max(listed, version);
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -172,7 +172,8 @@
     const OperatorState &state = this->parts.operators.state();
     if (const auto newest = state.weights.newest(need.model)) {
         need.newestWeights = *newest;
-        need.loadingNext = rolloutOrder(this->parts.servers, need.model, *newest);
+        const auto places = this->loadingNext.find(need.model);
+        need.loadingNext = places == this->loadingNext.end() ? nullptr : places->second;
         const Duration bound = this->parts.settings.bounds.weights - config::OldWeightsMargin;
         need.oldestWeights = state.weights.oldestUsable(need.model, bound, now);
     }
@@ -267,6 +268,10 @@
     this->parts.servers.tick(now);
     this->confirmDeaths(now);
     this->observeRuns();
+    this->loadingNext.clear();
+    for (const auto &[model, newest] : this->parts.operators.state().weights.newest()) {
+        this->loadingNext[model] = rolloutPlaces(this->parts.servers, model, newest);
+    }
     this->placesChanged();
 }
 
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -153,6 +153,8 @@
     [[nodiscard]] std::chrono::milliseconds retryAfter(ErrorKind kind, std::chrono::milliseconds timeLeft);
 
     std::unique_ptr<Placement> placement;
+    /// By model, as of the last tick.
+    std::map<std::string, std::shared_ptr<const std::unordered_map<std::string, std::size_t>>> loadingNext;
     std::map<const ForwardRun *, std::unique_ptr<ForwardRun>> runs;
     std::vector<std::unique_ptr<ForwardRun>> ended;
     std::unique_ptr<Timer> cleanup;
--- a/tests/core/forward.cpp
+++ b/tests/core/forward.cpp
@@ -540,7 +540,7 @@
         int count = 0;
         for (std::uint64_t prefix = 0; prefix < 300; ++prefix) {
             PlacementNeed need = promptNeed(prefix);
-            need.loadingNext = order;
+            need.loadingNext = rolloutPlaces(table, "m", 2);
             need.answerTokens = answerTokens;
             const std::string chosen = placement->choose(table, need, prefix, Start).server;
             count += std::find(soon.begin(), soon.end(), chosen) == soon.end() ? 0 : 1;
@@ -576,8 +576,7 @@
     std::map<std::string, int> chosen;
     for (std::uint64_t prefix = 0; prefix < 300; ++prefix) {
         PlacementNeed need = promptNeed(prefix);
-        need.loadingNext = rolloutOrder(table, "m", 2);
-        need.loadingNext.resize(5);
+        need.loadingNext = rolloutPlaces(table, "m", 2);
         ++chosen[placement->choose(table, need, prefix, Start).server];
     }
     for (const std::string &id : rolloutOrder(table, "m", 2)) {
