Bound how many hosts an own request stands for

Cause: requests at an engine are estimated from own sends times hosts. Ruled out: leaving the factor out (hosts then flood an engine that comes free: 65 requests in a second). Change: one own request stands for at most 18 hosts, the most that was measured. Tests: 'among hundreds of hosts one own request does not fill an engine'.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -337,6 +337,7 @@
 constexpr double RunTokensSmoothing = 0.005; ///< Share of a new sample: some 20 runs, looked at ten times a second.
 constexpr std::chrono::milliseconds StartEngineRunTime = 1000ms; ///< Before any run has ended.
 constexpr double RunTimeSmoothing = 0.02; ///< Share of a new sample.
+constexpr std::size_t HostsAlikeMost = 18; ///< The most measured; own requests to one server say little of more hosts.
 constexpr std::chrono::milliseconds CrowdReportTime = 2000ms; ///< About two runs; then a load report counts no more.
 constexpr double FirstByteSmoothing = 0.05; ///< Share of a new sample.
 constexpr double HedgeShare = 0.5; ///< Part of a route's aim within which another server must be expected to answer.
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -43,7 +43,7 @@
 // stands for all: a swamped server answers seldom, and must not look empty before it can speak again.
 double requestsAt(const ServerView &view, const PlacementNeed &need, TimePoint now)
 {
-    const auto hosts = static_cast<double>(need.hosts);
+    const auto hosts = static_cast<double>(std::min(need.hosts, config::HostsAlikeMost));
     double estimate = view.inFlight * hosts;
     if (const Duration age = now - view.loadAt; view.load && age <= config::CrowdReportTime) {
         const double left = std::exp(-Milliseconds(age).count() / std::max(1.0, Milliseconds(need.runTime).count()));
--- a/tests/core/forward.cpp
+++ b/tests/core/forward.cpp
@@ -529,6 +529,19 @@
     CHECK(placement->choose(table, promptNeed(7), 0, Start).likelyHolder != second.likelyHolder);
 }
 
+// Replays the size to design for, at which a host sends to one engine about once a minute.
+TEST_CASE("placement: among hundreds of hosts one own request does not fill an engine")
+{
+    const auto placement = makeExpectedStartPlacement();
+    ServerTable table = enginePool(1);
+    PlacementNeed need = promptNeed(3);
+    need.tokensPerRun = 5000;
+    need.memoryTokens = 100'000;
+    need.hosts = 400;
+    table.started("e0", 2500, Start);
+    CHECK(placement->choose(table, need, 0, Start).server == "e0");
+}
+
 // Replays a rollout: runs that last until their engine has to load hold it up, short ones do not.
 TEST_CASE("placement: long runs keep away from engines that are to load soon")
 {
