Let an empty engine take a request of any size

Cause: a prompt larger than the share of an engine's memory for its urgency (0.8 to 0.95) never found room, not even on an idle pool; found by reading the diff. Ruled out: raising the shares, which brings back requests that are put back and read again. Change: an engine with less than one request by the estimate always has room. Tests: 'an empty engine takes a request that is larger than the room for its urgency', which failed on the code before.

--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -57,6 +57,10 @@
     if (need.mostWaiting > 0 && view.load && reportWeight(view, now) * view.load->waiting > need.mostWaiting) {
         return true;
     }
+    // An empty engine takes a request of any size; one that is too large for it is refused there.
+    if (requests < 1) {
+        return false;
+    }
     const double own = static_cast<double>(need.sharedTokens + need.ownTokens + need.answerTokens);
     return need.memoryTokens > 0 && requests * need.tokensPerRun + own > need.memoryTokens;
 }
--- a/tests/core/forward.cpp
+++ b/tests/core/forward.cpp
@@ -582,6 +582,20 @@
     CHECK(placement->choose(table, need, 0, Start).server == "e0");
 }
 
+TEST_CASE("placement: an empty engine takes a request that is larger than the room for its urgency")
+{
+    const auto placement = makeExpectedStartPlacement();
+    ServerTable table = enginePool(1);
+    PlacementNeed need = promptNeed(3);
+    need.tokensPerRun = 5000;
+    need.memoryTokens = 100'000;
+    need.hosts = 12;
+    need.ownTokens = 110'000;
+    CHECK(placement->choose(table, need, 0, Start).server == "e0");
+    table.reported("e0", {1, 0, 64}, Start);
+    CHECK(placement->choose(table, need, 0, Start).server.empty());
+}
+
 TEST_CASE("placement: engines that are about to load weights get no more work than needed")
 {
     const auto placement = makeExpectedStartPlacement();
