--- a/packages/cli/src/bench_decisions.cpp
+++ b/packages/cli/src/bench_decisions.cpp
@@ -254,10 +254,10 @@
         need.sharedTokens = 9000;
         need.ownTokens = 3000;
         need.memoryTokens = 120'000;
-        need.tokensPerRun = 6000;
-        need.runTime = 1s;
+        need.rates.tokensPerRun = 6000;
+        need.rates.runTime = 1s;
         need.hosts = 400;
-        need.loadingNext = rolloutPlaces(table, "model", newest);
+        need.loadingNext = rolloutQueue(table, "model", newest, {});
         const WallClock::time_point start = WallClock::now();
         for (std::uint32_t i = 0; i < this->options.rounds; ++i) {
             need.prefixHash = i * MixMultiplier;
--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -238,13 +238,12 @@
 constexpr std::chrono::seconds OutcomeMemory = 4s; ///< Over which outcomes of attempts at a server are averaged.
 constexpr double OutcomePrior = 3.0; ///< Attempts without failure that each server starts with.
 constexpr std::chrono::milliseconds RefusedPause = 60ms; ///< About one run: then a place is free.
-constexpr std::chrono::milliseconds RefusedFreePause = 500ms; ///< Half of the time that new weights take.
+constexpr std::chrono::milliseconds RefusedFreePause = 500ms; ///< At a server that refuses with places free.
 constexpr std::chrono::milliseconds UnreachablePause = 400ms;
 constexpr std::chrono::milliseconds UnreachablePauseMost = 3000ms; ///< The list drops dead servers in about this time.
 constexpr std::chrono::seconds ColdSendsKept = 10s;
 constexpr std::chrono::milliseconds ColdSpanMargin = 60ms; ///< Requests may be held up by different times on the way.
 constexpr std::array<double, 3> PrefixHitShares {0.8, 0.4, 0.2}; ///< Chance of a hit, by rendezvous place.
-constexpr double PrefillTokensPerMillisecond = 125.0; ///< Of the engines served.
 constexpr std::chrono::milliseconds FailureCost = 4000ms; ///< Of a request at a server that fails all.
 constexpr std::chrono::milliseconds SilentAvoidAfter = 400ms; ///< Longer than prompts of others hold up all streams.
 constexpr std::chrono::milliseconds SilentCost = 1000ms; ///< Of a server whose streams are all silent.
@@ -253,9 +252,7 @@
 constexpr std::chrono::milliseconds OldWeightsCost = 60ms;
 constexpr std::chrono::milliseconds LoadingCost = 400ms; ///< Of a server that is to load weights now.
 constexpr double LoadingOverlapCost = 0.1; ///< Of each moment that a run would hold up its engine's load.
-constexpr double LoadsPerSecond = 2.5; ///< Of a pool in which three load at full speed, and some wait for their runs.
-constexpr std::chrono::milliseconds AnswerTokenTime = 7ms; ///< One step of a middling batch, with prompts read between.
-constexpr std::chrono::milliseconds WaitingCost = 25ms; ///< Prefill of a middling prompt.
+constexpr double WaitingReadShare = 0.75; ///< Of a waiting prompt that its engine still has to read.
 constexpr std::chrono::microseconds RunningCost = 2000us; ///< Slower steps for all.
 constexpr std::chrono::milliseconds PlainRunCost = 60ms;
 
@@ -266,7 +263,6 @@
 constexpr std::chrono::milliseconds StoreEventsWait = 250ms; ///< Shorter waits count as probes.
 constexpr std::chrono::milliseconds StoreEventsPause = 250ms;
 constexpr std::chrono::milliseconds StoreEventsTimeout = 600ms;
-constexpr std::chrono::milliseconds OldPartsSpan = 6000ms; ///< About a whole rollout; parts go one by one.
 constexpr std::chrono::milliseconds TransferFreshness = 2200ms; ///< Age of what operators said: two waiting reads.
 constexpr std::chrono::milliseconds OldPartsFree = TransferFreshness + StoreViewTime + 300ms; ///< Fetches are over.
 constexpr std::size_t StoreFreeParts = 1000; ///< In one call.
@@ -283,10 +279,12 @@
 // Orders to engines
 constexpr std::chrono::milliseconds OrderRetryPause = 300ms;
 constexpr std::chrono::milliseconds OrderBusyPause = 200ms;
-constexpr std::chrono::milliseconds LoadTime = 1050ms; ///< Until an engine is asked whether it is done.
+constexpr double RolloutShare = 0.5; ///< Of the bound on older weights, in which a whole pool should change.
+constexpr double RolloutAwayMost = 0.25; ///< Of a pool's engines that change their weights at once.
+constexpr std::chrono::milliseconds StartEngineAway = 1400ms; ///< Of an engine that changes its weights, until seen.
+constexpr double EngineAwaySmoothing = 0.1; ///< Share of a new sample.
+constexpr double EngineAwayAskShare = 0.75; ///< Part of that time after which an engine is asked whether it is done.
 constexpr std::chrono::milliseconds ListLag = 2500ms; ///< Two heartbeats of a server, and the poll.
-
-constexpr std::size_t EnginesLoadingAtOnce = 5; ///< Three load at full speed; the others finish their runs.
 constexpr std::chrono::milliseconds OrderLeaseTerm = 1200ms; ///< A few calls to a slow log.
 constexpr std::chrono::milliseconds OrderLeaseMargin = 200ms;
 constexpr std::chrono::milliseconds OrderLeaseRankStep = 150ms; ///< An append and the read that sees it.
@@ -294,12 +292,25 @@
 constexpr std::chrono::milliseconds OrderLeaseLateLook = 5000ms; ///< After a holder's term and the gap.
 constexpr std::chrono::milliseconds OrderLeaseWatchPeriod = 500ms;
 
+// Passing on what few hosts read
+constexpr std::size_t ReaderGroupMost = 64; ///< Hosts that one reads for.
+constexpr std::chrono::milliseconds RelayStartDelay = 800ms; ///< Until the other hosts have announced themselves.
+constexpr std::chrono::milliseconds RelayPeriod = 300ms; ///< Between two asks; store views hold for some of them.
+constexpr std::chrono::milliseconds RelayTimeout = 400ms; ///< Then the next reader is asked.
+constexpr std::chrono::milliseconds ReaderAvoidTime = 3000ms; ///< After a reader was silent or its facts were old.
+constexpr std::chrono::milliseconds RelayFactsAge = 1500ms; ///< Of the list and the configuration, from a sound reader.
+constexpr std::chrono::milliseconds RelayHoldsFor = 1000ms; ///< After a reply, before this host reads for itself.
+constexpr std::size_t RelayStoreEvents = 4096; ///< Kept of each store.
+constexpr std::size_t RelayReplyParts = 1500; ///< In one reply, unless one store alone holds more.
+constexpr std::size_t RelayUnconfirmed = 16; ///< Servers whose heartbeats are asked for at once.
+
 // Following the log
 constexpr std::chrono::milliseconds OperatorReadWait = 1000ms;
 constexpr std::chrono::milliseconds OperatorBackoffMost = 500ms;
 constexpr std::chrono::milliseconds ServerPollPeriod = 600ms;
 constexpr std::chrono::milliseconds ListLapseAfter = 2400ms; ///< Entries may lapse in an outage of two heartbeats.
 constexpr std::chrono::milliseconds HostAnnouncePause = 500ms;
+constexpr std::chrono::milliseconds HostReadAgain = 500ms; ///< After the first read; the fleet may start at once.
 constexpr std::chrono::milliseconds HostReadPeriod = 10000ms;
 
 // Structured log
@@ -331,8 +342,18 @@
 constexpr int ForwardRetryAfterPart = 4; ///< Of the time that a caller has left, after which it should be back.
 constexpr std::size_t ForwardDeathsUntilRefused = 3;
 constexpr std::chrono::seconds DeathConfirmedWithin = 6s; ///< Missed heartbeats, and the poll.
-constexpr std::array<double, 3> EngineWaiting {14.0, 8.0, 4.0}; ///< Waiting at an engine, by priority of a request.
+constexpr std::array<double, 3> EngineWaitingShares {0.22, 0.125, 0.0625}; ///< Of an engine's slots, by priority.
 constexpr std::array<double, 3> EngineMemoryShares {0.95, 0.9, 0.8}; ///< Of an engine's memory, by priority.
+constexpr double StartPrefillTokensPerMillisecond = 50.0;
+constexpr double PrefillRateLeast = 1.0; ///< Tokens in a millisecond.
+constexpr double PrefillRateMost = 1000.0;
+constexpr double PrefillQuantile = 0.25; ///< Of first tokens, by time: those of prompts that did not wait.
+constexpr double QuantileStep = 0.02; ///< Least step towards the quantile, relative to its value.
+constexpr std::uint32_t PrefillLeastSamples = 10; ///< Of prompts of about one size.
+constexpr double PrefillLeastSpread = 0.3; ///< Of prompt sizes, relative to their mean.
+constexpr std::size_t PromptSizeClasses = 20; ///< Powers of two.
+constexpr double StartPromptTokens = 3000;
+constexpr std::chrono::milliseconds StartAnswerTokenTime = 7ms; ///< For each token that an answer may have.
 constexpr double StartRunTokens = 5000; ///< That a run holds of its engine's memory, before any has been seen.
 constexpr double RunTokensSmoothing = 0.005; ///< Share of a new sample: some 20 runs, looked at ten times a second.
 constexpr std::chrono::milliseconds StartEngineRunTime = 1000ms; ///< Before any run has ended.
@@ -341,8 +362,8 @@
 constexpr std::chrono::milliseconds CrowdReportTime = 2000ms; ///< About two runs; then a load report counts no more.
 constexpr double FirstByteSmoothing = 0.05; ///< Share of a new sample.
 constexpr double HedgeShare = 0.5; ///< Part of a route's aim within which another server must be expected to answer.
-constexpr std::uint32_t EngineInFlight = 24; ///< Own attempts at one engine.
-constexpr std::uint32_t PlainInFlight = 6; ///< Own attempts at one plain server.
+constexpr double EngineInFlightShare = 0.375; ///< Of an engine's slots, for own attempts beside other hosts.
+constexpr double EngineInFlightFew = 2.0; ///< Times the equal share, which few hosts may take.
 constexpr std::chrono::milliseconds OldWeightsMargin = 2500ms; ///< Before older weights may no longer be used.
 constexpr std::chrono::milliseconds StopRefuseAfter = 2500ms; ///< From SIGTERM; the balancer has looked twice by then.
 constexpr std::chrono::milliseconds StopLeastTime = 3000ms;
--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <endivespan/engine_model.h>
+#include <endivespan/rollout.h>
 #include <endivespan/server_table.h>
 
 #include <cstdint>
@@ -7,7 +9,6 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 
 /// Chooses the server of one attempt at a forwarded request.
 namespace endivespan {
@@ -24,14 +25,12 @@
     std::uint64_t newestWeights = 0; ///< Newest version named for the model.
     std::uint64_t oldestWeights = 0; ///< Servers with older ones may not be used.
     ColdShare cold;
-    /// Servers that are about to change their weights, with how many go before each; null for none.
-    std::shared_ptr<const std::unordered_map<std::string, std::size_t>> loadingNext;
+    std::shared_ptr<const RolloutQueue> loadingNext; ///< Null while no weights change.
     std::size_t urgency = 0; ///< 0 is the most urgent.
-    std::uint32_t mostInFlight = 0; ///< Own attempts at one server.
-    double mostWaiting = 0; ///< Requests that wait at one server, by its latest report; 0 for no bound.
+    std::uint32_t mostInFlight = 0; ///< Own attempts at one server; 0 for no bound.
+    double mostWaiting = 0; ///< Requests that wait at one server; 0 for no bound.
     double memoryTokens = 0; ///< Of an engine's memory, for requests this urgent; 0 for no bound.
-    double tokensPerRun = 0; ///< That a request holds of it on average.
-    Duration runTime {}; ///< Of a request at an engine, on average.
+    EngineRates rates; ///< Of the engines.
     std::size_t hosts = 1; ///< That send to the same servers.
     std::set<std::string> tried; ///< Servers that have had the request.
 };
--- a/packages/core/include/endivespan/rollout.h
+++ b/packages/core/include/endivespan/rollout.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <endivespan/config.h>
 #include <endivespan/server_table.h>
+#include <endivespan/smoothed_mean.h>
 
 #include <cstdint>
 #include <map>
@@ -39,21 +41,43 @@
     WeightOrder order;
 };
 
+/// How fast a pool changes its weights.
+struct RolloutPace {
+    Duration span = std::chrono::seconds(5); ///< In which the whole pool should have changed.
+    Duration away = config::StartEngineAway; ///< Of one engine: until its runs have ended and its weights are loaded.
+
+    /// @returns how many of @p engines change at once. A part of the pool stays in service, also where that takes
+    ///     longer than the span.
+    [[nodiscard]] std::size_t atOnce(std::size_t engines) const;
+};
+
+/// Engines that are about to change their weights.
+struct RolloutQueue {
+    std::unordered_map<std::string, std::size_t> places; ///< How many go before each one.
+    std::size_t atOnce = 1;
+    double perSecond = 1; ///< Engines that change.
+};
+
+/// @returns how many engines with @p model take part in a rollout.
+std::size_t enginesWith(const ServerTable &table, const std::string &model);
+
 /// @returns the engines that have older weights of @p model than @p version, in the order in which they are to change.
 ///     Every host comes to the same order, and so can leave the next ones time to finish.
 std::vector<std::string> rolloutOrder(const ServerTable &table, const std::string &model, std::uint64_t version);
 
 /// @returns the place of each engine in rolloutOrder(), or null when all have @p version.
-std::shared_ptr<const std::unordered_map<std::string, std::size_t>>
-rolloutPlaces(const ServerTable &table, const std::string &model, std::uint64_t version);
+std::shared_ptr<const RolloutQueue> rolloutQueue(const ServerTable &table,
+                                                 const std::string &model,
+                                                 std::uint64_t version,
+                                                 const RolloutPace &pace);
 
-/// Decides which engine is next. Answers the load of a whole pool that has to change its weights while it serves: at
-/// most a few engines are away at a time.
+/// Decides which engine is next. Answers the load of a whole pool, of any size, that has to change its weights within
+/// a bound while it serves: a part of the engines is away at a time, as many as the bound asks for.
 class Rollout
 {
 public:
-    /// @param atOnce Engines that may load at the same time.
-    explicit Rollout(std::size_t atOnce);
+    /// @param pace To start with; how long engines are away is learnt.
+    explicit Rollout(RolloutPace pace);
 
     /// Sets the newest version of each model.
     void setTargets(std::map<std::string, std::uint64_t> targets);
@@ -87,12 +111,18 @@
         std::uint64_t version = 0;
         std::uint64_t expected = 0;
         bool loading = false; ///< As far as known; an order without an answer may have been accepted.
+        TimePoint orderedAt; ///< Epoch before an order was accepted.
         TimePoint until; ///< Of Loading and Waiting.
     };
 
     [[nodiscard]] std::optional<std::pair<std::string, std::uint64_t>> lacking(const ServerView &view) const;
 
-    std::size_t atOnce;
+    void change(std::vector<RolloutStep> &steps, const ServerTable &table, const std::string &model, TimePoint now);
+
+    void finished(Work &task, TimePoint now);
+
+    RolloutPace pace;
+    SmoothedMean away; ///< In milliseconds.
     std::map<std::string, std::uint64_t> wanted;
     std::map<std::string, Work> work; ///< By server.
 };
--- a/packages/core/include/endivespan/shared_store.h
+++ b/packages/core/include/endivespan/shared_store.h
@@ -73,10 +73,24 @@
     Duration excess {}; ///< Of a first token, for parts that come from there.
 };
 
+/// Weights that are being replaced by newer ones.
+struct ReplacedWeights {
+    Duration since {}; ///< The newer ones were named.
+    Duration span {}; ///< In which the pool changes.
+};
+
+/// One store as seen from here, to be passed on to other hosts.
+struct SharedStoreView {
+    std::uint64_t epoch = 0;
+    std::uint64_t next = 0;
+    Duration age {}; ///< Since the store was asked.
+    std::optional<std::chrono::milliseconds> clock;
+    const std::map<ScopedPart, std::uint64_t> *held = nullptr; ///< Tokens by part; valid until the store answers next.
+};
+
 /// @returns how long after newer weights were named the part @p id of older ones may be fetched. Parts end one after
-/// the
-///     other, so that the stores go over to the new weights together with the engines.
-Duration oldPartUse(const std::string &id);
+///     the other within @p span, so that the stores go over to the new weights together with the engines.
+Duration oldPartUse(const std::string &id, Duration span);
 
 /// The stores as this host sees them. A store that starts again may be written anew, so that what is known of it only
 /// holds for a short time on the engines' clock, shorter than a store takes to start; each fetch is bound to that time.
@@ -93,16 +107,30 @@
     /// @returns false when the store has started again, so that it must be asked from the first event on.
     [[nodiscard]] bool answered(const std::string &address, const StoreEvents &events, TimePoint askedAt);
 
+    /// Takes what another host knew of a store as of @p asOf. What is older than the own view is ignored.
+    /// @param whole Whether @p events are everything that the store held.
+    /// @returns whether it was taken.
+    bool relayed(const std::string &address, const StoreEvents &events, bool whole, TimePoint asOf);
+
+    /// @returns the address of the store whose storeIdOf() is @p id, or nothing.
+    [[nodiscard]] std::optional<std::string> addressOf(std::uint32_t id) const;
+
+    /// @returns what is known of the store whose storeIdOf() is @p id, or nothing before it has answered.
+    [[nodiscard]] std::optional<SharedStoreView> view(std::uint32_t id, TimePoint now) const;
+
+    /// @returns the epoch of a store; 0 before it has answered.
+    [[nodiscard]] std::uint64_t epochOf(const std::string &address) const;
+
     /// Takes everything that a store holds.
     void listed(const std::string &address, const StoreEvents &all, TimePoint askedAt);
 
     /// Plans the transfers of the parts that a prompt shares with others, and takes note of what it saves.
     /// @param domain Failure domain of the engine.
-    /// @param sinceReplaced Time since newer weights than those of the scope were named; nothing is saved then.
+    /// @param replaced Set once newer weights than those of the scope were named; nothing is saved then.
     [[nodiscard]] TransferPlan plan(const std::string &scope,
                                     const std::vector<PlannedPart> &parts,
                                     const std::string &domain,
-                                    std::optional<Duration> sinceReplaced,
+                                    const std::optional<ReplacedWeights> &replaced,
                                     TimePoint now);
 
     /// Takes how long a first token took beyond the reading of the own prompt, for an attempt that fetched from
@@ -143,6 +171,7 @@
     View *saver(const ScopedPart &part, std::uint64_t tokens, TimePoint now);
 
     std::map<std::string, View> views; ///< By address.
+    std::map<std::uint32_t, std::string> ids; ///< Addresses by storeIdOf().
 };
 
 } // namespace endivespan
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -46,7 +46,7 @@
     const auto hosts = static_cast<double>(std::min(need.hosts, config::HostsAlikeMost));
     double estimate = view.inFlight * hosts;
     if (const Duration age = now - view.loadAt; view.load && age <= config::CrowdReportTime) {
-        const double left = std::exp(-Milliseconds(age).count() / std::max(1.0, Milliseconds(need.runTime).count()));
+        const double left = std::exp(-Milliseconds(age).count() / std::max(1.0, Milliseconds(need.rates.runTime).count()));
         estimate = left * (view.load->running + view.load->waiting) + view.sentSinceLoad * hosts;
     }
     return std::max(estimate, static_cast<double>(view.inFlight));
@@ -62,7 +62,7 @@
         return false;
     }
     const double own = static_cast<double>(need.sharedTokens + need.ownTokens + need.answerTokens);
-    return need.memoryTokens > 0 && requests * need.tokensPerRun + own > need.memoryTokens;
+    return need.memoryTokens > 0 && requests * need.rates.tokensPerRun + own > need.memoryTokens;
 }
 
 /// Visits the servers that take new work and may have the request, those without room for it too, and counts them.
@@ -84,8 +84,9 @@
         }
         ++choice.open;
         const double requests = requestsAt(view, need, now);
+        const std::uint32_t mostInFlight = need.model.empty() ? view.entry.slots : need.mostInFlight;
         const bool hasRoom = ServerTable::hasColdRoom(view, need.cold, now) && !isCrowded(view, need, requests, now)
-            && (need.mostInFlight == 0 || view.inFlight < need.mostInFlight);
+            && (mostInFlight == 0 || view.inFlight < mostInFlight);
         choice.full += hasRoom ? 0 : 1;
         visit(view, hasRoom, requests);
     }
@@ -191,7 +192,7 @@
     {
         const bool isEngine = !need.model.empty();
         return isEngine ? config::PrefixHitShares.at(place) * static_cast<double>(need.sharedTokens)
-                / config::PrefillTokensPerMillisecond
+                / need.rates.prefillTokensPerMillisecond
                         : 0;
     }
 
@@ -217,9 +218,11 @@
     static double engineCost(const ServerView &view, const PlacementNeed &need, double requests, TimePoint now)
     {
         const auto tokens = static_cast<double>(need.ownTokens + need.sharedTokens + view.prefillTokens);
-        double cost = tokens / config::PrefillTokensPerMillisecond;
+        double cost = tokens / need.rates.prefillTokensPerMillisecond;
         if (view.load) {
-            cost += reportWeight(view, now) * view.load->waiting * Milliseconds(config::WaitingCost).count();
+            const double reading
+                = config::WaitingReadShare * need.rates.promptTokens / need.rates.prefillTokensPerMillisecond;
+            cost += reportWeight(view, now) * view.load->waiting * reading;
         }
         cost += requests * Milliseconds(config::RunningCost).count();
         const auto weights = view.entry.weights.find(need.model);
@@ -235,17 +238,18 @@
         if (need.loadingNext == nullptr) {
             return 0;
         }
-        const auto place = need.loadingNext->find(view.entry.id);
-        if (place == need.loadingNext->end()) {
+        const RolloutQueue &queue = *need.loadingNext;
+        const auto place = queue.places.find(view.entry.id);
+        if (place == queue.places.end()) {
             return 0;
         }
         const std::size_t ahead = place->second;
-        if (ahead < config::EnginesLoadingAtOnce) {
+        if (ahead < queue.atOnce) {
             return Milliseconds(config::LoadingCost).count();
         }
-        const double untilLoad
-            = 1000 * static_cast<double>(ahead + 1 - config::EnginesLoadingAtOnce) / config::LoadsPerSecond;
-        const double runTime = static_cast<double>(need.answerTokens) * Milliseconds(config::AnswerTokenTime).count();
+        const double untilLoad = 1000 * static_cast<double>(ahead + 1 - queue.atOnce) / queue.perSecond;
+        const double runTime
+            = static_cast<double>(need.answerTokens) * Milliseconds(need.rates.answerTokenTime).count();
         return std::max(0.0, runTime - untilLoad) * config::LoadingOverlapCost;
     }
 
--- /dev/null
+++ b/packages/core/src/relay.cpp
@@ -0,0 +1,192 @@
+#include <endivespan/config.h>
+#include <endivespan/ownership.h>
+#include <endivespan/placement.h>
+#include <endivespan/relay.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace endivespan {
+
+std::uint32_t storeIdOf(const std::string &address)
+{
+    return static_cast<std::uint32_t>(hashPrefix(0, address) >> 32U);
+}
+
+std::vector<std::string> readerOrder(const Membership &membership)
+{
+    const std::string &domain = membership.self().domain;
+    std::vector<std::string> near;
+    for (const auto &[name, host] : membership.hosts()) {
+        const bool serves = host.liveness != Liveness::Dead && host.report.status.state == HostState::Live;
+        if (host.report.domain == domain && (serves || name == membership.self().name)) {
+            near.push_back(name);
+        }
+    }
+    const std::uint64_t groups = (near.size() + config::ReaderGroupMost - 1) / config::ReaderGroupMost;
+    const std::uint64_t own = hashPrefix(0, membership.self().name) % groups;
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (std::string &name : near) {
+        if (hashPrefix(0, name) % groups == own) {
+            ranked.emplace_back(rendezvousWeight(name, "reader"), std::move(name));
+        }
+    }
+    std::sort(ranked.rbegin(), ranked.rend());
+    std::vector<std::string> order;
+    order.reserve(ranked.size());
+    for (auto &[weight, name] : ranked) {
+        order.push_back(std::move(name));
+    }
+    return order;
+}
+
+std::optional<std::string>
+ReaderChoice::reader(const std::vector<std::string> &order, const std::string &self, TimePoint now) const
+{
+    for (const std::string &name : order) {
+        if (name == self) {
+            return std::nullopt;
+        }
+        const auto avoided = this->avoidUntil.find(name);
+        if (avoided == this->avoidUntil.end() || now >= avoided->second) {
+            return name;
+        }
+    }
+    return std::nullopt;
+}
+
+void ReaderChoice::failed(const std::string &host, TimePoint now)
+{
+    this->avoidUntil[host] = now + config::ReaderAvoidTime;
+    std::erase_if(this->avoidUntil, [now](const auto &entry) { return entry.second <= now; });
+}
+
+void ReaderChoice::answered(const std::string &host)
+{
+    this->avoidUntil.erase(host);
+}
+
+void RelaySource::server(const RelayedServer &record, std::uint64_t next, bool isNews, TimePoint now)
+{
+    ServerRecord &known = this->servers[record.key];
+    known.value = record.value;
+    known.next = isNews || known.next == 0 ? next : known.next;
+    known.keepUntil = now + record.lapsedFor;
+    if (this->servers.size() <= config::MaxServers) {
+        return;
+    }
+    // The oldest of the servers that are gone; a host that has not heard of it reads the list itself.
+    auto oldest = this->servers.end();
+    for (auto entry = this->servers.begin(); entry != this->servers.end(); ++entry) {
+        const bool isOlder = oldest == this->servers.end() || entry->second.next < oldest->second.next;
+        oldest = !entry->second.value && isOlder ? entry : oldest;
+    }
+    if (oldest != this->servers.end()) {
+        this->serversFirst = std::max(this->serversFirst, oldest->second.next);
+        this->servers.erase(oldest);
+    }
+}
+
+void RelaySource::serversRead(std::uint64_t next, TimePoint asOf)
+{
+    this->serversFirst = this->serversAsOf ? this->serversFirst : next;
+    this->serversNext = std::max(this->serversNext, next);
+    this->serversAsOf = std::max(this->serversAsOf.value_or(asOf), asOf);
+}
+
+void RelaySource::store(const std::string &address, const StoreEvents &events, bool whole)
+{
+    StoreLog &log = this->stores[storeIdOf(address)];
+    if (whole || log.epoch != events.epoch) {
+        log = StoreLog {events.epoch, events.next, events.next, {}};
+        return;
+    }
+    for (const StoreEvent &event : events.events) {
+        log.events.push_back({events.next, event});
+    }
+    log.next = events.next;
+    while (log.events.size() > config::RelayStoreEvents) {
+        log.first = log.events.front().next;
+        log.events.pop_front();
+    }
+    // A batch is held whole or not at all.
+    while (!log.events.empty() && log.events.front().next <= log.first) {
+        log.events.pop_front();
+    }
+}
+
+void RelaySource::fillServers(RelayReply &reply, const RelayAsk &ask, TimePoint now) const
+{
+    if (!this->serversAsOf) {
+        return;
+    }
+    reply.serversNext = this->serversNext;
+    reply.serversAge = std::max(now - *this->serversAsOf, Duration::zero());
+    if (ask.serversNext < this->serversFirst) {
+        reply.serversGap = true;
+        return;
+    }
+    for (const auto &[key, record] : this->servers) {
+        const bool isWanted
+            = record.value && std::find(ask.unconfirmed.begin(), ask.unconfirmed.end(), key) != ask.unconfirmed.end();
+        if (record.next > ask.serversNext || isWanted) {
+            reply.servers.push_back({key, record.value, std::max(record.keepUntil - now, Duration::zero())});
+        }
+    }
+}
+
+// Returns whether it did fit.
+bool RelaySource::fillStore(RelayReply &reply,
+                            const StoreCursor &cursor,
+                            const SharedStoreView &view,
+                            std::size_t &room) const
+{
+    RelayedStore relayed;
+    relayed.store = cursor.store;
+    relayed.age = view.age;
+    relayed.events.epoch = view.epoch;
+    relayed.events.next = view.next;
+    relayed.events.clock = view.clock;
+    const auto found = this->stores.find(cursor.store);
+    const bool reaches = found != this->stores.end() && cursor.epoch == view.epoch && found->second.epoch == view.epoch
+        && cursor.next >= found->second.first;
+    if (reaches) {
+        for (const Tagged &tagged : found->second.events) {
+            if (tagged.next > cursor.next) {
+                relayed.events.events.push_back(tagged.event);
+            }
+        }
+    } else {
+        relayed.whole = true;
+        for (const auto &[part, tokens] : *view.held) {
+            relayed.events.events.push_back({part, true, tokens});
+        }
+    }
+    const std::size_t size = relayed.events.events.size();
+    if (size > room && !reply.stores.empty()) {
+        return false;
+    }
+    room -= std::min(room, size);
+    reply.stores.push_back(std::move(relayed));
+    return true;
+}
+
+RelayReply RelaySource::answer(const RelayAsk &ask,
+                               const ConfigStatement &config,
+                               const SharedStores &stores,
+                               TimePoint now) const
+{
+    RelayReply reply;
+    reply.config = config;
+    this->fillServers(reply, ask, now);
+    std::size_t room = config::RelayReplyParts;
+    for (const StoreCursor &cursor : ask.stores) {
+        const auto view = stores.view(cursor.store, now);
+        if (view && !this->fillStore(reply, cursor, *view, room)) {
+            reply.more = true;
+        }
+    }
+    return reply;
+}
+
+} // namespace endivespan
--- a/packages/core/src/rollout.cpp
+++ b/packages/core/src/rollout.cpp
@@ -3,11 +3,34 @@
 #include <endivespan/rollout.h>
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
 namespace endivespan {
 
+namespace {
+
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+} // namespace
+
+std::size_t RolloutPace::atOnce(std::size_t engines) const
+{
+    const auto all = static_cast<double>(engines);
+    const double needed = std::round(all * Milliseconds(this->away).count() / Milliseconds(this->span).count());
+    const double most = std::ceil(all * config::RolloutAwayMost);
+    return static_cast<std::size_t>(std::max(1.0, std::min(needed, most)));
+}
+
+std::size_t enginesWith(const ServerTable &table, const std::string &model)
+{
+    return static_cast<std::size_t>(
+        std::count_if(table.servers().begin(), table.servers().end(), [&model](const auto &entry) {
+            return !entry.second.entry.draining && entry.second.entry.weights.contains(model);
+        }));
+}
+
 std::vector<std::string> rolloutOrder(const ServerTable &table, const std::string &model, std::uint64_t version)
 {
     // The oldest first: nobody may use them soonest. The rest is the same for each version, so that engines which have
@@ -28,22 +51,27 @@
     return order;
 }
 
-std::shared_ptr<const std::unordered_map<std::string, std::size_t>>
-rolloutPlaces(const ServerTable &table, const std::string &model, std::uint64_t version)
+std::shared_ptr<const RolloutQueue> rolloutQueue(const ServerTable &table,
+                                                 const std::string &model,
+                                                 std::uint64_t version,
+                                                 const RolloutPace &pace)
 {
     const std::vector<std::string> order = rolloutOrder(table, model, version);
     if (order.empty()) {
         return nullptr;
     }
-    auto places = std::make_shared<std::unordered_map<std::string, std::size_t>>();
+    auto queue = std::make_shared<RolloutQueue>();
     for (const std::string &id : order) {
-        places->emplace(id, places->size());
+        queue->places.emplace(id, queue->places.size());
     }
-    return places;
+    queue->atOnce = pace.atOnce(enginesWith(table, model));
+    queue->perSecond = 1000.0 * static_cast<double>(queue->atOnce) / Milliseconds(pace.away).count();
+    return queue;
 }
 
-Rollout::Rollout(std::size_t atOnce)
-    : atOnce(atOnce)
+Rollout::Rollout(RolloutPace pace)
+    : pace(pace)
+    , away(Milliseconds(pace.away).count(), config::EngineAwaySmoothing)
 {
 }
 
@@ -84,24 +112,33 @@
         const ServerView *view = table.find(entry.first);
         return view == nullptr || view->entry.born != entry.second.born;
     });
-    std::size_t away = 0;
     for (const auto &[id, view] : table.servers()) {
-        if (!this->lacking(view)) {
-            this->work.erase(id);
+        if (this->lacking(view)) {
+            continue;
+        }
+        if (const auto done = this->work.extract(id); !done.empty()) {
+            this->finished(done.mapped(), now);
         }
     }
+    for (const auto &[model, version] : this->wanted) {
+        this->change(steps, table, model, now);
+    }
+    return steps;
+}
+
+// Brings the engines of one model on.
+void Rollout::change(std::vector<RolloutStep> &steps, const ServerTable &table, const std::string &model, TimePoint now)
+{
+    std::size_t underWay = 0;
     for (auto &[server, task] : this->work) {
         if (task.phase == Phase::Loading && now >= task.until) {
             task.phase = Phase::Waiting;
         }
-        away += task.phase == Phase::Waiting && !task.loading ? 0 : 1;
+        underWay += task.model != model || (task.phase == Phase::Waiting && !task.loading) ? 0 : 1;
     }
-    std::vector<std::string> order;
-    for (const auto &[model, version] : this->wanted) {
-        const auto ofModel = rolloutOrder(table, model, version);
-        order.insert(order.end(), ofModel.begin(), ofModel.end());
-    }
-    for (const std::string &id : order) {
+    this->pace.away = std::chrono::duration_cast<Duration>(Milliseconds(this->away.mean()));
+    const std::size_t most = this->pace.atOnce(enginesWith(table, model));
+    for (const std::string &id : rolloutOrder(table, model, this->wanted.at(model))) {
         const ServerView &view = *table.find(id);
         const auto need = this->lacking(view);
         if (!need) {
@@ -120,13 +157,12 @@
             task.phase = Phase::Ordering;
             step.kind = RolloutStep::Kind::Order;
             steps.push_back(step);
-        } else if (task.phase == Phase::Waiting && now >= task.until && (task.loading || away < this->atOnce)) {
+        } else if (task.phase == Phase::Waiting && now >= task.until && (task.loading || underWay < most)) {
             task.phase = Phase::Asking;
-            away += task.loading ? 0 : 1;
+            underWay += task.loading ? 0 : 1;
             steps.push_back(step);
         }
     }
-    return steps;
 }
 
 void Rollout::answered(const std::string &server, const std::optional<EngineState> &state, TimePoint now)
@@ -143,7 +179,10 @@
     }
     const auto weights = state->weights.find(task.model);
     task.loading = state->busy;
-    const bool done = weights != state->weights.end() && weights->second >= task.version;
+    const bool done = !state->busy && weights != state->weights.end() && weights->second >= task.version;
+    if (done) {
+        this->finished(task, now);
+    }
     if (done || state->busy) {
         // Done engines wait for the list to say so; busy ones are asked again.
         task.phase = done ? Phase::Waiting : Phase::Loading;
@@ -154,6 +193,14 @@
     task.phase = Phase::Ready;
 }
 
+void Rollout::finished(Work &task, TimePoint now)
+{
+    if (task.orderedAt != TimePoint {}) {
+        this->away.add(Milliseconds(now - task.orderedAt).count());
+        task.orderedAt = {};
+    }
+}
+
 void Rollout::ordered(const std::string &server, std::optional<bool> accepted, TimePoint now)
 {
     const auto found = this->work.find(server);
@@ -164,7 +211,9 @@
     task.loading = accepted.value_or(true);
     const bool sure = accepted.value_or(false);
     task.phase = sure ? Phase::Loading : Phase::Waiting;
-    task.until = now + (sure ? config::LoadTime : config::OrderRetryPause);
+    task.orderedAt = sure ? now : TimePoint {};
+    const Milliseconds untilAsked(config::EngineAwayAskShare * this->away.mean());
+    task.until = now + (sure ? std::chrono::duration_cast<Duration>(untilAsked) : Duration(config::OrderRetryPause));
 }
 
 } // namespace endivespan
--- a/packages/core/src/shared_store.cpp
+++ b/packages/core/src/shared_store.cpp
@@ -1,5 +1,6 @@
 #include <endivespan/config.h>
 #include <endivespan/placement.h>
+#include <endivespan/relay.h>
 #include <endivespan/shared_store.h>
 
 #include <algorithm>
@@ -20,9 +21,9 @@
 
 } // namespace
 
-Duration oldPartUse(const std::string &id)
+Duration oldPartUse(const std::string &id, Duration span)
 {
-    return std::chrono::duration_cast<Duration>(rankOf(id, OldPartSeed) * config::OldPartsSpan);
+    return std::chrono::duration_cast<Duration>(rankOf(id, OldPartSeed) * span);
 }
 
 void SharedStores::setStores(const std::vector<ForwardStore> &stores)
@@ -31,12 +32,14 @@
     for (const ForwardStore &store : stores) {
         present.insert(store.address);
         View &view = this->views[store.address];
+        this->ids[storeIdOf(store.address)] = store.address;
         if (view.store != store) {
             view = View {};
             view.store = store;
         }
     }
     std::erase_if(this->views, [&present](const auto &entry) { return !present.contains(entry.first); });
+    std::erase_if(this->ids, [&present](const auto &entry) { return !present.contains(entry.second); });
 }
 
 std::vector<std::pair<std::string, std::uint64_t>> SharedStores::toAsk() const
@@ -79,6 +82,44 @@
     return true;
 }
 
+bool SharedStores::relayed(const std::string &address, const StoreEvents &events, bool whole, TimePoint asOf)
+{
+    const auto found = this->views.find(address);
+    if (found == this->views.end() || (found->second.asOf && *found->second.asOf >= asOf)) {
+        return false;
+    }
+    if (whole) {
+        this->listed(address, events, asOf);
+        return true;
+    }
+    return events.epoch == found->second.epoch && this->answered(address, events, asOf);
+}
+
+std::optional<std::string> SharedStores::addressOf(std::uint32_t id) const
+{
+    const auto found = this->ids.find(id);
+    return found == this->ids.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::optional<SharedStoreView> SharedStores::view(std::uint32_t id, TimePoint now) const
+{
+    const auto address = this->addressOf(id);
+    if (!address) {
+        return std::nullopt;
+    }
+    const View &view = this->views.at(*address);
+    if (!view.asOf) {
+        return std::nullopt;
+    }
+    return SharedStoreView {view.epoch, view.next, now - *view.asOf, view.clock, &view.held};
+}
+
+std::uint64_t SharedStores::epochOf(const std::string &address) const
+{
+    const auto found = this->views.find(address);
+    return found == this->views.end() ? 0 : found->second.epoch;
+}
+
 void SharedStores::listed(const std::string &address, const StoreEvents &all, TimePoint askedAt)
 {
     const auto found = this->views.find(address);
@@ -159,7 +200,7 @@
 TransferPlan SharedStores::plan(const std::string &scope,
                                 const std::vector<PlannedPart> &parts,
                                 const std::string &domain,
-                                std::optional<Duration> sinceReplaced,
+                                const std::optional<ReplacedWeights> &replaced,
                                 TimePoint now)
 {
     TransferPlan plan;
@@ -167,7 +208,7 @@
     plan.save.resize(parts.size());
     for (std::size_t i = 0; i < parts.size(); ++i) {
         const ScopedPart part {scope, parts[i].id};
-        if (sinceReplaced && *sinceReplaced > oldPartUse(part.id)) {
+        if (replaced && replaced->since > oldPartUse(part.id, replaced->span)) {
             continue;
         }
         if (const View *view = this->holder(part, domain, now)) {
@@ -182,7 +223,7 @@
             }
             continue;
         }
-        View *view = sinceReplaced ? nullptr : this->saver(part, parts[i].tokens, now);
+        View *view = replaced ? nullptr : this->saver(part, parts[i].tokens, now);
         if (view == nullptr) {
             continue;
         }
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -2,6 +2,7 @@
 #include "host_feed.h"
 #include "operator_feed.h"
 #include "peer_task.h"
+#include "relay_task.h"
 #include "rollout_task.h"
 #include "server_feed.h"
 #include "store_task.h"
@@ -52,6 +53,7 @@
                      adapters.records,
                      this->events,
                      this->servers,
+                     this->relaySource,
                      this->settings.bounds.listLapse + config::ServerPollPeriod,
                      [this] { this->forward.placesChanged(); })
         , hostFeed(loop, adapters.log, adapters.records, this->events, this->membership)
@@ -69,8 +71,27 @@
                   this->events,
                   this->servers,
                   this->settings.host + "#" + std::to_string(this->membership.self().status.version.incarnation),
-                  this->settings.bounds.leaseGap)
-        , stores(loop, adapters.stores, this->events, this->sharedStores, this->operators, this->membership)
+                  this->settings.bounds)
+        , stores(loop,
+                 adapters.stores,
+                 this->events,
+                 this->sharedStores,
+                 this->relaySource,
+                 this->operators,
+                 this->membership,
+                 rolloutPace(this->settings.bounds).span)
+        , relay(RelayTaskParts {loop,
+                                this->events,
+                                this->metrics,
+                                this->membership,
+                                this->confirmation,
+                                this->servers,
+                                this->sharedStores,
+                                this->relaySource,
+                                this->peers,
+                                this->operators,
+                                this->serverFeed,
+                                this->stores})
         , forward(ForwardParts {loop,
                                 this->settings,
                                 adapters.codec,
@@ -83,6 +104,10 @@
                                 this->metrics,
                                 this->events})
     {
+        this->peers.setService([this](const std::string &, const PeerMessage &message) -> std::optional<PeerMessage> {
+            const auto *ask = std::get_if<RelayAsk>(&message);
+            return ask == nullptr ? std::nullopt : std::optional<PeerMessage>(this->relay.answer(*ask));
+        });
         setViolationHandler([this](Invariant invariant, std::string_view detail) {
             this->events.line("invariant_violated", LogRank::Failure)
                 .with("invariant", invariantName(invariant))
@@ -232,6 +257,7 @@
         this->peers.tick(now);
         this->rankHosts(now);
         this->rollout.tick(now);
+        this->relay.tick(now);
         this->stores.tick(now);
         this->forward.tick(now);
         if (const bool ready = this->isReady(now); ready != this->wasReady) {
@@ -291,12 +317,14 @@
     Confirmation confirmation;
     ServerTable servers;
     SharedStores sharedStores;
+    RelaySource relaySource;
     OperatorFeed operators;
     ServerFeed serverFeed;
     HostFeed hostFeed;
     PeerTask peers;
     RolloutTask rollout;
     StoreTask stores;
+    RelayTask relay;
     ForwardTask forward;
     std::unique_ptr<HttpServer> callers;
     std::unique_ptr<HttpServer> readiness;
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -1,6 +1,7 @@
 #include "forward_run.h"
 
 #include "answer.h"
+#include "rollout_task.h"
 #include "store_task.h"
 
 #include <endivespan/config.h>
@@ -154,9 +155,11 @@
     for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
         shared.push_back({parts[i].id, parts[i].tokens});
     }
-    const auto sinceReplaced = replacedAt ? std::optional(now - *replacedAt) : std::nullopt;
-    dispatch.transfers
-        = this->task.parts.stores.plan(dispatch.cacheScope, shared, view.entry.domain, sinceReplaced, now);
+    std::optional<ReplacedWeights> replaced;
+    if (replacedAt) {
+        replaced = {now - *replacedAt, rolloutPace(this->task.parts.settings.bounds).span};
+    }
+    dispatch.transfers = this->task.parts.stores.plan(dispatch.cacheScope, shared, view.entry.domain, replaced, now);
     for (const std::string &store : dispatch.transfers.fetch) {
         this->fetchedFrom = store.empty() ? this->fetchedFrom : store;
         this->partsFetched += store.empty() ? 0 : 1;
@@ -180,6 +183,7 @@
     this->server = choice.server;
     this->address = view.entry.address;
     this->attemptAt = now;
+    this->headAt = {};
     this->prefilled = false;
     this->status = 0;
     this->body.clear();
@@ -281,11 +285,17 @@
     }
     if (!this->work.request.model.empty()) {
         this->task.observedEngine(now - this->attemptAt);
+        if (this->headAt == TimePoint {}) {
+            this->headAt = now;
+            const auto &parts = this->work.request.parts;
+            this->task.engines.firstToken(
+                parts.empty() ? 0 : parts.back().tokens, this->attemptTokens, now - this->attemptAt);
+        }
     }
     if (!this->fetchedFrom.empty()) {
         const std::uint64_t own = this->work.request.parts.back().tokens;
-        const auto reading
-            = std::chrono::duration<double, std::milli>(static_cast<double>(own) / config::PrefillTokensPerMillisecond);
+        const std::chrono::duration<double, std::milli> reading(
+            static_cast<double>(own) / this->task.engines.rates().prefillTokensPerMillisecond);
         this->task.parts.stores.observed(
             this->fetchedFrom, now - this->attemptAt - std::chrono::duration_cast<Duration>(reading), now);
     }
@@ -344,7 +354,7 @@
         }
         const TimePoint now = this->task.parts.loop.now();
         if (!this->work.request.model.empty()) {
-            this->task.observedRun(now - this->attemptAt);
+            this->task.engines.ran(now - this->attemptAt, now - this->headAt, this->work.request.answerTokens);
         }
         this->endAttempt(AttemptOutcome::Answered);
         this->task.parts.suspicions.clear(this->work.fingerprint, now);
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -83,6 +83,7 @@
     std::uint64_t attemptTokens = 0; ///< To be read before the answer begins.
     std::string fetchedFrom; ///< Store of the longest shared part, empty for none.
     TimePoint attemptAt;
+    TimePoint headAt; ///< When the answer of the attempt began; epoch before.
     bool prefilled = false;
     int status = 0;
     HttpHeaders headers;
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -2,11 +2,13 @@
 
 #include "answer.h"
 #include "forward_run.h"
+#include "rollout_task.h"
 
 #include <endivespan/config.h>
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace endivespan {
@@ -183,16 +185,19 @@
             const double all = service->coldRate * bounds.coldFactor + bounds.coldSlack;
             need.cold.perSecond = all / (config::SpareHostFactor * static_cast<double>(this->hosts()));
         }
-        need.mostInFlight = service->slots > 0 ? config::EngineInFlight : config::PlainInFlight;
+        need.hosts = this->hosts();
+        if (service->slots > 0) {
+            const double share
+                = std::max(config::EngineInFlightShare, config::EngineInFlightFew / static_cast<double>(need.hosts));
+            need.mostInFlight = static_cast<std::uint32_t>(std::ceil(share * service->slots));
+            need.mostWaiting = service->slots
+                * config::EngineWaitingShares[std::min(need.urgency, config::EngineWaitingShares.size() - 1)];
+            need.rates = this->engines.rates();
+        }
         if (service->memoryTokens > 0) {
             const double share
                 = config::EngineMemoryShares[std::min(need.urgency, config::EngineMemoryShares.size() - 1)];
             need.memoryTokens = share * static_cast<double>(service->memoryTokens);
-            need.tokensPerRun = this->runTokens.mean();
-            need.runTime
-                = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(this->runTime.mean()));
-            need.hosts = this->hosts();
-            need.mostWaiting = config::EngineWaiting[std::min(need.urgency, config::EngineWaiting.size() - 1)];
         }
     }
     need.domain = this->parts.settings.failureDomain;
@@ -204,11 +209,6 @@
     return this->placement->choose(this->parts.servers, need, this->random(), now);
 }
 
-void ForwardTask::observedRun(Duration time)
-{
-    this->runTime.add(std::chrono::duration<double, std::milli>(time).count());
-}
-
 void ForwardTask::observedEngine(Duration time)
 {
     this->firstByte += std::chrono::duration_cast<Duration>(config::FirstByteSmoothing * (time - this->firstByte));
@@ -219,7 +219,7 @@
 {
     for (const auto &[run, owned] : this->runs) {
         if (const std::uint64_t tokens = run->tokensHeld(); tokens > 0) {
-            this->runTokens.add(static_cast<double>(tokens));
+            this->engines.holds(tokens);
         }
     }
 }
@@ -270,7 +270,8 @@
     this->observeRuns();
     this->loadingNext.clear();
     for (const auto &[model, newest] : this->parts.operators.state().weights.newest()) {
-        this->loadingNext[model] = rolloutPlaces(this->parts.servers, model, newest);
+        this->loadingNext[model]
+            = rolloutQueue(this->parts.servers, model, newest, rolloutPace(this->parts.settings.bounds));
     }
     this->placesChanged();
 }
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -6,6 +6,7 @@
 
 #include <endivespan/config.h>
 #include <endivespan/confirmation.h>
+#include <endivespan/engine_model.h>
 #include <endivespan/event_log.h>
 #include <endivespan/forward_codec.h>
 #include <endivespan/forward_settings.h>
@@ -44,31 +45,6 @@
     EventLog &events;
 };
 
-/// A mean in which each new sample has a fixed share.
-class SmoothedMean
-{
-public:
-    SmoothedMean(double start, double share)
-        : value(start)
-        , share(share)
-    {
-    }
-
-    void add(double sample)
-    {
-        this->value += this->share * (sample - this->value);
-    }
-
-    [[nodiscard]] double mean() const
-    {
-        return this->value;
-    }
-
-private:
-    double value;
-    double share;
-};
-
 /// Owns the requests under way and the connections to servers.
 class ForwardTask
 {
@@ -105,9 +81,6 @@
     /// Takes how long the first byte of an engine took.
     void observedEngine(Duration firstByte);
 
-    /// Takes how long a whole run at an engine took.
-    void observedRun(Duration time);
-
     /// @returns how long first bytes of engines have taken of late.
     [[nodiscard]] Duration firstByteTime() const;
 
@@ -137,6 +110,7 @@
     ForwardParts parts;
     std::unique_ptr<HttpPool> pool;
     RetryShare retries;
+    EngineModel engines;
     std::mt19937_64 random;
 
 private:
@@ -154,16 +128,13 @@
 
     std::unique_ptr<Placement> placement;
     /// By model, as of the last tick.
-    std::map<std::string, std::shared_ptr<const std::unordered_map<std::string, std::size_t>>> loadingNext;
+    std::map<std::string, std::shared_ptr<const RolloutQueue>> loadingNext;
     std::map<const ForwardRun *, std::unique_ptr<ForwardRun>> runs;
     std::vector<std::unique_ptr<ForwardRun>> ended;
     std::unique_ptr<Timer> cleanup;
     std::unique_ptr<Timer> wakeup;
     std::vector<ForwardRun *> waiting;
     std::vector<Accusation> accused;
-    SmoothedMean runTokens {config::StartRunTokens, config::RunTokensSmoothing};
-    SmoothedMean runTime {std::chrono::duration<double, std::milli>(config::StartEngineRunTime).count(),
-                          config::RunTimeSmoothing}; ///< In milliseconds.
     Duration firstByte {}; ///< Smoothed.
     bool refusing = false;
 };
--- a/packages/node/src/host_feed.cpp
+++ b/packages/node/src/host_feed.cpp
@@ -44,8 +44,10 @@
                 this->take(record);
             }
         }
-        this->readTimer
-            = this->loop.after(batch ? config::HostReadPeriod : config::HostAnnouncePause, [this] { this->read(); });
+        // Once more soon after the start, for those that start with this host; later ones make themselves known.
+        const auto pause = this->isListed ? Duration(config::HostReadPeriod) : Duration(config::HostReadAgain);
+        this->isListed = this->isListed || batch.has_value();
+        this->readTimer = this->loop.after(batch ? pause : config::HostAnnouncePause, [this] { this->read(); });
     });
 }
 
--- a/packages/node/src/host_feed.h
+++ b/packages/node/src/host_feed.h
@@ -31,6 +31,7 @@
     Membership &membership;
     std::unique_ptr<Timer> announceTimer;
     std::unique_ptr<Timer> readTimer;
+    bool isListed = false; ///< The others were read once.
 };
 
 } // namespace endivespan
--- a/packages/node/src/operator_feed.cpp
+++ b/packages/node/src/operator_feed.cpp
@@ -57,8 +57,33 @@
     });
 }
 
+bool OperatorFeed::isRelayed() const
+{
+    return this->reachable && !this->newerSeen && this->loop.now() < this->relayHoldsUntil;
+}
+
+void OperatorFeed::relayed(const std::string &peer, const ConfigStatement &statement, TimePoint askedAt)
+{
+    const std::size_t known = this->membership.hosts().size();
+    this->newerSeen = this->confirmation.peerAnswered(peer, statement, askedAt, known);
+    if (statement.confirmedAge && *statement.confirmedAge <= config::RelayFactsAge) {
+        this->relayHoldsUntil = this->loop.now() + config::RelayHoldsFor;
+    }
+    if (this->newerSeen && this->relayWait != nullptr) {
+        this->relayWait.reset();
+        this->readOn();
+    }
+}
+
 void OperatorFeed::readOn()
 {
+    if (this->isRelayed()) {
+        this->relayWait = this->loop.after(config::RelayPeriod, [this] {
+            const auto fired = std::move(this->relayWait);
+            this->readOn();
+        });
+        return;
+    }
     const TimePoint askedAt = this->loop.now();
     this->log.read(this->codec.operatorTopic(),
                    this->next,
@@ -126,6 +151,7 @@
 
 void OperatorFeed::folded(std::uint64_t offset)
 {
+    this->newerSeen = false;
     this->next = std::max(this->next, offset);
     this->membership.setConfigOffset(this->next);
     // Compaction lets hosts come to one state along different offsets, so that digests are not compared here.
--- a/packages/node/src/operator_feed.h
+++ b/packages/node/src/operator_feed.h
@@ -45,6 +45,10 @@
 
     [[nodiscard]] const OperatorState &state() const;
 
+    /// Takes what another host said of its configuration. While that is fresh this host reads the log only when there
+    /// is something new.
+    void relayed(const std::string &peer, const ConfigStatement &statement, TimePoint askedAt);
+
     [[nodiscard]] bool wantsPeerState() const override;
     [[nodiscard]] std::string encodeState() const override;
     Result<void> adoptState(std::string_view bytes) override;
@@ -53,6 +57,7 @@
     void readNewest();
     void readOn();
     void again();
+    [[nodiscard]] bool isRelayed() const;
     void failed(const Error &error);
     void answered();
     void apply(const KeyedRecord &record);
@@ -71,9 +76,12 @@
     std::map<std::string, std::string> raw; ///< Newest value by key, for peers.
     std::uint64_t next = 0;
     bool followed = false; ///< The newest records were read; otherwise they are next.
+    TimePoint relayHoldsUntil; ///< Another host reads for this one.
+    bool newerSeen = false; ///< It has read further than this one.
     bool reachable = true;
     unsigned failures = 0;
     std::unique_ptr<Timer> retry;
+    std::unique_ptr<Timer> relayWait; ///< Set while another host reads for this one.
 };
 
 } // namespace endivespan
--- a/packages/node/src/peer_task.cpp
+++ b/packages/node/src/peer_task.cpp
@@ -46,12 +46,15 @@
     this->service = std::move(newService);
 }
 
-void PeerTask::ask(const std::string &host, const PeerMessage &message, std::function<void(Result<PeerMessage>)> done)
+void PeerTask::ask(const std::string &host,
+                   const PeerMessage &message,
+                   std::function<void(Result<PeerMessage>)> done,
+                   std::chrono::milliseconds timeout)
 {
     const HostView *view = this->parts.membership.find(host);
     const std::string address = view == nullptr ? "" : view->report.address;
     this->link->request(
-        address, message, config::PeerTimeout, [host, done = std::move(done)](const Result<PeerAnswer> &answer) {
+        address, message, timeout, [host, done = std::move(done)](const Result<PeerAnswer> &answer) {
             if (!answer) {
                 return done(answer.error());
             }
@@ -115,6 +118,13 @@
     }
 }
 
+void PeerTask::fetchConfigOf(const std::string &host)
+{
+    if (const HostView *view = this->parts.membership.find(host); view != nullptr) {
+        this->fetchConfig(view->report.address);
+    }
+}
+
 void PeerTask::fetchConfig(const std::string &address)
 {
     if (this->fetching) {
--- a/packages/node/src/peer_task.h
+++ b/packages/node/src/peer_task.h
@@ -2,6 +2,7 @@
 
 #include "metrics.h"
 
+#include <endivespan/config.h>
 #include <endivespan/confirmation.h>
 #include <endivespan/gossip.h>
 #include <endivespan/membership.h>
@@ -68,7 +69,14 @@
 
     /// Sends a message to the host called @p host.
     /// @param done Gets the answer or why there is none; never called inside this function.
-    void ask(const std::string &host, const PeerMessage &message, std::function<void(Result<PeerMessage>)> done);
+    /// @param timeout The longest wait for the answer.
+    void ask(const std::string &host,
+             const PeerMessage &message,
+             std::function<void(Result<PeerMessage>)> done,
+             std::chrono::milliseconds timeout = config::PeerTimeout);
+
+    /// Takes over the configuration of the host called @p host if it is newer.
+    void fetchConfigOf(const std::string &host);
 
     /// Says to all peers that this host leaves.
     void leave();
--- /dev/null
+++ b/packages/node/src/relay_task.cpp
@@ -0,0 +1,118 @@
+#include "relay_task.h"
+
+#include <endivespan/config.h>
+
+#include <utility>
+#include <variant>
+
+namespace endivespan {
+
+RelayTask::RelayTask(RelayTaskParts parts)
+    : parts(parts)
+    , startedAt(parts.loop.now())
+{
+}
+
+void RelayTask::tick(TimePoint now)
+{
+    // A host that has just started knows no other one yet, and must not read for itself what another one reads.
+    if (now - this->startedAt < config::RelayStartDelay) {
+        return;
+    }
+    this->choose(now);
+    if (this->reader && !this->asking && now >= this->nextAsk) {
+        this->ask(*this->reader, now);
+    }
+}
+
+void RelayTask::choose(TimePoint now)
+{
+    const std::string &self = this->parts.membership.self().name;
+    if (now >= this->nextOrder) {
+        this->nextOrder = now + config::OwnershipPeriod;
+        this->order = readerOrder(this->parts.membership);
+    }
+    auto next = this->choice.reader(this->order, self, now);
+    if (this->chosen && next == this->reader) {
+        return;
+    }
+    this->chosen = true;
+    this->reader = std::move(next);
+    this->parts.stores.setReading(!this->reader.has_value());
+    this->parts.events.line("reader_chosen")
+        .with("reader", this->reader.value_or(self))
+        .with("group", this->order.size());
+}
+
+void RelayTask::ask(const std::string &host, TimePoint now)
+{
+    this->asking = true;
+    this->nextAsk = now + config::RelayPeriod;
+    RelayAsk message;
+    message.serversNext = this->parts.serverFeed.known();
+    message.stores = this->parts.stores.cursors();
+    for (const auto &[id, view] : this->parts.servers.servers()) {
+        if (view.unconfirmedSince != TimePoint {} && message.unconfirmed.size() < config::RelayUnconfirmed) {
+            message.unconfirmed.push_back(id);
+        }
+    }
+    this->parts.peers.ask(
+        host,
+        message,
+        [this, host, now](const Result<PeerMessage> &answer) { this->answered(host, answer, now); },
+        config::RelayTimeout);
+}
+
+void RelayTask::answered(const std::string &host, const Result<PeerMessage> &answer, TimePoint askedAt)
+{
+    this->asking = false;
+    const auto *reply = answer ? std::get_if<RelayReply>(&answer.value()) : nullptr;
+    if (reply == nullptr) {
+        const TimePoint now = this->parts.loop.now();
+        this->choice.failed(host, now);
+        this->nextAsk = now;
+        this->parts.metrics.count("relay_failures");
+        this->parts.events.line("reader_silent")
+            .with("reader", host)
+            .with("why", answer ? "no such answer" : answer.error().detail);
+        return;
+    }
+    this->take(host, *reply, askedAt);
+}
+
+void RelayTask::take(const std::string &host, const RelayReply &reply, TimePoint askedAt)
+{
+    const TimePoint now = this->parts.loop.now();
+    this->parts.operators.relayed(host, reply.config, askedAt);
+    if (reply.config.offset > this->parts.membership.self().status.configOffset
+        && this->parts.operators.wantsPeerState()) {
+        this->parts.peers.fetchConfigOf(host);
+    }
+    this->parts.serverFeed.relayed(reply, askedAt);
+    this->parts.stores.relayed(reply.stores, askedAt);
+    // A reader that has lost the log while this host reaches it reads for nobody.
+    const auto isOld = [](const std::optional<Duration> &age) { return !age || *age > config::RelayFactsAge; };
+    const auto own = this->parts.confirmation.statement(this->parts.membership, now).confirmedAge;
+    if (isOld(reply.config.confirmedAge) && !isOld(own)) {
+        this->choice.failed(host, now);
+        this->parts.events.line("reader_behind")
+            .with("reader", host)
+            .with("confirmed_ms", reply.config.confirmedAge.value_or(Duration::zero()));
+        return;
+    }
+    this->choice.answered(host);
+    if (reply.more) {
+        this->nextAsk = now;
+    }
+}
+
+RelayReply RelayTask::answer(const RelayAsk &ask) const
+{
+    const TimePoint now = this->parts.loop.now();
+    return this->parts.source.answer(ask,
+                                     this->parts.confirmation.statement(this->parts.membership, now),
+                                     this->parts.sharedStores,
+                                     now);
+}
+
+} // namespace endivespan
--- /dev/null
+++ b/packages/node/src/relay_task.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "operator_feed.h"
+#include "peer_task.h"
+#include "server_feed.h"
+#include "store_task.h"
+
+#include <endivespan/event_log.h>
+#include <endivespan/loop.h>
+#include <endivespan/relay.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Asks the host that reads for this one, or lets this host read, and answers the hosts that it reads for.
+namespace endivespan {
+
+/// What the task works on; everything outlives it.
+struct RelayTaskParts {
+    Loop &loop;
+    EventLog &events;
+    Metrics &metrics;
+    const Membership &membership;
+    const Confirmation &confirmation;
+    const ServerTable &servers;
+    const SharedStores &sharedStores;
+    RelaySource &source;
+    PeerTask &peers;
+    OperatorFeed &operators;
+    ServerFeed &serverFeed;
+    StoreTask &stores;
+};
+
+/// Exchanges with one reader at a time. Without one this host reads the log and the stores itself.
+class RelayTask
+{
+public:
+    explicit RelayTask(RelayTaskParts parts);
+
+    void tick(TimePoint now);
+
+    /// @returns the answer to a host that asks this one.
+    [[nodiscard]] RelayReply answer(const RelayAsk &ask) const;
+
+private:
+    void choose(TimePoint now);
+    void ask(const std::string &host, TimePoint now);
+    void answered(const std::string &host, const Result<PeerMessage> &answer, TimePoint askedAt);
+    void take(const std::string &host, const RelayReply &reply, TimePoint askedAt);
+
+    RelayTaskParts parts;
+    ReaderChoice choice;
+    std::vector<std::string> order;
+    std::optional<std::string> reader; ///< Nothing: this host reads itself.
+    TimePoint startedAt;
+    TimePoint nextOrder;
+    TimePoint nextAsk;
+    bool asking = false;
+    bool chosen = false;
+};
+
+} // namespace endivespan
--- a/packages/node/src/rollout_task.cpp
+++ b/packages/node/src/rollout_task.cpp
@@ -17,6 +17,11 @@
 
 } // namespace
 
+RolloutPace rolloutPace(const ForwardBounds &bounds)
+{
+    return {std::chrono::duration_cast<Duration>(config::RolloutShare * bounds.weights), config::StartEngineAway};
+}
+
 RolloutTask::RolloutTask(Loop &loop,
                          KeyedLog &log,
                          const RecordCodec &codec,
@@ -24,7 +29,7 @@
                          EventLog &events,
                          ServerTable &servers,
                          std::string holder,
-                         Duration leaseGap)
+                         const ForwardBounds &bounds)
     : loop(loop)
     , log(log)
     , codec(codec)
@@ -32,8 +37,8 @@
     , events(events)
     , servers(servers)
     , holder(std::move(holder))
-    , lease(this->holder, {config::OrderLeaseTerm, leaseGap + config::OrderLeaseMargin})
-    , rollout(config::EnginesLoadingAtOnce)
+    , lease(this->holder, {config::OrderLeaseTerm, bounds.leaseGap + config::OrderLeaseMargin})
+    , rollout(rolloutPace(bounds))
 {
 }
 
--- a/packages/node/src/rollout_task.h
+++ b/packages/node/src/rollout_task.h
@@ -2,6 +2,7 @@
 
 #include <endivespan/event_log.h>
 #include <endivespan/forward_codec.h>
+#include <endivespan/forward_settings.h>
 #include <endivespan/keyed_log.h>
 #include <endivespan/loop.h>
 #include <endivespan/order_lease.h>
@@ -25,7 +26,7 @@
                 EventLog &events,
                 ServerTable &servers,
                 std::string holder,
-                Duration leaseGap);
+                const ForwardBounds &bounds);
 
     void setTargets(const std::map<std::string, std::uint64_t> &targets);
 
@@ -59,4 +60,7 @@
     TimePoint nextCall;
 };
 
+/// @returns how fast weights change under @p bounds.
+RolloutPace rolloutPace(const ForwardBounds &bounds);
+
 } // namespace endivespan
--- a/packages/node/src/server_feed.cpp
+++ b/packages/node/src/server_feed.cpp
@@ -2,6 +2,7 @@
 
 #include <endivespan/config.h>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 #include <vector>
@@ -13,6 +14,7 @@
                        const RecordCodec &codec,
                        EventLog &events,
                        ServerTable &servers,
+                       RelaySource &relay,
                        Duration lapse,
                        std::function<void()> changed)
     : loop(loop)
@@ -20,6 +22,7 @@
     , codec(codec)
     , events(events)
     , servers(servers)
+    , relay(relay)
     , lapse(lapse)
     , changed(std::move(changed))
 {
@@ -40,9 +43,16 @@
     this->timer = this->loop.after(delay, [this] { this->poll(); });
 }
 
+std::uint64_t ServerFeed::known() const
+{
+    return this->next;
+}
+
 void ServerFeed::poll()
 {
-    if (this->followed) {
+    if (this->loop.now() < this->relayHoldsUntil) {
+        this->schedule(config::ServerPollPeriod);
+    } else if (this->followed) {
         this->readOn();
     } else {
         this->readNewest();
@@ -57,6 +67,7 @@
         }
         const TimePoint now = this->loop.now();
         this->answered(now);
+        this->batchNext = batch.value().next;
         std::set<std::string> present;
         for (const KeyedRecord &record : batch.value().records) {
             present.insert(record.key);
@@ -71,9 +82,8 @@
         for (const std::string &id : missing) {
             this->take({id, std::nullopt}, now);
         }
-        this->next = batch.value().next;
         this->followed = true;
-        this->changed();
+        this->read(batch.value().next, now);
         this->schedule(config::ServerPollPeriod);
     });
 }
@@ -92,35 +102,78 @@
                 this->followed = false;
                 return this->schedule(Duration::zero());
             }
+            this->batchNext = batch.value().next;
             for (const KeyedRecord &record : batch.value().records) {
                 this->take(record, now);
             }
-            this->next = batch.value().next;
-            this->changed();
+            this->read(batch.value().next, now);
             this->schedule(config::ServerPollPeriod);
         });
 }
 
-void ServerFeed::take(const KeyedRecord &record, TimePoint now)
+void ServerFeed::read(std::uint64_t upTo, TimePoint asOf)
 {
-    if (!record.value) {
-        const bool lapsed = this->lapsedUntil && now < *this->lapsedUntil;
-        if (this->servers.find(record.key) != nullptr) {
-            this->events.line(lapsed ? "server_missing" : "server_gone").with("server", record.key);
-        }
-        this->servers.withdraw(record.key, lapsed ? this->lapsedUntil : std::nullopt, now);
+    this->next = std::max(this->next, upTo);
+    this->relay.serversRead(this->next, asOf);
+    this->changed();
+}
+
+void ServerFeed::relayed(const RelayReply &reply, TimePoint askedAt)
+{
+    if (!reply.serversAge || *reply.serversAge > config::RelayFactsAge || reply.serversGap) {
         return;
     }
-    const auto entry = this->codec.decodeServer(record.key, *record.value);
+    const TimePoint now = this->loop.now();
+    this->batchNext = reply.serversNext;
+    for (const RelayedServer &server : reply.servers) {
+        if (server.value) {
+            this->put(server.key, *server.value, now);
+        } else {
+            const bool lapsed = server.lapsedFor > Duration::zero();
+            this->remove(server.key, lapsed ? std::optional(now + server.lapsedFor) : std::nullopt, now);
+        }
+    }
+    this->lastAnswer = std::max(this->lastAnswer.value_or(TimePoint {}), askedAt - *reply.serversAge);
+    this->relayHoldsUntil = now + config::RelayHoldsFor;
+    this->followed = true;
+    this->read(reply.serversNext, *this->lastAnswer);
+}
+
+void ServerFeed::take(const KeyedRecord &record, TimePoint now)
+{
+    if (record.value) {
+        return this->put(record.key, *record.value, now);
+    }
+    const bool lapsed = this->lapsedUntil && now < *this->lapsedUntil;
+    this->remove(record.key, lapsed ? this->lapsedUntil : std::nullopt, now);
+}
+
+void ServerFeed::remove(const std::string &key, std::optional<TimePoint> keepUntil, TimePoint now)
+{
+    if (this->servers.find(key) != nullptr) {
+        this->events.line(keepUntil ? "server_missing" : "server_gone").with("server", key);
+    }
+    this->servers.withdraw(key, keepUntil, now);
+    this->relay.server({key, std::nullopt, keepUntil ? *keepUntil - now : Duration::zero()}, this->batchNext, true, now);
+}
+
+void ServerFeed::put(const std::string &key, const std::string &value, TimePoint now)
+{
+    const auto entry = this->codec.decodeServer(key, value);
     if (!entry) {
-        this->events.line("server_entry_unreadable").with("server", record.key).with("why", entry.error().detail);
+        this->events.line("server_entry_unreadable").with("server", key).with("why", entry.error().detail);
         // Whatever it was before, it names no server to use now.
-        this->servers.withdraw(record.key, std::nullopt, now);
+        this->servers.withdraw(key, std::nullopt, now);
+        this->relay.server({key, std::nullopt, {}}, this->batchNext, true, now);
         return;
     }
-    if (this->servers.learn(entry.value(), now)) {
+    const bool isNews = this->servers.learn(entry.value(), now);
+    // A server that has become cold says so in a mere heartbeat.
+    const bool isCold = entry.value().coldFor > Duration::zero();
+    this->relay.server({key, value, {}}, this->batchNext, isNews || isCold, now);
+    if (isNews) {
         this->events.line("server_listed")
-            .with("server", record.key)
+            .with("server", key)
             .with("service", entry.value().service)
             .with("address", entry.value().address)
             .with("domain", entry.value().domain)
--- a/packages/node/src/server_feed.h
+++ b/packages/node/src/server_feed.h
@@ -4,6 +4,7 @@
 #include <endivespan/forward_codec.h>
 #include <endivespan/keyed_log.h>
 #include <endivespan/loop.h>
+#include <endivespan/relay.h>
 #include <endivespan/server_table.h>
 
 #include <memory>
@@ -13,7 +14,8 @@
 /// Follows the list of backend servers in the log.
 namespace endivespan {
 
-/// Polls, since heartbeats come all the time and a waiting read would return at once.
+/// Polls, since heartbeats come all the time and a waiting read would return at once. While another host passes the
+/// list on, that takes the place of polls.
 class ServerFeed
 {
 public:
@@ -23,6 +25,7 @@
                const RecordCodec &codec,
                EventLog &events,
                ServerTable &servers,
+               RelaySource &relay,
                Duration lapse,
                std::function<void()> changed);
 
@@ -31,11 +34,20 @@
     /// @returns whether the list was read at least once.
     [[nodiscard]] bool isReady() const;
 
+    /// @returns the offset up to which the list is known.
+    [[nodiscard]] std::uint64_t known() const;
+
+    /// Takes what another host passed on.
+    void relayed(const RelayReply &reply, TimePoint askedAt);
+
 private:
     void poll();
     void readNewest();
     void readOn();
     void take(const KeyedRecord &record, TimePoint now);
+    void remove(const std::string &key, std::optional<TimePoint> keepUntil, TimePoint now);
+    void put(const std::string &key, const std::string &value, TimePoint now);
+    void read(std::uint64_t upTo, TimePoint asOf);
     void failed(const Error &error);
     void answered(TimePoint now);
     void schedule(Duration delay);
@@ -45,10 +57,13 @@
     const RecordCodec &codec;
     EventLog &events;
     ServerTable &servers;
+    RelaySource &relay;
     Duration lapse;
     std::function<void()> changed;
     std::unique_ptr<Timer> timer;
     std::uint64_t next = 0;
+    std::uint64_t batchNext = 0; ///< Offset after the batch that is being taken.
+    TimePoint relayHoldsUntil; ///< Another host reads for this one.
     bool followed = false;
     bool reachable = true;
     std::optional<TimePoint> lastAnswer;
--- a/packages/node/src/store_task.cpp
+++ b/packages/node/src/store_task.cpp
@@ -32,14 +32,18 @@
                      StoreControl &control,
                      EventLog &events,
                      SharedStores &stores,
+                     RelaySource &relay,
                      const OperatorFeed &operators,
-                     const Membership &membership)
+                     const Membership &membership,
+                     Duration rolloutSpan)
     : loop(loop)
     , control(control)
     , events(events)
     , stores(stores)
+    , relay(relay)
     , operators(operators)
     , membership(membership)
+    , rolloutSpan(rolloutSpan)
     , random(std::random_device {}())
     , startedAt(loop.now())
 {
@@ -55,7 +59,7 @@
     this->logStores(now);
     for (const auto &[address, next] : this->stores.toAsk()) {
         Line &line = this->lines[address];
-        if (!line.asking && now >= line.askAt) {
+        if (this->reading && !line.asking && now >= line.askAt) {
             line.asking = true;
             this->ask(address, next);
         }
@@ -66,6 +70,36 @@
     }
 }
 
+void StoreTask::setReading(bool newReading)
+{
+    if (this->reading != newReading) {
+        this->reading = newReading;
+        this->events.line("store_reading").with("by", newReading ? "this host" : "another");
+    }
+}
+
+std::vector<StoreCursor> StoreTask::cursors() const
+{
+    std::vector<StoreCursor> list;
+    for (const auto &[address, next] : this->stores.toAsk()) {
+        list.push_back({storeIdOf(address), this->stores.epochOf(address), next});
+    }
+    return list;
+}
+
+void StoreTask::relayed(const std::vector<RelayedStore> &list, TimePoint askedAt)
+{
+    for (const RelayedStore &store : list) {
+        const auto address = this->stores.addressOf(store.store);
+        if (!address) {
+            continue;
+        }
+        if (this->stores.relayed(*address, store.events, store.whole, askedAt - store.age)) {
+            this->relay.store(*address, store.events, store.whole);
+        }
+    }
+}
+
 void StoreTask::logStores(TimePoint now)
 {
     if (now < this->logAt) {
@@ -116,10 +150,15 @@
     if (answer && answer.value().gap) {
         return this->list(address);
     }
-    if (answer && !this->stores.answered(address, answer.value(), askedAt)) {
+    if (!answer) {
+        return;
+    }
+    if (!this->stores.answered(address, answer.value(), askedAt)) {
         this->events.line("store_started_again").with("address", address).with("epoch", answer.value().epoch);
         line.askAt = now;
+        return;
     }
+    this->relay.store(address, answer.value(), false);
 }
 
 // A host that starts late finds only the latest events.
@@ -138,6 +177,7 @@
             return;
         }
         this->stores.listed(address, all.value(), askedAt);
+        this->relay.store(address, all.value(), true);
         this->events.line("store_listed").with("address", address).with("parts", all.value().events.size());
     });
 }
@@ -149,7 +189,8 @@
         return false;
     }
     const auto replacedAt = this->operators.state().weights.replacedAt(made->first, made->second);
-    return replacedAt && now - std::max(*replacedAt, this->startedAt) > oldPartUse(part.id) + config::OldPartsFree;
+    const Duration use = oldPartUse(part.id, this->rolloutSpan);
+    return replacedAt && now - std::max(*replacedAt, this->startedAt) > use + config::OldPartsFree;
 }
 
 void StoreTask::freeOld(const std::string &address, TimePoint now)
--- a/packages/node/src/store_task.h
+++ b/packages/node/src/store_task.h
@@ -6,6 +6,7 @@
 #include <endivespan/forward_codec.h>
 #include <endivespan/loop.h>
 #include <endivespan/membership.h>
+#include <endivespan/relay.h>
 #include <endivespan/shared_store.h>
 
 #include <map>
@@ -24,12 +25,23 @@
               StoreControl &control,
               EventLog &events,
               SharedStores &stores,
+              RelaySource &relay,
               const OperatorFeed &operators,
-              const Membership &membership);
+              const Membership &membership,
+              Duration rolloutSpan);
 
     void setStores(const std::vector<ForwardStore> &list);
     void tick(TimePoint now);
 
+    /// Sets whether this host asks the stores itself; otherwise another one passes on what they say.
+    void setReading(bool reading);
+
+    /// Takes what another host passed on.
+    void relayed(const std::vector<RelayedStore> &list, TimePoint askedAt);
+
+    /// @returns how far each store's events are known.
+    [[nodiscard]] std::vector<StoreCursor> cursors() const;
+
 private:
     struct Line {
         bool asking = false;
@@ -49,11 +61,14 @@
     StoreControl &control;
     EventLog &events;
     SharedStores &stores;
+    RelaySource &relay;
     const OperatorFeed &operators;
     const Membership &membership;
+    Duration rolloutSpan; ///< In which parts of replaced weights are given up.
     std::mt19937_64 random;
     TimePoint startedAt;
     TimePoint logAt;
+    bool reading = false; ///< Until it is known who reads.
     std::map<std::string, Line> lines; ///< By address.
 };
 
--- a/packages/wire/gen-cpp/peer_types.cpp
+++ b/packages/wire/gen-cpp/peer_types.cpp
@@ -2594,6 +2594,1104 @@
 }
 
 
+StoreCursorRecord::~StoreCursorRecord() noexcept {
+}
+
+
+void StoreCursorRecord::__set_store(const int32_t val) {
+  this->store = val;
+}
+
+void StoreCursorRecord::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void StoreCursorRecord::__set_nextEvent(const int64_t val) {
+  this->nextEvent = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoreCursorRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoreCursorRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->store);
+          this->__isset.store = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nextEvent);
+          this->__isset.nextEvent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoreCursorRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoreCursorRecord");
+
+  xfer += oprot->writeFieldBegin("store", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->store);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nextEvent", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->nextEvent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoreCursorRecord &a, StoreCursorRecord &b) {
+  using ::std::swap;
+  swap(a.store, b.store);
+  swap(a.epoch, b.epoch);
+  swap(a.nextEvent, b.nextEvent);
+  swap(a.__isset, b.__isset);
+}
+
+StoreCursorRecord::StoreCursorRecord(const StoreCursorRecord& other74) noexcept {
+  store = other74.store;
+  epoch = other74.epoch;
+  nextEvent = other74.nextEvent;
+  __isset = other74.__isset;
+}
+StoreCursorRecord& StoreCursorRecord::operator=(const StoreCursorRecord& other75) noexcept {
+  store = other75.store;
+  epoch = other75.epoch;
+  nextEvent = other75.nextEvent;
+  __isset = other75.__isset;
+  return *this;
+}
+void StoreCursorRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoreCursorRecord(";
+  out << "store=" << to_string(store);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "nextEvent=" << to_string(nextEvent);
+  out << ")";
+}
+
+
+RelayAskRecord::~RelayAskRecord() noexcept {
+}
+
+
+void RelayAskRecord::__set_serversNext(const int64_t val) {
+  this->serversNext = val;
+}
+
+void RelayAskRecord::__set_unconfirmed(const std::vector<std::string> & val) {
+  this->unconfirmed = val;
+}
+
+void RelayAskRecord::__set_stores(const std::vector<StoreCursorRecord> & val) {
+  this->stores = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayAskRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayAskRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serversNext);
+          this->__isset.serversNext = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->unconfirmed.clear();
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->unconfirmed.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
+            {
+              xfer += iprot->readString(this->unconfirmed[_i80]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.unconfirmed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->stores.clear();
+            uint32_t _size81;
+            ::apache::thrift::protocol::TType _etype84;
+            xfer += iprot->readListBegin(_etype84, _size81);
+            this->stores.resize(_size81);
+            uint32_t _i85;
+            for (_i85 = 0; _i85 < _size81; ++_i85)
+            {
+              xfer += this->stores[_i85].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.stores = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RelayAskRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayAskRecord");
+
+  xfer += oprot->writeFieldBegin("serversNext", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->serversNext);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unconfirmed", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->unconfirmed.size()));
+    std::vector<std::string> ::const_iterator _iter86;
+    for (_iter86 = this->unconfirmed.begin(); _iter86 != this->unconfirmed.end(); ++_iter86)
+    {
+      xfer += oprot->writeString((*_iter86));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stores", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stores.size()));
+    std::vector<StoreCursorRecord> ::const_iterator _iter87;
+    for (_iter87 = this->stores.begin(); _iter87 != this->stores.end(); ++_iter87)
+    {
+      xfer += (*_iter87).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayAskRecord &a, RelayAskRecord &b) {
+  using ::std::swap;
+  swap(a.serversNext, b.serversNext);
+  swap(a.unconfirmed, b.unconfirmed);
+  swap(a.stores, b.stores);
+  swap(a.__isset, b.__isset);
+}
+
+RelayAskRecord::RelayAskRecord(const RelayAskRecord& other88) {
+  serversNext = other88.serversNext;
+  unconfirmed = other88.unconfirmed;
+  stores = other88.stores;
+  __isset = other88.__isset;
+}
+RelayAskRecord& RelayAskRecord::operator=(const RelayAskRecord& other89) {
+  serversNext = other89.serversNext;
+  unconfirmed = other89.unconfirmed;
+  stores = other89.stores;
+  __isset = other89.__isset;
+  return *this;
+}
+void RelayAskRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayAskRecord(";
+  out << "serversNext=" << to_string(serversNext);
+  out << ", " << "unconfirmed=" << to_string(unconfirmed);
+  out << ", " << "stores=" << to_string(stores);
+  out << ")";
+}
+
+
+RelayedServerRecord::~RelayedServerRecord() noexcept {
+}
+
+
+void RelayedServerRecord::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void RelayedServerRecord::__set_value(const std::string& val) {
+  this->value = val;
+__isset.value = true;
+}
+
+void RelayedServerRecord::__set_lapsedForMicroseconds(const int64_t val) {
+  this->lapsedForMicroseconds = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayedServerRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayedServerRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lapsedForMicroseconds);
+          this->__isset.lapsedForMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RelayedServerRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayedServerRecord");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.value) {
+    xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeBinary(this->value);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("lapsedForMicroseconds", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->lapsedForMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayedServerRecord &a, RelayedServerRecord &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.value, b.value);
+  swap(a.lapsedForMicroseconds, b.lapsedForMicroseconds);
+  swap(a.__isset, b.__isset);
+}
+
+RelayedServerRecord::RelayedServerRecord(const RelayedServerRecord& other90) {
+  key = other90.key;
+  value = other90.value;
+  lapsedForMicroseconds = other90.lapsedForMicroseconds;
+  __isset = other90.__isset;
+}
+RelayedServerRecord& RelayedServerRecord::operator=(const RelayedServerRecord& other91) {
+  key = other91.key;
+  value = other91.value;
+  lapsedForMicroseconds = other91.lapsedForMicroseconds;
+  __isset = other91.__isset;
+  return *this;
+}
+void RelayedServerRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayedServerRecord(";
+  out << "key=" << to_string(key);
+  out << ", " << "value="; (__isset.value ? (out << to_string(value)) : (out << "<null>"));
+  out << ", " << "lapsedForMicroseconds=" << to_string(lapsedForMicroseconds);
+  out << ")";
+}
+
+
+PartEventRecord::~PartEventRecord() noexcept {
+}
+
+
+void PartEventRecord::__set_scope(const int32_t val) {
+  this->scope = val;
+}
+
+void PartEventRecord::__set_part(const std::string& val) {
+  this->part = val;
+}
+
+void PartEventRecord::__set_tokens(const int64_t val) {
+  this->tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const PartEventRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PartEventRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->scope);
+          this->__isset.scope = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PartEventRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PartEventRecord");
+
+  xfer += oprot->writeFieldBegin("scope", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->scope);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PartEventRecord &a, PartEventRecord &b) {
+  using ::std::swap;
+  swap(a.scope, b.scope);
+  swap(a.part, b.part);
+  swap(a.tokens, b.tokens);
+  swap(a.__isset, b.__isset);
+}
+
+PartEventRecord::PartEventRecord(const PartEventRecord& other92) {
+  scope = other92.scope;
+  part = other92.part;
+  tokens = other92.tokens;
+  __isset = other92.__isset;
+}
+PartEventRecord& PartEventRecord::operator=(const PartEventRecord& other93) {
+  scope = other93.scope;
+  part = other93.part;
+  tokens = other93.tokens;
+  __isset = other93.__isset;
+  return *this;
+}
+void PartEventRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PartEventRecord(";
+  out << "scope=" << to_string(scope);
+  out << ", " << "part=" << to_string(part);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ")";
+}
+
+
+RelayedStoreRecord::~RelayedStoreRecord() noexcept {
+}
+
+
+void RelayedStoreRecord::__set_store(const int32_t val) {
+  this->store = val;
+}
+
+void RelayedStoreRecord::__set_whole(const bool val) {
+  this->whole = val;
+}
+
+void RelayedStoreRecord::__set_ageMicroseconds(const int64_t val) {
+  this->ageMicroseconds = val;
+}
+
+void RelayedStoreRecord::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void RelayedStoreRecord::__set_nextEvent(const int64_t val) {
+  this->nextEvent = val;
+}
+
+void RelayedStoreRecord::__set_clockMilliseconds(const int64_t val) {
+  this->clockMilliseconds = val;
+__isset.clockMilliseconds = true;
+}
+
+void RelayedStoreRecord::__set_scopes(const std::vector<std::string> & val) {
+  this->scopes = val;
+}
+
+void RelayedStoreRecord::__set_events(const std::vector<PartEventRecord> & val) {
+  this->events = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayedStoreRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayedStoreRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->store);
+          this->__isset.store = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->whole);
+          this->__isset.whole = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMicroseconds);
+          this->__isset.ageMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nextEvent);
+          this->__isset.nextEvent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clockMilliseconds);
+          this->__isset.clockMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->scopes.clear();
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->scopes.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
+            {
+              xfer += iprot->readString(this->scopes[_i98]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.scopes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->events.clear();
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->events.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
+            {
+              xfer += this->events[_i103].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.events = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RelayedStoreRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayedStoreRecord");
+
+  xfer += oprot->writeFieldBegin("store", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->store);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->whole);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMicroseconds", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->ageMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nextEvent", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->nextEvent);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.clockMilliseconds) {
+    xfer += oprot->writeFieldBegin("clockMilliseconds", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->clockMilliseconds);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("scopes", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->scopes.size()));
+    std::vector<std::string> ::const_iterator _iter104;
+    for (_iter104 = this->scopes.begin(); _iter104 != this->scopes.end(); ++_iter104)
+    {
+      xfer += oprot->writeString((*_iter104));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("events", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->events.size()));
+    std::vector<PartEventRecord> ::const_iterator _iter105;
+    for (_iter105 = this->events.begin(); _iter105 != this->events.end(); ++_iter105)
+    {
+      xfer += (*_iter105).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayedStoreRecord &a, RelayedStoreRecord &b) {
+  using ::std::swap;
+  swap(a.store, b.store);
+  swap(a.whole, b.whole);
+  swap(a.ageMicroseconds, b.ageMicroseconds);
+  swap(a.epoch, b.epoch);
+  swap(a.nextEvent, b.nextEvent);
+  swap(a.clockMilliseconds, b.clockMilliseconds);
+  swap(a.scopes, b.scopes);
+  swap(a.events, b.events);
+  swap(a.__isset, b.__isset);
+}
+
+RelayedStoreRecord::RelayedStoreRecord(const RelayedStoreRecord& other106) {
+  store = other106.store;
+  whole = other106.whole;
+  ageMicroseconds = other106.ageMicroseconds;
+  epoch = other106.epoch;
+  nextEvent = other106.nextEvent;
+  clockMilliseconds = other106.clockMilliseconds;
+  scopes = other106.scopes;
+  events = other106.events;
+  __isset = other106.__isset;
+}
+RelayedStoreRecord& RelayedStoreRecord::operator=(const RelayedStoreRecord& other107) {
+  store = other107.store;
+  whole = other107.whole;
+  ageMicroseconds = other107.ageMicroseconds;
+  epoch = other107.epoch;
+  nextEvent = other107.nextEvent;
+  clockMilliseconds = other107.clockMilliseconds;
+  scopes = other107.scopes;
+  events = other107.events;
+  __isset = other107.__isset;
+  return *this;
+}
+void RelayedStoreRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayedStoreRecord(";
+  out << "store=" << to_string(store);
+  out << ", " << "whole=" << to_string(whole);
+  out << ", " << "ageMicroseconds=" << to_string(ageMicroseconds);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "nextEvent=" << to_string(nextEvent);
+  out << ", " << "clockMilliseconds="; (__isset.clockMilliseconds ? (out << to_string(clockMilliseconds)) : (out << "<null>"));
+  out << ", " << "scopes=" << to_string(scopes);
+  out << ", " << "events=" << to_string(events);
+  out << ")";
+}
+
+
+RelayReplyRecord::~RelayReplyRecord() noexcept {
+}
+
+
+void RelayReplyRecord::__set_config(const ConfigStatementRecord& val) {
+  this->config = val;
+}
+
+void RelayReplyRecord::__set_serversNext(const int64_t val) {
+  this->serversNext = val;
+}
+
+void RelayReplyRecord::__set_serversGap(const bool val) {
+  this->serversGap = val;
+}
+
+void RelayReplyRecord::__set_serversAgeMicroseconds(const int64_t val) {
+  this->serversAgeMicroseconds = val;
+__isset.serversAgeMicroseconds = true;
+}
+
+void RelayReplyRecord::__set_servers(const std::vector<RelayedServerRecord> & val) {
+  this->servers = val;
+}
+
+void RelayReplyRecord::__set_stores(const std::vector<RelayedStoreRecord> & val) {
+  this->stores = val;
+}
+
+void RelayReplyRecord::__set_more(const bool val) {
+  this->more = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayReplyRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayReplyRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->config.read(iprot);
+          this->__isset.config = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serversNext);
+          this->__isset.serversNext = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->serversGap);
+          this->__isset.serversGap = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serversAgeMicroseconds);
+          this->__isset.serversAgeMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->servers.clear();
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->servers.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
+            {
+              xfer += this->servers[_i112].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->stores.clear();
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->stores.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
+            {
+              xfer += this->stores[_i117].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.stores = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->more);
+          this->__isset.more = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RelayReplyRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayReplyRecord");
+
+  xfer += oprot->writeFieldBegin("config", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->config.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serversNext", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->serversNext);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serversGap", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->serversGap);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.serversAgeMicroseconds) {
+    xfer += oprot->writeFieldBegin("serversAgeMicroseconds", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->serversAgeMicroseconds);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
+    std::vector<RelayedServerRecord> ::const_iterator _iter118;
+    for (_iter118 = this->servers.begin(); _iter118 != this->servers.end(); ++_iter118)
+    {
+      xfer += (*_iter118).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stores", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stores.size()));
+    std::vector<RelayedStoreRecord> ::const_iterator _iter119;
+    for (_iter119 = this->stores.begin(); _iter119 != this->stores.end(); ++_iter119)
+    {
+      xfer += (*_iter119).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("more", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->more);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayReplyRecord &a, RelayReplyRecord &b) {
+  using ::std::swap;
+  swap(a.config, b.config);
+  swap(a.serversNext, b.serversNext);
+  swap(a.serversGap, b.serversGap);
+  swap(a.serversAgeMicroseconds, b.serversAgeMicroseconds);
+  swap(a.servers, b.servers);
+  swap(a.stores, b.stores);
+  swap(a.more, b.more);
+  swap(a.__isset, b.__isset);
+}
+
+RelayReplyRecord::RelayReplyRecord(const RelayReplyRecord& other120) {
+  config = other120.config;
+  serversNext = other120.serversNext;
+  serversGap = other120.serversGap;
+  serversAgeMicroseconds = other120.serversAgeMicroseconds;
+  servers = other120.servers;
+  stores = other120.stores;
+  more = other120.more;
+  __isset = other120.__isset;
+}
+RelayReplyRecord& RelayReplyRecord::operator=(const RelayReplyRecord& other121) {
+  config = other121.config;
+  serversNext = other121.serversNext;
+  serversGap = other121.serversGap;
+  serversAgeMicroseconds = other121.serversAgeMicroseconds;
+  servers = other121.servers;
+  stores = other121.stores;
+  more = other121.more;
+  __isset = other121.__isset;
+  return *this;
+}
+void RelayReplyRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayReplyRecord(";
+  out << "config=" << to_string(config);
+  out << ", " << "serversNext=" << to_string(serversNext);
+  out << ", " << "serversGap=" << to_string(serversGap);
+  out << ", " << "serversAgeMicroseconds="; (__isset.serversAgeMicroseconds ? (out << to_string(serversAgeMicroseconds)) : (out << "<null>"));
+  out << ", " << "servers=" << to_string(servers);
+  out << ", " << "stores=" << to_string(stores);
+  out << ", " << "more=" << to_string(more);
+  out << ")";
+}
+
+
 PeerAckRecord::~PeerAckRecord() noexcept {
 }
 
@@ -2648,11 +3746,11 @@
   (void) b;
 }
 
-PeerAckRecord::PeerAckRecord(const PeerAckRecord& other74) noexcept {
-  (void) other74;
+PeerAckRecord::PeerAckRecord(const PeerAckRecord& other122) noexcept {
+  (void) other122;
 }
-PeerAckRecord& PeerAckRecord::operator=(const PeerAckRecord& other75) noexcept {
-  (void) other75;
+PeerAckRecord& PeerAckRecord::operator=(const PeerAckRecord& other123) noexcept {
+  (void) other123;
   return *this;
 }
 void PeerAckRecord::printTo(std::ostream& out) const {
@@ -2728,6 +3826,16 @@
   this->ack = val;
 __isset.ack = true;
 }
+
+void PeerFrameRecord::__set_relayAsk(const RelayAskRecord& val) {
+  this->relayAsk = val;
+__isset.relayAsk = true;
+}
+
+void PeerFrameRecord::__set_relayReply(const RelayReplyRecord& val) {
+  this->relayReply = val;
+__isset.relayReply = true;
+}
 std::ostream& operator<<(std::ostream& out, const PeerFrameRecord& obj)
 {
   obj.printTo(out);
@@ -2860,6 +3968,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->relayAsk.read(iprot);
+          this->__isset.relayAsk = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->relayReply.read(iprot);
+          this->__isset.relayReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2940,6 +4064,16 @@
     xfer += this->ack.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.relayAsk) {
+    xfer += oprot->writeFieldBegin("relayAsk", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->relayAsk.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.relayReply) {
+    xfer += oprot->writeFieldBegin("relayReply", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->relayReply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2960,40 +4094,46 @@
   swap(a.configAsk, b.configAsk);
   swap(a.configReply, b.configReply);
   swap(a.ack, b.ack);
+  swap(a.relayAsk, b.relayAsk);
+  swap(a.relayReply, b.relayReply);
   swap(a.__isset, b.__isset);
 }
 
-PeerFrameRecord::PeerFrameRecord(const PeerFrameRecord& other76) {
-  id = other76.id;
-  answer = other76.answer;
-  hello = other76.hello;
-  gossip = other76.gossip;
-  creditAsk = other76.creditAsk;
-  creditReply = other76.creditReply;
-  creditBack = other76.creditBack;
-  suspectAsk = other76.suspectAsk;
-  suspectReply = other76.suspectReply;
-  suspectBack = other76.suspectBack;
-  configAsk = other76.configAsk;
-  configReply = other76.configReply;
-  ack = other76.ack;
-  __isset = other76.__isset;
-}
-PeerFrameRecord& PeerFrameRecord::operator=(const PeerFrameRecord& other77) {
-  id = other77.id;
-  answer = other77.answer;
-  hello = other77.hello;
-  gossip = other77.gossip;
-  creditAsk = other77.creditAsk;
-  creditReply = other77.creditReply;
-  creditBack = other77.creditBack;
-  suspectAsk = other77.suspectAsk;
-  suspectReply = other77.suspectReply;
-  suspectBack = other77.suspectBack;
-  configAsk = other77.configAsk;
-  configReply = other77.configReply;
-  ack = other77.ack;
-  __isset = other77.__isset;
+PeerFrameRecord::PeerFrameRecord(const PeerFrameRecord& other124) {
+  id = other124.id;
+  answer = other124.answer;
+  hello = other124.hello;
+  gossip = other124.gossip;
+  creditAsk = other124.creditAsk;
+  creditReply = other124.creditReply;
+  creditBack = other124.creditBack;
+  suspectAsk = other124.suspectAsk;
+  suspectReply = other124.suspectReply;
+  suspectBack = other124.suspectBack;
+  configAsk = other124.configAsk;
+  configReply = other124.configReply;
+  ack = other124.ack;
+  relayAsk = other124.relayAsk;
+  relayReply = other124.relayReply;
+  __isset = other124.__isset;
+}
+PeerFrameRecord& PeerFrameRecord::operator=(const PeerFrameRecord& other125) {
+  id = other125.id;
+  answer = other125.answer;
+  hello = other125.hello;
+  gossip = other125.gossip;
+  creditAsk = other125.creditAsk;
+  creditReply = other125.creditReply;
+  creditBack = other125.creditBack;
+  suspectAsk = other125.suspectAsk;
+  suspectReply = other125.suspectReply;
+  suspectBack = other125.suspectBack;
+  configAsk = other125.configAsk;
+  configReply = other125.configReply;
+  ack = other125.ack;
+  relayAsk = other125.relayAsk;
+  relayReply = other125.relayReply;
+  __isset = other125.__isset;
   return *this;
 }
 void PeerFrameRecord::printTo(std::ostream& out) const {
@@ -3012,6 +4152,8 @@
   out << ", " << "configAsk="; (__isset.configAsk ? (out << to_string(configAsk)) : (out << "<null>"));
   out << ", " << "configReply="; (__isset.configReply ? (out << to_string(configReply)) : (out << "<null>"));
   out << ", " << "ack="; (__isset.ack ? (out << to_string(ack)) : (out << "<null>"));
+  out << ", " << "relayAsk="; (__isset.relayAsk ? (out << to_string(relayAsk)) : (out << "<null>"));
+  out << ", " << "relayReply="; (__isset.relayReply ? (out << to_string(relayReply)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen-cpp/peer_types.h
+++ b/packages/wire/gen-cpp/peer_types.h
@@ -53,6 +53,18 @@
 
 class ConfigReplyRecord;
 
+class StoreCursorRecord;
+
+class RelayAskRecord;
+
+class RelayedServerRecord;
+
+class PartEventRecord;
+
+class RelayedStoreRecord;
+
+class RelayReplyRecord;
+
 class PeerAckRecord;
 
 class PeerFrameRecord;
@@ -1079,6 +1091,410 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigReplyRecord& obj);
 
+typedef struct _StoreCursorRecord__isset {
+  _StoreCursorRecord__isset() : store(false), epoch(false), nextEvent(false) {}
+  bool store :1;
+  bool epoch :1;
+  bool nextEvent :1;
+} _StoreCursorRecord__isset;
+
+class StoreCursorRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoreCursorRecord(const StoreCursorRecord&) noexcept;
+  StoreCursorRecord& operator=(const StoreCursorRecord&) noexcept;
+  StoreCursorRecord() noexcept
+                    : store(0),
+                      epoch(0),
+                      nextEvent(0) {
+  }
+
+  virtual ~StoreCursorRecord() noexcept;
+  int32_t store;
+  int64_t epoch;
+  int64_t nextEvent;
+
+  _StoreCursorRecord__isset __isset;
+
+  void __set_store(const int32_t val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_nextEvent(const int64_t val);
+
+  bool operator == (const StoreCursorRecord & rhs) const
+  {
+    if (!(store == rhs.store))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(nextEvent == rhs.nextEvent))
+      return false;
+    return true;
+  }
+  bool operator != (const StoreCursorRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoreCursorRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoreCursorRecord &a, StoreCursorRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const StoreCursorRecord& obj);
+
+typedef struct _RelayAskRecord__isset {
+  _RelayAskRecord__isset() : serversNext(false), unconfirmed(false), stores(false) {}
+  bool serversNext :1;
+  bool unconfirmed :1;
+  bool stores :1;
+} _RelayAskRecord__isset;
+
+class RelayAskRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayAskRecord(const RelayAskRecord&);
+  RelayAskRecord& operator=(const RelayAskRecord&);
+  RelayAskRecord() noexcept
+                 : serversNext(0) {
+  }
+
+  virtual ~RelayAskRecord() noexcept;
+  int64_t serversNext;
+  std::vector<std::string>  unconfirmed;
+  std::vector<StoreCursorRecord>  stores;
+
+  _RelayAskRecord__isset __isset;
+
+  void __set_serversNext(const int64_t val);
+
+  void __set_unconfirmed(const std::vector<std::string> & val);
+
+  void __set_stores(const std::vector<StoreCursorRecord> & val);
+
+  bool operator == (const RelayAskRecord & rhs) const
+  {
+    if (!(serversNext == rhs.serversNext))
+      return false;
+    if (!(unconfirmed == rhs.unconfirmed))
+      return false;
+    if (!(stores == rhs.stores))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayAskRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayAskRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayAskRecord &a, RelayAskRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayAskRecord& obj);
+
+typedef struct _RelayedServerRecord__isset {
+  _RelayedServerRecord__isset() : key(false), value(false), lapsedForMicroseconds(false) {}
+  bool key :1;
+  bool value :1;
+  bool lapsedForMicroseconds :1;
+} _RelayedServerRecord__isset;
+
+class RelayedServerRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayedServerRecord(const RelayedServerRecord&);
+  RelayedServerRecord& operator=(const RelayedServerRecord&);
+  RelayedServerRecord() noexcept
+                      : key(),
+                        value(),
+                        lapsedForMicroseconds(0) {
+  }
+
+  virtual ~RelayedServerRecord() noexcept;
+  std::string key;
+  std::string value;
+  int64_t lapsedForMicroseconds;
+
+  _RelayedServerRecord__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  void __set_lapsedForMicroseconds(const int64_t val);
+
+  bool operator == (const RelayedServerRecord & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (__isset.value != rhs.__isset.value)
+      return false;
+    else if (__isset.value && !(value == rhs.value))
+      return false;
+    if (!(lapsedForMicroseconds == rhs.lapsedForMicroseconds))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayedServerRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayedServerRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayedServerRecord &a, RelayedServerRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayedServerRecord& obj);
+
+typedef struct _PartEventRecord__isset {
+  _PartEventRecord__isset() : scope(false), part(false), tokens(false) {}
+  bool scope :1;
+  bool part :1;
+  bool tokens :1;
+} _PartEventRecord__isset;
+
+class PartEventRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  PartEventRecord(const PartEventRecord&);
+  PartEventRecord& operator=(const PartEventRecord&);
+  PartEventRecord() noexcept
+                  : scope(0),
+                    part(),
+                    tokens(0) {
+  }
+
+  virtual ~PartEventRecord() noexcept;
+  int32_t scope;
+  std::string part;
+  int64_t tokens;
+
+  _PartEventRecord__isset __isset;
+
+  void __set_scope(const int32_t val);
+
+  void __set_part(const std::string& val);
+
+  void __set_tokens(const int64_t val);
+
+  bool operator == (const PartEventRecord & rhs) const
+  {
+    if (!(scope == rhs.scope))
+      return false;
+    if (!(part == rhs.part))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const PartEventRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PartEventRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PartEventRecord &a, PartEventRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const PartEventRecord& obj);
+
+typedef struct _RelayedStoreRecord__isset {
+  _RelayedStoreRecord__isset() : store(false), whole(false), ageMicroseconds(false), epoch(false), nextEvent(false), clockMilliseconds(false), scopes(false), events(false) {}
+  bool store :1;
+  bool whole :1;
+  bool ageMicroseconds :1;
+  bool epoch :1;
+  bool nextEvent :1;
+  bool clockMilliseconds :1;
+  bool scopes :1;
+  bool events :1;
+} _RelayedStoreRecord__isset;
+
+class RelayedStoreRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayedStoreRecord(const RelayedStoreRecord&);
+  RelayedStoreRecord& operator=(const RelayedStoreRecord&);
+  RelayedStoreRecord() noexcept
+                     : store(0),
+                       whole(0),
+                       ageMicroseconds(0),
+                       epoch(0),
+                       nextEvent(0),
+                       clockMilliseconds(0) {
+  }
+
+  virtual ~RelayedStoreRecord() noexcept;
+  int32_t store;
+  bool whole;
+  int64_t ageMicroseconds;
+  int64_t epoch;
+  int64_t nextEvent;
+  int64_t clockMilliseconds;
+  std::vector<std::string>  scopes;
+  std::vector<PartEventRecord>  events;
+
+  _RelayedStoreRecord__isset __isset;
+
+  void __set_store(const int32_t val);
+
+  void __set_whole(const bool val);
+
+  void __set_ageMicroseconds(const int64_t val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_nextEvent(const int64_t val);
+
+  void __set_clockMilliseconds(const int64_t val);
+
+  void __set_scopes(const std::vector<std::string> & val);
+
+  void __set_events(const std::vector<PartEventRecord> & val);
+
+  bool operator == (const RelayedStoreRecord & rhs) const
+  {
+    if (!(store == rhs.store))
+      return false;
+    if (!(whole == rhs.whole))
+      return false;
+    if (!(ageMicroseconds == rhs.ageMicroseconds))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(nextEvent == rhs.nextEvent))
+      return false;
+    if (__isset.clockMilliseconds != rhs.__isset.clockMilliseconds)
+      return false;
+    else if (__isset.clockMilliseconds && !(clockMilliseconds == rhs.clockMilliseconds))
+      return false;
+    if (!(scopes == rhs.scopes))
+      return false;
+    if (!(events == rhs.events))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayedStoreRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayedStoreRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayedStoreRecord &a, RelayedStoreRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayedStoreRecord& obj);
+
+typedef struct _RelayReplyRecord__isset {
+  _RelayReplyRecord__isset() : config(false), serversNext(false), serversGap(false), serversAgeMicroseconds(false), servers(false), stores(false), more(false) {}
+  bool config :1;
+  bool serversNext :1;
+  bool serversGap :1;
+  bool serversAgeMicroseconds :1;
+  bool servers :1;
+  bool stores :1;
+  bool more :1;
+} _RelayReplyRecord__isset;
+
+class RelayReplyRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayReplyRecord(const RelayReplyRecord&);
+  RelayReplyRecord& operator=(const RelayReplyRecord&);
+  RelayReplyRecord() noexcept
+                   : serversNext(0),
+                     serversGap(0),
+                     serversAgeMicroseconds(0),
+                     more(0) {
+  }
+
+  virtual ~RelayReplyRecord() noexcept;
+  ConfigStatementRecord config;
+  int64_t serversNext;
+  bool serversGap;
+  int64_t serversAgeMicroseconds;
+  std::vector<RelayedServerRecord>  servers;
+  std::vector<RelayedStoreRecord>  stores;
+  bool more;
+
+  _RelayReplyRecord__isset __isset;
+
+  void __set_config(const ConfigStatementRecord& val);
+
+  void __set_serversNext(const int64_t val);
+
+  void __set_serversGap(const bool val);
+
+  void __set_serversAgeMicroseconds(const int64_t val);
+
+  void __set_servers(const std::vector<RelayedServerRecord> & val);
+
+  void __set_stores(const std::vector<RelayedStoreRecord> & val);
+
+  void __set_more(const bool val);
+
+  bool operator == (const RelayReplyRecord & rhs) const
+  {
+    if (!(config == rhs.config))
+      return false;
+    if (!(serversNext == rhs.serversNext))
+      return false;
+    if (!(serversGap == rhs.serversGap))
+      return false;
+    if (__isset.serversAgeMicroseconds != rhs.__isset.serversAgeMicroseconds)
+      return false;
+    else if (__isset.serversAgeMicroseconds && !(serversAgeMicroseconds == rhs.serversAgeMicroseconds))
+      return false;
+    if (!(servers == rhs.servers))
+      return false;
+    if (!(stores == rhs.stores))
+      return false;
+    if (!(more == rhs.more))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayReplyRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayReplyRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayReplyRecord &a, RelayReplyRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayReplyRecord& obj);
+
 
 class PeerAckRecord : public virtual ::apache::thrift::TBase {
  public:
@@ -1111,7 +1527,7 @@
 std::ostream& operator<<(std::ostream& out, const PeerAckRecord& obj);
 
 typedef struct _PeerFrameRecord__isset {
-  _PeerFrameRecord__isset() : id(false), answer(false), hello(false), gossip(false), creditAsk(false), creditReply(false), creditBack(false), suspectAsk(false), suspectReply(false), suspectBack(false), configAsk(false), configReply(false), ack(false) {}
+  _PeerFrameRecord__isset() : id(false), answer(false), hello(false), gossip(false), creditAsk(false), creditReply(false), creditBack(false), suspectAsk(false), suspectReply(false), suspectBack(false), configAsk(false), configReply(false), ack(false), relayAsk(false), relayReply(false) {}
   bool id :1;
   bool answer :1;
   bool hello :1;
@@ -1125,6 +1541,8 @@
   bool configAsk :1;
   bool configReply :1;
   bool ack :1;
+  bool relayAsk :1;
+  bool relayReply :1;
 } _PeerFrameRecord__isset;
 
 class PeerFrameRecord : public virtual ::apache::thrift::TBase {
@@ -1151,6 +1569,8 @@
   ConfigAskRecord configAsk;
   ConfigReplyRecord configReply;
   PeerAckRecord ack;
+  RelayAskRecord relayAsk;
+  RelayReplyRecord relayReply;
 
   _PeerFrameRecord__isset __isset;
 
@@ -1180,6 +1600,10 @@
 
   void __set_ack(const PeerAckRecord& val);
 
+  void __set_relayAsk(const RelayAskRecord& val);
+
+  void __set_relayReply(const RelayReplyRecord& val);
+
   bool operator == (const PeerFrameRecord & rhs) const
   {
     if (!(id == rhs.id))
@@ -1230,6 +1654,14 @@
       return false;
     else if (__isset.ack && !(ack == rhs.ack))
       return false;
+    if (__isset.relayAsk != rhs.__isset.relayAsk)
+      return false;
+    else if (__isset.relayAsk && !(relayAsk == rhs.relayAsk))
+      return false;
+    if (__isset.relayReply != rhs.__isset.relayReply)
+      return false;
+    else if (__isset.relayReply && !(relayReply == rhs.relayReply))
+      return false;
     return true;
   }
   bool operator != (const PeerFrameRecord &rhs) const {
--- a/packages/wire/idl/peer.thrift
+++ b/packages/wire/idl/peer.thrift
@@ -114,6 +114,51 @@
   2: binary state,
 }
 
+struct StoreCursorRecord {
+  1: i32 store,
+  2: i64 epoch,
+  3: i64 nextEvent,
+}
+
+struct RelayAskRecord {
+  1: i64 serversNext,
+  2: list<string> unconfirmed,
+  3: list<StoreCursorRecord> stores,
+}
+
+struct RelayedServerRecord {
+  1: string key,
+  2: optional binary value,
+  3: i64 lapsedForMicroseconds,
+}
+
+struct PartEventRecord {
+  1: i32 scope,
+  2: string part,
+  3: i64 tokens, // Negative: the part was freed.
+}
+
+struct RelayedStoreRecord {
+  1: i32 store,
+  2: bool whole,
+  3: i64 ageMicroseconds,
+  4: i64 epoch,
+  5: i64 nextEvent,
+  6: optional i64 clockMilliseconds,
+  7: list<string> scopes,
+  8: list<PartEventRecord> events,
+}
+
+struct RelayReplyRecord {
+  1: ConfigStatementRecord config,
+  2: i64 serversNext,
+  3: bool serversGap,
+  4: optional i64 serversAgeMicroseconds,
+  5: list<RelayedServerRecord> servers,
+  6: list<RelayedStoreRecord> stores,
+  7: bool more,
+}
+
 struct PeerAckRecord {
 }
 
@@ -132,4 +177,6 @@
   11: optional ConfigAskRecord configAsk,
   12: optional ConfigReplyRecord configReply,
   13: optional PeerAckRecord ack,
+  14: optional RelayAskRecord relayAsk,
+  15: optional RelayReplyRecord relayReply,
 }
--- a/packages/wire/include/endivespan/peer_message.h
+++ b/packages/wire/include/endivespan/peer_message.h
@@ -3,6 +3,7 @@
 #include <endivespan/credit.h>
 #include <endivespan/error.h>
 #include <endivespan/gossip.h>
+#include <endivespan/relay.h>
 #include <endivespan/suspect.h>
 
 #include <cstdint>
@@ -112,6 +113,8 @@
                                  SuspectBack,
                                  ConfigAsk,
                                  ConfigReply,
+                                 RelayAsk,
+                                 RelayReply,
                                  PeerAck>;
 
 /// One message on a connection.
--- a/packages/wire/src/gossip_codec.cpp
+++ b/packages/wire/src/gossip_codec.cpp
@@ -96,7 +96,9 @@
     return record;
 }
 
-gen::ConfigStatementRecord pack(const ConfigStatement &statement)
+} // namespace
+
+gen::ConfigStatementRecord packStatement(const ConfigStatement &statement)
 {
     gen::ConfigStatementRecord record;
     record.offset = toSigned(statement.offset);
@@ -109,7 +111,7 @@
     return record;
 }
 
-ConfigStatement unpack(const gen::ConfigStatementRecord &record)
+ConfigStatement unpackStatement(const gen::ConfigStatementRecord &record)
 {
     ConfigStatement statement;
     statement.offset = toUnsigned(record.offset);
@@ -122,8 +124,6 @@
     return statement;
 }
 
-} // namespace
-
 std::string packFingerprint(const Fingerprint &fingerprint)
 {
     return {fingerprint.bytes.begin(), fingerprint.bytes.end()};
@@ -159,7 +159,7 @@
         record.suspicions.push_back(pack(suspicion));
     }
     if (message.config) {
-        record.__set_config(pack(*message.config));
+        record.__set_config(packStatement(*message.config));
     }
     return record;
 }
@@ -190,7 +190,7 @@
         message.suspicions.push_back(std::move(suspicion));
     }
     if (record.__isset.config) {
-        message.config = unpack(record.config);
+        message.config = unpackStatement(record.config);
     }
     return message;
 }
--- a/packages/wire/src/gossip_codec_p.h
+++ b/packages/wire/src/gossip_codec_p.h
@@ -15,6 +15,9 @@
 /// @returns the message, or nothing when a field is out of range.
 std::optional<GossipMessage> unpackGossip(const gen::GossipRecord &record);
 
+gen::ConfigStatementRecord packStatement(const ConfigStatement &statement);
+ConfigStatement unpackStatement(const gen::ConfigStatementRecord &record);
+
 std::string packFingerprint(const Fingerprint &fingerprint);
 
 /// @returns the fingerprint, or nothing for bytes of another size.
--- a/packages/wire/src/peer_codec.cpp
+++ b/packages/wire/src/peer_codec.cpp
@@ -1,5 +1,6 @@
 #include "gossip_codec_p.h"
 #include "peer_types.h"
+#include "relay_codec_p.h"
 #include "thrift_p.h"
 
 #include <endivespan/peer_message.h>
@@ -112,6 +113,16 @@
         this->frame.__set_configReply(record);
     }
 
+    void operator()(const RelayAsk &message) const
+    {
+        this->frame.__set_relayAsk(packRelayAsk(message));
+    }
+
+    void operator()(const RelayReply &message) const
+    {
+        this->frame.__set_relayReply(packRelayReply(message));
+    }
+
     void operator()(const PeerAck &) const
     {
         this->frame.__set_ack({});
@@ -185,6 +196,13 @@
     if (set.configReply) {
         return ConfigReply {toUnsigned(frame.configReply.offset), frame.configReply.state};
     }
+    if (set.relayAsk) {
+        return unpackRelayAsk(frame.relayAsk);
+    }
+    if (set.relayReply) {
+        auto reply = unpackRelayReply(frame.relayReply);
+        return reply ? std::optional<PeerMessage>(std::move(*reply)) : std::nullopt;
+    }
     return set.ack ? std::optional<PeerMessage>(PeerAck {}) : std::nullopt;
 }
 
--- /dev/null
+++ b/packages/wire/src/relay_codec.cpp
@@ -0,0 +1,157 @@
+#include "relay_codec_p.h"
+
+#include "gossip_codec_p.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace endivespan {
+
+namespace {
+
+std::int64_t toSigned(std::uint64_t value)
+{
+    return static_cast<std::int64_t>(value);
+}
+
+std::uint64_t toUnsigned(std::int64_t value)
+{
+    return static_cast<std::uint64_t>(value);
+}
+
+// What a peer says was some time ago; a negative age could make old facts look fresh.
+Duration unpackAge(std::int64_t microseconds)
+{
+    return std::max(Duration(microseconds), Duration::zero());
+}
+
+gen::RelayedStoreRecord pack(const RelayedStore &store)
+{
+    gen::RelayedStoreRecord record;
+    record.store = static_cast<std::int32_t>(store.store);
+    record.whole = store.whole;
+    record.ageMicroseconds = store.age.count();
+    record.epoch = toSigned(store.events.epoch);
+    record.nextEvent = toSigned(store.events.next);
+    if (store.events.clock) {
+        record.__set_clockMilliseconds(store.events.clock->count());
+    }
+    // Few scopes hold many parts.
+    std::map<std::string, std::int32_t> scopes;
+    for (const StoreEvent &event : store.events.events) {
+        const auto [place, isNew] = scopes.try_emplace(event.part.scope, static_cast<std::int32_t>(scopes.size()));
+        if (isNew) {
+            record.scopes.push_back(event.part.scope);
+        }
+        gen::PartEventRecord part;
+        part.scope = place->second;
+        part.part = event.part.id;
+        part.tokens = event.stored ? toSigned(event.tokens) : -1;
+        record.events.push_back(std::move(part));
+    }
+    return record;
+}
+
+std::optional<RelayedStore> unpack(const gen::RelayedStoreRecord &record)
+{
+    RelayedStore store;
+    store.store = static_cast<std::uint32_t>(record.store);
+    store.whole = record.whole;
+    store.age = unpackAge(record.ageMicroseconds);
+    store.events.epoch = toUnsigned(record.epoch);
+    store.events.next = toUnsigned(record.nextEvent);
+    if (record.__isset.clockMilliseconds) {
+        store.events.clock = std::chrono::milliseconds(record.clockMilliseconds);
+    }
+    for (const gen::PartEventRecord &part : record.events) {
+        if (part.scope < 0 || static_cast<std::size_t>(part.scope) >= record.scopes.size()) {
+            return std::nullopt;
+        }
+        store.events.events.push_back({{record.scopes[static_cast<std::size_t>(part.scope)], part.part},
+                                       part.tokens >= 0,
+                                       toUnsigned(std::max<std::int64_t>(part.tokens, 0))});
+    }
+    return store;
+}
+
+} // namespace
+
+gen::RelayAskRecord packRelayAsk(const RelayAsk &ask)
+{
+    gen::RelayAskRecord record;
+    record.serversNext = toSigned(ask.serversNext);
+    record.unconfirmed = ask.unconfirmed;
+    for (const StoreCursor &cursor : ask.stores) {
+        gen::StoreCursorRecord packed;
+        packed.store = static_cast<std::int32_t>(cursor.store);
+        packed.epoch = toSigned(cursor.epoch);
+        packed.nextEvent = toSigned(cursor.next);
+        record.stores.push_back(packed);
+    }
+    return record;
+}
+
+RelayAsk unpackRelayAsk(const gen::RelayAskRecord &record)
+{
+    RelayAsk ask;
+    ask.serversNext = toUnsigned(record.serversNext);
+    ask.unconfirmed = record.unconfirmed;
+    for (const gen::StoreCursorRecord &cursor : record.stores) {
+        ask.stores.push_back(
+            {static_cast<std::uint32_t>(cursor.store), toUnsigned(cursor.epoch), toUnsigned(cursor.nextEvent)});
+    }
+    return ask;
+}
+
+gen::RelayReplyRecord packRelayReply(const RelayReply &reply)
+{
+    gen::RelayReplyRecord record;
+    record.config = packStatement(reply.config);
+    record.serversNext = toSigned(reply.serversNext);
+    record.serversGap = reply.serversGap;
+    if (reply.serversAge) {
+        record.__set_serversAgeMicroseconds(reply.serversAge->count());
+    }
+    for (const RelayedServer &server : reply.servers) {
+        gen::RelayedServerRecord packed;
+        packed.key = server.key;
+        if (server.value) {
+            packed.__set_value(*server.value);
+        }
+        packed.lapsedForMicroseconds = server.lapsedFor.count();
+        record.servers.push_back(std::move(packed));
+    }
+    for (const RelayedStore &store : reply.stores) {
+        record.stores.push_back(pack(store));
+    }
+    record.more = reply.more;
+    return record;
+}
+
+std::optional<RelayReply> unpackRelayReply(const gen::RelayReplyRecord &record)
+{
+    RelayReply reply;
+    reply.config = unpackStatement(record.config);
+    reply.serversNext = toUnsigned(record.serversNext);
+    reply.serversGap = record.serversGap;
+    if (record.__isset.serversAgeMicroseconds) {
+        reply.serversAge = unpackAge(record.serversAgeMicroseconds);
+    }
+    for (const gen::RelayedServerRecord &server : record.servers) {
+        reply.servers.push_back({server.key,
+                                 server.__isset.value ? std::optional(server.value) : std::nullopt,
+                                 unpackAge(server.lapsedForMicroseconds)});
+    }
+    for (const gen::RelayedStoreRecord &packed : record.stores) {
+        auto store = unpack(packed);
+        if (!store) {
+            return std::nullopt;
+        }
+        reply.stores.push_back(std::move(*store));
+    }
+    reply.more = record.more;
+    return reply;
+}
+
+} // namespace endivespan
--- /dev/null
+++ b/tests/core/engine_pools.cpp
@@ -0,0 +1,222 @@
+#include <endivespan/engine_model.h>
+#include <endivespan/placement.h>
+#include <endivespan/rollout.h>
+#include <endivespan/server_table.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+using namespace endivespan;
+using namespace std::chrono_literals;
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+namespace {
+
+constexpr TimePoint Start {std::chrono::hours(1)};
+
+/// Engines of one pool, and how they load weights.
+struct PoolKind {
+    std::size_t engines;
+    std::size_t knee; ///< More loads at once take longer each.
+    Duration load;
+    Duration bound; ///< On older weights.
+};
+
+ServerTable poolOf(std::size_t count)
+{
+    ServerTable table;
+    for (std::size_t i = 0; i < count; ++i) {
+        ServerEntry entry;
+        entry.id = "e" + std::to_string(i);
+        entry.service = "llm";
+        entry.address = "10.0.0.1:80";
+        entry.domain = "z";
+        entry.born = 1000;
+        entry.heartbeat = 1;
+        entry.slots = 16;
+        entry.weights["m"] = 1;
+        table.learn(entry, Start);
+    }
+    return table;
+}
+
+struct RolloutResult {
+    Duration time {};
+    std::size_t mostAway = 0;
+};
+
+/// Plays a rollout of two versions that are named 4 s apart; some answers are lost and one engine is silent at first.
+RolloutResult playRollout(const PoolKind &pool, std::uint32_t seed)
+{
+    struct Engine {
+        EngineState state;
+        TimePoint runsEnd; ///< Then the load begins.
+        double left = 0; ///< Milliseconds of loading, alone.
+    };
+    std::mt19937 random(seed);
+    ServerTable table = poolOf(pool.engines);
+    std::map<std::string, Engine> engines;
+    for (const auto &[id, view] : table.servers()) {
+        engines[id].state.weights["m"] = 1;
+    }
+    Rollout rollout({pool.bound / 2, config::StartEngineAway});
+    rollout.setTargets({{"m", 2}});
+    constexpr Duration Step = 20ms;
+    RolloutResult result;
+    TimePoint now = Start;
+    for (; now < Start + 60s && (now < Start + 4s || rollout.isNeeded(table, now)); now += Step) {
+        if (now >= Start + 4s) {
+            rollout.setTargets({{"m", 3}});
+        }
+        const auto loading = std::count_if(engines.begin(), engines.end(), [now](const auto &entry) {
+            return entry.second.state.busy && now >= entry.second.runsEnd;
+        });
+        const double slower = std::max(1.0, static_cast<double>(loading) / static_cast<double>(pool.knee));
+        std::size_t away = 0;
+        for (auto &[id, engine] : engines) {
+            away += engine.state.busy ? 1 : 0;
+            if (!engine.state.busy || now < engine.runsEnd) {
+                continue;
+            }
+            engine.left -= Milliseconds(Step).count() / slower;
+            if (engine.left <= 0) {
+                engine.state.busy = false;
+                ServerEntry entry = table.find(id)->entry;
+                ++entry.heartbeat;
+                entry.weights = engine.state.weights;
+                table.learn(entry, now);
+            }
+        }
+        result.mostAway = std::max(result.mostAway, away);
+        for (const RolloutStep &step : rollout.next(table, now)) {
+            const std::string &id = step.order.server;
+            Engine &engine = engines[id];
+            const bool lost = random() % 20 == 0 || (id == "e0" && now < Start + 3s);
+            if (step.kind == RolloutStep::Kind::Ask) {
+                rollout.answered(id, lost ? std::nullopt : std::optional(engine.state), now);
+                continue;
+            }
+            const bool accepted = !engine.state.busy && step.order.expected == engine.state.ordersAccepted;
+            if (accepted) {
+                engine.state.busy = true;
+                ++engine.state.ordersAccepted;
+                engine.state.weights["m"] = step.order.version;
+                engine.runsEnd = now + std::chrono::milliseconds(random() % 600);
+                engine.left = Milliseconds(pool.load).count();
+            }
+            rollout.ordered(id, lost ? std::nullopt : std::optional(accepted), now);
+        }
+    }
+    result.time = now - Start;
+    return result;
+}
+
+/// Feeds first tokens of prompts of three sizes, as engines with these figures take them, some of them queued.
+EngineModel learned(double tokensPerMillisecond, std::size_t prompts, std::uint32_t seed)
+{
+    EngineModel model;
+    std::mt19937 random(seed);
+    std::lognormal_distribution<double> queue(1.0, 1.2); // Milliseconds.
+    std::lognormal_distribution<double> spread(0.0, 0.6);
+    for (std::size_t i = 0; i < prompts; ++i) {
+        constexpr std::array<double, 3> Means {180, 500, 2900};
+        const double own = Means.at(random() % 3) * spread(random);
+        const bool isCached = random() % 4 != 0;
+        const double read = own + (isCached ? 0 : 3 * own);
+        const double time = 12 + read / tokensPerMillisecond + 4 * queue(random);
+        model.firstToken(static_cast<std::uint64_t>(own),
+                         static_cast<std::uint64_t>(4 * own),
+                         std::chrono::duration_cast<Duration>(Milliseconds(time)));
+    }
+    return model;
+}
+
+} // namespace
+
+// Replays new weights on pools of any size, each with the number of loads at once beyond which loads only get slower.
+TEST_CASE("rollout: pools of any size change within the bound while three quarters of their engines serve")
+{
+    const std::vector<PoolKind> pools {{12, 2, 1100ms, 12s},
+                                       {18, 3, 970ms, 10s},
+                                       {112, 22, 1100ms, 15s},
+                                       {140, 28, 970ms, 12s},
+                                       {204, 40, 970ms, 12s},
+                                       {620, 120, 970ms, 12s}};
+    for (const PoolKind &pool : pools) {
+        for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+            CAPTURE(pool.engines);
+            CAPTURE(seed);
+            const RolloutResult result = playRollout(pool, seed);
+            // The second version is named after 4 s and has the whole bound of its own.
+            CHECK(result.time < 4s + pool.bound);
+            CHECK(result.mostAway <= (pool.engines + 3) / 4);
+        }
+    }
+}
+
+TEST_CASE("rollout: engines that load for long do not take more of the pool away than may be missing")
+{
+    const RolloutResult result = playRollout({40, 10, 3s, 20s}, 1);
+    CHECK(result.mostAway <= 10);
+    CHECK(result.time < 24s);
+}
+
+// Kinds of engines that the first deployments do not have, too.
+TEST_CASE("engine model: the reading rate is learnt from answers, whatever the engines")
+{
+    for (const double rate : {125.0, 54.6, 20.0}) {
+        CAPTURE(rate);
+        for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+            const double seen = learned(rate, 600, seed).rates().prefillTokensPerMillisecond;
+            CHECK(seen > rate / 2);
+            CHECK(seen < rate * 2);
+        }
+    }
+}
+
+TEST_CASE("engine model: nothing is concluded from prompts of one size, and the guesses stand until then")
+{
+    EngineModel model;
+    for (int i = 0; i < 200; ++i) {
+        model.firstToken(500, 2000, 30ms);
+    }
+    CHECK(model.rates().prefillTokensPerMillisecond == config::StartPrefillTokensPerMillisecond);
+    CHECK(model.rates().promptTokens < config::StartPromptTokens);
+}
+
+TEST_CASE("engine model: a single slow or failing engine does not mislead it")
+{
+    EngineModel model = learned(100, 600, 1);
+    const double before = model.rates().prefillTokensPerMillisecond;
+    for (int i = 0; i < 20; ++i) {
+        model.firstToken(2900, 12000, 8s);
+    }
+    const double after = model.rates().prefillTokensPerMillisecond;
+    CHECK(after > before / 2);
+}
+
+TEST_CASE("placement: quick engines make up for a prompt that is elsewhere, slow ones do not")
+{
+    ServerTable table = poolOf(8);
+    const auto placement = makeExpectedStartPlacement();
+    const auto leavesHome = [&](double rate) {
+        PlacementNeed need;
+        need.service = "llm";
+        need.model = "m";
+        need.prefixHash = 77;
+        need.sharedTokens = 2000;
+        need.ownTokens = 100;
+        need.domain = "z";
+        need.rates.prefillTokensPerMillisecond = rate;
+        const std::string home = placement->choose(table, need, 1, Start).server;
+        table.reported(home, {20, 0, 16}, Start);
+        const std::string next = placement->choose(table, need, 1, Start).server;
+        table.reported(home, {0, 0, 16}, Start);
+        return next != home;
+    };
+    CHECK(leavesHome(125));
+    CHECK_FALSE(leavesHome(20));
+}
--- a/tests/core/forward.cpp
+++ b/tests/core/forward.cpp
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr TimePoint Start {std::chrono::hours(1)};
+const RolloutPace Pace {5s, 1400ms};
 
 ServerEntry engine(const std::string &id, std::uint64_t weights = 1, std::uint64_t heartbeat = 1)
 {
@@ -314,7 +315,7 @@
         for (const auto &[id, view] : table.servers()) {
             engines[id].weights["m"] = 1;
         }
-        Rollout rollout(5);
+        Rollout rollout(RolloutPace {5s, 1400ms});
         rollout.setTargets({{"m", 2}});
         TimePoint now = Start;
         for (; now < Start + 60s && rollout.isNeeded(table, now); now += 50ms) {
@@ -416,9 +417,9 @@
         table.reported(id, {60, 10, 64}, Start);
     }
     std::vector<bool> placed;
-    for (const double mostWaiting : config::EngineWaiting) {
+    for (const double share : config::EngineWaitingShares) {
         PlacementNeed need = promptNeed(3);
-        need.mostWaiting = mostWaiting;
+        need.mostWaiting = share * 64;
         placed.push_back(!placement->choose(table, need, 0, Start).server.empty());
         CHECK_FALSE(placement->choose(table, need, 0, Start + 2s).server.empty());
     }
@@ -433,8 +434,8 @@
     table.reported("e0", {40, 0, 64}, Start);
     table.reported("e1", {12, 0, 64}, Start);
     PlacementNeed need = promptNeed(3);
-    need.tokensPerRun = 5000;
-    need.memoryTokens = 20 * need.tokensPerRun + static_cast<double>(need.sharedTokens + need.ownTokens);
+    need.rates.tokensPerRun = 5000;
+    need.memoryTokens = 20 * need.rates.tokensPerRun + static_cast<double>(need.sharedTokens + need.ownTokens);
     for (std::uint64_t prefix = 0; prefix < 50; ++prefix) {
         need.prefixHash = prefix;
         CHECK(placement->choose(table, need, prefix, Start).server == "e1");
@@ -453,10 +454,10 @@
     table.reported("e0", {64, 32, 64}, Start);
     table.reported("e1", {64, 32, 64}, Start);
     PlacementNeed need = promptNeed(3);
-    need.tokensPerRun = 5000;
+    need.rates.tokensPerRun = 5000;
     need.memoryTokens = 100'000;
     need.hosts = 12;
-    need.runTime = 3s;
+    need.rates.runTime = 3s;
     for (Duration age {}; age <= config::CrowdReportTime; age += 100ms) {
         CHECK(placement->choose(table, need, 0, Start + age).server.empty());
     }
@@ -476,10 +477,10 @@
 {
     const auto placement = makeExpectedStartPlacement();
     PlacementNeed need = promptNeed(3);
-    need.tokensPerRun = 5000;
+    need.rates.tokensPerRun = 5000;
     need.memoryTokens = 100'000;
     need.hosts = 12;
-    need.runTime = 1s;
+    need.rates.runTime = 1s;
     int sent = 0;
     for (std::size_t host = 0; host < need.hosts; ++host) {
         ServerTable table = enginePool(1);
@@ -535,7 +536,7 @@
     const auto placement = makeExpectedStartPlacement();
     ServerTable table = enginePool(1);
     PlacementNeed need = promptNeed(3);
-    need.tokensPerRun = 5000;
+    need.rates.tokensPerRun = 5000;
     need.memoryTokens = 100'000;
     need.hosts = 400;
     table.started("e0", 2500, Start);
@@ -548,12 +549,12 @@
     const auto placement = makeExpectedStartPlacement();
     const ServerTable table = enginePool(12);
     const auto order = rolloutOrder(table, "m", 2);
-    const auto soon = std::vector<std::string>(order.begin() + config::EnginesLoadingAtOnce, order.begin() + 8);
+    const auto soon = std::vector<std::string>(order.begin() + static_cast<std::ptrdiff_t>(Pace.atOnce(12)), order.begin() + 7);
     const auto placedSoon = [&](std::uint64_t answerTokens) {
         int count = 0;
         for (std::uint64_t prefix = 0; prefix < 300; ++prefix) {
             PlacementNeed need = promptNeed(prefix);
-            need.loadingNext = rolloutPlaces(table, "m", 2);
+            need.loadingNext = rolloutQueue(table, "m", 2, Pace);
             need.answerTokens = answerTokens;
             const std::string chosen = placement->choose(table, need, prefix, Start).server;
             count += std::find(soon.begin(), soon.end(), chosen) == soon.end() ? 0 : 1;
@@ -571,7 +572,7 @@
     ServerTable table = enginePool(1);
     table.reported("e0", {18, 0, 64}, Start);
     PlacementNeed need = promptNeed(3);
-    need.tokensPerRun = 5000;
+    need.rates.tokensPerRun = 5000;
     need.memoryTokens = 100'000;
     need.sharedTokens = 9000;
     need.ownTokens = 2900;
@@ -587,7 +588,7 @@
     const auto placement = makeExpectedStartPlacement();
     ServerTable table = enginePool(1);
     PlacementNeed need = promptNeed(3);
-    need.tokensPerRun = 5000;
+    need.rates.tokensPerRun = 5000;
     need.memoryTokens = 100'000;
     need.hosts = 12;
     need.ownTokens = 110'000;
@@ -603,7 +604,7 @@
     std::map<std::string, int> chosen;
     for (std::uint64_t prefix = 0; prefix < 300; ++prefix) {
         PlacementNeed need = promptNeed(prefix);
-        need.loadingNext = rolloutPlaces(table, "m", 2);
+        need.loadingNext = rolloutQueue(table, "m", 2, Pace);
         ++chosen[placement->choose(table, need, prefix, Start).server];
     }
     for (const std::string &id : rolloutOrder(table, "m", 2)) {
--- a/tests/core/shared_store.cpp
+++ b/tests/core/shared_store.cpp
@@ -102,6 +102,7 @@
 // Replays new weights on a pool whose stores are full of parts of the old ones, which most engines still run.
 TEST_CASE("parts of old weights end one after the other, and none is freed while a host may fetch it")
 {
+    constexpr Duration Span = 6s;
     SharedStores stores = freshStores();
     std::vector<PlannedPart> parts;
     for (int i = 0; i < 40; ++i) {
@@ -109,21 +110,21 @@
         (void)stores.answered(Stores[0].address, stored(1, i, {"old", parts.back().id}, 10), Start);
     }
     const auto fetched = [&](Duration since) {
-        const TransferPlan plan = stores.plan("old", parts, "z1", since, Start);
+        const TransferPlan plan = stores.plan("old", parts, "z1", ReplacedWeights {since, Span}, Start);
         CHECK(std::all_of(plan.save.begin(), plan.save.end(), [](const auto &place) { return place.empty(); }));
         return std::count_if(plan.fetch.begin(), plan.fetch.end(), [](const auto &place) { return !place.empty(); });
     };
     CHECK(fetched(0ms) == 40);
-    CHECK(fetched(config::OldPartsSpan / 2) > 10);
-    CHECK(fetched(config::OldPartsSpan / 2) < 30);
-    CHECK(fetched(config::OldPartsSpan) == 0);
-    CHECK(rc::check([] {
+    CHECK(fetched(Span / 2) > 10);
+    CHECK(fetched(Span / 2) < 30);
+    CHECK(fetched(Span) == 0);
+    CHECK(rc::check([Span] {
         const auto id = *rc::gen::nonEmpty<std::string>();
-        RC_ASSERT(oldPartUse(id) >= Duration::zero());
-        RC_ASSERT(oldPartUse(id) < config::OldPartsSpan);
+        RC_ASSERT(oldPartUse(id, Span) >= Duration::zero());
+        RC_ASSERT(oldPartUse(id, Span) < Span);
         // A host that hears of the new weights as late as it may still fetch, with the longest fetch that it may begin.
-        const Duration lastFetch = config::TransferFreshness + oldPartUse(id) + config::StoreViewTime;
-        RC_ASSERT(oldPartUse(id) + config::OldPartsFree > lastFetch);
+        const Duration lastFetch = config::TransferFreshness + oldPartUse(id, Span) + config::StoreViewTime;
+        RC_ASSERT(oldPartUse(id, Span) + config::OldPartsFree > lastFetch);
     }));
 }
 
