--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -32,6 +32,7 @@
     double memoryTokens = 0; ///< Of an engine's memory, for requests this urgent; 0 for no bound.
     EngineRates rates; ///< Of the engines.
     std::size_t hosts = 1; ///< That send to the same servers.
+    double meanRequests = 0; ///< At a server of the pool.
     std::set<std::string> tried; ///< Servers that have had the request.
 };
 
--- a/packages/core/include/endivespan/relay.h
+++ b/packages/core/include/endivespan/relay.h
@@ -26,11 +26,23 @@
     bool operator==(const StoreCursor &) const = default;
 };
 
+/// What a server said of its load, to some host.
+struct RelayedLoad {
+    std::uint32_t server = 0; ///< shortIdOf() it.
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    Duration age {};
+
+    bool operator==(const RelayedLoad &) const = default;
+};
+
 /// Asks a host for what it knows beyond what the asking one does.
 struct RelayAsk {
     std::uint64_t serversNext = 0; ///< Offset up to which the list of servers is known.
     std::vector<std::string> unconfirmed; ///< Servers whose latest heartbeat is wanted.
     std::vector<StoreCursor> stores;
+    Duration sinceLast {}; ///< Since the asking host was last answered: it lacks loads that were learnt within it.
+    std::vector<RelayedLoad> loads; ///< That servers told the asking host meanwhile.
 
     bool operator==(const RelayAsk &) const = default;
 };
@@ -60,12 +72,17 @@
     std::optional<Duration> serversAge; ///< Since the list was read; nothing before.
     std::vector<RelayedServer> servers;
     std::vector<RelayedStore> stores;
+    std::vector<RelayedLoad> loads;
     bool more = false; ///< Cut short: ask again at once.
 };
 
 /// @returns a short number for a store, the same on every host.
 std::uint32_t storeIdOf(const std::string &address);
 
+/// @returns the loads that this host has learnt since @p since.
+/// @param ownOnly Only those that servers told this host itself.
+std::vector<RelayedLoad> loadsSince(const ServerTable &servers, TimePoint since, bool ownOnly, TimePoint now);
+
 /// @returns the hosts that may read for @p self and those near it, in the order in which they do; @p self is one of
 ///     them. They share its failure domain, and large domains are split into several groups.
 std::vector<std::string> readerOrder(const Membership &membership);
--- a/packages/core/include/endivespan/server_table.h
+++ b/packages/core/include/endivespan/server_table.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 /// The backend servers that forwarded requests may go to, and what is believed of each.
@@ -57,8 +58,11 @@
     std::uint32_t streams = 0; ///< Own attempts whose answer has begun and goes on.
     TimePoint heardAt; ///< When any byte of an answer came last.
     std::optional<ServerLoadReport> load;
-    TimePoint loadAt;
+    TimePoint loadAt; ///< When the server said so.
+    TimePoint loadLearnedAt; ///< When this host heard of it.
+    bool loadIsOwn = false; ///< Said in an answer to this host.
     std::uint32_t sentSinceLoad = 0;
+    TimePoint lastSentAt;
     double answered = 0; ///< Decaying counts of outcomes.
     double failed = 0;
     TimePoint countsAt;
@@ -73,6 +77,9 @@
     [[nodiscard]] bool isSilent(Duration time, TimePoint now) const;
 };
 
+/// @returns a short number for a server, the same on every host; two servers seldom share one.
+std::uint32_t shortIdOf(const ServerView &view);
+
 /// Bounds on cold servers for this host.
 struct ColdShare {
     double perSecond = 0; ///< Requests that this host may send to one cold server each second; 0 for no bound.
@@ -116,6 +123,12 @@
 
     void reported(const std::string &id, const ServerLoadReport &load, TimePoint now);
 
+    /// Takes what a server said of its load to another host at @p at. Older news than known is ignored.
+    void reportedElsewhere(std::uint32_t server, std::uint32_t running, std::uint32_t waiting, TimePoint at, TimePoint now);
+
+    /// @returns the mean number of requests at the servers of @p service that spoke of their load of late.
+    [[nodiscard]] double meanRequests(const std::string &service, TimePoint now) const;
+
     /// Takes a weight version that a server itself has named; the list lags.
     void saidWeights(const std::string &id, const std::string &model, std::uint64_t version);
 
@@ -133,6 +146,7 @@
 
 private:
     std::map<std::string, ServerView> views;
+    std::unordered_map<std::uint32_t, std::string> shortIds; ///< Ids by shortIdOf().
     std::set<std::string> evacuatedDomains;
 };
 
--- a/packages/core/include/endivespan/shared_store.h
+++ b/packages/core/include/endivespan/shared_store.h
@@ -73,12 +73,6 @@
     Duration excess {}; ///< Of a first token, for parts that come from there.
 };
 
-/// Weights that are being replaced by newer ones.
-struct ReplacedWeights {
-    Duration since {}; ///< The newer ones were named.
-    Duration span {}; ///< In which the pool changes.
-};
-
 /// One store as seen from here, to be passed on to other hosts.
 struct SharedStoreView {
     std::uint64_t epoch = 0;
@@ -88,10 +82,6 @@
     const std::map<ScopedPart, std::uint64_t> *held = nullptr; ///< Tokens by part; valid until the store answers next.
 };
 
-/// @returns how long after newer weights were named the part @p id of older ones may be fetched. Parts end one after
-///     the other within @p span, so that the stores go over to the new weights together with the engines.
-Duration oldPartUse(const std::string &id, Duration span);
-
 /// The stores as this host sees them. A store that starts again may be written anew, so that what is known of it only
 /// holds for a short time on the engines' clock, shorter than a store takes to start; each fetch is bound to that time.
 /// Answers a load of many long prefixes that return within seconds and that the engines' memory cannot hold.
@@ -126,11 +116,12 @@
 
     /// Plans the transfers of the parts that a prompt shares with others, and takes note of what it saves.
     /// @param domain Failure domain of the engine.
-    /// @param replaced Set once newer weights than those of the scope were named; nothing is saved then.
+    /// @param mayUse Set once newer weights than those of the scope were named: nothing is saved then, and only those
+    ///     parts are fetched for which it returns true.
     [[nodiscard]] TransferPlan plan(const std::string &scope,
                                     const std::vector<PlannedPart> &parts,
                                     const std::string &domain,
-                                    const std::optional<ReplacedWeights> &replaced,
+                                    const std::function<bool(const std::string &id)> &mayUse,
                                     TimePoint now);
 
     /// Takes how long a first token took beyond the reading of the own prompt, for an attempt that fetched from
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -38,16 +38,26 @@
     return std::max(0.0, 1.0 - age / Milliseconds(config::LoadReportStaleAfter).count());
 }
 
+// How many hosts an own request stands for. In a small fleet the others act alike; in a large one a host sends so seldom
+// to any one server that its own requests say little, and the mean of the pool says more.
+double hostsAlike(const PlacementNeed &need)
+{
+    const auto hosts = static_cast<double>(std::max<std::size_t>(need.hosts, 1));
+    return std::clamp(config::HostsAlikeMost * config::HostsAlikeMost / hosts, 1.0, std::min(hosts, config::HostsAlikeMost));
+}
+
 // Requests at the server: those reported, as far as they still run, and those sent since, as the other hosts do the
 // same. Without them all hosts would flood an engine that has just come free. Once a report is too old, the own share
 // stands for all: a swamped server answers seldom, and must not look empty before it can speak again.
-double requestsAt(const ServerView &view, const PlacementNeed &need, TimePoint now)
+double requestsAt(const ServerView &view, const PlacementNeed &need, double alike, TimePoint now)
 {
-    const auto hosts = static_cast<double>(std::min(need.hosts, config::HostsAlikeMost));
-    double estimate = view.inFlight * hosts;
+    const double unseen = need.meanRequests * (1 - alike / static_cast<double>(std::max<std::size_t>(need.hosts, 1)));
+    double estimate = view.inFlight * alike + unseen;
     if (const Duration age = now - view.loadAt; view.load && age <= config::CrowdReportTime) {
-        const double left = std::exp(-Milliseconds(age).count() / std::max(1.0, Milliseconds(need.rates.runTime).count()));
-        estimate = left * (view.load->running + view.load->waiting) + view.sentSinceLoad * hosts;
+        const double left
+            = std::exp(-Milliseconds(age).count() / std::max(1.0, Milliseconds(need.rates.runTime).count()));
+        const double reported = view.load->running + view.load->waiting;
+        estimate = left * reported + (1 - left) * unseen + view.sentSinceLoad * alike;
     }
     return std::max(estimate, static_cast<double>(view.inFlight));
 }
@@ -61,6 +71,9 @@
     if (requests < 1) {
         return false;
     }
+    if (need.mostWaiting > 0 && requests >= view.entry.slots + need.mostWaiting) {
+        return true;
+    }
     const double own = static_cast<double>(need.sharedTokens + need.ownTokens + need.answerTokens);
     return need.memoryTokens > 0 && requests * need.rates.tokensPerRun + own > need.memoryTokens;
 }
@@ -70,6 +83,7 @@
 PlacementChoice forEachCandidate(const ServerTable &table, const PlacementNeed &need, TimePoint now, Visit visit)
 {
     PlacementChoice choice;
+    const double alike = hostsAlike(need);
     for (const auto &[id, view] : table.servers()) {
         if (view.entry.service != need.service) {
             continue;
@@ -83,7 +97,7 @@
             continue;
         }
         ++choice.open;
-        const double requests = requestsAt(view, need, now);
+        const double requests = requestsAt(view, need, alike, now);
         const std::uint32_t mostInFlight = need.model.empty() ? view.entry.slots : need.mostInFlight;
         const bool hasRoom = ServerTable::hasColdRoom(view, need.cold, now) && !isCrowded(view, need, requests, now)
             && (mostInFlight == 0 || view.inFlight < mostInFlight);
@@ -123,6 +137,8 @@
         FirstRanks withRoom;
         FirstRanks all;
         Candidate best;
+        Candidate bestOfRest;
+        const std::uint64_t sampled = sampleBound(table.servers().size());
         const auto visit = [&](const ServerView &view, bool hasRoom, double requests) {
             Candidate candidate {&view, mix(need.prefixHash ^ view.idHash), 0};
             all.offer(candidate);
@@ -132,10 +148,12 @@
             // Less than a millisecond decides between equals.
             const double jitter = static_cast<double>(mix(random ^ candidate.rank) % 1000) / 1000.0;
             candidate.cost = costOf(view, need, requests, now) + jitter;
-            best = best.view == nullptr || candidate.cost < best.cost ? candidate : best;
+            Candidate &rival = mix(~random ^ view.idHash) <= sampled ? best : bestOfRest;
+            rival = rival.view == nullptr || candidate.cost < rival.cost ? candidate : rival;
             withRoom.offer(candidate);
         };
         PlacementChoice choice = forEachCandidate(table, need, now, visit);
+        best = best.view == nullptr ? bestOfRest : best;
         for (std::size_t place = 0; place < withRoom.first.size(); ++place) {
             Candidate candidate = withRoom.first.at(place);
             if (candidate.view != nullptr) {
@@ -175,6 +193,17 @@
         }
     };
 
+    // Hosts act on loads that are some tenths of a second old. If each took the best of a large pool, all would take the
+    // same server, so that each looks at a few servers of its own, besides those that may hold the prefix.
+    static std::uint64_t sampleBound(std::size_t servers)
+    {
+        const auto all = static_cast<double>(std::max<std::size_t>(servers, 1));
+        const double sample
+            = std::max(config::PlacementSampleLeast, config::PlacementSampleAll * config::PlacementSampleAll / all);
+        constexpr auto Most = std::numeric_limits<std::uint64_t>::max();
+        return sample >= all ? Most : static_cast<std::uint64_t>(sample / all * static_cast<double>(Most));
+    }
+
     // The first of the prefix's order with the same weights, unless that is the chosen one. A crowded one counts: it
     // need not run this request.
     static std::string likelyHolder(const FirstRanks &all, const ServerView &chosen)
--- a/packages/core/src/relay.cpp
+++ b/packages/core/src/relay.cpp
@@ -13,6 +13,18 @@
     return static_cast<std::uint32_t>(hashPrefix(0, address) >> 32U);
 }
 
+std::vector<RelayedLoad> loadsSince(const ServerTable &servers, TimePoint since, bool ownOnly, TimePoint now)
+{
+    std::vector<RelayedLoad> loads;
+    for (const auto &[id, view] : servers.servers()) {
+        const bool isMeant = view.load && view.loadLearnedAt >= since && (view.loadIsOwn || !ownOnly);
+        if (isMeant && now - view.loadAt <= config::CrowdReportTime) {
+            loads.push_back({shortIdOf(view), view.load->running, view.load->waiting, now - view.loadAt});
+        }
+    }
+    return loads;
+}
+
 std::vector<std::string> readerOrder(const Membership &membership)
 {
     const std::string &domain = membership.self().domain;
--- a/packages/core/src/server_table.cpp
+++ b/packages/core/src/server_table.cpp
@@ -27,6 +27,11 @@
     return bad / (bad + decayed(this->answered, age) + config::OutcomePrior);
 }
 
+std::uint32_t shortIdOf(const ServerView &view)
+{
+    return static_cast<std::uint32_t>(view.idHash);
+}
+
 bool ServerView::isSilent(Duration time, TimePoint now) const
 {
     return this->streams > 0 && now - this->heardAt > time;
@@ -60,6 +65,7 @@
     const auto weights = view.entry.born == entry.born ? view.entry.weights : entry.weights;
     view.entry = entry;
     view.idHash = hashPrefix(0, entry.id);
+    this->shortIds[shortIdOf(view)] = entry.id;
     for (const auto &[model, version] : weights) {
         std::uint64_t &listed = view.entry.weights[model];
         listed = std::max(listed, version);
@@ -99,6 +105,7 @@
 {
     std::erase_if(this->views,
                   [now](const auto &entry) { return entry.second.withdrawAt && *entry.second.withdrawAt <= now; });
+    std::erase_if(this->shortIds, [this](const auto &entry) { return !this->views.contains(entry.second); });
 }
 
 void ServerTable::started(const std::string &id, std::uint64_t prefillTokens, TimePoint now)
@@ -110,6 +117,7 @@
     ServerView &view = found->second;
     ++view.inFlight;
     ++view.sentSinceLoad;
+    view.lastSentAt = now;
     view.prefillTokens += prefillTokens;
     std::erase_if(view.coldSends, [now](TimePoint at) { return now - at >= config::ColdSendsKept; });
     if (isCold(view, now)) {
@@ -195,10 +203,42 @@
     if (const auto found = this->views.find(id); found != this->views.end()) {
         found->second.load = load;
         found->second.loadAt = now;
+        found->second.loadLearnedAt = now;
+        found->second.loadIsOwn = true;
         found->second.sentSinceLoad = 0;
     }
 }
 
+void ServerTable::reportedElsewhere(
+    std::uint32_t server, std::uint32_t running, std::uint32_t waiting, TimePoint at, TimePoint now)
+{
+    const auto id = this->shortIds.find(server);
+    const auto found = id == this->shortIds.end() ? this->views.end() : this->views.find(id->second);
+    if (found == this->views.end() || found->second.loadAt >= at) {
+        return;
+    }
+    ServerView &view = found->second;
+    view.load = {running, waiting, view.entry.slots};
+    view.loadAt = at;
+    view.loadLearnedAt = now;
+    view.loadIsOwn = false;
+    // Of those sent before, the server has counted all that it had received.
+    view.sentSinceLoad = view.lastSentAt > at ? std::min<std::uint32_t>(view.sentSinceLoad, 1) : 0;
+}
+
+double ServerTable::meanRequests(const std::string &service, TimePoint now) const
+{
+    double requests = 0;
+    double servers = 0;
+    for (const auto &[id, view] : this->views) {
+        if (view.entry.service == service && view.load && now - view.loadAt <= config::CrowdReportTime) {
+            requests += view.load->running + view.load->waiting;
+            servers += 1;
+        }
+    }
+    return servers > 0 ? requests / servers : 0;
+}
+
 void ServerTable::saidWeights(const std::string &id, const std::string &model, std::uint64_t version)
 {
     if (const auto found = this->views.find(id); found != this->views.end()) {
--- a/packages/core/src/shared_store.cpp
+++ b/packages/core/src/shared_store.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr std::uint64_t OldPartSeed = 1; // Another order than that of the stores.
-
 // At least 0 and less than 1.
 double rankOf(std::string_view id, std::uint64_t seed)
 {
@@ -21,11 +19,6 @@
 
 } // namespace
 
-Duration oldPartUse(const std::string &id, Duration span)
-{
-    return std::chrono::duration_cast<Duration>(rankOf(id, OldPartSeed) * span);
-}
-
 void SharedStores::setStores(const std::vector<ForwardStore> &stores)
 {
     std::set<std::string> present;
@@ -200,7 +193,7 @@
 TransferPlan SharedStores::plan(const std::string &scope,
                                 const std::vector<PlannedPart> &parts,
                                 const std::string &domain,
-                                const std::optional<ReplacedWeights> &replaced,
+                                const std::function<bool(const std::string &id)> &mayUse,
                                 TimePoint now)
 {
     TransferPlan plan;
@@ -208,7 +201,7 @@
     plan.save.resize(parts.size());
     for (std::size_t i = 0; i < parts.size(); ++i) {
         const ScopedPart part {scope, parts[i].id};
-        if (replaced && replaced->since > oldPartUse(part.id, replaced->span)) {
+        if (mayUse && !mayUse(part.id)) {
             continue;
         }
         if (const View *view = this->holder(part, domain, now)) {
@@ -223,7 +216,7 @@
             }
             continue;
         }
-        View *view = replaced ? nullptr : this->saver(part, parts[i].tokens, now);
+        View *view = mayUse ? nullptr : this->saver(part, parts[i].tokens, now);
         if (view == nullptr) {
             continue;
         }
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -79,7 +79,8 @@
                  this->relaySource,
                  this->operators,
                  this->membership,
-                 rolloutPace(this->settings.bounds).span)
+                 this->progress,
+                 this->serverFeed)
         , relay(RelayTaskParts {loop,
                                 this->events,
                                 this->metrics,
@@ -98,6 +99,8 @@
                                 this->operators,
                                 this->servers,
                                 this->sharedStores,
+                                this->progress,
+                                this->serverFeed,
                                 this->membership,
                                 this->confirmation,
                                 this->peers.suspicions,
@@ -318,6 +321,7 @@
     ServerTable servers;
     SharedStores sharedStores;
     RelaySource relaySource;
+    WeightProgress progress;
     OperatorFeed operators;
     ServerFeed serverFeed;
     HostFeed hostFeed;
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -1,7 +1,6 @@
 #include "forward_run.h"
 
 #include "answer.h"
-#include "rollout_task.h"
 #include "store_task.h"
 
 #include <endivespan/config.h>
@@ -155,11 +154,13 @@
     for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
         shared.push_back({parts[i].id, parts[i].tokens});
     }
-    std::optional<ReplacedWeights> replaced;
+    std::function<bool(const std::string &)> mayUse;
     if (replacedAt) {
-        replaced = {now - *replacedAt, rolloutPace(this->task.parts.settings.bounds).span};
+        mayUse = [this, &model, version = weights->second](const std::string &part) {
+            return this->task.parts.progress.mayUse(model, version, part);
+        };
     }
-    dispatch.transfers = this->task.parts.stores.plan(dispatch.cacheScope, shared, view.entry.domain, replaced, now);
+    dispatch.transfers = this->task.parts.stores.plan(dispatch.cacheScope, shared, view.entry.domain, mayUse, now);
     for (const std::string &store : dispatch.transfers.fetch) {
         this->fetchedFrom = store.empty() ? this->fetchedFrom : store;
         this->partsFetched += store.empty() ? 0 : 1;
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -43,7 +43,8 @@
 {
     const Confirmation &confirmation = this->parts.confirmation;
     const auto age = confirmation.statement(this->parts.membership, now).confirmedAge;
-    return (age && *age <= config::TransferFreshness)
+    const auto listAge = this->parts.serverFeed.age(now);
+    return (age && *age <= config::TransferFreshness && listAge && *listAge <= config::TransferFreshness)
         || confirmation.standing(this->parts.membership, now) == ConfigStanding::LogDownForAll;
 }
 
@@ -193,6 +194,9 @@
             need.mostWaiting = service->slots
                 * config::EngineWaitingShares[std::min(need.urgency, config::EngineWaitingShares.size() - 1)];
             need.rates = this->engines.rates();
+            if (const auto mean = this->meanRequests.find(need.service); mean != this->meanRequests.end()) {
+                need.meanRequests = mean->second;
+            }
         }
         if (service->memoryTokens > 0) {
             const double share
@@ -268,7 +272,16 @@
     this->parts.servers.tick(now);
     this->confirmDeaths(now);
     this->observeRuns();
+    this->parts.progress.observe(this->parts.servers, this->parts.operators.state().weights.newest(), now);
     this->loadingNext.clear();
+    this->meanRequests.clear();
+    if (const auto &config = this->parts.operators.state().config) {
+        for (const auto &[name, service] : config->services) {
+            if (service.slots > 0) {
+                this->meanRequests[name] = this->parts.servers.meanRequests(name, now);
+            }
+        }
+    }
     for (const auto &[model, newest] : this->parts.operators.state().weights.newest()) {
         this->loadingNext[model]
             = rolloutQueue(this->parts.servers, model, newest, rolloutPace(this->parts.settings.bounds));
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -18,6 +18,7 @@
 #include <endivespan/retry_share.h>
 #include <endivespan/server_table.h>
 #include <endivespan/suspect.h>
+#include <endivespan/weight_progress.h>
 
 #include <map>
 #include <memory>
@@ -38,6 +39,8 @@
     const OperatorFeed &operators;
     ServerTable &servers;
     SharedStores &stores;
+    WeightProgress &progress;
+    const ServerFeed &serverFeed;
     Membership &membership;
     Confirmation &confirmation;
     SuspicionTable &suspicions;
@@ -129,6 +132,7 @@
     std::unique_ptr<Placement> placement;
     /// By model, as of the last tick.
     std::map<std::string, std::shared_ptr<const RolloutQueue>> loadingNext;
+    std::map<std::string, double> meanRequests; ///< At an engine, by service, as of the last tick.
     std::map<const ForwardRun *, std::unique_ptr<ForwardRun>> runs;
     std::vector<std::unique_ptr<ForwardRun>> ended;
     std::unique_ptr<Timer> cleanup;
--- a/packages/node/src/relay_task.cpp
+++ b/packages/node/src/relay_task.cpp
@@ -2,6 +2,7 @@
 
 #include <endivespan/config.h>
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -51,6 +52,8 @@
     RelayAsk message;
     message.serversNext = this->parts.serverFeed.known();
     message.stores = this->parts.stores.cursors();
+    message.sinceLast = std::min<Duration>(now - this->answeredAt, config::RelayLoadsAtFirst);
+    message.loads = loadsSince(this->parts.servers, now - message.sinceLast, true, now);
     for (const auto &[id, view] : this->parts.servers.servers()) {
         if (view.unconfirmedSince != TimePoint {} && message.unconfirmed.size() < config::RelayUnconfirmed) {
             message.unconfirmed.push_back(id);
@@ -83,6 +86,8 @@
 void RelayTask::take(const std::string &host, const RelayReply &reply, TimePoint askedAt)
 {
     const TimePoint now = this->parts.loop.now();
+    this->answeredAt = askedAt;
+    this->takeLoads(reply.loads, askedAt);
     this->parts.operators.relayed(host, reply.config, askedAt);
     if (reply.config.offset > this->parts.membership.self().status.configOffset
         && this->parts.operators.wantsPeerState()) {
@@ -106,13 +111,22 @@
     }
 }
 
-RelayReply RelayTask::answer(const RelayAsk &ask) const
+void RelayTask::takeLoads(const std::vector<RelayedLoad> &loads, TimePoint toldAt)
 {
     const TimePoint now = this->parts.loop.now();
-    return this->parts.source.answer(ask,
-                                     this->parts.confirmation.statement(this->parts.membership, now),
-                                     this->parts.sharedStores,
-                                     now);
+    for (const RelayedLoad &load : loads) {
+        this->parts.servers.reportedElsewhere(load.server, load.running, load.waiting, toldAt - load.age, now);
+    }
+}
+
+RelayReply RelayTask::answer(const RelayAsk &ask)
+{
+    const TimePoint now = this->parts.loop.now();
+    const ConfigStatement config = this->parts.confirmation.statement(this->parts.membership, now);
+    RelayReply reply = this->parts.source.answer(ask, config, this->parts.sharedStores, now);
+    reply.loads = loadsSince(this->parts.servers, now - ask.sinceLast - config::RelayLoadMargin, false, now);
+    this->takeLoads(ask.loads, now);
+    return reply;
 }
 
 } // namespace endivespan
--- a/packages/node/src/relay_task.h
+++ b/packages/node/src/relay_task.h
@@ -23,7 +23,7 @@
     Metrics &metrics;
     const Membership &membership;
     const Confirmation &confirmation;
-    const ServerTable &servers;
+    ServerTable &servers;
     const SharedStores &sharedStores;
     RelaySource &source;
     PeerTask &peers;
@@ -41,12 +41,13 @@
     void tick(TimePoint now);
 
     /// @returns the answer to a host that asks this one.
-    [[nodiscard]] RelayReply answer(const RelayAsk &ask) const;
+    [[nodiscard]] RelayReply answer(const RelayAsk &ask);
 
 private:
     void choose(TimePoint now);
     void ask(const std::string &host, TimePoint now);
     void answered(const std::string &host, const Result<PeerMessage> &answer, TimePoint askedAt);
+    void takeLoads(const std::vector<RelayedLoad> &loads, TimePoint toldAt);
     void take(const std::string &host, const RelayReply &reply, TimePoint askedAt);
 
     RelayTaskParts parts;
@@ -56,6 +57,7 @@
     TimePoint startedAt;
     TimePoint nextOrder;
     TimePoint nextAsk;
+    TimePoint answeredAt; ///< When the last ask that was answered began.
     bool asking = false;
     bool chosen = false;
 };
--- a/packages/node/src/server_feed.cpp
+++ b/packages/node/src/server_feed.cpp
@@ -43,6 +43,11 @@
     this->timer = this->loop.after(delay, [this] { this->poll(); });
 }
 
+std::optional<Duration> ServerFeed::age(TimePoint now) const
+{
+    return this->lastAnswer ? std::optional(now - *this->lastAnswer) : std::nullopt;
+}
+
 std::uint64_t ServerFeed::known() const
 {
     return this->next;
--- a/packages/node/src/server_feed.h
+++ b/packages/node/src/server_feed.h
@@ -34,6 +34,9 @@
     /// @returns whether the list was read at least once.
     [[nodiscard]] bool isReady() const;
 
+    /// @returns how long ago the list was read; nothing before.
+    [[nodiscard]] std::optional<Duration> age(TimePoint now) const;
+
     /// @returns the offset up to which the list is known.
     [[nodiscard]] std::uint64_t known() const;
 
--- a/packages/node/src/store_task.cpp
+++ b/packages/node/src/store_task.cpp
@@ -35,7 +35,8 @@
                      RelaySource &relay,
                      const OperatorFeed &operators,
                      const Membership &membership,
-                     Duration rolloutSpan)
+                     const WeightProgress &progress,
+                     const ServerFeed &serverFeed)
     : loop(loop)
     , control(control)
     , events(events)
@@ -43,9 +44,9 @@
     , relay(relay)
     , operators(operators)
     , membership(membership)
-    , rolloutSpan(rolloutSpan)
+    , progress(progress)
+    , serverFeed(serverFeed)
     , random(std::random_device {}())
-    , startedAt(loop.now())
 {
 }
 
@@ -185,16 +186,15 @@
 bool StoreTask::isOld(const ScopedPart &part, TimePoint now) const
 {
     const auto made = readScope(part.scope);
-    if (!made) {
-        return false;
-    }
-    const auto replacedAt = this->operators.state().weights.replacedAt(made->first, made->second);
-    const Duration use = oldPartUse(part.id, this->rolloutSpan);
-    return replacedAt && now - std::max(*replacedAt, this->startedAt) > use + config::OldPartsFree;
+    return made && this->progress.mayFree(made->first, made->second, part.id, now);
 }
 
 void StoreTask::freeOld(const std::string &address, TimePoint now)
 {
+    // Without the list of servers this host may count engines that the others do not.
+    if (const auto age = this->serverFeed.age(now); !age || *age > config::TransferFreshness) {
+        return;
+    }
     if (proposedOwner(this->membership.owners(), "store/" + address) != this->membership.self().name) {
         return;
     }
--- a/packages/node/src/store_task.h
+++ b/packages/node/src/store_task.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "operator_feed.h"
+#include "server_feed.h"
 
 #include <endivespan/event_log.h>
 #include <endivespan/forward_codec.h>
@@ -8,6 +9,7 @@
 #include <endivespan/membership.h>
 #include <endivespan/relay.h>
 #include <endivespan/shared_store.h>
+#include <endivespan/weight_progress.h>
 
 #include <map>
 #include <memory>
@@ -28,7 +30,8 @@
               RelaySource &relay,
               const OperatorFeed &operators,
               const Membership &membership,
-              Duration rolloutSpan);
+              const WeightProgress &progress,
+              const ServerFeed &serverFeed);
 
     void setStores(const std::vector<ForwardStore> &list);
     void tick(TimePoint now);
@@ -64,9 +67,9 @@
     RelaySource &relay;
     const OperatorFeed &operators;
     const Membership &membership;
-    Duration rolloutSpan; ///< In which parts of replaced weights are given up.
+    const WeightProgress &progress;
+    const ServerFeed &serverFeed;
     std::mt19937_64 random;
-    TimePoint startedAt;
     TimePoint logAt;
     bool reading = false; ///< Until it is known who reads.
     std::map<std::string, Line> lines; ///< By address.
--- a/packages/wire/gen-cpp/peer_types.cpp
+++ b/packages/wire/gen-cpp/peer_types.cpp
@@ -2726,6 +2726,158 @@
 }
 
 
+RelayedLoadRecord::~RelayedLoadRecord() noexcept {
+}
+
+
+void RelayedLoadRecord::__set_server(const int32_t val) {
+  this->server = val;
+}
+
+void RelayedLoadRecord::__set_running(const int32_t val) {
+  this->running = val;
+}
+
+void RelayedLoadRecord::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
+
+void RelayedLoadRecord::__set_ageMicroseconds(const int64_t val) {
+  this->ageMicroseconds = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayedLoadRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayedLoadRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMicroseconds);
+          this->__isset.ageMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RelayedLoadRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayedLoadRecord");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMicroseconds", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->ageMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayedLoadRecord &a, RelayedLoadRecord &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.running, b.running);
+  swap(a.waiting, b.waiting);
+  swap(a.ageMicroseconds, b.ageMicroseconds);
+  swap(a.__isset, b.__isset);
+}
+
+RelayedLoadRecord::RelayedLoadRecord(const RelayedLoadRecord& other76) noexcept {
+  server = other76.server;
+  running = other76.running;
+  waiting = other76.waiting;
+  ageMicroseconds = other76.ageMicroseconds;
+  __isset = other76.__isset;
+}
+RelayedLoadRecord& RelayedLoadRecord::operator=(const RelayedLoadRecord& other77) noexcept {
+  server = other77.server;
+  running = other77.running;
+  waiting = other77.waiting;
+  ageMicroseconds = other77.ageMicroseconds;
+  __isset = other77.__isset;
+  return *this;
+}
+void RelayedLoadRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayedLoadRecord(";
+  out << "server=" << to_string(server);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "ageMicroseconds=" << to_string(ageMicroseconds);
+  out << ")";
+}
+
+
 RelayAskRecord::~RelayAskRecord() noexcept {
 }
 
@@ -2741,6 +2893,14 @@
 void RelayAskRecord::__set_stores(const std::vector<StoreCursorRecord> & val) {
   this->stores = val;
 }
+
+void RelayAskRecord::__set_sinceLastMicroseconds(const int64_t val) {
+  this->sinceLastMicroseconds = val;
+}
+
+void RelayAskRecord::__set_loads(const std::vector<RelayedLoadRecord> & val) {
+  this->loads = val;
+}
 std::ostream& operator<<(std::ostream& out, const RelayAskRecord& obj)
 {
   obj.printTo(out);
@@ -2781,14 +2941,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unconfirmed.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->unconfirmed.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->unconfirmed.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += iprot->readString(this->unconfirmed[_i80]);
+              xfer += iprot->readString(this->unconfirmed[_i82]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2801,14 +2961,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stores.clear();
-            uint32_t _size81;
-            ::apache::thrift::protocol::TType _etype84;
-            xfer += iprot->readListBegin(_etype84, _size81);
-            this->stores.resize(_size81);
-            uint32_t _i85;
-            for (_i85 = 0; _i85 < _size81; ++_i85)
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->stores.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
             {
-              xfer += this->stores[_i85].read(iprot);
+              xfer += this->stores[_i87].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2817,6 +2977,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sinceLastMicroseconds);
+          this->__isset.sinceLastMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->loads.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
+            {
+              xfer += this->loads[_i92].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2841,10 +3029,10 @@
   xfer += oprot->writeFieldBegin("unconfirmed", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->unconfirmed.size()));
-    std::vector<std::string> ::const_iterator _iter86;
-    for (_iter86 = this->unconfirmed.begin(); _iter86 != this->unconfirmed.end(); ++_iter86)
+    std::vector<std::string> ::const_iterator _iter93;
+    for (_iter93 = this->unconfirmed.begin(); _iter93 != this->unconfirmed.end(); ++_iter93)
     {
-      xfer += oprot->writeString((*_iter86));
+      xfer += oprot->writeString((*_iter93));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2853,10 +3041,26 @@
   xfer += oprot->writeFieldBegin("stores", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stores.size()));
-    std::vector<StoreCursorRecord> ::const_iterator _iter87;
-    for (_iter87 = this->stores.begin(); _iter87 != this->stores.end(); ++_iter87)
+    std::vector<StoreCursorRecord> ::const_iterator _iter94;
+    for (_iter94 = this->stores.begin(); _iter94 != this->stores.end(); ++_iter94)
     {
-      xfer += (*_iter87).write(oprot);
+      xfer += (*_iter94).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sinceLastMicroseconds", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sinceLastMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<RelayedLoadRecord> ::const_iterator _iter95;
+    for (_iter95 = this->loads.begin(); _iter95 != this->loads.end(); ++_iter95)
+    {
+      xfer += (*_iter95).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2872,20 +3076,26 @@
   swap(a.serversNext, b.serversNext);
   swap(a.unconfirmed, b.unconfirmed);
   swap(a.stores, b.stores);
+  swap(a.sinceLastMicroseconds, b.sinceLastMicroseconds);
+  swap(a.loads, b.loads);
   swap(a.__isset, b.__isset);
 }
 
-RelayAskRecord::RelayAskRecord(const RelayAskRecord& other88) {
-  serversNext = other88.serversNext;
-  unconfirmed = other88.unconfirmed;
-  stores = other88.stores;
-  __isset = other88.__isset;
-}
-RelayAskRecord& RelayAskRecord::operator=(const RelayAskRecord& other89) {
-  serversNext = other89.serversNext;
-  unconfirmed = other89.unconfirmed;
-  stores = other89.stores;
-  __isset = other89.__isset;
+RelayAskRecord::RelayAskRecord(const RelayAskRecord& other96) {
+  serversNext = other96.serversNext;
+  unconfirmed = other96.unconfirmed;
+  stores = other96.stores;
+  sinceLastMicroseconds = other96.sinceLastMicroseconds;
+  loads = other96.loads;
+  __isset = other96.__isset;
+}
+RelayAskRecord& RelayAskRecord::operator=(const RelayAskRecord& other97) {
+  serversNext = other97.serversNext;
+  unconfirmed = other97.unconfirmed;
+  stores = other97.stores;
+  sinceLastMicroseconds = other97.sinceLastMicroseconds;
+  loads = other97.loads;
+  __isset = other97.__isset;
   return *this;
 }
 void RelayAskRecord::printTo(std::ostream& out) const {
@@ -2894,6 +3104,8 @@
   out << "serversNext=" << to_string(serversNext);
   out << ", " << "unconfirmed=" << to_string(unconfirmed);
   out << ", " << "stores=" << to_string(stores);
+  out << ", " << "sinceLastMicroseconds=" << to_string(sinceLastMicroseconds);
+  out << ", " << "loads=" << to_string(loads);
   out << ")";
 }
 
@@ -3009,17 +3221,17 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedServerRecord::RelayedServerRecord(const RelayedServerRecord& other90) {
-  key = other90.key;
-  value = other90.value;
-  lapsedForMicroseconds = other90.lapsedForMicroseconds;
-  __isset = other90.__isset;
+RelayedServerRecord::RelayedServerRecord(const RelayedServerRecord& other98) {
+  key = other98.key;
+  value = other98.value;
+  lapsedForMicroseconds = other98.lapsedForMicroseconds;
+  __isset = other98.__isset;
 }
-RelayedServerRecord& RelayedServerRecord::operator=(const RelayedServerRecord& other91) {
-  key = other91.key;
-  value = other91.value;
-  lapsedForMicroseconds = other91.lapsedForMicroseconds;
-  __isset = other91.__isset;
+RelayedServerRecord& RelayedServerRecord::operator=(const RelayedServerRecord& other99) {
+  key = other99.key;
+  value = other99.value;
+  lapsedForMicroseconds = other99.lapsedForMicroseconds;
+  __isset = other99.__isset;
   return *this;
 }
 void RelayedServerRecord::printTo(std::ostream& out) const {
@@ -3141,17 +3353,17 @@
   swap(a.__isset, b.__isset);
 }
 
-PartEventRecord::PartEventRecord(const PartEventRecord& other92) {
-  scope = other92.scope;
-  part = other92.part;
-  tokens = other92.tokens;
-  __isset = other92.__isset;
+PartEventRecord::PartEventRecord(const PartEventRecord& other100) {
+  scope = other100.scope;
+  part = other100.part;
+  tokens = other100.tokens;
+  __isset = other100.__isset;
 }
-PartEventRecord& PartEventRecord::operator=(const PartEventRecord& other93) {
-  scope = other93.scope;
-  part = other93.part;
-  tokens = other93.tokens;
-  __isset = other93.__isset;
+PartEventRecord& PartEventRecord::operator=(const PartEventRecord& other101) {
+  scope = other101.scope;
+  part = other101.part;
+  tokens = other101.tokens;
+  __isset = other101.__isset;
   return *this;
 }
 void PartEventRecord::printTo(std::ostream& out) const {
@@ -3280,14 +3492,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->scopes.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->scopes.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->scopes.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
             {
-              xfer += iprot->readString(this->scopes[_i98]);
+              xfer += iprot->readString(this->scopes[_i106]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3300,14 +3512,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->events.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->events.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size107;
+            ::apache::thrift::protocol::TType _etype110;
+            xfer += iprot->readListBegin(_etype110, _size107);
+            this->events.resize(_size107);
+            uint32_t _i111;
+            for (_i111 = 0; _i111 < _size107; ++_i111)
             {
-              xfer += this->events[_i103].read(iprot);
+              xfer += this->events[_i111].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3361,10 +3573,10 @@
   xfer += oprot->writeFieldBegin("scopes", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->scopes.size()));
-    std::vector<std::string> ::const_iterator _iter104;
-    for (_iter104 = this->scopes.begin(); _iter104 != this->scopes.end(); ++_iter104)
+    std::vector<std::string> ::const_iterator _iter112;
+    for (_iter112 = this->scopes.begin(); _iter112 != this->scopes.end(); ++_iter112)
     {
-      xfer += oprot->writeString((*_iter104));
+      xfer += oprot->writeString((*_iter112));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3373,10 +3585,10 @@
   xfer += oprot->writeFieldBegin("events", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->events.size()));
-    std::vector<PartEventRecord> ::const_iterator _iter105;
-    for (_iter105 = this->events.begin(); _iter105 != this->events.end(); ++_iter105)
+    std::vector<PartEventRecord> ::const_iterator _iter113;
+    for (_iter113 = this->events.begin(); _iter113 != this->events.end(); ++_iter113)
     {
-      xfer += (*_iter105).write(oprot);
+      xfer += (*_iter113).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3400,27 +3612,27 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedStoreRecord::RelayedStoreRecord(const RelayedStoreRecord& other106) {
-  store = other106.store;
-  whole = other106.whole;
-  ageMicroseconds = other106.ageMicroseconds;
-  epoch = other106.epoch;
-  nextEvent = other106.nextEvent;
-  clockMilliseconds = other106.clockMilliseconds;
-  scopes = other106.scopes;
-  events = other106.events;
-  __isset = other106.__isset;
-}
-RelayedStoreRecord& RelayedStoreRecord::operator=(const RelayedStoreRecord& other107) {
-  store = other107.store;
-  whole = other107.whole;
-  ageMicroseconds = other107.ageMicroseconds;
-  epoch = other107.epoch;
-  nextEvent = other107.nextEvent;
-  clockMilliseconds = other107.clockMilliseconds;
-  scopes = other107.scopes;
-  events = other107.events;
-  __isset = other107.__isset;
+RelayedStoreRecord::RelayedStoreRecord(const RelayedStoreRecord& other114) {
+  store = other114.store;
+  whole = other114.whole;
+  ageMicroseconds = other114.ageMicroseconds;
+  epoch = other114.epoch;
+  nextEvent = other114.nextEvent;
+  clockMilliseconds = other114.clockMilliseconds;
+  scopes = other114.scopes;
+  events = other114.events;
+  __isset = other114.__isset;
+}
+RelayedStoreRecord& RelayedStoreRecord::operator=(const RelayedStoreRecord& other115) {
+  store = other115.store;
+  whole = other115.whole;
+  ageMicroseconds = other115.ageMicroseconds;
+  epoch = other115.epoch;
+  nextEvent = other115.nextEvent;
+  clockMilliseconds = other115.clockMilliseconds;
+  scopes = other115.scopes;
+  events = other115.events;
+  __isset = other115.__isset;
   return *this;
 }
 void RelayedStoreRecord::printTo(std::ostream& out) const {
@@ -3470,6 +3682,10 @@
 void RelayReplyRecord::__set_more(const bool val) {
   this->more = val;
 }
+
+void RelayReplyRecord::__set_loads(const std::vector<RelayedLoadRecord> & val) {
+  this->loads = val;
+}
 std::ostream& operator<<(std::ostream& out, const RelayReplyRecord& obj)
 {
   obj.printTo(out);
@@ -3534,14 +3750,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size108;
-            ::apache::thrift::protocol::TType _etype111;
-            xfer += iprot->readListBegin(_etype111, _size108);
-            this->servers.resize(_size108);
-            uint32_t _i112;
-            for (_i112 = 0; _i112 < _size108; ++_i112)
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->servers.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
             {
-              xfer += this->servers[_i112].read(iprot);
+              xfer += this->servers[_i120].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3554,14 +3770,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stores.clear();
-            uint32_t _size113;
-            ::apache::thrift::protocol::TType _etype116;
-            xfer += iprot->readListBegin(_etype116, _size113);
-            this->stores.resize(_size113);
-            uint32_t _i117;
-            for (_i117 = 0; _i117 < _size113; ++_i117)
+            uint32_t _size121;
+            ::apache::thrift::protocol::TType _etype124;
+            xfer += iprot->readListBegin(_etype124, _size121);
+            this->stores.resize(_size121);
+            uint32_t _i125;
+            for (_i125 = 0; _i125 < _size121; ++_i125)
             {
-              xfer += this->stores[_i117].read(iprot);
+              xfer += this->stores[_i125].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3578,6 +3794,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size126;
+            ::apache::thrift::protocol::TType _etype129;
+            xfer += iprot->readListBegin(_etype129, _size126);
+            this->loads.resize(_size126);
+            uint32_t _i130;
+            for (_i130 = 0; _i130 < _size126; ++_i130)
+            {
+              xfer += this->loads[_i130].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3615,10 +3851,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<RelayedServerRecord> ::const_iterator _iter118;
-    for (_iter118 = this->servers.begin(); _iter118 != this->servers.end(); ++_iter118)
+    std::vector<RelayedServerRecord> ::const_iterator _iter131;
+    for (_iter131 = this->servers.begin(); _iter131 != this->servers.end(); ++_iter131)
     {
-      xfer += (*_iter118).write(oprot);
+      xfer += (*_iter131).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3627,10 +3863,10 @@
   xfer += oprot->writeFieldBegin("stores", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stores.size()));
-    std::vector<RelayedStoreRecord> ::const_iterator _iter119;
-    for (_iter119 = this->stores.begin(); _iter119 != this->stores.end(); ++_iter119)
+    std::vector<RelayedStoreRecord> ::const_iterator _iter132;
+    for (_iter132 = this->stores.begin(); _iter132 != this->stores.end(); ++_iter132)
     {
-      xfer += (*_iter119).write(oprot);
+      xfer += (*_iter132).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3640,6 +3876,18 @@
   xfer += oprot->writeBool(this->more);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<RelayedLoadRecord> ::const_iterator _iter133;
+    for (_iter133 = this->loads.begin(); _iter133 != this->loads.end(); ++_iter133)
+    {
+      xfer += (*_iter133).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3654,28 +3902,31 @@
   swap(a.servers, b.servers);
   swap(a.stores, b.stores);
   swap(a.more, b.more);
+  swap(a.loads, b.loads);
   swap(a.__isset, b.__isset);
 }
 
-RelayReplyRecord::RelayReplyRecord(const RelayReplyRecord& other120) {
-  config = other120.config;
-  serversNext = other120.serversNext;
-  serversGap = other120.serversGap;
-  serversAgeMicroseconds = other120.serversAgeMicroseconds;
-  servers = other120.servers;
-  stores = other120.stores;
-  more = other120.more;
-  __isset = other120.__isset;
-}
-RelayReplyRecord& RelayReplyRecord::operator=(const RelayReplyRecord& other121) {
-  config = other121.config;
-  serversNext = other121.serversNext;
-  serversGap = other121.serversGap;
-  serversAgeMicroseconds = other121.serversAgeMicroseconds;
-  servers = other121.servers;
-  stores = other121.stores;
-  more = other121.more;
-  __isset = other121.__isset;
+RelayReplyRecord::RelayReplyRecord(const RelayReplyRecord& other134) {
+  config = other134.config;
+  serversNext = other134.serversNext;
+  serversGap = other134.serversGap;
+  serversAgeMicroseconds = other134.serversAgeMicroseconds;
+  servers = other134.servers;
+  stores = other134.stores;
+  more = other134.more;
+  loads = other134.loads;
+  __isset = other134.__isset;
+}
+RelayReplyRecord& RelayReplyRecord::operator=(const RelayReplyRecord& other135) {
+  config = other135.config;
+  serversNext = other135.serversNext;
+  serversGap = other135.serversGap;
+  serversAgeMicroseconds = other135.serversAgeMicroseconds;
+  servers = other135.servers;
+  stores = other135.stores;
+  more = other135.more;
+  loads = other135.loads;
+  __isset = other135.__isset;
   return *this;
 }
 void RelayReplyRecord::printTo(std::ostream& out) const {
@@ -3688,6 +3939,7 @@
   out << ", " << "servers=" << to_string(servers);
   out << ", " << "stores=" << to_string(stores);
   out << ", " << "more=" << to_string(more);
+  out << ", " << "loads=" << to_string(loads);
   out << ")";
 }
 
@@ -3746,11 +3998,11 @@
   (void) b;
 }
 
-PeerAckRecord::PeerAckRecord(const PeerAckRecord& other122) noexcept {
-  (void) other122;
+PeerAckRecord::PeerAckRecord(const PeerAckRecord& other136) noexcept {
+  (void) other136;
 }
-PeerAckRecord& PeerAckRecord::operator=(const PeerAckRecord& other123) noexcept {
-  (void) other123;
+PeerAckRecord& PeerAckRecord::operator=(const PeerAckRecord& other137) noexcept {
+  (void) other137;
   return *this;
 }
 void PeerAckRecord::printTo(std::ostream& out) const {
@@ -4099,41 +4351,41 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerFrameRecord::PeerFrameRecord(const PeerFrameRecord& other124) {
-  id = other124.id;
-  answer = other124.answer;
-  hello = other124.hello;
-  gossip = other124.gossip;
-  creditAsk = other124.creditAsk;
-  creditReply = other124.creditReply;
-  creditBack = other124.creditBack;
-  suspectAsk = other124.suspectAsk;
-  suspectReply = other124.suspectReply;
-  suspectBack = other124.suspectBack;
-  configAsk = other124.configAsk;
-  configReply = other124.configReply;
-  ack = other124.ack;
-  relayAsk = other124.relayAsk;
-  relayReply = other124.relayReply;
-  __isset = other124.__isset;
-}
-PeerFrameRecord& PeerFrameRecord::operator=(const PeerFrameRecord& other125) {
-  id = other125.id;
-  answer = other125.answer;
-  hello = other125.hello;
-  gossip = other125.gossip;
-  creditAsk = other125.creditAsk;
-  creditReply = other125.creditReply;
-  creditBack = other125.creditBack;
-  suspectAsk = other125.suspectAsk;
-  suspectReply = other125.suspectReply;
-  suspectBack = other125.suspectBack;
-  configAsk = other125.configAsk;
-  configReply = other125.configReply;
-  ack = other125.ack;
-  relayAsk = other125.relayAsk;
-  relayReply = other125.relayReply;
-  __isset = other125.__isset;
+PeerFrameRecord::PeerFrameRecord(const PeerFrameRecord& other138) {
+  id = other138.id;
+  answer = other138.answer;
+  hello = other138.hello;
+  gossip = other138.gossip;
+  creditAsk = other138.creditAsk;
+  creditReply = other138.creditReply;
+  creditBack = other138.creditBack;
+  suspectAsk = other138.suspectAsk;
+  suspectReply = other138.suspectReply;
+  suspectBack = other138.suspectBack;
+  configAsk = other138.configAsk;
+  configReply = other138.configReply;
+  ack = other138.ack;
+  relayAsk = other138.relayAsk;
+  relayReply = other138.relayReply;
+  __isset = other138.__isset;
+}
+PeerFrameRecord& PeerFrameRecord::operator=(const PeerFrameRecord& other139) {
+  id = other139.id;
+  answer = other139.answer;
+  hello = other139.hello;
+  gossip = other139.gossip;
+  creditAsk = other139.creditAsk;
+  creditReply = other139.creditReply;
+  creditBack = other139.creditBack;
+  suspectAsk = other139.suspectAsk;
+  suspectReply = other139.suspectReply;
+  suspectBack = other139.suspectBack;
+  configAsk = other139.configAsk;
+  configReply = other139.configReply;
+  ack = other139.ack;
+  relayAsk = other139.relayAsk;
+  relayReply = other139.relayReply;
+  __isset = other139.__isset;
   return *this;
 }
 void PeerFrameRecord::printTo(std::ostream& out) const {
--- a/packages/wire/gen-cpp/peer_types.h
+++ b/packages/wire/gen-cpp/peer_types.h
@@ -55,6 +55,8 @@
 
 class StoreCursorRecord;
 
+class RelayedLoadRecord;
+
 class RelayAskRecord;
 
 class RelayedServerRecord;
@@ -1148,11 +1150,77 @@
 
 std::ostream& operator<<(std::ostream& out, const StoreCursorRecord& obj);
 
+typedef struct _RelayedLoadRecord__isset {
+  _RelayedLoadRecord__isset() : server(false), running(false), waiting(false), ageMicroseconds(false) {}
+  bool server :1;
+  bool running :1;
+  bool waiting :1;
+  bool ageMicroseconds :1;
+} _RelayedLoadRecord__isset;
+
+class RelayedLoadRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayedLoadRecord(const RelayedLoadRecord&) noexcept;
+  RelayedLoadRecord& operator=(const RelayedLoadRecord&) noexcept;
+  RelayedLoadRecord() noexcept
+                    : server(0),
+                      running(0),
+                      waiting(0),
+                      ageMicroseconds(0) {
+  }
+
+  virtual ~RelayedLoadRecord() noexcept;
+  int32_t server;
+  int32_t running;
+  int32_t waiting;
+  int64_t ageMicroseconds;
+
+  _RelayedLoadRecord__isset __isset;
+
+  void __set_server(const int32_t val);
+
+  void __set_running(const int32_t val);
+
+  void __set_waiting(const int32_t val);
+
+  void __set_ageMicroseconds(const int64_t val);
+
+  bool operator == (const RelayedLoadRecord & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(ageMicroseconds == rhs.ageMicroseconds))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayedLoadRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayedLoadRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayedLoadRecord &a, RelayedLoadRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayedLoadRecord& obj);
+
 typedef struct _RelayAskRecord__isset {
-  _RelayAskRecord__isset() : serversNext(false), unconfirmed(false), stores(false) {}
+  _RelayAskRecord__isset() : serversNext(false), unconfirmed(false), stores(false), sinceLastMicroseconds(false), loads(false) {}
   bool serversNext :1;
   bool unconfirmed :1;
   bool stores :1;
+  bool sinceLastMicroseconds :1;
+  bool loads :1;
 } _RelayAskRecord__isset;
 
 class RelayAskRecord : public virtual ::apache::thrift::TBase {
@@ -1161,13 +1229,16 @@
   RelayAskRecord(const RelayAskRecord&);
   RelayAskRecord& operator=(const RelayAskRecord&);
   RelayAskRecord() noexcept
-                 : serversNext(0) {
+                 : serversNext(0),
+                   sinceLastMicroseconds(0) {
   }
 
   virtual ~RelayAskRecord() noexcept;
   int64_t serversNext;
   std::vector<std::string>  unconfirmed;
   std::vector<StoreCursorRecord>  stores;
+  int64_t sinceLastMicroseconds;
+  std::vector<RelayedLoadRecord>  loads;
 
   _RelayAskRecord__isset __isset;
 
@@ -1177,6 +1248,10 @@
 
   void __set_stores(const std::vector<StoreCursorRecord> & val);
 
+  void __set_sinceLastMicroseconds(const int64_t val);
+
+  void __set_loads(const std::vector<RelayedLoadRecord> & val);
+
   bool operator == (const RelayAskRecord & rhs) const
   {
     if (!(serversNext == rhs.serversNext))
@@ -1185,6 +1260,10 @@
       return false;
     if (!(stores == rhs.stores))
       return false;
+    if (!(sinceLastMicroseconds == rhs.sinceLastMicroseconds))
+      return false;
+    if (!(loads == rhs.loads))
+      return false;
     return true;
   }
   bool operator != (const RelayAskRecord &rhs) const {
@@ -1412,7 +1491,7 @@
 std::ostream& operator<<(std::ostream& out, const RelayedStoreRecord& obj);
 
 typedef struct _RelayReplyRecord__isset {
-  _RelayReplyRecord__isset() : config(false), serversNext(false), serversGap(false), serversAgeMicroseconds(false), servers(false), stores(false), more(false) {}
+  _RelayReplyRecord__isset() : config(false), serversNext(false), serversGap(false), serversAgeMicroseconds(false), servers(false), stores(false), more(false), loads(false) {}
   bool config :1;
   bool serversNext :1;
   bool serversGap :1;
@@ -1420,6 +1499,7 @@
   bool servers :1;
   bool stores :1;
   bool more :1;
+  bool loads :1;
 } _RelayReplyRecord__isset;
 
 class RelayReplyRecord : public virtual ::apache::thrift::TBase {
@@ -1442,6 +1522,7 @@
   std::vector<RelayedServerRecord>  servers;
   std::vector<RelayedStoreRecord>  stores;
   bool more;
+  std::vector<RelayedLoadRecord>  loads;
 
   _RelayReplyRecord__isset __isset;
 
@@ -1459,6 +1540,8 @@
 
   void __set_more(const bool val);
 
+  void __set_loads(const std::vector<RelayedLoadRecord> & val);
+
   bool operator == (const RelayReplyRecord & rhs) const
   {
     if (!(config == rhs.config))
@@ -1477,6 +1560,8 @@
       return false;
     if (!(more == rhs.more))
       return false;
+    if (!(loads == rhs.loads))
+      return false;
     return true;
   }
   bool operator != (const RelayReplyRecord &rhs) const {
--- a/packages/wire/idl/peer.thrift
+++ b/packages/wire/idl/peer.thrift
@@ -120,10 +120,19 @@
   3: i64 nextEvent,
 }
 
+struct RelayedLoadRecord {
+  1: i32 server,
+  2: i32 running,
+  3: i32 waiting,
+  4: i64 ageMicroseconds,
+}
+
 struct RelayAskRecord {
   1: i64 serversNext,
   2: list<string> unconfirmed,
   3: list<StoreCursorRecord> stores,
+  4: i64 sinceLastMicroseconds,
+  5: list<RelayedLoadRecord> loads,
 }
 
 struct RelayedServerRecord {
@@ -157,6 +166,7 @@
   5: list<RelayedServerRecord> servers,
   6: list<RelayedStoreRecord> stores,
   7: bool more,
+  8: list<RelayedLoadRecord> loads,
 }
 
 struct PeerAckRecord {
--- a/packages/wire/src/relay_codec.cpp
+++ b/packages/wire/src/relay_codec.cpp
@@ -75,6 +75,32 @@
     return store;
 }
 
+std::vector<gen::RelayedLoadRecord> packLoads(const std::vector<RelayedLoad> &loads)
+{
+    std::vector<gen::RelayedLoadRecord> records;
+    for (const RelayedLoad &load : loads) {
+        gen::RelayedLoadRecord record;
+        record.server = static_cast<std::int32_t>(load.server);
+        record.running = static_cast<std::int32_t>(load.running);
+        record.waiting = static_cast<std::int32_t>(load.waiting);
+        record.ageMicroseconds = load.age.count();
+        records.push_back(record);
+    }
+    return records;
+}
+
+std::vector<RelayedLoad> unpackLoads(const std::vector<gen::RelayedLoadRecord> &records)
+{
+    std::vector<RelayedLoad> loads;
+    for (const gen::RelayedLoadRecord &record : records) {
+        loads.push_back({static_cast<std::uint32_t>(record.server),
+                         static_cast<std::uint32_t>(std::max(record.running, 0)),
+                         static_cast<std::uint32_t>(std::max(record.waiting, 0)),
+                         unpackAge(record.ageMicroseconds)});
+    }
+    return loads;
+}
+
 } // namespace
 
 gen::RelayAskRecord packRelayAsk(const RelayAsk &ask)
@@ -89,6 +115,8 @@
         packed.nextEvent = toSigned(cursor.next);
         record.stores.push_back(packed);
     }
+    record.sinceLastMicroseconds = ask.sinceLast.count();
+    record.loads = packLoads(ask.loads);
     return record;
 }
 
@@ -101,6 +129,8 @@
         ask.stores.push_back(
             {static_cast<std::uint32_t>(cursor.store), toUnsigned(cursor.epoch), toUnsigned(cursor.nextEvent)});
     }
+    ask.sinceLast = unpackAge(record.sinceLastMicroseconds);
+    ask.loads = unpackLoads(record.loads);
     return ask;
 }
 
@@ -126,6 +156,7 @@
         record.stores.push_back(pack(store));
     }
     record.more = reply.more;
+    record.loads = packLoads(reply.loads);
     return record;
 }
 
@@ -151,6 +182,7 @@
         reply.stores.push_back(std::move(*store));
     }
     reply.more = record.more;
+    reply.loads = unpackLoads(record.loads);
     return reply;
 }
 
--- a/tests/core/shared_store.cpp
+++ b/tests/core/shared_store.cpp
@@ -1,5 +1,6 @@
 #include <endivespan/config.h>
 #include <endivespan/shared_store.h>
+#include <endivespan/weight_progress.h>
 
 #include <doctest/doctest.h>
 
@@ -38,26 +39,26 @@
     SharedStores one = freshStores();
     SharedStores two = freshStores();
     const std::vector<PlannedPart> parts {{"p", 500}};
-    const TransferPlan first = one.plan("s", parts, "z1", std::nullopt, Start);
-    const TransferPlan other = two.plan("s", parts, "z1", std::nullopt, Start);
+    const TransferPlan first = one.plan("s", parts, "z1", {}, Start);
+    const TransferPlan other = two.plan("s", parts, "z1", {}, Start);
     REQUIRE_FALSE(first.save[0].empty());
     CHECK(first.save[0] == other.save[0]);
     CHECK(first.fetch[0].empty());
-    const TransferPlan again = one.plan("s", parts, "z1", std::nullopt, Start + 100ms);
+    const TransferPlan again = one.plan("s", parts, "z1", {}, Start + 100ms);
     CHECK(again.save[0].empty());
     CHECK(again.fetch[0].empty());
     (void)one.answered(first.save[0], stored(1, 0, {"s", "p"}, 500), Start + 200ms);
-    const TransferPlan later = one.plan("s", parts, "z1", std::nullopt, Start + 300ms);
+    const TransferPlan later = one.plan("s", parts, "z1", {}, Start + 300ms);
     CHECK(later.fetch[0] == first.save[0]);
     CHECK(later.fetchUntil == 1000ms + config::StoreViewTime);
-    CHECK(one.plan("other", parts, "z1", std::nullopt, Start + 300ms).fetch[0].empty());
+    CHECK(one.plan("other", parts, "z1", {}, Start + 300ms).fetch[0].empty());
 }
 
 TEST_CASE("nothing is fetched from or saved to a store that has not answered lately")
 {
     SharedStores stores = freshStores();
     (void)stores.answered(Stores[0].address, stored(1, 0, {"s", "p"}, 500), Start);
-    const TransferPlan plan = stores.plan("s", {{"p", 500}}, "z1", std::nullopt, Start + config::StoreViewTime + 1ms);
+    const TransferPlan plan = stores.plan("s", {{"p", 500}}, "z1", {}, Start + config::StoreViewTime + 1ms);
     CHECK(plan.fetch[0].empty());
     CHECK(plan.save[0].empty());
 }
@@ -67,7 +68,7 @@
     SharedStores stores = freshStores();
     (void)stores.answered(Stores[0].address, stored(1, 0, {"s", "p"}, 500), Start);
     CHECK_FALSE(stores.answered(Stores[0].address, {2, 7, false, 1000ms, {}}, Start + 100ms));
-    CHECK(stores.plan("s", {{"p", 500}}, "z1", std::nullopt, Start + 100ms).fetch[0].empty());
+    CHECK(stores.plan("s", {{"p", 500}}, "z1", {}, Start + 100ms).fetch[0].empty());
     CHECK(stores.toAsk()[0].second == 0);
 }
 
@@ -77,7 +78,7 @@
     SharedStores stores = freshStores();
     stores.listed(
         Stores[0].address, {1, 5000, false, 1000ms, {{{"s", "p"}, true, 500}, {{"s", "q"}, true, 700}}}, Start);
-    CHECK(stores.plan("s", {{"p", 500}, {"q", 700}}, "z1", std::nullopt, Start).fetch[1] == Stores[0].address);
+    CHECK(stores.plan("s", {{"p", 500}, {"q", 700}}, "z1", {}, Start).fetch[1] == Stores[0].address);
     CHECK(stores.parts() == 2);
     CHECK(stores.toAsk()[0].second == 5000);
 }
@@ -90,42 +91,81 @@
     for (std::uint64_t i = 0; i < 9; ++i) {
         (void)stores.answered(Stores[0].address, stored(1, i, {"old", std::to_string(i)}, 1000), Start);
     }
-    CHECK(stores.plan("new", {{"p", 1000}}, "z1", std::nullopt, Start).save[0].empty());
+    CHECK(stores.plan("new", {{"p", 1000}}, "z1", {}, Start).save[0].empty());
     const auto [epoch, parts] = stores.toFree(
         Stores[0].address, [](const ScopedPart &part) { return part.scope == "old"; }, 100);
     CHECK(epoch == 1);
     CHECK(parts.size() == 9);
     stores.freed(Stores[0].address, parts);
-    CHECK_FALSE(stores.plan("new", {{"p", 1000}}, "z1", std::nullopt, Start).save[0].empty());
+    CHECK_FALSE(stores.plan("new", {{"p", 1000}}, "z1", {}, Start).save[0].empty());
 }
 
 // Replays new weights on a pool whose stores are full of parts of the old ones, which most engines still run.
-TEST_CASE("parts of old weights end one after the other, and none is freed while a host may fetch it")
+TEST_CASE("parts of old weights end one after the other as engines change, and none is freed while a host may fetch it")
 {
-    constexpr Duration Span = 6s;
     SharedStores stores = freshStores();
     std::vector<PlannedPart> parts;
     for (int i = 0; i < 40; ++i) {
         parts.push_back({"part" + std::to_string(i), 10});
         (void)stores.answered(Stores[0].address, stored(1, i, {"old", parts.back().id}, 10), Start);
     }
-    const auto fetched = [&](Duration since) {
-        const TransferPlan plan = stores.plan("old", parts, "z1", ReplacedWeights {since, Span}, Start);
+    ServerTable engines;
+    const auto setVersion = [&engines](int engine, std::uint64_t version) {
+        ServerEntry entry;
+        entry.id = "e" + std::to_string(engine);
+        entry.born = 1;
+        entry.weights["m"] = version;
+        engines.learn(entry, Start);
+    };
+    for (int i = 0; i < 20; ++i) {
+        setVersion(i, 1);
+    }
+    WeightProgress progress;
+    progress.observe(engines, {{"m", 2}}, Start);
+    const auto fetched = [&] {
+        const TransferPlan plan = stores.plan(
+            "old", parts, "z1", [&](const std::string &id) { return progress.mayUse("m", 1, id); }, Start);
         CHECK(std::all_of(plan.save.begin(), plan.save.end(), [](const auto &place) { return place.empty(); }));
         return std::count_if(plan.fetch.begin(), plan.fetch.end(), [](const auto &place) { return !place.empty(); });
     };
-    CHECK(fetched(0ms) == 40);
-    CHECK(fetched(Span / 2) > 10);
-    CHECK(fetched(Span / 2) < 30);
-    CHECK(fetched(Span) == 0);
-    CHECK(rc::check([Span] {
-        const auto id = *rc::gen::nonEmpty<std::string>();
-        RC_ASSERT(oldPartUse(id, Span) >= Duration::zero());
-        RC_ASSERT(oldPartUse(id, Span) < Span);
-        // A host that hears of the new weights as late as it may still fetch, with the longest fetch that it may begin.
-        const Duration lastFetch = config::TransferFreshness + oldPartUse(id, Span) + config::StoreViewTime;
-        RC_ASSERT(oldPartUse(id, Span) + config::OldPartsFree > lastFetch);
-    }));
+    // A rollout that stands still costs no part.
+    progress.observe(engines, {{"m", 2}}, Start + 60s);
+    CHECK(fetched() == 40);
+    for (int i = 0; i < 10; ++i) {
+        setVersion(i, 2);
+    }
+    const TimePoint half = Start + 61s;
+    progress.observe(engines, {{"m", 2}}, half);
+    CHECK(fetched() > 10);
+    CHECK(fetched() < 30);
+    for (int i = 10; i < 20; ++i) {
+        setVersion(i, 2);
+    }
+    progress.observe(engines, {{"m", 2}}, half + 2s);
+    CHECK(fetched() == 0);
+    // An engine that comes back with old weights brings nothing back.
+    setVersion(30, 1);
+    progress.observe(engines, {{"m", 2}}, half + 3s);
+    CHECK(fetched() == 0);
+    for (const PlannedPart &part : parts) {
+        // A host that hears of the engines as late as it may still fetch, with the longest fetch that it may begin.
+        const Duration lastFetch = config::TransferFreshness + config::StoreViewTime;
+        CHECK_FALSE(progress.mayFree("m", 1, part.id, half + lastFetch));
+        CHECK(progress.mayFree("m", 1, part.id, half + 2s + config::OldPartsFree));
+        CHECK_FALSE(progress.mayFree("m", 2, part.id, half + 60s));
+    }
+}
+
+// A host that starts in the middle of a rollout has not seen which parts the others still fetch.
+TEST_CASE("a host frees nothing before it has looked for as long as a fetch may last")
+{
+    ServerTable none;
+    WeightProgress progress;
+    CHECK_FALSE(progress.mayFree("m", 1, "p", Start));
+    progress.observe(none, {{"m", 2}}, Start);
+    CHECK_FALSE(progress.mayFree("m", 1, "p", Start + config::OldPartsFree - 1ms));
+    CHECK(progress.mayFree("m", 1, "p", Start + config::OldPartsFree));
+    CHECK_FALSE(progress.mayFree("other", 1, "p", Start + config::OldPartsFree));
 }
 
 TEST_CASE("short parts are read rather than fetched from a store that has become slow")
@@ -139,9 +179,9 @@
         stores.observed(Stores[0].address, 900ms, Start);
         stores.observed(Stores[1].address, 80ms, Start);
     }
-    CHECK(stores.plan("s", {{"shorta", 500}}, "z1", std::nullopt, Start).fetch[0].empty());
-    CHECK_FALSE(stores.plan("s", {{"longa", 9000}}, "z1", std::nullopt, Start).fetch[0].empty());
-    CHECK_FALSE(stores.plan("s", {{"shortb", 500}}, "z1", std::nullopt, Start).fetch[0].empty());
+    CHECK(stores.plan("s", {{"shorta", 500}}, "z1", {}, Start).fetch[0].empty());
+    CHECK_FALSE(stores.plan("s", {{"longa", 9000}}, "z1", {}, Start).fetch[0].empty());
+    CHECK_FALSE(stores.plan("s", {{"shortb", 500}}, "z1", {}, Start).fetch[0].empty());
 }
 
 // Hosts with views of different age, and a store that starts again after it was away for longer than a view holds.
@@ -192,7 +232,7 @@
                 }
                 (void)host.answered(address, answer, now);
             }
-            const TransferPlan plan = host.plan("s", {{"p", 500}}, "z1", std::nullopt, now);
+            const TransferPlan plan = host.plan("s", {{"p", 500}}, "z1", {}, now);
             if (!plan.save[0].empty() && wholeAt == TimePoint {}) {
                 wholeAt = now + WriteTime;
                 writes.emplace_back(now, wholeAt);
