Bound what readers and the hosts that free parts do for each ask

By reading: a reader scanned up to 4,096 events of each of 34 stores for each of 48 askers three times a second, and every host hashed 295 names for each store twice a second. Change: events are looked at from the latest back; who frees is worked out each 2 s, and each 10 s in calm times.

--- a/packages/core/include/endivespan/weight_progress.h
+++ b/packages/core/include/endivespan/weight_progress.h
@@ -23,6 +23,9 @@
     /// @param newest Newest version named, by model.
     void observe(const ServerTable &servers, const std::map<std::string, std::uint64_t> &newest, TimePoint now);
 
+    /// @returns whether this host has seen engines with replaced weights.
+    [[nodiscard]] bool isUnderWay() const;
+
     /// @returns whether the part @p id, made by @p version, may still be fetched.
     [[nodiscard]] bool mayUse(const std::string &model, std::uint64_t version, const std::string &id) const;
 
--- a/packages/core/src/relay.cpp
+++ b/packages/core/src/relay.cpp
@@ -4,6 +4,7 @@
 #include <endivespan/relay.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace endivespan {
@@ -163,10 +164,14 @@
     const bool reaches = found != this->stores.end() && cursor.epoch == view.epoch && found->second.epoch == view.epoch
         && cursor.next >= found->second.first;
     if (reaches) {
-        for (const Tagged &tagged : found->second.events) {
-            if (tagged.next > cursor.next) {
-                relayed.events.events.push_back(tagged.event);
-            }
+        const std::deque<Tagged> &events = found->second.events;
+        // Askers lack only the latest ones.
+        auto begin = events.end();
+        while (begin != events.begin() && std::prev(begin)->next > cursor.next) {
+            --begin;
+        }
+        for (; begin != events.end(); ++begin) {
+            relayed.events.events.push_back(begin->event);
         }
     } else {
         relayed.whole = true;
--- a/packages/core/src/weight_progress.cpp
+++ b/packages/core/src/weight_progress.cpp
@@ -50,6 +50,11 @@
     }
 }
 
+bool WeightProgress::isUnderWay() const
+{
+    return !this->tracks.empty();
+}
+
 bool WeightProgress::mayUse(const std::string &model, std::uint64_t version, const std::string &id) const
 {
     const auto named = this->newest.find(model);
--- a/packages/node/src/store_task.cpp
+++ b/packages/node/src/store_task.cpp
@@ -65,7 +65,7 @@
             this->ask(address, next);
         }
         if (now >= line.freeAt) {
-            line.freeAt = now + config::OwnershipPeriod;
+            line.freeAt = now + (this->progress.isUnderWay() ? config::OwnershipPeriod : config::StoreIdleFreePeriod);
             this->freeOld(address, now);
         }
     }
@@ -195,7 +195,12 @@
     if (const auto age = this->serverFeed.age(now); !age || *age > config::TransferFreshness) {
         return;
     }
-    if (proposedOwner(this->membership.owners(), "store/" + address) != this->membership.self().name) {
+    Line &line = this->lines[address];
+    if (now >= line.ownerAt) {
+        line.ownerAt = now + config::StoreOwnerPeriod;
+        line.isOwner = proposedOwner(this->membership.owners(), "store/" + address) == this->membership.self().name;
+    }
+    if (!line.isOwner) {
         return;
     }
     auto [epoch, parts] = this->stores.toFree(
--- a/packages/node/src/store_task.h
+++ b/packages/node/src/store_task.h
@@ -51,6 +51,8 @@
         bool reachable = true;
         TimePoint askAt;
         TimePoint freeAt;
+        TimePoint ownerAt; ///< When to find out again who frees parts there.
+        bool isOwner = false;
     };
 
     void logStores(TimePoint now);
