--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -274,7 +274,8 @@
 constexpr std::chrono::milliseconds StoreSpeedMemory = 1500ms;
 constexpr double StoreSpeedSmoothing = 0.2; ///< Share of a new sample.
 constexpr std::chrono::seconds StoreLinePeriod = 5s; ///< Between log lines on what is known of a store.
-constexpr std::uint64_t ShortPartTokens = 4000; ///< Read in less time than a slow fetch takes.
+constexpr double SlowStoreReadings = 5.0; ///< Times that reading a part takes, beyond which a fetch is too slow.
+constexpr std::size_t StoreSamplesKept = 64; ///< Until the host that reads for this one asks for them.
 
 // Forwarded requests: repeats
 constexpr double SpareHostFactor = 1.4; ///< Hosts that may join before the others know them.
@@ -313,6 +314,7 @@
 // Following the log
 constexpr std::chrono::milliseconds OperatorReadWait = 1000ms;
 constexpr std::chrono::milliseconds OperatorBackoffMost = 500ms;
+constexpr std::chrono::milliseconds OperatorRelayedBackoff = 2000ms; ///< While another host passes on what is new.
 constexpr std::chrono::milliseconds ServerPollPeriod = 600ms;
 constexpr std::chrono::milliseconds ListLapseAfter = 2400ms; ///< Entries may lapse in an outage of two heartbeats.
 constexpr std::chrono::milliseconds HostAnnouncePause = 500ms;
--- a/packages/core/include/endivespan/relay.h
+++ b/packages/core/include/endivespan/relay.h
@@ -36,6 +36,15 @@
     bool operator==(const RelayedLoad &) const = default;
 };
 
+/// How much longer first tokens took where parts came from a store.
+struct RelayedSpeed {
+    std::uint32_t store = 0; ///< storeIdOf() its address.
+    Duration excess {};
+    Duration age {};
+
+    bool operator==(const RelayedSpeed &) const = default;
+};
+
 /// Asks a host for what it knows beyond what the asking one does.
 struct RelayAsk {
     std::uint64_t serversNext = 0; ///< Offset up to which the list of servers is known.
@@ -43,6 +52,7 @@
     std::vector<StoreCursor> stores;
     Duration sinceLast {}; ///< Since the asking host was last answered: it lacks loads that were learnt within it.
     std::vector<RelayedLoad> loads; ///< That servers told the asking host meanwhile.
+    std::vector<RelayedSpeed> samples; ///< Single ones, of the asking host.
 
     bool operator==(const RelayAsk &) const = default;
 };
@@ -73,6 +83,7 @@
     std::vector<RelayedServer> servers;
     std::vector<RelayedStore> stores;
     std::vector<RelayedLoad> loads;
+    std::vector<RelayedSpeed> speeds; ///< Learnt from the samples of all that ask.
     bool more = false; ///< Cut short: ask again at once.
 };
 
--- a/packages/core/include/endivespan/shared_store.h
+++ b/packages/core/include/endivespan/shared_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <endivespan/clock.h>
+#include <endivespan/config.h>
 
 #include <cstdint>
 #include <functional>
@@ -73,6 +74,19 @@
     Duration excess {}; ///< Of a first token, for parts that come from there.
 };
 
+/// How long first tokens took for one attempt, beyond the reading of its own prompt.
+struct StoreSample {
+    std::string address; ///< Of the store that it fetched from.
+    Duration excess {};
+};
+
+/// What is known of the speed of one store.
+struct StoreSpeed {
+    std::string address;
+    Duration excess {}; ///< Smoothed over the samples.
+    Duration age {}; ///< Of the latest sample.
+};
+
 /// One store as seen from here, to be passed on to other hosts.
 struct SharedStoreView {
     std::uint64_t epoch = 0;
@@ -128,6 +142,18 @@
     /// @p address.
     void observed(const std::string &address, Duration excess, TimePoint now);
 
+    /// @returns the samples that observed() has taken since the last call, for another host.
+    [[nodiscard]] std::vector<StoreSample> takeSamples();
+
+    /// @returns the speed of each store that has fresh samples.
+    [[nodiscard]] std::vector<StoreSpeed> speeds(TimePoint now) const;
+
+    /// Takes what another host has learnt from the samples of many; it goes before the own samples.
+    void learnSpeed(const StoreSpeed &speed, TimePoint now);
+
+    /// Sets how fast engines read prompts, in tokens a millisecond.
+    void setReadingRate(double rate);
+
     /// @returns the parts held at @p address that nobody fetches any more, at most @p limit, with the store's epoch.
     /// @param isOld Tells which those are.
     [[nodiscard]] std::pair<std::uint64_t, std::vector<ScopedPart>> toFree(
@@ -157,12 +183,15 @@
     };
 
     [[nodiscard]] static bool isFresh(const View &view, TimePoint now);
-    [[nodiscard]] bool isSlow(const View &view, TimePoint now) const;
+    void smooth(View &view, Duration excess, TimePoint now) const;
+    [[nodiscard]] bool isSlowerThanReading(const View &view, std::uint64_t tokens, TimePoint now) const;
     const View *holder(const ScopedPart &part, const std::string &domain, TimePoint now) const;
     View *saver(const ScopedPart &part, std::uint64_t tokens, TimePoint now);
 
     std::map<std::string, View> views; ///< By address.
     std::map<std::uint32_t, std::string> ids; ///< Addresses by storeIdOf().
+    std::vector<StoreSample> samples; ///< Not taken yet.
+    double readingRate = config::StartPrefillTokensPerMillisecond;
 };
 
 } // namespace endivespan
--- a/packages/core/src/shared_store.cpp
+++ b/packages/core/src/shared_store.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace endivespan {
 
@@ -137,15 +138,52 @@
     if (found == this->views.end()) {
         return;
     }
-    View &view = found->second;
+    this->smooth(found->second, excess, now);
+    if (this->samples.size() < config::StoreSamplesKept) {
+        this->samples.push_back({address, excess});
+    }
+}
+
+void SharedStores::smooth(View &view, Duration excess, TimePoint now) const
+{
     const bool isOld = now - view.excessAt > config::StoreSpeedMemory;
     const auto smoothed = config::StoreSpeedSmoothing * excess + (1 - config::StoreSpeedSmoothing) * view.excess;
     view.excess = isOld ? excess : std::chrono::duration_cast<Duration>(smoothed);
     view.excessAt = now;
 }
 
+std::vector<StoreSample> SharedStores::takeSamples()
+{
+    return std::exchange(this->samples, {});
+}
+
+std::vector<StoreSpeed> SharedStores::speeds(TimePoint now) const
+{
+    std::vector<StoreSpeed> list;
+    for (const auto &[address, view] : this->views) {
+        if (now - view.excessAt <= config::StoreSpeedMemory) {
+            list.push_back({address, view.excess, now - view.excessAt});
+        }
+    }
+    return list;
+}
+
+void SharedStores::learnSpeed(const StoreSpeed &speed, TimePoint now)
+{
+    const auto found = this->views.find(speed.address);
+    if (found != this->views.end() && speed.age <= config::StoreSpeedMemory) {
+        found->second.excess = speed.excess;
+        found->second.excessAt = now - speed.age;
+    }
+}
+
+void SharedStores::setReadingRate(double rate)
+{
+    this->readingRate = rate;
+}
+
 // Compared with the fastest store, since a busy pool of engines makes all fetches seem slow.
-bool SharedStores::isSlow(const View &view, TimePoint now) const
+bool SharedStores::isSlowerThanReading(const View &view, std::uint64_t tokens, TimePoint now) const
 {
     if (now - view.excessAt > config::StoreSpeedMemory) {
         return false;
@@ -156,7 +194,9 @@
             fastest = std::min(fastest, other.excess);
         }
     }
-    return view.excess - fastest > config::SlowStoreExcess;
+    const std::chrono::duration<double, std::milli> reading(static_cast<double>(tokens) / this->readingRate);
+    const auto bound = std::chrono::duration_cast<Duration>(config::SlowStoreReadings * reading);
+    return view.excess - fastest > std::max<Duration>(config::SlowStoreExcess, bound);
 }
 
 const SharedStores::View *SharedStores::holder(const ScopedPart &part, const std::string &domain, TimePoint now) const
@@ -205,8 +245,8 @@
             continue;
         }
         if (const View *view = this->holder(part, domain, now)) {
-            // A short part is read sooner than it comes; a long one costs the engine too much.
-            if (parts[i].tokens < config::ShortPartTokens && this->isSlow(*view, now)) {
+            // A short part is read sooner than it comes; a long one costs the engine more.
+            if (this->isSlowerThanReading(*view, parts[i].tokens, now)) {
                 continue;
             }
             plan.fetch[i] = view->store.address;
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -272,6 +272,7 @@
     this->parts.servers.tick(now);
     this->confirmDeaths(now);
     this->observeRuns();
+    this->parts.stores.setReadingRate(this->engines.rates().prefillTokensPerMillisecond);
     this->parts.progress.observe(this->parts.servers, this->parts.operators.state().weights.newest(), now);
     this->loadingNext.clear();
     this->meanRequests.clear();
--- a/packages/node/src/host_feed.cpp
+++ b/packages/node/src/host_feed.cpp
@@ -47,7 +47,7 @@
         // Once more soon after the start, for those that start with this host; later ones make themselves known.
         const auto pause = this->isListed ? Duration(config::HostReadPeriod) : Duration(config::HostReadAgain);
         this->isListed = this->isListed || batch.has_value();
-        this->readTimer = this->loop.after(batch ? pause : config::HostAnnouncePause, [this] { this->read(); });
+        this->readTimer = this->loop.after(pause, [this] { this->read(); });
     });
 }
 
--- a/packages/node/src/operator_feed.cpp
+++ b/packages/node/src/operator_feed.cpp
@@ -130,8 +130,11 @@
     }
     this->reachable = false;
     this->membership.setLogReachable(false);
-    const auto pause = std::min<Duration>(config::ConfigurationBackoffLeast * (1U << std::min(this->failures, 4U)),
-                                          config::OperatorBackoffMost);
+    const bool isPassedOn = this->followed && !this->newerSeen && this->loop.now() < this->relayHoldsUntil;
+    const auto pause = isPassedOn
+        ? Duration(config::OperatorRelayedBackoff)
+        : std::min<Duration>(config::ConfigurationBackoffLeast * (1U << std::min(this->failures, 4U)),
+                             config::OperatorBackoffMost);
     ++this->failures;
     this->retry = this->loop.after(pause, [this] { this->again(); });
 }
--- a/packages/node/src/relay_task.cpp
+++ b/packages/node/src/relay_task.cpp
@@ -54,6 +54,9 @@
     message.stores = this->parts.stores.cursors();
     message.sinceLast = std::min<Duration>(now - this->answeredAt, config::RelayLoadsAtFirst);
     message.loads = loadsSince(this->parts.servers, now - message.sinceLast, true, now);
+    for (const StoreSample &sample : this->parts.sharedStores.takeSamples()) {
+        message.samples.push_back({storeIdOf(sample.address), sample.excess, {}});
+    }
     for (const auto &[id, view] : this->parts.servers.servers()) {
         if (view.unconfirmedSince != TimePoint {} && message.unconfirmed.size() < config::RelayUnconfirmed) {
             message.unconfirmed.push_back(id);
@@ -88,6 +91,11 @@
     const TimePoint now = this->parts.loop.now();
     this->answeredAt = askedAt;
     this->takeLoads(reply.loads, askedAt);
+    for (const RelayedSpeed &speed : reply.speeds) {
+        if (const auto address = this->parts.sharedStores.addressOf(speed.store)) {
+            this->parts.sharedStores.learnSpeed({*address, speed.excess, now - askedAt + speed.age}, now);
+        }
+    }
     this->parts.operators.relayed(host, reply.config, askedAt);
     if (reply.config.offset > this->parts.membership.self().status.configOffset
         && this->parts.operators.wantsPeerState()) {
@@ -126,6 +134,14 @@
     RelayReply reply = this->parts.source.answer(ask, config, this->parts.sharedStores, now);
     reply.loads = loadsSince(this->parts.servers, now - ask.sinceLast - config::RelayLoadMargin, false, now);
     this->takeLoads(ask.loads, now);
+    for (const RelayedSpeed &sample : ask.samples) {
+        if (const auto address = this->parts.sharedStores.addressOf(sample.store)) {
+            this->parts.sharedStores.observed(*address, sample.excess, now);
+        }
+    }
+    for (const StoreSpeed &speed : this->parts.sharedStores.speeds(now)) {
+        reply.speeds.push_back({storeIdOf(speed.address), speed.excess, speed.age});
+    }
     return reply;
 }
 
--- a/packages/node/src/relay_task.h
+++ b/packages/node/src/relay_task.h
@@ -24,7 +24,7 @@
     const Membership &membership;
     const Confirmation &confirmation;
     ServerTable &servers;
-    const SharedStores &sharedStores;
+    SharedStores &sharedStores;
     RelaySource &source;
     PeerTask &peers;
     OperatorFeed &operators;
--- a/packages/wire/gen-cpp/peer_types.cpp
+++ b/packages/wire/gen-cpp/peer_types.cpp
@@ -2878,6 +2878,138 @@
 }
 
 
+RelayedSpeedRecord::~RelayedSpeedRecord() noexcept {
+}
+
+
+void RelayedSpeedRecord::__set_store(const int32_t val) {
+  this->store = val;
+}
+
+void RelayedSpeedRecord::__set_excessMicroseconds(const int64_t val) {
+  this->excessMicroseconds = val;
+}
+
+void RelayedSpeedRecord::__set_ageMicroseconds(const int64_t val) {
+  this->ageMicroseconds = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayedSpeedRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayedSpeedRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->store);
+          this->__isset.store = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->excessMicroseconds);
+          this->__isset.excessMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMicroseconds);
+          this->__isset.ageMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RelayedSpeedRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayedSpeedRecord");
+
+  xfer += oprot->writeFieldBegin("store", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->store);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("excessMicroseconds", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->excessMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMicroseconds", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->ageMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayedSpeedRecord &a, RelayedSpeedRecord &b) {
+  using ::std::swap;
+  swap(a.store, b.store);
+  swap(a.excessMicroseconds, b.excessMicroseconds);
+  swap(a.ageMicroseconds, b.ageMicroseconds);
+  swap(a.__isset, b.__isset);
+}
+
+RelayedSpeedRecord::RelayedSpeedRecord(const RelayedSpeedRecord& other78) noexcept {
+  store = other78.store;
+  excessMicroseconds = other78.excessMicroseconds;
+  ageMicroseconds = other78.ageMicroseconds;
+  __isset = other78.__isset;
+}
+RelayedSpeedRecord& RelayedSpeedRecord::operator=(const RelayedSpeedRecord& other79) noexcept {
+  store = other79.store;
+  excessMicroseconds = other79.excessMicroseconds;
+  ageMicroseconds = other79.ageMicroseconds;
+  __isset = other79.__isset;
+  return *this;
+}
+void RelayedSpeedRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayedSpeedRecord(";
+  out << "store=" << to_string(store);
+  out << ", " << "excessMicroseconds=" << to_string(excessMicroseconds);
+  out << ", " << "ageMicroseconds=" << to_string(ageMicroseconds);
+  out << ")";
+}
+
+
 RelayAskRecord::~RelayAskRecord() noexcept {
 }
 
@@ -2901,6 +3033,10 @@
 void RelayAskRecord::__set_loads(const std::vector<RelayedLoadRecord> & val) {
   this->loads = val;
 }
+
+void RelayAskRecord::__set_samples(const std::vector<RelayedSpeedRecord> & val) {
+  this->samples = val;
+}
 std::ostream& operator<<(std::ostream& out, const RelayAskRecord& obj)
 {
   obj.printTo(out);
@@ -2941,14 +3077,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unconfirmed.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->unconfirmed.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->unconfirmed.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += iprot->readString(this->unconfirmed[_i82]);
+              xfer += iprot->readString(this->unconfirmed[_i84]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2961,14 +3097,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stores.clear();
-            uint32_t _size83;
-            ::apache::thrift::protocol::TType _etype86;
-            xfer += iprot->readListBegin(_etype86, _size83);
-            this->stores.resize(_size83);
-            uint32_t _i87;
-            for (_i87 = 0; _i87 < _size83; ++_i87)
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->stores.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
             {
-              xfer += this->stores[_i87].read(iprot);
+              xfer += this->stores[_i89].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2989,14 +3125,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size88;
-            ::apache::thrift::protocol::TType _etype91;
-            xfer += iprot->readListBegin(_etype91, _size88);
-            this->loads.resize(_size88);
-            uint32_t _i92;
-            for (_i92 = 0; _i92 < _size88; ++_i92)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->loads.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += this->loads[_i92].read(iprot);
+              xfer += this->loads[_i94].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3005,6 +3141,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->samples.clear();
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->samples.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
+            {
+              xfer += this->samples[_i99].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.samples = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3029,10 +3185,10 @@
   xfer += oprot->writeFieldBegin("unconfirmed", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->unconfirmed.size()));
-    std::vector<std::string> ::const_iterator _iter93;
-    for (_iter93 = this->unconfirmed.begin(); _iter93 != this->unconfirmed.end(); ++_iter93)
+    std::vector<std::string> ::const_iterator _iter100;
+    for (_iter100 = this->unconfirmed.begin(); _iter100 != this->unconfirmed.end(); ++_iter100)
     {
-      xfer += oprot->writeString((*_iter93));
+      xfer += oprot->writeString((*_iter100));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3041,10 +3197,10 @@
   xfer += oprot->writeFieldBegin("stores", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stores.size()));
-    std::vector<StoreCursorRecord> ::const_iterator _iter94;
-    for (_iter94 = this->stores.begin(); _iter94 != this->stores.end(); ++_iter94)
+    std::vector<StoreCursorRecord> ::const_iterator _iter101;
+    for (_iter101 = this->stores.begin(); _iter101 != this->stores.end(); ++_iter101)
     {
-      xfer += (*_iter94).write(oprot);
+      xfer += (*_iter101).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3057,10 +3213,22 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<RelayedLoadRecord> ::const_iterator _iter95;
-    for (_iter95 = this->loads.begin(); _iter95 != this->loads.end(); ++_iter95)
+    std::vector<RelayedLoadRecord> ::const_iterator _iter102;
+    for (_iter102 = this->loads.begin(); _iter102 != this->loads.end(); ++_iter102)
     {
-      xfer += (*_iter95).write(oprot);
+      xfer += (*_iter102).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("samples", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->samples.size()));
+    std::vector<RelayedSpeedRecord> ::const_iterator _iter103;
+    for (_iter103 = this->samples.begin(); _iter103 != this->samples.end(); ++_iter103)
+    {
+      xfer += (*_iter103).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3078,24 +3246,27 @@
   swap(a.stores, b.stores);
   swap(a.sinceLastMicroseconds, b.sinceLastMicroseconds);
   swap(a.loads, b.loads);
+  swap(a.samples, b.samples);
   swap(a.__isset, b.__isset);
 }
 
-RelayAskRecord::RelayAskRecord(const RelayAskRecord& other96) {
-  serversNext = other96.serversNext;
-  unconfirmed = other96.unconfirmed;
-  stores = other96.stores;
-  sinceLastMicroseconds = other96.sinceLastMicroseconds;
-  loads = other96.loads;
-  __isset = other96.__isset;
-}
-RelayAskRecord& RelayAskRecord::operator=(const RelayAskRecord& other97) {
-  serversNext = other97.serversNext;
-  unconfirmed = other97.unconfirmed;
-  stores = other97.stores;
-  sinceLastMicroseconds = other97.sinceLastMicroseconds;
-  loads = other97.loads;
-  __isset = other97.__isset;
+RelayAskRecord::RelayAskRecord(const RelayAskRecord& other104) {
+  serversNext = other104.serversNext;
+  unconfirmed = other104.unconfirmed;
+  stores = other104.stores;
+  sinceLastMicroseconds = other104.sinceLastMicroseconds;
+  loads = other104.loads;
+  samples = other104.samples;
+  __isset = other104.__isset;
+}
+RelayAskRecord& RelayAskRecord::operator=(const RelayAskRecord& other105) {
+  serversNext = other105.serversNext;
+  unconfirmed = other105.unconfirmed;
+  stores = other105.stores;
+  sinceLastMicroseconds = other105.sinceLastMicroseconds;
+  loads = other105.loads;
+  samples = other105.samples;
+  __isset = other105.__isset;
   return *this;
 }
 void RelayAskRecord::printTo(std::ostream& out) const {
@@ -3106,6 +3277,7 @@
   out << ", " << "stores=" << to_string(stores);
   out << ", " << "sinceLastMicroseconds=" << to_string(sinceLastMicroseconds);
   out << ", " << "loads=" << to_string(loads);
+  out << ", " << "samples=" << to_string(samples);
   out << ")";
 }
 
@@ -3221,17 +3393,17 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedServerRecord::RelayedServerRecord(const RelayedServerRecord& other98) {
-  key = other98.key;
-  value = other98.value;
-  lapsedForMicroseconds = other98.lapsedForMicroseconds;
-  __isset = other98.__isset;
+RelayedServerRecord::RelayedServerRecord(const RelayedServerRecord& other106) {
+  key = other106.key;
+  value = other106.value;
+  lapsedForMicroseconds = other106.lapsedForMicroseconds;
+  __isset = other106.__isset;
 }
-RelayedServerRecord& RelayedServerRecord::operator=(const RelayedServerRecord& other99) {
-  key = other99.key;
-  value = other99.value;
-  lapsedForMicroseconds = other99.lapsedForMicroseconds;
-  __isset = other99.__isset;
+RelayedServerRecord& RelayedServerRecord::operator=(const RelayedServerRecord& other107) {
+  key = other107.key;
+  value = other107.value;
+  lapsedForMicroseconds = other107.lapsedForMicroseconds;
+  __isset = other107.__isset;
   return *this;
 }
 void RelayedServerRecord::printTo(std::ostream& out) const {
@@ -3353,17 +3525,17 @@
   swap(a.__isset, b.__isset);
 }
 
-PartEventRecord::PartEventRecord(const PartEventRecord& other100) {
-  scope = other100.scope;
-  part = other100.part;
-  tokens = other100.tokens;
-  __isset = other100.__isset;
+PartEventRecord::PartEventRecord(const PartEventRecord& other108) {
+  scope = other108.scope;
+  part = other108.part;
+  tokens = other108.tokens;
+  __isset = other108.__isset;
 }
-PartEventRecord& PartEventRecord::operator=(const PartEventRecord& other101) {
-  scope = other101.scope;
-  part = other101.part;
-  tokens = other101.tokens;
-  __isset = other101.__isset;
+PartEventRecord& PartEventRecord::operator=(const PartEventRecord& other109) {
+  scope = other109.scope;
+  part = other109.part;
+  tokens = other109.tokens;
+  __isset = other109.__isset;
   return *this;
 }
 void PartEventRecord::printTo(std::ostream& out) const {
@@ -3492,14 +3664,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->scopes.clear();
-            uint32_t _size102;
-            ::apache::thrift::protocol::TType _etype105;
-            xfer += iprot->readListBegin(_etype105, _size102);
-            this->scopes.resize(_size102);
-            uint32_t _i106;
-            for (_i106 = 0; _i106 < _size102; ++_i106)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->scopes.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += iprot->readString(this->scopes[_i106]);
+              xfer += iprot->readString(this->scopes[_i114]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3512,14 +3684,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->events.clear();
-            uint32_t _size107;
-            ::apache::thrift::protocol::TType _etype110;
-            xfer += iprot->readListBegin(_etype110, _size107);
-            this->events.resize(_size107);
-            uint32_t _i111;
-            for (_i111 = 0; _i111 < _size107; ++_i111)
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->events.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
             {
-              xfer += this->events[_i111].read(iprot);
+              xfer += this->events[_i119].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3573,10 +3745,10 @@
   xfer += oprot->writeFieldBegin("scopes", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->scopes.size()));
-    std::vector<std::string> ::const_iterator _iter112;
-    for (_iter112 = this->scopes.begin(); _iter112 != this->scopes.end(); ++_iter112)
+    std::vector<std::string> ::const_iterator _iter120;
+    for (_iter120 = this->scopes.begin(); _iter120 != this->scopes.end(); ++_iter120)
     {
-      xfer += oprot->writeString((*_iter112));
+      xfer += oprot->writeString((*_iter120));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3585,10 +3757,10 @@
   xfer += oprot->writeFieldBegin("events", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->events.size()));
-    std::vector<PartEventRecord> ::const_iterator _iter113;
-    for (_iter113 = this->events.begin(); _iter113 != this->events.end(); ++_iter113)
+    std::vector<PartEventRecord> ::const_iterator _iter121;
+    for (_iter121 = this->events.begin(); _iter121 != this->events.end(); ++_iter121)
     {
-      xfer += (*_iter113).write(oprot);
+      xfer += (*_iter121).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3612,27 +3784,27 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedStoreRecord::RelayedStoreRecord(const RelayedStoreRecord& other114) {
-  store = other114.store;
-  whole = other114.whole;
-  ageMicroseconds = other114.ageMicroseconds;
-  epoch = other114.epoch;
-  nextEvent = other114.nextEvent;
-  clockMilliseconds = other114.clockMilliseconds;
-  scopes = other114.scopes;
-  events = other114.events;
-  __isset = other114.__isset;
-}
-RelayedStoreRecord& RelayedStoreRecord::operator=(const RelayedStoreRecord& other115) {
-  store = other115.store;
-  whole = other115.whole;
-  ageMicroseconds = other115.ageMicroseconds;
-  epoch = other115.epoch;
-  nextEvent = other115.nextEvent;
-  clockMilliseconds = other115.clockMilliseconds;
-  scopes = other115.scopes;
-  events = other115.events;
-  __isset = other115.__isset;
+RelayedStoreRecord::RelayedStoreRecord(const RelayedStoreRecord& other122) {
+  store = other122.store;
+  whole = other122.whole;
+  ageMicroseconds = other122.ageMicroseconds;
+  epoch = other122.epoch;
+  nextEvent = other122.nextEvent;
+  clockMilliseconds = other122.clockMilliseconds;
+  scopes = other122.scopes;
+  events = other122.events;
+  __isset = other122.__isset;
+}
+RelayedStoreRecord& RelayedStoreRecord::operator=(const RelayedStoreRecord& other123) {
+  store = other123.store;
+  whole = other123.whole;
+  ageMicroseconds = other123.ageMicroseconds;
+  epoch = other123.epoch;
+  nextEvent = other123.nextEvent;
+  clockMilliseconds = other123.clockMilliseconds;
+  scopes = other123.scopes;
+  events = other123.events;
+  __isset = other123.__isset;
   return *this;
 }
 void RelayedStoreRecord::printTo(std::ostream& out) const {
@@ -3686,6 +3858,10 @@
 void RelayReplyRecord::__set_loads(const std::vector<RelayedLoadRecord> & val) {
   this->loads = val;
 }
+
+void RelayReplyRecord::__set_speeds(const std::vector<RelayedSpeedRecord> & val) {
+  this->speeds = val;
+}
 std::ostream& operator<<(std::ostream& out, const RelayReplyRecord& obj)
 {
   obj.printTo(out);
@@ -3750,14 +3926,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->servers.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->servers.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += this->servers[_i120].read(iprot);
+              xfer += this->servers[_i128].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3770,14 +3946,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stores.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _etype124;
-            xfer += iprot->readListBegin(_etype124, _size121);
-            this->stores.resize(_size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->stores.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += this->stores[_i125].read(iprot);
+              xfer += this->stores[_i133].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3798,14 +3974,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size126;
-            ::apache::thrift::protocol::TType _etype129;
-            xfer += iprot->readListBegin(_etype129, _size126);
-            this->loads.resize(_size126);
-            uint32_t _i130;
-            for (_i130 = 0; _i130 < _size126; ++_i130)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->loads.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += this->loads[_i130].read(iprot);
+              xfer += this->loads[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3814,6 +3990,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->speeds.clear();
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->speeds.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
+            {
+              xfer += this->speeds[_i143].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.speeds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3851,10 +4047,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<RelayedServerRecord> ::const_iterator _iter131;
-    for (_iter131 = this->servers.begin(); _iter131 != this->servers.end(); ++_iter131)
+    std::vector<RelayedServerRecord> ::const_iterator _iter144;
+    for (_iter144 = this->servers.begin(); _iter144 != this->servers.end(); ++_iter144)
     {
-      xfer += (*_iter131).write(oprot);
+      xfer += (*_iter144).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3863,10 +4059,10 @@
   xfer += oprot->writeFieldBegin("stores", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stores.size()));
-    std::vector<RelayedStoreRecord> ::const_iterator _iter132;
-    for (_iter132 = this->stores.begin(); _iter132 != this->stores.end(); ++_iter132)
+    std::vector<RelayedStoreRecord> ::const_iterator _iter145;
+    for (_iter145 = this->stores.begin(); _iter145 != this->stores.end(); ++_iter145)
     {
-      xfer += (*_iter132).write(oprot);
+      xfer += (*_iter145).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3879,10 +4075,22 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<RelayedLoadRecord> ::const_iterator _iter133;
-    for (_iter133 = this->loads.begin(); _iter133 != this->loads.end(); ++_iter133)
+    std::vector<RelayedLoadRecord> ::const_iterator _iter146;
+    for (_iter146 = this->loads.begin(); _iter146 != this->loads.end(); ++_iter146)
+    {
+      xfer += (*_iter146).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("speeds", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->speeds.size()));
+    std::vector<RelayedSpeedRecord> ::const_iterator _iter147;
+    for (_iter147 = this->speeds.begin(); _iter147 != this->speeds.end(); ++_iter147)
     {
-      xfer += (*_iter133).write(oprot);
+      xfer += (*_iter147).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3903,30 +4111,33 @@
   swap(a.stores, b.stores);
   swap(a.more, b.more);
   swap(a.loads, b.loads);
+  swap(a.speeds, b.speeds);
   swap(a.__isset, b.__isset);
 }
 
-RelayReplyRecord::RelayReplyRecord(const RelayReplyRecord& other134) {
-  config = other134.config;
-  serversNext = other134.serversNext;
-  serversGap = other134.serversGap;
-  serversAgeMicroseconds = other134.serversAgeMicroseconds;
-  servers = other134.servers;
-  stores = other134.stores;
-  more = other134.more;
-  loads = other134.loads;
-  __isset = other134.__isset;
-}
-RelayReplyRecord& RelayReplyRecord::operator=(const RelayReplyRecord& other135) {
-  config = other135.config;
-  serversNext = other135.serversNext;
-  serversGap = other135.serversGap;
-  serversAgeMicroseconds = other135.serversAgeMicroseconds;
-  servers = other135.servers;
-  stores = other135.stores;
-  more = other135.more;
-  loads = other135.loads;
-  __isset = other135.__isset;
+RelayReplyRecord::RelayReplyRecord(const RelayReplyRecord& other148) {
+  config = other148.config;
+  serversNext = other148.serversNext;
+  serversGap = other148.serversGap;
+  serversAgeMicroseconds = other148.serversAgeMicroseconds;
+  servers = other148.servers;
+  stores = other148.stores;
+  more = other148.more;
+  loads = other148.loads;
+  speeds = other148.speeds;
+  __isset = other148.__isset;
+}
+RelayReplyRecord& RelayReplyRecord::operator=(const RelayReplyRecord& other149) {
+  config = other149.config;
+  serversNext = other149.serversNext;
+  serversGap = other149.serversGap;
+  serversAgeMicroseconds = other149.serversAgeMicroseconds;
+  servers = other149.servers;
+  stores = other149.stores;
+  more = other149.more;
+  loads = other149.loads;
+  speeds = other149.speeds;
+  __isset = other149.__isset;
   return *this;
 }
 void RelayReplyRecord::printTo(std::ostream& out) const {
@@ -3940,6 +4151,7 @@
   out << ", " << "stores=" << to_string(stores);
   out << ", " << "more=" << to_string(more);
   out << ", " << "loads=" << to_string(loads);
+  out << ", " << "speeds=" << to_string(speeds);
   out << ")";
 }
 
@@ -3998,11 +4210,11 @@
   (void) b;
 }
 
-PeerAckRecord::PeerAckRecord(const PeerAckRecord& other136) noexcept {
-  (void) other136;
+PeerAckRecord::PeerAckRecord(const PeerAckRecord& other150) noexcept {
+  (void) other150;
 }
-PeerAckRecord& PeerAckRecord::operator=(const PeerAckRecord& other137) noexcept {
-  (void) other137;
+PeerAckRecord& PeerAckRecord::operator=(const PeerAckRecord& other151) noexcept {
+  (void) other151;
   return *this;
 }
 void PeerAckRecord::printTo(std::ostream& out) const {
@@ -4351,41 +4563,41 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerFrameRecord::PeerFrameRecord(const PeerFrameRecord& other138) {
-  id = other138.id;
-  answer = other138.answer;
-  hello = other138.hello;
-  gossip = other138.gossip;
-  creditAsk = other138.creditAsk;
-  creditReply = other138.creditReply;
-  creditBack = other138.creditBack;
-  suspectAsk = other138.suspectAsk;
-  suspectReply = other138.suspectReply;
-  suspectBack = other138.suspectBack;
-  configAsk = other138.configAsk;
-  configReply = other138.configReply;
-  ack = other138.ack;
-  relayAsk = other138.relayAsk;
-  relayReply = other138.relayReply;
-  __isset = other138.__isset;
-}
-PeerFrameRecord& PeerFrameRecord::operator=(const PeerFrameRecord& other139) {
-  id = other139.id;
-  answer = other139.answer;
-  hello = other139.hello;
-  gossip = other139.gossip;
-  creditAsk = other139.creditAsk;
-  creditReply = other139.creditReply;
-  creditBack = other139.creditBack;
-  suspectAsk = other139.suspectAsk;
-  suspectReply = other139.suspectReply;
-  suspectBack = other139.suspectBack;
-  configAsk = other139.configAsk;
-  configReply = other139.configReply;
-  ack = other139.ack;
-  relayAsk = other139.relayAsk;
-  relayReply = other139.relayReply;
-  __isset = other139.__isset;
+PeerFrameRecord::PeerFrameRecord(const PeerFrameRecord& other152) {
+  id = other152.id;
+  answer = other152.answer;
+  hello = other152.hello;
+  gossip = other152.gossip;
+  creditAsk = other152.creditAsk;
+  creditReply = other152.creditReply;
+  creditBack = other152.creditBack;
+  suspectAsk = other152.suspectAsk;
+  suspectReply = other152.suspectReply;
+  suspectBack = other152.suspectBack;
+  configAsk = other152.configAsk;
+  configReply = other152.configReply;
+  ack = other152.ack;
+  relayAsk = other152.relayAsk;
+  relayReply = other152.relayReply;
+  __isset = other152.__isset;
+}
+PeerFrameRecord& PeerFrameRecord::operator=(const PeerFrameRecord& other153) {
+  id = other153.id;
+  answer = other153.answer;
+  hello = other153.hello;
+  gossip = other153.gossip;
+  creditAsk = other153.creditAsk;
+  creditReply = other153.creditReply;
+  creditBack = other153.creditBack;
+  suspectAsk = other153.suspectAsk;
+  suspectReply = other153.suspectReply;
+  suspectBack = other153.suspectBack;
+  configAsk = other153.configAsk;
+  configReply = other153.configReply;
+  ack = other153.ack;
+  relayAsk = other153.relayAsk;
+  relayReply = other153.relayReply;
+  __isset = other153.__isset;
   return *this;
 }
 void PeerFrameRecord::printTo(std::ostream& out) const {
--- a/packages/wire/gen-cpp/peer_types.h
+++ b/packages/wire/gen-cpp/peer_types.h
@@ -57,6 +57,8 @@
 
 class RelayedLoadRecord;
 
+class RelayedSpeedRecord;
+
 class RelayAskRecord;
 
 class RelayedServerRecord;
@@ -1214,13 +1216,71 @@
 
 std::ostream& operator<<(std::ostream& out, const RelayedLoadRecord& obj);
 
+typedef struct _RelayedSpeedRecord__isset {
+  _RelayedSpeedRecord__isset() : store(false), excessMicroseconds(false), ageMicroseconds(false) {}
+  bool store :1;
+  bool excessMicroseconds :1;
+  bool ageMicroseconds :1;
+} _RelayedSpeedRecord__isset;
+
+class RelayedSpeedRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayedSpeedRecord(const RelayedSpeedRecord&) noexcept;
+  RelayedSpeedRecord& operator=(const RelayedSpeedRecord&) noexcept;
+  RelayedSpeedRecord() noexcept
+                     : store(0),
+                       excessMicroseconds(0),
+                       ageMicroseconds(0) {
+  }
+
+  virtual ~RelayedSpeedRecord() noexcept;
+  int32_t store;
+  int64_t excessMicroseconds;
+  int64_t ageMicroseconds;
+
+  _RelayedSpeedRecord__isset __isset;
+
+  void __set_store(const int32_t val);
+
+  void __set_excessMicroseconds(const int64_t val);
+
+  void __set_ageMicroseconds(const int64_t val);
+
+  bool operator == (const RelayedSpeedRecord & rhs) const
+  {
+    if (!(store == rhs.store))
+      return false;
+    if (!(excessMicroseconds == rhs.excessMicroseconds))
+      return false;
+    if (!(ageMicroseconds == rhs.ageMicroseconds))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayedSpeedRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayedSpeedRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayedSpeedRecord &a, RelayedSpeedRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayedSpeedRecord& obj);
+
 typedef struct _RelayAskRecord__isset {
-  _RelayAskRecord__isset() : serversNext(false), unconfirmed(false), stores(false), sinceLastMicroseconds(false), loads(false) {}
+  _RelayAskRecord__isset() : serversNext(false), unconfirmed(false), stores(false), sinceLastMicroseconds(false), loads(false), samples(false) {}
   bool serversNext :1;
   bool unconfirmed :1;
   bool stores :1;
   bool sinceLastMicroseconds :1;
   bool loads :1;
+  bool samples :1;
 } _RelayAskRecord__isset;
 
 class RelayAskRecord : public virtual ::apache::thrift::TBase {
@@ -1239,6 +1299,7 @@
   std::vector<StoreCursorRecord>  stores;
   int64_t sinceLastMicroseconds;
   std::vector<RelayedLoadRecord>  loads;
+  std::vector<RelayedSpeedRecord>  samples;
 
   _RelayAskRecord__isset __isset;
 
@@ -1252,6 +1313,8 @@
 
   void __set_loads(const std::vector<RelayedLoadRecord> & val);
 
+  void __set_samples(const std::vector<RelayedSpeedRecord> & val);
+
   bool operator == (const RelayAskRecord & rhs) const
   {
     if (!(serversNext == rhs.serversNext))
@@ -1264,6 +1327,8 @@
       return false;
     if (!(loads == rhs.loads))
       return false;
+    if (!(samples == rhs.samples))
+      return false;
     return true;
   }
   bool operator != (const RelayAskRecord &rhs) const {
@@ -1491,7 +1556,7 @@
 std::ostream& operator<<(std::ostream& out, const RelayedStoreRecord& obj);
 
 typedef struct _RelayReplyRecord__isset {
-  _RelayReplyRecord__isset() : config(false), serversNext(false), serversGap(false), serversAgeMicroseconds(false), servers(false), stores(false), more(false), loads(false) {}
+  _RelayReplyRecord__isset() : config(false), serversNext(false), serversGap(false), serversAgeMicroseconds(false), servers(false), stores(false), more(false), loads(false), speeds(false) {}
   bool config :1;
   bool serversNext :1;
   bool serversGap :1;
@@ -1500,6 +1565,7 @@
   bool stores :1;
   bool more :1;
   bool loads :1;
+  bool speeds :1;
 } _RelayReplyRecord__isset;
 
 class RelayReplyRecord : public virtual ::apache::thrift::TBase {
@@ -1523,6 +1589,7 @@
   std::vector<RelayedStoreRecord>  stores;
   bool more;
   std::vector<RelayedLoadRecord>  loads;
+  std::vector<RelayedSpeedRecord>  speeds;
 
   _RelayReplyRecord__isset __isset;
 
@@ -1542,6 +1609,8 @@
 
   void __set_loads(const std::vector<RelayedLoadRecord> & val);
 
+  void __set_speeds(const std::vector<RelayedSpeedRecord> & val);
+
   bool operator == (const RelayReplyRecord & rhs) const
   {
     if (!(config == rhs.config))
@@ -1562,6 +1631,8 @@
       return false;
     if (!(loads == rhs.loads))
       return false;
+    if (!(speeds == rhs.speeds))
+      return false;
     return true;
   }
   bool operator != (const RelayReplyRecord &rhs) const {
--- a/packages/wire/idl/peer.thrift
+++ b/packages/wire/idl/peer.thrift
@@ -127,12 +127,19 @@
   4: i64 ageMicroseconds,
 }
 
+struct RelayedSpeedRecord {
+  1: i32 store,
+  2: i64 excessMicroseconds,
+  3: i64 ageMicroseconds,
+}
+
 struct RelayAskRecord {
   1: i64 serversNext,
   2: list<string> unconfirmed,
   3: list<StoreCursorRecord> stores,
   4: i64 sinceLastMicroseconds,
   5: list<RelayedLoadRecord> loads,
+  6: list<RelayedSpeedRecord> samples,
 }
 
 struct RelayedServerRecord {
@@ -167,6 +174,7 @@
   6: list<RelayedStoreRecord> stores,
   7: bool more,
   8: list<RelayedLoadRecord> loads,
+  9: list<RelayedSpeedRecord> speeds,
 }
 
 struct PeerAckRecord {
--- a/packages/wire/src/relay_codec.cpp
+++ b/packages/wire/src/relay_codec.cpp
@@ -100,6 +100,31 @@
     return loads;
 }
 
+std::vector<gen::RelayedSpeedRecord> packSpeeds(const std::vector<RelayedSpeed> &speeds)
+{
+    std::vector<gen::RelayedSpeedRecord> records;
+    for (const RelayedSpeed &speed : speeds) {
+        gen::RelayedSpeedRecord record;
+        record.store = static_cast<std::int32_t>(speed.store);
+        record.excessMicroseconds = speed.excess.count();
+        record.ageMicroseconds = speed.age.count();
+        records.push_back(record);
+    }
+    return records;
+}
+
+std::vector<RelayedSpeed> unpackSpeeds(const std::vector<gen::RelayedSpeedRecord> &records)
+{
+    std::vector<RelayedSpeed> speeds;
+    for (const gen::RelayedSpeedRecord &record : records) {
+        // An excess may be negative: the answer came before the own prompt should have been read.
+        speeds.push_back({static_cast<std::uint32_t>(record.store),
+                          Duration(record.excessMicroseconds),
+                          unpackAge(record.ageMicroseconds)});
+    }
+    return speeds;
+}
+
 } // namespace
 
 gen::RelayAskRecord packRelayAsk(const RelayAsk &ask)
@@ -116,6 +141,7 @@
     }
     record.sinceLastMicroseconds = ask.sinceLast.count();
     record.loads = packLoads(ask.loads);
+    record.samples = packSpeeds(ask.samples);
     return record;
 }
 
@@ -130,6 +156,7 @@
     }
     ask.sinceLast = unpackAge(record.sinceLastMicroseconds);
     ask.loads = unpackLoads(record.loads);
+    ask.samples = unpackSpeeds(record.samples);
     return ask;
 }
 
@@ -156,6 +183,7 @@
     }
     record.more = reply.more;
     record.loads = packLoads(reply.loads);
+    record.speeds = packSpeeds(reply.speeds);
     return record;
 }
 
@@ -182,6 +210,7 @@
     }
     reply.more = record.more;
     reply.loads = unpackLoads(record.loads);
+    reply.speeds = unpackSpeeds(record.speeds);
     return reply;
 }
 
--- a/tests/core/relay.cpp
+++ b/tests/core/relay.cpp
@@ -291,3 +291,30 @@
     const auto clamped = decodePeerFrame(encodePeerFrame({1, true, future}));
     CHECK(std::get<RelayReply>(clamped.value().message).serversAge == Duration::zero());
 }
+
+// Replays links that turn slow while each host sends too seldom to any one store to notice by itself.
+TEST_CASE("relay: what many hosts see of a store's speed makes each of them read short parts instead")
+{
+    Pair pair;
+    const ForwardStore quick {"q", "10.0.0.8:80", "z", 1'000'000};
+    SharedStores reader;
+    reader.setStores({Store, quick});
+    for (int host = 0; host < 20; ++host) {
+        SharedStores asker;
+        asker.setStores({Store, quick});
+        asker.observed(Store.address, 900ms, Start);
+        asker.observed(quick.address, 20ms, Start);
+        for (const StoreSample &sample : asker.takeSamples()) {
+            reader.observed(sample.address, sample.excess, Start);
+        }
+        CHECK(asker.takeSamples().empty());
+    }
+    pair.read(events(7, 1, {{{"s", "p"}, true, 10}}), Start);
+    pair.pass(Start);
+    pair.followerStores.setStores({Store, quick});
+    REQUIRE(pair.follows("p", Start));
+    for (const StoreSpeed &speed : reader.speeds(Start + 100ms)) {
+        pair.followerStores.learnSpeed(speed, Start + 100ms);
+    }
+    CHECK_FALSE(pair.follows("p", Start + 100ms));
+}
