Mend findings of the linter; say what the queue of a rollout and the sampled placement are

Cause: clang-tidy on the changed files: vectors filled without reserve, a binding captured in a test. Ruled out: a change of behaviour.

--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -61,7 +61,9 @@
 std::unique_ptr<Placement> makeLeastInFlightPlacement();
 
 /// @returns least expected time to the first byte, where a shared prefix is expected at the first servers of its
-///     rendezvous order. Answers a load of many subjects that each come back seldom to any one host.
+///     rendezvous order. Answers a load of many subjects that each come back seldom to any one host. Of a large pool
+///     only a few servers are weighed beside those, so that hosts which see the same loads do not all take the same
+///     server.
 std::unique_ptr<Placement> makeExpectedStartPlacement();
 
 /// @returns a number for a sequence of prefix parts.
--- a/packages/core/include/endivespan/rollout.h
+++ b/packages/core/include/endivespan/rollout.h
@@ -65,7 +65,7 @@
 ///     Every host comes to the same order, and so can leave the next ones time to finish.
 std::vector<std::string> rolloutOrder(const ServerTable &table, const std::string &model, std::uint64_t version);
 
-/// @returns the place of each engine in rolloutOrder(), or null when all have @p version.
+/// @returns the engines in rolloutOrder() and how fast they change, or null when all have @p version.
 std::shared_ptr<const RolloutQueue>
 rolloutQueue(const ServerTable &table, const std::string &model, std::uint64_t version, const RolloutPace &pace);
 
--- a/packages/node/src/store_task.h
+++ b/packages/node/src/store_task.h
@@ -19,7 +19,8 @@
 /// Keeps up with the stores of prompt parts, and frees what no request will use again.
 namespace endivespan {
 
-/// Asks each store in turn. One host a store frees; two at once do no harm.
+/// Asks each store in turn, or is passed on what another host was answered. One host a store frees; two at once do no
+/// harm.
 class StoreTask
 {
 public:
--- a/packages/wire/src/relay_codec.cpp
+++ b/packages/wire/src/relay_codec.cpp
@@ -77,6 +77,7 @@
 std::vector<gen::RelayedLoadRecord> packLoads(const std::vector<RelayedLoad> &loads)
 {
     std::vector<gen::RelayedLoadRecord> records;
+    records.reserve(loads.size());
     for (const RelayedLoad &load : loads) {
         gen::RelayedLoadRecord record;
         record.server = static_cast<std::int32_t>(load.server);
@@ -91,6 +92,7 @@
 std::vector<RelayedLoad> unpackLoads(const std::vector<gen::RelayedLoadRecord> &records)
 {
     std::vector<RelayedLoad> loads;
+    loads.reserve(records.size());
     for (const gen::RelayedLoadRecord &record : records) {
         loads.push_back({static_cast<std::uint32_t>(record.server),
                          static_cast<std::uint32_t>(std::max(record.running, 0)),
@@ -103,6 +105,7 @@
 std::vector<gen::RelayedSpeedRecord> packSpeeds(const std::vector<RelayedSpeed> &speeds)
 {
     std::vector<gen::RelayedSpeedRecord> records;
+    records.reserve(speeds.size());
     for (const RelayedSpeed &speed : speeds) {
         gen::RelayedSpeedRecord record;
         record.store = static_cast<std::int32_t>(speed.store);
@@ -116,6 +119,7 @@
 std::vector<RelayedSpeed> unpackSpeeds(const std::vector<gen::RelayedSpeedRecord> &records)
 {
     std::vector<RelayedSpeed> speeds;
+    speeds.reserve(records.size());
     for (const gen::RelayedSpeedRecord &record : records) {
         // An excess may be negative: the answer came before the own prompt should have been read.
         speeds.push_back({static_cast<std::uint32_t>(record.store),
--- a/tests/core/relay.cpp
+++ b/tests/core/relay.cpp
@@ -95,17 +95,20 @@
 // Replays the size at which every host that reads for itself makes calls to the log the largest part of the load.
 TEST_CASE("readers: a fleet of any size has few, and each host knows who reads for it")
 {
-    for (const auto &[hosts, domains] :
-         std::vector<std::pair<std::size_t, std::size_t>> {{1, 1}, {12, 3}, {295, 6}, {400, 3}}) {
+    struct Fleet {
+        std::size_t hosts;
+        std::size_t domains;
+    };
+    for (const Fleet &size : std::vector<Fleet> {{1, 1}, {12, 3}, {295, 6}, {400, 3}}) {
         std::set<std::string> readers;
-        for (std::size_t self = 0; self < hosts; self += 7) {
-            const auto order = readerOrder(fleet(self, hosts, domains));
+        for (std::size_t self = 0; self < size.hosts; self += 7) {
+            const auto order = readerOrder(fleet(self, size.hosts, size.domains));
             CHECK(std::find(order.begin(), order.end(), "h" + std::to_string(self)) != order.end());
             CHECK(order.size() <= 2 * config::ReaderGroupMost);
             readers.insert(order.front());
         }
-        CAPTURE(hosts);
-        CHECK(readers.size() <= domains * (1 + hosts / domains / config::ReaderGroupMost));
+        CAPTURE(size.hosts);
+        CHECK(readers.size() <= size.domains * (1 + size.hosts / size.domains / config::ReaderGroupMost));
     }
 }
 
