Keep one copy of the conversions of peer messages; drop state that nobody reads

Cause: a second reading of the change: toSigned, toUnsigned and unpackAge stood in the codecs of relay, gossip and peer messages; StoreTask kept the operators' feed that it no longer asks, RelaySource a number that it never reads; a brief stood at the wrong function of EventSplitter. Ruled out: a change of behaviour. Change: one copy beside the gossip codec, the rest removed. Conclusion: no behaviour changes.

--- a/packages/core/include/endivespan/relay.h
+++ b/packages/core/include/endivespan/relay.h
@@ -149,7 +149,6 @@
     struct StoreLog {
         std::uint64_t epoch = 0;
         std::uint64_t first = 0; ///< Events from this number on are held.
-        std::uint64_t next = 0;
         std::deque<Tagged> events;
     };
 
--- a/packages/core/src/relay.cpp
+++ b/packages/core/src/relay.cpp
@@ -111,13 +111,12 @@
 {
     StoreLog &log = this->stores[storeIdOf(address)];
     if (whole || log.epoch != events.epoch) {
-        log = StoreLog {events.epoch, events.next, events.next, {}};
+        log = StoreLog {events.epoch, events.next, {}};
         return;
     }
     for (const StoreEvent &event : events.events) {
         log.events.push_back({events.next, event});
     }
-    log.next = events.next;
     while (log.events.size() > config::RelayStoreEvents) {
         log.first = log.events.front().next;
         log.events.pop_front();
--- a/packages/node/src/event_splitter.h
+++ b/packages/node/src/event_splitter.h
@@ -12,10 +12,10 @@
 class EventSplitter
 {
 public:
-    /// Takes what came next.
     /// @returns how many bytes of an event that is not complete are held.
     [[nodiscard]] std::size_t heldBytes() const;
 
+    /// Takes what came next.
     /// @returns the bytes of all events that are complete now.
     std::string feed(std::string_view bytes);
 
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -77,7 +77,6 @@
                  this->events,
                  this->sharedStores,
                  this->relaySource,
-                 this->operators,
                  this->membership,
                  this->progress,
                  this->serverFeed)
--- a/packages/node/src/store_task.cpp
+++ b/packages/node/src/store_task.cpp
@@ -33,7 +33,6 @@
                      EventLog &events,
                      SharedStores &stores,
                      RelaySource &relay,
-                     const OperatorFeed &operators,
                      const Membership &membership,
                      const WeightProgress &progress,
                      const ServerFeed &serverFeed)
@@ -42,7 +41,6 @@
     , events(events)
     , stores(stores)
     , relay(relay)
-    , operators(operators)
     , membership(membership)
     , progress(progress)
     , serverFeed(serverFeed)
--- a/packages/node/src/store_task.h
+++ b/packages/node/src/store_task.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "operator_feed.h"
 #include "server_feed.h"
 
 #include <endivespan/event_log.h>
@@ -29,7 +28,6 @@
               EventLog &events,
               SharedStores &stores,
               RelaySource &relay,
-              const OperatorFeed &operators,
               const Membership &membership,
               const WeightProgress &progress,
               const ServerFeed &serverFeed);
@@ -68,7 +66,6 @@
     EventLog &events;
     SharedStores &stores;
     RelaySource &relay;
-    const OperatorFeed &operators;
     const Membership &membership;
     const WeightProgress &progress;
     const ServerFeed &serverFeed;
--- a/packages/wire/src/gossip_codec.cpp
+++ b/packages/wire/src/gossip_codec.cpp
@@ -9,22 +9,6 @@
 constexpr std::int8_t LeavingFlag = 1;
 constexpr std::int8_t LogReachableFlag = 2;
 
-std::int64_t toSigned(std::uint64_t value)
-{
-    return static_cast<std::int64_t>(value);
-}
-
-std::uint64_t toUnsigned(std::int64_t value)
-{
-    return static_cast<std::uint64_t>(value);
-}
-
-// A peer's age is a lower bound in what it says; a negative one could make stale news look fresh.
-Duration unpackAge(std::int64_t microseconds)
-{
-    return std::max(Duration(microseconds), Duration::zero());
-}
-
 gen::HostStatusRecord pack(const HostStatus &status)
 {
     gen::HostStatusRecord record;
@@ -98,6 +82,21 @@
 
 } // namespace
 
+std::int64_t toSigned(std::uint64_t value)
+{
+    return static_cast<std::int64_t>(value);
+}
+
+std::uint64_t toUnsigned(std::int64_t value)
+{
+    return static_cast<std::uint64_t>(value);
+}
+
+Duration unpackAge(std::int64_t microseconds)
+{
+    return std::max(Duration(microseconds), Duration::zero());
+}
+
 gen::ConfigStatementRecord packStatement(const ConfigStatement &statement)
 {
     gen::ConfigStatementRecord record;
--- a/packages/wire/src/gossip_codec_p.h
+++ b/packages/wire/src/gossip_codec_p.h
@@ -4,12 +4,20 @@
 
 #include <endivespan/gossip.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
 /// Gossip messages as generated records, for the codec of peer messages.
 namespace endivespan {
 
+// Unsigned numbers travel as their bit pattern.
+std::int64_t toSigned(std::uint64_t value);
+std::uint64_t toUnsigned(std::int64_t value);
+
+/// @returns an age that a peer states; never negative, since that could make old news look fresh.
+Duration unpackAge(std::int64_t microseconds);
+
 gen::GossipRecord packGossip(const GossipMessage &message);
 
 /// @returns the message, or nothing when a field is out of range.
--- a/packages/wire/src/peer_codec.cpp
+++ b/packages/wire/src/peer_codec.cpp
@@ -9,16 +9,6 @@
 
 namespace {
 
-std::int64_t toSigned(std::uint64_t value)
-{
-    return static_cast<std::int64_t>(value);
-}
-
-std::uint64_t toUnsigned(std::int64_t value)
-{
-    return static_cast<std::uint64_t>(value);
-}
-
 /// Sets the field of the frame that belongs to each message.
 struct Packer {
     gen::PeerFrameRecord &frame;
--- a/packages/wire/src/relay_codec.cpp
+++ b/packages/wire/src/relay_codec.cpp
@@ -9,22 +9,6 @@
 
 namespace {
 
-std::int64_t toSigned(std::uint64_t value)
-{
-    return static_cast<std::int64_t>(value);
-}
-
-std::uint64_t toUnsigned(std::int64_t value)
-{
-    return static_cast<std::uint64_t>(value);
-}
-
-// What a peer says was some time ago; a negative age could make old facts look fresh.
-Duration unpackAge(std::int64_t microseconds)
-{
-    return std::max(Duration(microseconds), Duration::zero());
-}
-
 gen::RelayedStoreRecord pack(const RelayedStore &store)
 {
     gen::RelayedStoreRecord record;
