Log which requests are alike, how far a lost attempt had come and how many crashes count

Cause: request_suspected named a server only. Whether a crash was missed, confirmed late or unknown to other hosts could not be told from the logs.

Change: request and attempt_failed carry the fingerprint (alike) and attempt_failed the status that had come; request_suspected carries the start of the server, the time since the attempt was lost and the count here.

--- a/packages/core/include/endivespan/suspect.h
+++ b/packages/core/include/endivespan/suspect.h
@@ -27,6 +27,9 @@
 /// @returns the fingerprint of a request of @p organisation to @p target with @p body.
 Fingerprint fingerprintOf(std::string_view organisation, std::string_view target, std::string_view body);
 
+/// @returns enough of a fingerprint to find the requests that share it in the logs of all hosts.
+std::string fingerprintText(const Fingerprint &fingerprint);
+
 /// Names one crash of one backend server, the same on every host.
 using DeathId = std::uint64_t;
 
--- a/packages/core/src/suspect.cpp
+++ b/packages/core/src/suspect.cpp
@@ -47,6 +47,18 @@
     return fingerprint;
 }
 
+std::string fingerprintText(const Fingerprint &fingerprint)
+{
+    constexpr std::size_t Bytes = 6;
+    constexpr std::string_view Digits = "0123456789abcdef";
+    std::string text;
+    for (std::size_t i = 0; i < Bytes; ++i) {
+        text += Digits[fingerprint.bytes[i] >> 4U];
+        text += Digits[fingerprint.bytes[i] & 0xfU];
+    }
+    return text;
+}
+
 DeathId deathIdOf(std::string_view server, std::string_view incarnation)
 {
     const Digest digest = digestOf({server, incarnation});
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -505,8 +505,10 @@
     ++this->ran;
     this->task.parts.events.line("attempt_failed", LogRank::Failure)
         .with("request", this->work.request.id)
+        .with("alike", fingerprintText(this->work.fingerprint))
         .with("server", failedServer)
         .with("after_ms", age)
+        .with("status", static_cast<std::uint64_t>(std::max(this->status, 0)))
         .with("why", why)
         .with("last_event", this->lastEvent.value_or(0));
     this->events.takeRest();
@@ -597,6 +599,7 @@
     const auto age = this->task.parts.confirmation.statement(this->task.parts.membership, now).confirmedAge;
     this->task.parts.events.line("request", rank)
         .with("request", this->work.request.id)
+        .with("alike", fingerprintText(this->work.fingerprint))
         .with("outcome", outcome)
         .with("status", static_cast<std::uint64_t>(finalStatus))
         .with("why", why)
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -146,7 +146,12 @@
         const std::array<Fingerprint, 1> running {accusation.fingerprint};
         const DeathId death = deathIdOf(accusation.server, std::to_string(accusation.born));
         this->parts.suspicions.died(death, running, now);
-        this->parts.events.line("request_suspected", LogRank::Failure).with("server", accusation.server);
+        this->parts.events.line("request_suspected", LogRank::Failure)
+            .with("alike", fingerprintText(accusation.fingerprint))
+            .with("server", accusation.server)
+            .with("born", accusation.born)
+            .with("after_ms", now - accusation.at)
+            .with("deaths", this->parts.suspicions.openDeaths(accusation.fingerprint));
         return true;
     });
 }
