--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -175,17 +175,26 @@
     : id(std::move(id))
     , script([](const ReceivedRequest &request) { return Reply {answerTo(request, 200, "done")}; })
     , loop(loop)
+{
+    this->listen(0);
+}
+
+void RunnerStandin::listen(int wantedPort)
 {
     sockaddr_in place {};
     place.sin_family = AF_INET;
+    place.sin_port = htons(static_cast<std::uint16_t>(wantedPort));
     place.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    this->listener = evconnlistener_new_bind(loop.base(),
+    this->listener = evconnlistener_new_bind(this->loop.base(),
                                              &RunnerStandin::accepted,
                                              this,
                                              LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
                                              64,
                                              reinterpret_cast<sockaddr *>(&place),
                                              sizeof(place));
+    if (this->listener == nullptr) {
+        throw std::runtime_error("a runner cannot listen");
+    }
     socklen_t size = sizeof(place);
     getsockname(evconnlistener_get_fd(this->listener), reinterpret_cast<sockaddr *>(&place), &size);
     this->port = ntohs(place.sin_port);
@@ -196,12 +205,29 @@
     this->die();
 }
 
-void RunnerStandin::die()
+void RunnerStandin::stopListening()
 {
     if (this->listener != nullptr) {
         evconnlistener_free(this->listener);
         this->listener = nullptr;
     }
+}
+
+void RunnerStandin::fallSilent()
+{
+    this->stopListening();
+    this->silent = true;
+}
+
+void RunnerStandin::revive()
+{
+    this->silent = false;
+    this->listen(this->port);
+}
+
+void RunnerStandin::die()
+{
+    this->stopListening();
     while (!this->connections.empty()) {
         this->drop(this->connections.begin()->first);
     }
@@ -245,7 +271,9 @@
     while (const std::size_t got = bufferevent_read(stream, buffer, sizeof(buffer))) {
         connection.input.append(buffer, got);
     }
-    self->serve(stream);
+    if (!self->silent) {
+        self->serve(stream);
+    }
 }
 
 void RunnerStandin::serve(bufferevent *stream)
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -92,6 +92,12 @@
     /// Stops to listen and closes every connection.
     void die();
 
+    /// Stops to listen and to answer; connections stay open.
+    void fallSilent();
+
+    /// Listens again, at the address it had.
+    void revive();
+
     std::string id;
     Script script;
     std::vector<ReceivedRequest> received;
@@ -107,10 +113,13 @@
     static void onEvent(bufferevent *stream, short what, void *context);
     void drop(bufferevent *stream);
     void serve(bufferevent *stream);
+    void listen(int wantedPort);
+    void stopListening();
 
     Loop &loop;
-    evconnlistener *listener;
-    int port;
+    evconnlistener *listener = nullptr;
+    bool silent = false;
+    int port = 0;
     std::map<bufferevent *, Connection> connections;
     std::vector<std::unique_ptr<Timer>> closing; ///< Resets to come, after what was sent has arrived.
 };
