Learn of withdrawn keys and leaving servers within the site's bounds while readers are turned away

Cause: a host left reading to another one for as long as facts up to 1.5 s old came, and for 1.0 s more, plus the rest of a poll. A reader whose own read hung went on answering. Constants knew nothing of the site's bounds.

Ruled out: lost gossip and processor time; the follower's and the reader's logs show the ages.

Change: FactAges follow from the bounds (new settings changes, draining). SharedFact: a fact counts by when it held, and a follower reads for itself when it is older than a sound reader's ever is. A read that was held and found nothing counts from the end of its wait. A reader whose reads fail asks the next one. A host whose read is overdue takes the configuration from a peer. Records that a peer has passed on are not followed by an older batch of an own read, which could have put a server back that had left. A configuration is stale after 0.8 of the bound on withdrawn keys, not after 4 s.

The test with nine hosts found the reader that never asks anyone before it was mended (1 to 3 requests at the leaving server).

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -322,22 +322,20 @@
 constexpr std::chrono::milliseconds ReaderAvoidTime = 3000ms; ///< After a reader was silent or its facts were old.
 constexpr std::chrono::milliseconds RelayLoadMargin = 50ms; ///< Loads that were learnt while a reply was on its way.
 constexpr std::chrono::milliseconds RelayLoadsAtFirst = 1000ms; ///< Age of the loads that a new asker gets.
-constexpr std::chrono::milliseconds RelayFactsAge = 1500ms; ///< Of the list and the configuration, from a sound reader.
-constexpr std::chrono::milliseconds RelayHoldsFor = 1000ms; ///< After a reply, before this host reads for itself.
 constexpr double RelayLagShare = 0.1; ///< Of a bound, for the calls that bring a fact.
 constexpr std::size_t RelayStoreEvents = 4096; ///< Kept of each store.
 constexpr std::size_t RelayReplyParts = 1500; ///< In one reply, unless one store alone holds more.
 constexpr std::size_t RelayUnconfirmed = 16; ///< Servers whose heartbeats are asked for at once.
 
 // Following the log
-constexpr std::chrono::milliseconds OperatorReadWait = 1000ms;
 constexpr double OperatorReadShare = 0.25; ///< Of the bound on changes, that a read waits for one.
 constexpr std::chrono::milliseconds OperatorReadWaitLeast = 250ms;
 constexpr std::chrono::milliseconds OperatorReadWaitMost = 1000ms;
 constexpr double StaleConfigurationShare = 0.8; ///< Of the bound on withdrawn keys, within which a host is confirmed.
 constexpr std::chrono::milliseconds OperatorBackoffMost = 500ms;
 constexpr std::chrono::milliseconds OperatorRelayedBackoff = 2000ms; ///< While another host passes on what is new.
-constexpr std::chrono::milliseconds ServerPollPeriod = 600ms;
+constexpr double ServerPollShare = 0.3; ///< Of the bound on servers that leave.
+constexpr std::chrono::milliseconds ServerPollMost = 600ms; ///< Servers write there about every second.
 constexpr std::chrono::milliseconds ListLapseAfter = 2400ms; ///< Entries may lapse in an outage of two heartbeats.
 constexpr std::chrono::milliseconds HostAnnouncePause = 500ms;
 constexpr std::chrono::milliseconds HostReadAgain = 500ms; ///< After the first read; the fleet may start at once.
--- a/packages/core/include/endivespan/confirmation.h
+++ b/packages/core/include/endivespan/confirmation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <endivespan/clock.h>
+#include <endivespan/config.h>
 #include <endivespan/membership.h>
 
 #include <cstdint>
@@ -35,7 +36,8 @@
 {
 public:
     /// @param hasPeers False when the settings name no other host to ask.
-    explicit Confirmation(bool hasPeers);
+    /// @param staleAfter Since the latest confirmation, until the configuration may not be acted on.
+    explicit Confirmation(bool hasPeers, Duration staleAfter = config::ConfigurationStalenessBound);
 
     /// Takes that the configuration up to @p offset has been folded.
     void folded(std::uint64_t offset, std::uint64_t digest);
@@ -64,6 +66,7 @@
     [[nodiscard]] bool isLogDownForAll(const Membership &membership) const;
     void confirm(std::uint64_t offset, TimePoint at);
 
+    Duration staleAfter;
     std::uint64_t offset = 0;
     std::map<std::uint64_t, std::uint64_t> digests; ///< Of the last offsets folded.
     std::optional<TimePoint> confirmedAt;
--- a/packages/core/include/endivespan/relay.h
+++ b/packages/core/include/endivespan/relay.h
@@ -6,6 +6,8 @@
 #include <endivespan/server_table.h>
 #include <endivespan/shared_store.h>
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -17,6 +19,46 @@
 /// so that a host acts on what it was passed as on what it read itself.
 namespace endivespan {
 
+/// How old facts may grow, and how often they are read, so that a host learns of a change within the deployment's
+/// bound even when the host that reads for it does not.
+struct FactAges {
+    std::chrono::milliseconds operatorWait {}; ///< That a read of the operators' records waits for a new one.
+    std::chrono::milliseconds operatorLag {}; ///< Until a read that could have been answered is overdue.
+    std::chrono::milliseconds operators {}; ///< Of the operators' records, until a host reads them itself.
+    std::chrono::milliseconds serverPoll {}; ///< Between two reads of the list of servers.
+    std::chrono::milliseconds servers {}; ///< Of the list, until a host reads it itself.
+};
+
+/// @param changes The bound from an operator's change until it is in force.
+/// @param draining The bound from a server's word that it leaves until it gets no more requests.
+FactAges factAges(std::chrono::milliseconds changes, std::chrono::milliseconds draining);
+
+/// Answers a reader whose own reads hang while its followers reach it: a fact counts by when it held, however often it
+/// is passed on, and a follower reads for itself as soon as it is older than a sound reader's ever is.
+class SharedFact
+{
+public:
+    explicit SharedFact(Duration longest);
+
+    /// Sets whether another host reads for this one.
+    void setShared(bool shared);
+    [[nodiscard]] bool isShared() const;
+
+    /// Takes that the fact held at @p asOf.
+    void confirmed(TimePoint asOf);
+
+    /// @returns since when nothing newer is known of; nothing before the first time.
+    [[nodiscard]] std::optional<Duration> age(TimePoint now) const;
+
+    /// @returns how long this host may leave reading to another one; zero when it reads now.
+    [[nodiscard]] Duration untilOwnRead(TimePoint now) const;
+
+private:
+    Duration longest;
+    bool shared = false;
+    std::optional<TimePoint> asOf;
+};
+
 /// How far a host knows one store's events.
 struct StoreCursor {
     std::uint32_t store = 0; ///< storeIdOf() its address.
@@ -103,11 +145,14 @@
 class ReaderChoice
 {
 public:
+    /// @returns whether a group of so many hosts leaves reading to one of them.
+    [[nodiscard]] static bool isWorthSharing(std::size_t hosts);
+
     /// @returns the host to ask now; nothing when this host reads itself.
     [[nodiscard]] std::optional<std::string>
     reader(const std::vector<std::string> &order, const std::string &self, TimePoint now) const;
 
-    /// Takes that @p host did not answer, or answered with old facts.
+    /// Takes that @p host did not answer, or answered with old facts. It may be this host, when its own reads fail.
     void failed(const std::string &host, TimePoint now);
     void answered(const std::string &host);
 
--- a/packages/core/src/confirmation.cpp
+++ b/packages/core/src/confirmation.cpp
@@ -6,8 +6,9 @@
 
 namespace endivespan {
 
-Confirmation::Confirmation(bool hasPeers)
-    : viewComplete(!hasPeers)
+Confirmation::Confirmation(bool hasPeers, Duration staleAfter)
+    : staleAfter(staleAfter)
+    , viewComplete(!hasPeers)
 {
 }
 
@@ -94,7 +95,7 @@
 
 ConfigStanding Confirmation::standing(const Membership &membership, TimePoint now) const
 {
-    if (this->confirmedAt && now - *this->confirmedAt <= config::ConfigurationStalenessBound) {
+    if (this->confirmedAt && now - *this->confirmedAt <= this->staleAfter) {
         return ConfigStanding::Confirmed;
     }
     return this->everInForce && this->isLogDownForAll(membership) ? ConfigStanding::LogDownForAll
--- a/packages/core/src/relay.cpp
+++ b/packages/core/src/relay.cpp
@@ -9,6 +9,52 @@
 
 namespace endivespan {
 
+FactAges factAges(std::chrono::milliseconds changes, std::chrono::milliseconds draining)
+{
+    using std::chrono::milliseconds;
+    const auto shareOf
+        = [](milliseconds bound, double share) { return std::chrono::duration_cast<milliseconds>(bound * share); };
+    FactAges ages;
+    ages.operatorWait = std::clamp<milliseconds>(
+        shareOf(changes, config::OperatorReadShare), config::OperatorReadWaitLeast, config::OperatorReadWaitMost);
+    ages.operatorLag = shareOf(changes, config::RelayLagShare);
+    ages.operators = ages.operatorWait + config::RelayPeriod + ages.operatorLag;
+    ages.serverPoll = std::min<milliseconds>(shareOf(draining, config::ServerPollShare), config::ServerPollMost);
+    ages.servers = ages.serverPoll + config::RelayPeriod + shareOf(draining, config::RelayLagShare);
+    return ages;
+}
+
+SharedFact::SharedFact(Duration longest)
+    : longest(longest)
+{
+}
+
+void SharedFact::setShared(bool newShared)
+{
+    this->shared = newShared;
+}
+
+bool SharedFact::isShared() const
+{
+    return this->shared;
+}
+
+void SharedFact::confirmed(TimePoint heldAt)
+{
+    this->asOf = std::max(this->asOf.value_or(heldAt), heldAt);
+}
+
+std::optional<Duration> SharedFact::age(TimePoint now) const
+{
+    return this->asOf ? std::optional(std::max(now - *this->asOf, Duration::zero())) : std::nullopt;
+}
+
+Duration SharedFact::untilOwnRead(TimePoint now) const
+{
+    const auto known = this->age(now);
+    return this->shared && known ? std::max(this->longest - *known, Duration::zero()) : Duration::zero();
+}
+
 std::uint32_t storeIdOf(const std::string &address)
 {
     return static_cast<std::uint32_t>(hashPrefix(0, address) >> 32U);
@@ -53,19 +99,19 @@
     return order;
 }
 
+bool ReaderChoice::isWorthSharing(std::size_t hosts)
+{
+    return hosts >= config::ReaderGroupLeast;
+}
+
 std::optional<std::string>
 ReaderChoice::reader(const std::vector<std::string> &order, const std::string &self, TimePoint now) const
 {
-    for (const std::string &name : order) {
-        if (name == self) {
-            return std::nullopt;
-        }
+    const auto reads = std::find_if(order.begin(), order.end(), [this, now](const std::string &name) {
         const auto avoided = this->avoidUntil.find(name);
-        if (avoided == this->avoidUntil.end() || now >= avoided->second) {
-            return name;
-        }
-    }
-    return std::nullopt;
+        return avoided == this->avoidUntil.end() || now >= avoided->second;
+    });
+    return reads == order.end() || *reads == self ? std::nullopt : std::optional(*reads);
 }
 
 void ReaderChoice::failed(const std::string &host, TimePoint now)
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -39,14 +39,18 @@
         , adapters(adapters)
         , onStopped(std::move(onStopped))
         , events(loop, this->settings.host, STDOUT_FILENO)
+        , ages(factAges(this->settings.bounds.changes, this->settings.bounds.draining))
         , membership(reportOf(this->settings), loop.now())
-        , confirmation(true)
+        , confirmation(
+              true,
+              std::chrono::duration_cast<Duration>(this->settings.bounds.revocation * config::StaleConfigurationShare))
         , operators(loop,
                     adapters.log,
                     adapters.records,
                     this->events,
                     this->membership,
                     this->confirmation,
+                    this->ages,
                     [this] { this->operatorsChanged(); })
         , serverFeed(loop,
                      adapters.log,
@@ -54,7 +58,8 @@
                      this->events,
                      this->servers,
                      this->relaySource,
-                     this->settings.bounds.listLapse + config::ServerPollPeriod,
+                     this->settings.bounds.listLapse + this->ages.serverPoll,
+                     this->ages,
                      [this] { this->forward.placesChanged(); })
         , hostFeed(loop, adapters.log, adapters.records, this->events, this->membership)
         , peers(PeerTaskParts {loop,
@@ -91,7 +96,8 @@
                                 this->peers,
                                 this->operators,
                                 this->serverFeed,
-                                this->stores})
+                                this->stores,
+                                this->ages})
         , forward(ForwardParts {loop,
                                 this->settings,
                                 adapters.codec,
@@ -315,6 +321,7 @@
     std::function<void()> onStopped;
     Metrics metrics;
     EventLog events;
+    FactAges ages;
     Membership membership;
     Confirmation confirmation;
     ServerTable servers;
--- a/packages/node/src/operator_feed.cpp
+++ b/packages/node/src/operator_feed.cpp
@@ -16,6 +16,7 @@
                            EventLog &events,
                            Membership &membership,
                            Confirmation &confirmation,
+                           const FactAges &ages,
                            std::function<void()> changed)
     : loop(loop)
     , log(log)
@@ -23,7 +24,9 @@
     , events(events)
     , membership(membership)
     , confirmation(confirmation)
+    , ages(ages)
     , changed(std::move(changed))
+    , fact(ages.operators)
 {
 }
 
@@ -40,7 +43,9 @@
 void OperatorFeed::readNewest()
 {
     const TimePoint askedAt = this->loop.now();
+    this->readingSince = askedAt;
     this->log.newest(this->codec.operatorTopic(), [this, askedAt](const Result<KeyedBatch> &batch) {
+        this->readingSince.reset();
         if (!batch) {
             return this->failed(batch.error());
         }
@@ -50,6 +55,7 @@
             this->replace(batch.value().records);
             this->folded(batch.value().next);
             this->confirmation.logAnswered(batch.value().end, askedAt);
+            this->fact.confirmed(askedAt);
         }
         this->followed = true;
         this->changed();
@@ -57,17 +63,25 @@
     });
 }
 
-bool OperatorFeed::isRelayed() const
+void OperatorFeed::setShared(bool shared)
 {
-    return this->reachable && !this->newerSeen && this->loop.now() < this->relayHoldsUntil;
+    this->fact.setShared(shared);
+}
+
+// How long this host may still leave reading to another one.
+Duration OperatorFeed::relayedFor() const
+{
+    return this->newerSeen ? Duration::zero() : this->fact.untilOwnRead(this->loop.now());
 }
 
 void OperatorFeed::relayed(const std::string &peer, const ConfigStatement &statement, TimePoint askedAt)
 {
     const std::size_t known = this->membership.hosts().size();
-    this->newerSeen = this->confirmation.peerAnswered(peer, statement, askedAt, known);
-    if (statement.confirmedAge && *statement.confirmedAge <= config::RelayFactsAge) {
-        this->relayHoldsUntil = this->loop.now() + config::RelayHoldsFor;
+    const bool isNewer = this->confirmation.peerAnswered(peer, statement, askedAt, known);
+    this->newerSeenAt = isNewer && !this->newerSeen ? this->loop.now() : this->newerSeenAt;
+    this->newerSeen = isNewer;
+    if (statement.confirmedAge && !isNewer) {
+        this->fact.confirmed(askedAt - *statement.confirmedAge);
     }
     if (this->newerSeen && this->relayWait != nullptr) {
         this->relayWait.reset();
@@ -77,39 +91,56 @@
 
 void OperatorFeed::readOn()
 {
-    if (this->isRelayed()) {
-        this->relayWait = this->loop.after(config::RelayPeriod, [this] {
+    if (const Duration wait = this->relayedFor(); this->reachable && wait > Duration::zero()) {
+        this->relayWait = this->loop.after(std::max<Duration>(wait, config::TickPeriod), [this] {
             const auto fired = std::move(this->relayWait);
             this->readOn();
         });
         return;
     }
     const TimePoint askedAt = this->loop.now();
+    const std::uint64_t from = this->next;
+    this->readingSince = askedAt;
     this->log.read(this->codec.operatorTopic(),
-                   this->next,
-                   config::OperatorReadWait,
-                   [this, askedAt](const Result<KeyedBatch> &batch) {
+                   from,
+                   this->ages.operatorWait,
+                   [this, askedAt, from](const Result<KeyedBatch> &batch) {
+                       this->readingSince.reset();
                        if (!batch) {
                            return this->failed(batch.error());
                        }
                        this->answered();
                        if (batch.value().gap) {
-                           this->events.line("operator_records_gone").with("from", this->next);
+                           this->events.line("operator_records_gone").with("from", from);
                            this->followed = false;
                            return this->readNewest();
                        }
-                       for (const KeyedRecord &record : batch.value().records) {
-                           this->apply(record);
-                       }
-                       this->folded(batch.value().next);
-                       this->confirmation.logAnswered(batch.value().end, askedAt);
-                       if (!batch.value().records.empty()) {
-                           this->changed();
-                       }
+                       // A read that found nothing was held until its wait was over.
+                       const bool held
+                           = batch.value().records.empty() && this->loop.now() - askedAt >= this->ages.operatorWait;
+                       this->take(from, batch.value(), held ? askedAt + this->ages.operatorWait : askedAt);
                        this->readOn();
                    });
 }
 
+void OperatorFeed::take(std::uint64_t from, const KeyedBatch &batch, TimePoint asOf)
+{
+    // Records that a peer has passed on meanwhile must not be followed by older ones.
+    if (from == this->next) {
+        for (const KeyedRecord &record : batch.records) {
+            this->apply(record);
+        }
+        this->folded(batch.next);
+    }
+    this->confirmation.logAnswered(batch.end, asOf);
+    if (batch.end <= this->next) {
+        this->fact.confirmed(asOf);
+    }
+    if (!batch.records.empty()) {
+        this->changed();
+    }
+}
+
 void OperatorFeed::again()
 {
     this->retry.reset();
@@ -130,7 +161,7 @@
     }
     this->reachable = false;
     this->membership.setLogReachable(false);
-    const bool isPassedOn = this->followed && !this->newerSeen && this->loop.now() < this->relayHoldsUntil;
+    const bool isPassedOn = this->followed && this->relayedFor() > Duration::zero();
     const auto pause = isPassedOn
         ? Duration(config::OperatorRelayedBackoff)
         : std::min<Duration>(config::ConfigurationBackoffLeast * (1U << std::min(this->failures, 4U)),
@@ -229,7 +260,16 @@
 
 bool OperatorFeed::wantsPeerState() const
 {
-    return !this->reachable || !this->followed;
+    return !this->reachable || !this->followed || this->isOverdue();
+}
+
+// A log that turns a host away in silence shows that only by the time its calls take.
+bool OperatorFeed::isOverdue() const
+{
+    const TimePoint now = this->loop.now();
+    const bool isRead
+        = this->readingSince && now - *this->readingSince > this->ages.operatorWait + this->ages.operatorLag;
+    return isRead || (this->newerSeen && now - this->newerSeenAt > this->ages.operatorLag);
 }
 
 std::string OperatorFeed::encodeState() const
--- a/packages/node/src/operator_feed.h
+++ b/packages/node/src/operator_feed.h
@@ -7,12 +7,14 @@
 #include <endivespan/forward_codec.h>
 #include <endivespan/keyed_log.h>
 #include <endivespan/loop.h>
+#include <endivespan/relay.h>
 #include <endivespan/weight_history.h>
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -32,6 +34,7 @@
 public:
     /// @param confirmation Told how far the topic was read and when the log said that there is no more.
     /// @param membership Told whether the log answers.
+    /// @param ages How old facts may grow.
     /// @param changed Called after each change.
     OperatorFeed(Loop &loop,
                  KeyedLog &log,
@@ -39,14 +42,18 @@
                  EventLog &events,
                  Membership &membership,
                  Confirmation &confirmation,
+                 const FactAges &ages,
                  std::function<void()> changed);
 
     void start();
 
     [[nodiscard]] const OperatorState &state() const;
 
-    /// Takes what another host said of its configuration. While that is fresh this host reads the log only when there
+    /// Sets whether another host reads for this one. While its facts are fresh this host reads the log only when there
     /// is something new.
+    void setShared(bool shared);
+
+    /// Takes what the host that reads for this one said of its configuration.
     void relayed(const std::string &peer, const ConfigStatement &statement, TimePoint askedAt);
 
     [[nodiscard]] bool wantsPeerState() const override;
@@ -57,7 +64,9 @@
     void readNewest();
     void readOn();
     void again();
-    [[nodiscard]] bool isRelayed() const;
+    [[nodiscard]] Duration relayedFor() const;
+    [[nodiscard]] bool isOverdue() const;
+    void take(std::uint64_t from, const KeyedBatch &batch, TimePoint asOf);
     void failed(const Error &error);
     void answered();
     void apply(const KeyedRecord &record);
@@ -71,13 +80,16 @@
     EventLog &events;
     Membership &membership;
     Confirmation &confirmation;
+    const FactAges ages;
     std::function<void()> changed;
     OperatorState current;
     std::map<std::string, std::string> raw; ///< Newest value by key, for peers.
     std::uint64_t next = 0;
     bool followed = false; ///< The newest records were read; otherwise they are next.
-    TimePoint relayHoldsUntil; ///< Another host reads for this one.
-    bool newerSeen = false; ///< It has read further than this one.
+    SharedFact fact;
+    bool newerSeen = false; ///< The host that reads for this one has read further.
+    TimePoint newerSeenAt;
+    std::optional<TimePoint> readingSince; ///< Set while a read is not answered.
     bool reachable = true;
     unsigned failures = 0;
     std::unique_ptr<Timer> retry;
--- a/packages/node/src/relay_task.cpp
+++ b/packages/node/src/relay_task.cpp
@@ -33,16 +33,31 @@
         this->nextOrder = now + config::OwnershipPeriod;
         this->order = readerOrder(this->parts.membership);
     }
+    const auto confirmedAge = this->parts.confirmation.statement(this->parts.membership, now).confirmedAge;
+    if (this->chosen && !this->reader && this->isBehind(confirmedAge, this->parts.serverFeed.age(now), now)) {
+        this->choice.failed(self, now);
+    }
     auto next = this->choice.reader(this->order, self, now);
+    this->share(next.has_value() && ReaderChoice::isWorthSharing(this->order.size()));
     if (this->chosen && next == this->reader) {
         return;
     }
     this->chosen = true;
     this->reader = std::move(next);
-    this->parts.stores.setReading(!this->reader.has_value());
     this->parts.events.line("reader_chosen")
         .with("reader", this->reader.value_or(self))
-        .with("group", this->order.size());
+        .with("group", this->order.size())
+        .with("shared", this->shared ? "yes" : "no");
+}
+
+void RelayTask::share(bool isShared)
+{
+    if (std::exchange(this->shared, isShared) == isShared && this->chosen) {
+        return;
+    }
+    this->parts.stores.setReading(!isShared);
+    this->parts.operators.setShared(isShared);
+    this->parts.serverFeed.setShared(isShared);
 }
 
 void RelayTask::ask(const std::string &host, TimePoint now)
@@ -51,7 +66,9 @@
     this->nextAsk = now + config::RelayPeriod;
     RelayAsk message;
     message.serversNext = this->parts.serverFeed.known();
-    message.stores = this->parts.stores.cursors();
+    if (this->shared) {
+        message.stores = this->parts.stores.cursors();
+    }
     message.sinceLast = std::min<Duration>(now - this->answeredAt, config::RelayLoadsAtFirst);
     message.loads = loadsSince(this->parts.servers, now - message.sinceLast, true, now);
     for (const StoreSample &sample : this->parts.sharedStores.takeSamples()) {
@@ -96,6 +113,12 @@
             this->parts.sharedStores.learnSpeed({*address, speed.excess, now - askedAt + speed.age}, now);
         }
     }
+    this->takeFacts(host, reply, askedAt);
+}
+
+void RelayTask::takeFacts(const std::string &host, const RelayReply &reply, TimePoint askedAt)
+{
+    const TimePoint now = this->parts.loop.now();
     this->parts.operators.relayed(host, reply.config, askedAt);
     if (reply.config.offset > this->parts.membership.self().status.configOffset
         && this->parts.operators.wantsPeerState()) {
@@ -103,14 +126,12 @@
     }
     this->parts.serverFeed.relayed(reply, askedAt);
     this->parts.stores.relayed(reply.stores, askedAt);
-    // A reader that has lost the log while this host reaches it reads for nobody.
-    const auto isOld = [](const std::optional<Duration> &age) { return !age || *age > config::RelayFactsAge; };
-    const auto own = this->parts.confirmation.statement(this->parts.membership, now).confirmedAge;
-    if (isOld(reply.config.confirmedAge) && !isOld(own)) {
+    if (this->isBehind(reply.config.confirmedAge, reply.serversAge, now)) {
         this->choice.failed(host, now);
         this->parts.events.line("reader_behind")
             .with("reader", host)
-            .with("confirmed_ms", reply.config.confirmedAge.value_or(Duration::zero()));
+            .with("confirmed_ms", reply.config.confirmedAge.value_or(Duration::zero()))
+            .with("list_ms", reply.serversAge.value_or(Duration::zero()));
         return;
     }
     this->choice.answered(host);
@@ -119,6 +140,14 @@
     }
 }
 
+// Where no host reaches the log, any reader is as good as another.
+bool RelayTask::isBehind(std::optional<Duration> configAge, std::optional<Duration> listAge, TimePoint now) const
+{
+    const bool isOld
+        = !configAge || *configAge > this->parts.ages.operators || !listAge || *listAge > this->parts.ages.servers;
+    return isOld && this->parts.confirmation.standing(this->parts.membership, now) != ConfigStanding::LogDownForAll;
+}
+
 void RelayTask::takeLoads(const std::vector<RelayedLoad> &loads, TimePoint toldAt)
 {
     const TimePoint now = this->parts.loop.now();
--- a/packages/node/src/relay_task.h
+++ b/packages/node/src/relay_task.h
@@ -30,6 +30,7 @@
     OperatorFeed &operators;
     ServerFeed &serverFeed;
     StoreTask &stores;
+    FactAges ages;
 };
 
 /// Exchanges with one reader at a time. Without one this host reads the log and the stores itself.
@@ -49,6 +50,10 @@
     void answered(const std::string &host, const Result<PeerMessage> &answer, TimePoint askedAt);
     void takeLoads(const std::vector<RelayedLoad> &loads, TimePoint toldAt);
     void take(const std::string &host, const RelayReply &reply, TimePoint askedAt);
+    void takeFacts(const std::string &host, const RelayReply &reply, TimePoint askedAt);
+    [[nodiscard]] bool
+    isBehind(std::optional<Duration> configAge, std::optional<Duration> listAge, TimePoint now) const;
+    void share(bool isShared);
 
     RelayTaskParts parts;
     ReaderChoice choice;
@@ -60,6 +65,7 @@
     TimePoint answeredAt; ///< When the last ask that was answered began.
     bool asking = false;
     bool chosen = false;
+    bool shared = false; ///< The reader's reads take the place of this host's own.
 };
 
 } // namespace endivespan
--- a/packages/node/src/server_feed.cpp
+++ b/packages/node/src/server_feed.cpp
@@ -16,6 +16,7 @@
                        ServerTable &servers,
                        RelaySource &relay,
                        Duration lapse,
+                       const FactAges &ages,
                        std::function<void()> changed)
     : loop(loop)
     , log(log)
@@ -24,7 +25,9 @@
     , servers(servers)
     , relay(relay)
     , lapse(lapse)
+    , ages(ages)
     , changed(std::move(changed))
+    , fact(ages.servers)
 {
 }
 
@@ -53,10 +56,15 @@
     return this->next;
 }
 
+void ServerFeed::setShared(bool shared)
+{
+    this->fact.setShared(shared);
+}
+
 void ServerFeed::poll()
 {
-    if (this->loop.now() < this->relayHoldsUntil) {
-        this->schedule(config::ServerPollPeriod);
+    if (const Duration wait = this->fact.untilOwnRead(this->loop.now()); wait > Duration::zero()) {
+        this->schedule(std::max<Duration>(wait, config::TickPeriod));
     } else if (this->followed) {
         this->readOn();
     } else {
@@ -66,12 +74,17 @@
 
 void ServerFeed::readNewest()
 {
-    this->log.newest(this->codec.serverTopic(), [this](const Result<KeyedBatch> &batch) {
+    const TimePoint askedAt = this->loop.now();
+    this->log.newest(this->codec.serverTopic(), [this, askedAt](const Result<KeyedBatch> &batch) {
         if (!batch) {
             return this->failed(batch.error());
         }
         const TimePoint now = this->loop.now();
         this->answered(now);
+        // Another host may have passed on more meanwhile.
+        if (batch.value().next < this->next) {
+            return this->schedule(this->ages.serverPoll);
+        }
         this->batchNext = batch.value().next;
         std::set<std::string> present;
         for (const KeyedRecord &record : batch.value().records) {
@@ -88,44 +101,52 @@
             this->take({id, std::nullopt}, now);
         }
         this->followed = true;
-        this->read(batch.value().next, now);
-        this->schedule(config::ServerPollPeriod);
+        this->read(batch.value().next, askedAt);
+        this->schedule(this->ages.serverPoll);
     });
 }
 
 void ServerFeed::readOn()
 {
-    this->log.read(
-        this->codec.serverTopic(), this->next, std::chrono::milliseconds(0), [this](const Result<KeyedBatch> &batch) {
-            if (!batch) {
-                return this->failed(batch.error());
-            }
-            const TimePoint now = this->loop.now();
-            this->answered(now);
-            if (batch.value().gap) {
-                this->events.line("server_records_gone").with("from", this->next);
-                this->followed = false;
-                return this->schedule(Duration::zero());
-            }
-            this->batchNext = batch.value().next;
-            for (const KeyedRecord &record : batch.value().records) {
-                this->take(record, now);
-            }
-            this->read(batch.value().next, now);
-            this->schedule(config::ServerPollPeriod);
-        });
+    const TimePoint askedAt = this->loop.now();
+    const std::uint64_t from = this->next;
+    this->log.read(this->codec.serverTopic(),
+                   from,
+                   std::chrono::milliseconds(0),
+                   [this, askedAt, from](const Result<KeyedBatch> &batch) {
+                       if (!batch) {
+                           return this->failed(batch.error());
+                       }
+                       const TimePoint now = this->loop.now();
+                       this->answered(now);
+                       if (batch.value().gap) {
+                           this->events.line("server_records_gone").with("from", from);
+                           this->followed = false;
+                           return this->schedule(Duration::zero());
+                       }
+                       // Records that another host has passed on meanwhile must not be followed by older ones.
+                       if (from == this->next) {
+                           this->batchNext = batch.value().next;
+                           for (const KeyedRecord &record : batch.value().records) {
+                               this->take(record, now);
+                           }
+                           this->read(batch.value().next, askedAt);
+                       }
+                       this->schedule(this->ages.serverPoll);
+                   });
 }
 
 void ServerFeed::read(std::uint64_t upTo, TimePoint asOf)
 {
     this->next = std::max(this->next, upTo);
     this->relay.serversRead(this->next, asOf);
+    this->fact.confirmed(asOf);
     this->changed();
 }
 
 void ServerFeed::relayed(const RelayReply &reply, TimePoint askedAt)
 {
-    if (!reply.serversAge || *reply.serversAge > config::RelayFactsAge || reply.serversGap) {
+    if (!reply.serversAge || reply.serversGap || reply.serversNext < this->next) {
         return;
     }
     const TimePoint now = this->loop.now();
@@ -139,9 +160,8 @@
         }
     }
     this->lastAnswer = std::max(this->lastAnswer.value_or(TimePoint {}), askedAt - *reply.serversAge);
-    this->relayHoldsUntil = now + config::RelayHoldsFor;
     this->followed = true;
-    this->read(reply.serversNext, *this->lastAnswer);
+    this->read(reply.serversNext, askedAt - *reply.serversAge);
 }
 
 void ServerFeed::take(const KeyedRecord &record, TimePoint now)
@@ -199,7 +219,7 @@
             .with("why", error.detail);
     }
     this->reachable = false;
-    this->schedule(config::ServerPollPeriod);
+    this->schedule(this->ages.serverPoll);
 }
 
 void ServerFeed::answered(TimePoint now)
--- a/packages/node/src/server_feed.h
+++ b/packages/node/src/server_feed.h
@@ -20,6 +20,7 @@
 {
 public:
     /// @param lapse After the log's return, until the entries of living servers are back.
+    /// @param ages How old facts may grow.
     ServerFeed(Loop &loop,
                KeyedLog &log,
                const RecordCodec &codec,
@@ -27,6 +28,7 @@
                ServerTable &servers,
                RelaySource &relay,
                Duration lapse,
+               const FactAges &ages,
                std::function<void()> changed);
 
     void start();
@@ -40,7 +42,10 @@
     /// @returns the offset up to which the list is known.
     [[nodiscard]] std::uint64_t known() const;
 
-    /// Takes what another host passed on.
+    /// Sets whether another host reads for this one.
+    void setShared(bool shared);
+
+    /// Takes what the host that reads for this one passed on.
     void relayed(const RelayReply &reply, TimePoint askedAt);
 
 private:
@@ -62,11 +67,12 @@
     ServerTable &servers;
     RelaySource &relay;
     Duration lapse;
+    const FactAges ages;
     std::function<void()> changed;
     std::unique_ptr<Timer> timer;
     std::uint64_t next = 0;
     std::uint64_t batchNext = 0; ///< Offset after the batch that is being taken.
-    TimePoint relayHoldsUntil; ///< Another host reads for this one.
+    SharedFact fact;
     bool followed = false;
     bool reachable = true;
     std::optional<TimePoint> lastAnswer;
--- a/packages/wire/include/endivespan/forward_settings.h
+++ b/packages/wire/include/endivespan/forward_settings.h
@@ -12,6 +12,8 @@
 /// Bounds that the deployment sets, over all hosts together.
 struct ForwardBounds {
     std::chrono::milliseconds stopTime {8000}; ///< From SIGTERM until the process is killed.
+    std::chrono::milliseconds changes {2000}; ///< From an operator's change until it is in force.
+    std::chrono::milliseconds draining {2000}; ///< From a server's word that it leaves until it gets no more requests.
     std::chrono::milliseconds revocation {5000}; ///< From the withdrawal of a key until it may no longer be served.
     std::chrono::milliseconds weights {10000}; ///< From the naming of weights until older ones may no longer be used.
     std::chrono::milliseconds leaseGap {3000}; ///< Least time between orders of two hosts to one engine.
--- a/packages/wire/src/forward_settings.cpp
+++ b/packages/wire/src/forward_settings.cpp
@@ -30,6 +30,8 @@
                     *node,
                     "'bounds'",
                     {"stop_time",
+                     "changes",
+                     "draining",
                      "revocation",
                      "weights",
                      "lease_gap",
@@ -40,6 +42,8 @@
                      "cold_factor",
                      "cold_slack"});
         bounds.stopTime = map.duration("stop_time", bounds.stopTime, 100ms, 1h);
+        bounds.changes = map.duration("changes", bounds.changes, 100ms, 1h);
+        bounds.draining = map.duration("draining", bounds.draining, 100ms, 1h);
         bounds.revocation = map.duration("revocation", bounds.revocation, 100ms, 1h);
         bounds.weights = map.duration("weights", bounds.weights, 100ms, 1h);
         bounds.leaseGap = map.duration("lease_gap", bounds.leaseGap, 100ms, 1h);
--- a/tests/core/relay.cpp
+++ b/tests/core/relay.cpp
@@ -126,6 +126,71 @@
     CHECK(choice.reader(order, "c", Start + config::ReaderAvoidTime) == "a");
 }
 
+TEST_CASE("readers: one whose own reads fail asks the next, and reads again later")
+{
+    const std::vector<std::string> order {"a", "b", "c"};
+    ReaderChoice choice;
+    choice.failed("a", Start);
+    CHECK(choice.reader(order, "a", Start) == "b");
+    choice.failed("b", Start);
+    CHECK(choice.reader(order, "a", Start) == "c");
+    choice.failed("c", Start);
+    CHECK_FALSE(choice.reader(order, "a", Start));
+    CHECK_FALSE(choice.reader(order, "a", Start + config::ReaderAvoidTime));
+}
+
+TEST_CASE("readers: groups too small to gain by it do not share")
+{
+    CHECK_FALSE(ReaderChoice::isWorthSharing(4));
+    CHECK(ReaderChoice::isWorthSharing(24));
+}
+
+// Replays a reader that hangs from any moment on, at fleets and bounds of any kind: each follower must have read what
+// was changed right after the last sound read before the bound is over.
+TEST_CASE("facts: a follower reads for itself in time for the bound, whatever the bound and however its reader fails")
+{
+    for (const auto bound : {1000ms, 2000ms, 3000ms, 6000ms}) {
+        for (const std::size_t hosts : {12U, 100U, 300U}) {
+            CAPTURE(bound.count());
+            CAPTURE(hosts);
+            const FactAges ages = factAges(bound, bound);
+            const auto roundTrip = bound / 20;
+            // Asks of one period, spread over the hosts.
+            for (std::size_t host = 0; host < hosts; ++host) {
+                SharedFact operators(ages.operators);
+                SharedFact list(ages.servers);
+                operators.setShared(true);
+                list.setShared(true);
+                const TimePoint lastRead = Start;
+                TimePoint now = Start + config::RelayPeriod * host / hosts;
+                for (; operators.untilOwnRead(now) > Duration::zero(); now += 10ms) {
+                    operators.confirmed(lastRead);
+                }
+                CHECK(now + roundTrip + ages.operatorLag - lastRead < bound);
+                for (now = Start; list.untilOwnRead(now) > Duration::zero(); now += 10ms) {
+                    list.confirmed(lastRead);
+                }
+                CHECK(now + roundTrip - lastRead < bound);
+            }
+        }
+    }
+}
+
+TEST_CASE("facts: a sound reader's facts never make its followers read, and unshared ones always do")
+{
+    const FactAges ages = factAges(2000ms, 2000ms);
+    SharedFact fact(ages.operators);
+    CHECK(fact.untilOwnRead(Start) == Duration::zero());
+    fact.confirmed(Start);
+    CHECK(fact.untilOwnRead(Start) == Duration::zero());
+    fact.setShared(true);
+    // The oldest that a sound reader passes on, until the next ask.
+    const auto oldest = ages.operatorWait + 100ms;
+    CHECK(fact.untilOwnRead(Start + oldest + config::RelayPeriod) > Duration::zero());
+    fact.confirmed(Start - 1s);
+    CHECK(fact.age(Start) == Duration::zero());
+}
+
 TEST_CASE("readers: hosts that leave or are dead read for nobody")
 {
     Membership membership = fleet(0, 12, 1);
--- a/tests/platform/serving.cpp
+++ b/tests/platform/serving.cpp
@@ -388,7 +388,7 @@
     const auto running = world.ask("/stream/", {{"x-endivespan-deadline-ms", "3500"}});
     REQUIRE(world.until([&world, running] { return !world.answers[running].body.empty(); }));
     const TimePoint begin = world.loop.now();
-    world.node->beginStop();
+    world.node().beginStop();
     CHECK_FALSE(world.isReady());
     world.runFor(2700ms);
     const std::size_t before = received(world);
@@ -409,7 +409,7 @@
           std::string("POST /once/ HTTP/1.1\r\nHost: h.example\r\nX-Endivespan-Request-Id: a\r\nApi-Key: key\r\n"
                       "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /once/smuggled "
                       "HTTP/1.1\r\n\r\n")}) {
-        RawSocket caller(world.callerPort);
+        RawSocket caller(world.callerPort());
         caller.send(bytes);
         world.runFor(100ms);
         CHECK(statusOf(caller.readAnswer()) == 400);
@@ -424,10 +424,10 @@
     const std::string body = std::string(6'000'000, 'x') + "END";
     scriptAll(world,
               [&body](const ReceivedRequest &request) { return RunnerStandin::Reply {answerTo(request, 200, body)}; });
-    RawSocket caller(world.callerPort);
+    RawSocket caller(world.callerPort());
     caller.send("GET /once/ HTTP/1.1\r\nHost: h.example\r\nX-Endivespan-Request-Id: a\r\nApi-Key: key\r\n\r\n");
     REQUIRE(world.until([&world] { return received(world) == 1; }));
-    world.node->beginStop();
+    world.node().beginStop();
     world.runFor(3600ms);
     CHECK_FALSE(world.stopped);
     std::string got;
--- /dev/null
+++ b/tests/platform/shared_reading.cpp
@@ -0,0 +1,98 @@
+#include "world.h"
+
+#include <endivespan/ownership.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace endivespan;
+using namespace endivespan::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t Hosts = 9;
+constexpr auto Bound = 2000ms; ///< Of changes and of servers that leave, as in ForwardBounds.
+
+/// @returns the hosts in the order in which they read for the others.
+std::vector<std::size_t> readers(const World &world)
+{
+    std::vector<std::size_t> order(world.hosts.size());
+    for (std::size_t i = 0; i < order.size(); ++i) {
+        order[i] = i;
+    }
+    std::sort(order.begin(), order.end(), [&world](std::size_t a, std::size_t b) {
+        return rendezvousWeight(world.hosts[a].name, "reader") > rendezvousWeight(world.hosts[b].name, "reader");
+    });
+    return order;
+}
+
+using Trouble = std::function<void(StoreStandin::Access &)>;
+
+/// Withdraws a key and lets a runner drain while the store troubles some hosts. @returns the hosts that serve the key
+/// or use the runner after the bound although the store does not trouble them, or use the key later than its own bound.
+std::size_t hostsThatMissTheChange(const std::vector<std::size_t> &troubledRanks, const Trouble &trouble)
+{
+    World world(2, Hosts);
+    world.runFor(2500ms);
+    const auto order = readers(world);
+    for (const std::size_t rank : troubledRanks) {
+        trouble(*world.hosts[order[rank]].store);
+    }
+    world.runFor(100ms);
+    world.configure([](nlohmann::json &config) { config["tenants"][0]["api_keys"] = {"new"}; });
+    world.list(*world.runners[0], {{"state", "draining"}});
+    const TimePoint changedAt = world.loop.now();
+    world.runFor(Bound);
+    const std::size_t before = world.runners[0]->received.size();
+    std::vector<std::pair<std::size_t, std::size_t>> calls;
+    for (std::size_t rank = 0; rank < Hosts; ++rank) {
+        for (const char *key : {"key", "new", "new", "new"}) {
+            calls.emplace_back(rank, world.askHost(order[rank], "/again/", {{"api-key", key}}));
+        }
+    }
+    std::size_t missed = 0;
+    for (const auto &[rank, call] : calls) {
+        const int status = world.answer(call).status;
+        const bool isOldKey = (call - calls.front().second) % 4 == 0;
+        const bool troubled = std::find(troubledRanks.begin(), troubledRanks.end(), rank) != troubledRanks.end();
+        const bool isMiss = !troubled && status != (isOldKey ? 401 : 200);
+        if (isMiss) {
+            MESSAGE(world.hosts[order[rank]].name << (isOldKey ? " old" : " new") << " key: " << status);
+        }
+        missed += isMiss;
+    }
+    const std::size_t late = world.runners[0]->received.size() - before;
+    if (late > 0) {
+        MESSAGE(late << " requests reached the runner that leaves");
+    }
+    missed += late;
+    // Withdrawn keys bind every host.
+    world.runFor(std::chrono::duration_cast<std::chrono::milliseconds>(changedAt + 5s - world.loop.now()));
+    for (std::size_t host = 0; host < Hosts; ++host) {
+        const bool served = world.answer(world.askHost(host, "/again/")).status == 200;
+        if (served) {
+            MESSAGE(world.hosts[host].name << " still serves the old key");
+        }
+        missed += served;
+    }
+    return missed;
+}
+
+} // namespace
+
+// The reader's own reads hung while its followers reached it, and what it passed on held for longer than the bounds.
+TEST_CASE("hosts learn of withdrawn keys and leaving servers in time while their readers are turned away")
+{
+    const Trouble silent = [](StoreStandin::Access &access) { access.silent = true; };
+    const Trouble refuses = [](StoreStandin::Access &access) { access.refuses = true; };
+    const Trouble resets = [](StoreStandin::Access &access) { access.resets = true; };
+    const Trouble slow = [](StoreStandin::Access &access) { access.delay = 200ms; };
+    CHECK(hostsThatMissTheChange({0}, silent) == 0);
+    CHECK(hostsThatMissTheChange({0, 1, 3}, silent) == 0);
+    CHECK(hostsThatMissTheChange({2, 5}, silent) == 0);
+    CHECK(hostsThatMissTheChange({0, 1}, refuses) == 0);
+    CHECK(hostsThatMissTheChange({0, 4}, resets) == 0);
+    CHECK(hostsThatMissTheChange({0, 1, 2, 3, 4, 5, 6, 7, 8}, slow) == 0);
+}
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -63,6 +63,31 @@
     return loopback(this->server->port());
 }
 
+StoreStandin::Access &StoreStandin::addAccess()
+{
+    Access &access = *this->accesses.emplace_back(std::make_unique<Access>());
+    auto listening = HttpServer::listen(this->loop, "127.0.0.1:0", WideLimits, [this, &access](const auto &exchange) {
+        this->handle(access, exchange);
+    });
+    access.server = std::move(listening.value());
+    return access;
+}
+
+void StoreStandin::handle(const Access &access, const std::shared_ptr<HttpExchange> &exchange)
+{
+    if (access.silent) {
+        this->held.push_back(exchange);
+    } else if (access.refuses) {
+        exchange->reply(503, {}, "");
+    } else if (access.resets) {
+        exchange->abort();
+    } else if (access.delay > 0ms) {
+        this->timers.push_back(this->loop.after(access.delay, [this, exchange] { this->handle(exchange); }));
+    } else {
+        this->handle(exchange);
+    }
+}
+
 void StoreStandin::put(const std::string &name, const std::string &key, const std::optional<std::string> &value)
 {
     Topic &topic = this->topics[name];
@@ -343,7 +368,7 @@
     return std::string(size) + "\r\n" + event + "\r\n";
 }
 
-World::World(std::size_t count)
+World::World(std::size_t count, std::size_t hostCount)
     : store(this->loop)
     , callers(HttpPool::create(this->loop, 5s))
 {
@@ -352,41 +377,60 @@
         this->list(*this->runners.back());
     }
     this->configure();
-    this->startNode();
+    this->hosts.resize(hostCount);
+    for (std::size_t i = 0; i < hostCount; ++i) {
+        this->hosts[i].name = "host-" + std::to_string(i + 1);
+        this->startHost(this->hosts[i]);
+    }
+    for (std::size_t i = 0; i < hostCount; ++i) {
+        this->until([this, i] { return this->isReady(i); });
+    }
 }
 
 World::~World()
 {
     this->calls.clear();
-    this->node.reset();
+    for (WorldHost &host : this->hosts) {
+        host.node.reset();
+    }
+}
+
+ForwardNode &World::node()
+{
+    return *this->hosts[0].node;
 }
 
-void World::startNode()
+int World::callerPort() const
 {
+    return this->hosts[0].callerPort;
+}
+
+void World::startHost(WorldHost &host)
+{
+    host.store = &this->store.addAccess();
     ForwardSettings settings;
-    settings.host = "host-1";
+    settings.host = host.name;
     settings.region = "r";
     settings.failureDomain = "z";
-    this->callerPort = freePort();
-    this->readinessPort = freePort();
-    settings.listenCallers = loopback(this->callerPort);
-    settings.listenReadiness = loopback(this->readinessPort);
+    host.callerPort = freePort();
+    host.readinessPort = freePort();
+    settings.listenCallers = loopback(host.callerPort);
+    settings.listenReadiness = loopback(host.readinessPort);
     settings.listenPeers = "127.0.0.1:0";
     settings.listenMetrics = "127.0.0.1:0";
-    settings.logAddress = this->store.address();
+    settings.logAddress = loopback(host.store->server->port());
     settings.bounds.retrySlack = 100;
     settings.bounds.stopTime = 6s;
-    this->log = std::make_unique<platform::KeyedLogClient>(this->loop, settings.logAddress);
-    this->engines = std::make_unique<platform::RunnerControl>(this->loop);
-    this->node = ForwardNode::create(this->loop,
-                                     settings,
-                                     {this->requests, this->records, *this->log, *this->engines, *this->engines},
-                                     [this] { this->stopped = true; });
-    const auto started = this->node->start();
+    host.log = std::make_unique<platform::KeyedLogClient>(this->loop, settings.logAddress);
+    host.engines = std::make_unique<platform::RunnerControl>(this->loop);
+    host.node = ForwardNode::create(this->loop,
+                                    settings,
+                                    {this->requests, this->records, *host.log, *host.engines, *host.engines},
+                                    [this] { this->stopped = true; });
+    const auto started = host.node->start();
     if (!started) {
         throw std::runtime_error(started.error().detail);
     }
-    this->until([this] { return this->isReady(); });
 }
 
 bool World::until(const std::function<bool()> &condition, std::chrono::milliseconds patience)
@@ -454,20 +498,34 @@
 std::size_t
 World::ask(const std::string &path, const HttpHeaders &headers, const std::string &method, const std::string &body)
 {
-    const std::size_t number = this->answers.size();
-    this->answers.emplace_back();
     PooledCall call;
-    call.address = loopback(this->callerPort);
+    call.address = loopback(this->callerPort());
     call.method = method;
     call.target = path;
-    call.headers = {{"host", "h.example"},
-                    {"x-endivespan-request-id", "r" + std::to_string(number)},
-                    {"x-endivespan-deadline-ms", "2000"},
-                    {"api-key", "key"}};
-    for (const auto &[name, value] : headers) {
-        call.headers[name] = value;
-    }
+    call.headers = headers;
     call.body = body;
+    return this->send(std::move(call));
+}
+
+std::size_t World::askHost(std::size_t host, const std::string &path, const HttpHeaders &headers)
+{
+    PooledCall call;
+    call.address = loopback(this->hosts[host].callerPort);
+    call.method = "POST";
+    call.target = path;
+    call.headers = headers;
+    return this->send(std::move(call));
+}
+
+std::size_t World::send(PooledCall call)
+{
+    const std::size_t number = this->answers.size();
+    this->answers.emplace_back();
+    const HttpHeaders usual {{"host", "h.example"},
+                             {"x-endivespan-request-id", "r" + std::to_string(number)},
+                             {"x-endivespan-deadline-ms", "2000"},
+                             {"api-key", "key"}};
+    call.headers.insert(usual.begin(), usual.end());
     this->calls.push_back(
         this->callers->start(std::move(call),
                              {[this, number](int status, const HttpHeaders &fields) {
@@ -485,12 +543,12 @@
     this->calls[call].reset();
 }
 
-bool World::isReady()
+bool World::isReady(std::size_t host)
 {
     bool done = false;
     bool ready = false;
     PooledCall call;
-    call.address = loopback(this->readinessPort);
+    call.address = loopback(this->hosts[host].readinessPort);
     call.target = "/v1/ready";
     const auto pending = this->callers->start(std::move(call),
                                               {[&ready](int status, const HttpHeaders &) { ready = status == 200; },
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -32,6 +32,18 @@
 
     [[nodiscard]] std::string address() const;
 
+    /// Whom the store turns away.
+    struct Access {
+        std::unique_ptr<HttpServer> server;
+        bool silent = false; ///< Answers nothing.
+        bool refuses = false; ///< Answers 503.
+        bool resets = false;
+        std::chrono::milliseconds delay {}; ///< Of each answer.
+    };
+
+    /// @returns one more way to the store, at an address of its own.
+    Access &addAccess();
+
     /// Appends to a keyed topic; no value drops the key.
     void put(const std::string &topic, const std::string &key, const std::optional<std::string> &value);
 
@@ -52,6 +64,7 @@
         std::uint64_t first = 0;
     };
     void handle(const std::shared_ptr<HttpExchange> &exchange);
+    void handle(const Access &access, const std::shared_ptr<HttpExchange> &exchange);
     void read(const std::shared_ptr<HttpExchange> &exchange, Topic &topic, TimePoint until);
     void append(HttpExchange &exchange, const std::string &name);
 
@@ -60,6 +73,7 @@
     std::vector<std::shared_ptr<HttpExchange>> held;
     std::vector<std::unique_ptr<Timer>> timers;
     std::unique_ptr<HttpServer> server;
+    std::vector<std::unique_ptr<Access>> accesses;
 };
 
 /// One request as a runner received it.
@@ -143,12 +157,24 @@
     bool failed = false;
 };
 
-/// The host under test and its world.
+/// A host under test, with its own way to the store.
+struct WorldHost {
+    std::string name;
+    StoreStandin::Access *store = nullptr;
+    std::unique_ptr<platform::KeyedLogClient> log;
+    std::unique_ptr<platform::RunnerControl> engines;
+    std::unique_ptr<ForwardNode> node;
+    int callerPort = 0;
+    int readinessPort = 0;
+};
+
+/// The hosts under test and their world.
 class World
 {
 public:
     /// @param runners How many runners there are of the one service.
-    explicit World(std::size_t runners);
+    /// @param hosts All in one failure domain; the first one is meant where none is named.
+    explicit World(std::size_t runners, std::size_t hosts = 1);
     ~World();
     World(const World &) = delete;
     World &operator=(const World &) = delete;
@@ -168,29 +194,31 @@
                     const HttpHeaders &headers = {},
                     const std::string &method = "POST",
                     const std::string &body = "");
+    std::size_t askHost(std::size_t host, const std::string &path, const HttpHeaders &headers = {});
     void leave(std::size_t call);
 
-    [[nodiscard]] bool isReady();
+    [[nodiscard]] bool isReady(std::size_t host = 0);
     [[nodiscard]] const CallerAnswer &answer(std::size_t call);
 
     Loop loop;
     StoreStandin store;
     std::vector<std::unique_ptr<RunnerStandin>> runners;
     std::vector<CallerAnswer> answers;
-    std::unique_ptr<ForwardNode> node;
+    std::vector<WorldHost> hosts;
     bool stopped = false;
-    int callerPort = 0;
+
+    /// The first host.
+    [[nodiscard]] ForwardNode &node();
+    [[nodiscard]] int callerPort() const;
 
 private:
-    void startNode();
+    void startHost(WorldHost &host);
+    std::size_t send(PooledCall call);
 
     std::uint64_t configVersion = 0;
     std::uint64_t heartbeat = 0;
-    int readinessPort = 0;
     platform::RequestCodec requests;
     platform::StoreRecordCodec records;
-    std::unique_ptr<platform::KeyedLogClient> log;
-    std::unique_ptr<platform::RunnerControl> engines;
     std::unique_ptr<HttpPool> callers;
     std::vector<std::unique_ptr<HttpPending>> calls;
 };
