Send nothing to servers that say they leave, and give those that ask for it a rest

Cause: only the list of servers made a server leave, and a refusal paused a server for 60 to 500 ms whatever it asked for.

Ruled out: a second place for the same knowledge: ServerView::isLeaving() joins the list's word and the server's own, and placement asks it right before each first byte, for hedges, repeats and waiting requests alike.

Change: Server-Leaving is decoded from every answer, refusals, status checks and orders included, and holds for one start of the server: old entries do not bring it back, a new start is free. Idle connections to it close. Retry-After on a 503 gives the server its rest; hosts come back spread over a fifth of it, each with one request first. When all servers of a service rest, callers are refused at once and told when there will be room. What cannot be read costs a log line; 300 s are the most. Log lines server_leaving, server_rests, server_rest_unreadable; the line of a request counts servers that leave and rest.

--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -42,7 +42,9 @@
     Duration expected {}; ///< Until the first byte of the answer.
     std::string likelyHolder; ///< Address of the other engine that most likely keeps the shared parts; may be empty.
     std::uint32_t known = 0; ///< Servers of the service in the list.
-    std::uint32_t open = 0; ///< Of these, those that take new work.
+    std::uint32_t leaving = 0; ///< Of these, those that leave.
+    std::uint32_t resting = 0; ///< Of these, those that have asked this host for a rest.
+    std::uint32_t open = 0; ///< Of those known, those that take new work.
     std::uint32_t full = 0; ///< Of the open ones, those with no room for this host now.
 };
 
--- a/packages/core/include/endivespan/server_table.h
+++ b/packages/core/include/endivespan/server_table.h
@@ -66,11 +66,22 @@
     double answered = 0; ///< Decaying counts of outcomes.
     double failed = 0;
     TimePoint countsAt;
+    bool saidLeaving = false; ///< In an answer; its entry in the list may come later or never.
+    TimePoint restUntil; ///< The server has asked this host for no requests before; epoch if it has not.
+    TimePoint returnAt; ///< When this host sends to it again; hosts come back one by one.
+    bool onTrial = false; ///< Has rested and not answered since.
+    std::uint32_t trialSends = 0; ///< Under way while it is on trial.
     std::optional<TimePoint> withdrawAt; ///< Missing from the list, but the list may have lapsed.
 
     /// @returns the share of recent attempts that failed, drawn towards zero while there are few.
     [[nodiscard]] double failureShare(TimePoint now) const;
 
+    /// @returns whether the server leaves, by the list or by its own word.
+    [[nodiscard]] bool isLeaving() const;
+
+    /// @returns whether the server has asked this host for a rest that is not over.
+    [[nodiscard]] bool isResting(TimePoint now) const;
+
     /// @returns whether every stream from the server has been silent for @p time: it has most likely died or is cut
     /// off.
     ///     One stream alone may pause.
@@ -133,6 +144,20 @@
     /// Takes a weight version that a server itself has named; the list lags.
     void saidWeights(const std::string &id, const std::string &model, std::uint64_t version);
 
+    /// Takes that a server has said in an answer that it leaves. That holds for the start named by @p born alone.
+    /// @returns true when it was news.
+    bool saidLeaving(const std::string &id, std::uint64_t born);
+
+    /// Takes that a server wants no requests of this host for @p time. The host comes back somewhat later, spread by
+    /// @p random, and with one request at first.
+    /// @returns when it comes back; nothing when another start of the server is known.
+    std::optional<TimePoint>
+    askedForRest(const std::string &id, std::uint64_t born, Duration time, std::uint64_t random, TimePoint now);
+
+    /// @returns when the first server of @p service that neither leaves nor is avoided has had its rest; nothing when
+    ///     one does not rest or there is none.
+    [[nodiscard]] std::optional<TimePoint> restEndsAt(const std::string &service, TimePoint now) const;
+
     /// @returns whether the server takes new work at all now, by what is known.
     [[nodiscard]] bool isOpen(const ServerView &server, TimePoint now) const;
 
@@ -149,6 +174,7 @@
     std::map<std::string, ServerView> views;
     std::unordered_map<std::uint32_t, std::string> shortIds; ///< Ids by shortIdOf().
     std::set<std::string> evacuatedDomains;
+    std::map<std::string, std::uint64_t> left; ///< The latest start of each server that has said it leaves.
 };
 
 } // namespace endivespan
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -90,6 +90,8 @@
             continue;
         }
         ++choice.known;
+        choice.leaving += view.isLeaving() ? 1 : 0;
+        choice.resting += view.isResting(now) ? 1 : 0;
         if (!table.isOpen(view, now) || need.tried.contains(id)) {
             continue;
         }
--- a/packages/core/src/rollout.cpp
+++ b/packages/core/src/rollout.cpp
@@ -27,7 +27,7 @@
 {
     return static_cast<std::size_t>(
         std::count_if(table.servers().begin(), table.servers().end(), [&model](const auto &entry) {
-            return !entry.second.entry.draining && entry.second.entry.weights.contains(model);
+            return !entry.second.isLeaving() && entry.second.entry.weights.contains(model);
         }));
 }
 
@@ -38,7 +38,7 @@
     std::vector<std::tuple<std::uint64_t, std::uint64_t, std::string>> ranked;
     for (const auto &[id, view] : table.servers()) {
         const auto weights = view.entry.weights.find(model);
-        if (weights != view.entry.weights.end() && weights->second < version && !view.entry.draining) {
+        if (weights != view.entry.weights.end() && weights->second < version && !view.isLeaving()) {
             ranked.emplace_back(weights->second, hashPrefix(0, id), id);
         }
     }
@@ -85,7 +85,7 @@
 
 std::optional<std::pair<std::string, std::uint64_t>> Rollout::lacking(const ServerView &view) const
 {
-    if (view.entry.draining) {
+    if (view.isLeaving()) {
         return std::nullopt;
     }
     for (const auto &[model, version] : view.entry.weights) {
--- a/packages/core/src/server_table.cpp
+++ b/packages/core/src/server_table.cpp
@@ -27,6 +27,16 @@
     return bad / (bad + decayed(this->answered, age) + config::OutcomePrior);
 }
 
+bool ServerView::isLeaving() const
+{
+    return this->entry.draining || this->saidLeaving;
+}
+
+bool ServerView::isResting(TimePoint now) const
+{
+    return now < this->returnAt;
+}
+
 std::uint32_t shortIdOf(const ServerView &view)
 {
     return static_cast<std::uint32_t>(view.idHash);
@@ -65,6 +75,9 @@
     const auto weights = view.entry.born == entry.born ? view.entry.weights : entry.weights;
     view.entry = entry;
     view.idHash = hashPrefix(0, entry.id);
+    // The list may go on naming a server as ready, also one that it had dropped.
+    const auto leaver = this->left.find(entry.id);
+    view.saidLeaving = leaver != this->left.end() && leaver->second >= entry.born;
     this->shortIds[shortIdOf(view)] = entry.id;
     for (const auto &[model, version] : weights) {
         std::uint64_t &listed = view.entry.weights[model];
@@ -84,7 +97,7 @@
     if (found == this->views.end()) {
         return;
     }
-    if (lapsedUntil && *lapsedUntil > now && !found->second.entry.draining) {
+    if (lapsedUntil && *lapsedUntil > now && !found->second.isLeaving()) {
         found->second.withdrawAt = lapsedUntil;
         return;
     }
@@ -119,6 +132,7 @@
     ++view.sentSinceLoad;
     view.lastSentAt = now;
     view.prefillTokens += prefillTokens;
+    view.trialSends += view.onTrial ? 1 : 0;
     std::erase_if(view.coldSends, [now](TimePoint at) { return now - at >= config::ColdSendsKept; });
     if (isCold(view, now)) {
         view.coldSends.push_back(now);
@@ -166,8 +180,10 @@
     view.answered = decayed(view.answered, age);
     view.failed = decayed(view.failed, age);
     view.countsAt = now;
+    view.trialSends -= std::min<std::uint32_t>(view.trialSends, 1);
     switch (outcome) {
     case AttemptOutcome::Answered:
+        view.onTrial = view.onTrial && view.isResting(now);
         view.answered += 1;
         view.avoidStep = {};
         break;
@@ -247,9 +263,62 @@
     }
 }
 
+bool ServerTable::saidLeaving(const std::string &id, std::uint64_t born)
+{
+    if (this->left.size() >= config::LeftServersKept && !this->left.contains(id)) {
+        // Of the servers that are gone from the list, the one that started first is the least likely to come again.
+        this->left.erase(std::min_element(this->left.begin(), this->left.end(), [this](const auto &a, const auto &b) {
+            return std::pair(this->views.contains(a.first), a.second)
+                < std::pair(this->views.contains(b.first), b.second);
+        }));
+    }
+    std::uint64_t &latest = this->left[id];
+    const bool isNews = born > latest;
+    latest = std::max(latest, born);
+    if (const auto found = this->views.find(id); found != this->views.end()) {
+        found->second.saidLeaving = latest >= found->second.entry.born;
+    }
+    return isNews;
+}
+
+std::optional<TimePoint>
+ServerTable::askedForRest(const std::string &id, std::uint64_t born, Duration time, std::uint64_t random, TimePoint now)
+{
+    const auto found = this->views.find(id);
+    if (found == this->views.end() || found->second.entry.born != born) {
+        return std::nullopt;
+    }
+    ServerView &view = found->second;
+    if (now + time > view.restUntil) {
+        view.restUntil = now + time;
+        const auto spread = std::max<Duration>(std::chrono::duration_cast<Duration>(time * config::RestReturnShare),
+                                               config::RestReturnLeast);
+        view.returnAt = view.restUntil + Duration(random % static_cast<std::uint64_t>(spread.count()));
+    }
+    view.onTrial = true;
+    view.trialSends = 0;
+    return view.returnAt;
+}
+
+std::optional<TimePoint> ServerTable::restEndsAt(const std::string &service, TimePoint now) const
+{
+    std::optional<TimePoint> first;
+    for (const auto &[id, view] : this->views) {
+        if (view.entry.service != service || view.isLeaving() || this->evacuatedDomains.contains(view.entry.domain)) {
+            continue;
+        }
+        if (!view.isResting(now)) {
+            return std::nullopt;
+        }
+        first = std::min(first.value_or(view.returnAt), view.returnAt);
+    }
+    return first;
+}
+
 bool ServerTable::isOpen(const ServerView &server, TimePoint now) const
 {
-    return !server.entry.draining && now >= server.avoidUntil && !this->evacuatedDomains.contains(server.entry.domain);
+    return !server.isLeaving() && now >= server.avoidUntil && !server.isResting(now)
+        && !(server.onTrial && server.trialSends > 0) && !this->evacuatedDomains.contains(server.entry.domain);
 }
 
 // A server that could not be reached may have started again, and then is cold until it says otherwise.
--- a/packages/node/include/endivespan/forward_codec.h
+++ b/packages/node/include/endivespan/forward_codec.h
@@ -61,6 +61,9 @@
     bool genuine = false; ///< It bears the server's mark.
     std::optional<ServerLoadReport> load;
     std::optional<std::uint64_t> weights; ///< Version that the server has.
+    bool leaving = false; ///< The server leaves.
+    std::optional<std::chrono::milliseconds> rest; ///< It refused, and wants nothing from this host for so long.
+    std::string badRest; ///< What stood there instead of a time; empty when nothing did.
 };
 
 /// Translates between one wire and the types above.
@@ -132,6 +135,9 @@
 public:
     virtual ~EngineControl() = default;
 
+    /// Sets who is told the address of a server that says in an answer that it leaves.
+    virtual void onLeaving(std::function<void(const std::string &address)> told) = 0;
+
     /// Asks for an engine's state.
     virtual void ask(const std::string &address, std::function<void(Result<EngineState>)> done) = 0;
 
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -116,6 +116,7 @@
             const auto *ask = std::get_if<RelayAsk>(&message);
             return ask == nullptr ? std::nullopt : std::optional<PeerMessage>(this->relay.answer(*ask));
         });
+        adapters.engines.onLeaving([this](const std::string &address) { this->serverLeavesAt(address); });
         setViolationHandler([this](Invariant invariant, std::string_view detail) {
             this->events.line("invariant_violated", LogRank::Failure)
                 .with("invariant", invariantName(invariant))
@@ -126,6 +127,7 @@
     ~Node() override
     {
         setViolationHandler({});
+        this->adapters.engines.onLeaving({});
     }
 
     Node(const Node &) = delete;
@@ -248,6 +250,17 @@
         exchange.reply(200, {{"Content-Type", "text/plain"}}, this->metrics.text());
     }
 
+    // Stores answer here as well and are in no list.
+    void serverLeavesAt(const std::string &address)
+    {
+        const auto &all = this->servers.servers();
+        const auto found = std::find_if(
+            all.begin(), all.end(), [&address](const auto &entry) { return entry.second.entry.address == address; });
+        if (found != all.end()) {
+            this->forward.serverLeaves({found->first, found->second.entry.born}, address);
+        }
+    }
+
     void operatorsChanged()
     {
         const OperatorState &state = this->operators.state();
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -86,6 +86,10 @@
     if (this->ended) {
         return;
     }
+    if (this->task.parts.servers.restEndsAt(this->work.service, now)) {
+        this->refuse(ErrorKind::Overloaded, "all servers have asked for a rest");
+        return;
+    }
     if (this->task.wait(*this)) {
         const auto longest = std::max<std::chrono::milliseconds>(
             std::chrono::duration_cast<std::chrono::milliseconds>(this->work.route->aim * config::ForwardWaitShare),
@@ -300,6 +304,10 @@
         this->task.crashes.ended(this->life);
     } else {
         this->task.crashes.heard(this->life, now);
+        if (answer.leaving) {
+            this->task.serverLeaves(this->life, this->address);
+        }
+        this->task.serverRests(this->life, answer, this->work.request.id, now);
     }
     if (answer.notRun) {
         this->answerNotRun(answer);
@@ -588,10 +596,13 @@
         this->cut(why);
         return;
     }
+    const TimePoint now = this->task.parts.loop.now();
+    const auto restEndsAt = this->task.parts.servers.restEndsAt(this->work.service, now);
     this->task.replyRefusal(*this->work.exchange,
                             this->work.request.id,
                             {kind, std::string(why)},
-                            toMilliseconds(this->work.deadline - this->task.parts.loop.now()));
+                            toMilliseconds(this->work.deadline - now),
+                            restEndsAt ? std::optional(*restEndsAt - now) : std::nullopt);
     this->finish(errorAnswer(kind).httpStatus, errorAnswer(kind).name, why, LogRank::Failure);
 }
 
@@ -642,6 +653,8 @@
         .with("organisation", this->work.organisation == nullptr ? "-" : this->work.organisation->name)
         .with("servers", servers)
         .with("known", this->lastChoice.known)
+        .with("leaving", this->lastChoice.leaving)
+        .with("resting", this->lastChoice.resting)
         .with("open", this->lastChoice.open)
         .with("full", this->lastChoice.full)
         .with("expected_ms", this->lastChoice.expected)
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -93,11 +93,15 @@
 std::chrono::milliseconds ForwardTask::replyRefusal(HttpExchange &exchange,
                                                     const std::string &requestId,
                                                     const Error &error,
-                                                    std::chrono::milliseconds timeLeft)
+                                                    std::chrono::milliseconds timeLeft,
+                                                    std::optional<Duration> roomIn)
 {
     ErrorContext context {this->parts.settings.host, requestId, {}};
     if (errorAnswer(error.kind).retryable) {
         context.retryAfter = this->retryAfter(error.kind, timeLeft);
+        if (roomIn) {
+            context.retryAfter += std::chrono::ceil<std::chrono::milliseconds>(*roomIn);
+        }
     }
     HttpHeaders headers = errorHeaders(error, context);
     if (context.retryAfter.count() > 0) {
@@ -127,11 +131,44 @@
 {
     // A server that leaves ends what it still runs.
     const ServerView *view = this->parts.servers.find(life.server);
-    if (view == nullptr || view->entry.born != life.born || !view->entry.draining) {
+    if (view == nullptr || view->entry.born != life.born || !view->isLeaving()) {
         this->crashes.lost(life, fingerprint, now);
     }
 }
 
+void ForwardTask::serverLeaves(const ServerLife &life, const std::string &address)
+{
+    if (this->parts.servers.saidLeaving(life.server, life.born)) {
+        this->pool->closeIdle(address);
+        this->parts.metrics.count("servers_leaving_total");
+        this->parts.events.line("server_leaving", LogRank::Failure).with("server", life.server).with("born", life.born);
+    }
+}
+
+void ForwardTask::serverRests(const ServerLife &life,
+                              const ServerAnswer &answer,
+                              const std::string &requestId,
+                              TimePoint now)
+{
+    if (!answer.badRest.empty()) {
+        this->parts.metrics.count("server_rests_total", "kind=\"unreadable\"");
+        this->parts.events.line("server_rest_unreadable", LogRank::Failure)
+            .with("request", requestId)
+            .with("server", life.server)
+            .with("text", answer.badRest);
+    }
+    if (!answer.rest || answer.rest->count() == 0) {
+        return;
+    }
+    const auto backAt = this->parts.servers.askedForRest(life.server, life.born, *answer.rest, this->random(), now);
+    this->parts.metrics.count("server_rests_total", "kind=\"taken\"");
+    this->parts.events.line("server_rests", LogRank::Failure)
+        .with("request", requestId)
+        .with("server", life.server)
+        .with("asked_ms", *answer.rest)
+        .with("back_in_ms", backAt ? *backAt - now : Duration::zero());
+}
+
 std::size_t ForwardTask::deathsUnder(const Fingerprint &fingerprint, TimePoint now) const
 {
     return this->parts.suspicions.openDeaths(fingerprint) + this->crashes.unsettled(fingerprint, now);
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -23,6 +23,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -99,15 +100,23 @@
     void finish(ForwardRun &run);
 
     /// Refuses a request that has certainly not run.
+    /// @param roomIn When there will be room, if that is known.
     /// @returns when its caller is told to come back.
     std::chrono::milliseconds replyRefusal(HttpExchange &exchange,
                                            const std::string &requestId,
                                            const Error &error,
-                                           std::chrono::milliseconds timeLeft);
+                                           std::chrono::milliseconds timeLeft,
+                                           std::optional<Duration> roomIn = std::nullopt);
 
     /// Takes that an attempt ended without a whole answer and without word from its server, which may have crashed.
     void lost(const ServerLife &life, const Fingerprint &fingerprint, TimePoint now);
 
+    /// Takes that a server has said in an answer that it leaves.
+    void serverLeaves(const ServerLife &life, const std::string &address);
+
+    /// Takes what a server's refusal says of when it wants requests again.
+    void serverRests(const ServerLife &life, const ServerAnswer &answer, const std::string &requestId, TimePoint now);
+
     /// @returns how many servers have crashed under a request, or may just have.
     [[nodiscard]] std::size_t deathsUnder(const Fingerprint &fingerprint, TimePoint now) const;
 
--- a/tests/core/forward.cpp
+++ b/tests/core/forward.cpp
@@ -619,3 +619,79 @@
         CHECK(chosen[next[i]] == 0);
     }
 }
+
+TEST_CASE("server table: the word of a server that it leaves holds for one start, whatever old entries say")
+{
+    ServerTable table;
+    table.learn(engine("e"), Start);
+    CHECK(table.saidLeaving("e", 1000));
+    CHECK_FALSE(table.saidLeaving("e", 1000));
+    CHECK_FALSE(table.isOpen(*table.find("e"), Start));
+    table.learn(engine("e", 1, 2), Start);
+    CHECK_FALSE(table.isOpen(*table.find("e"), Start));
+    // A list that may have lapsed keeps no server that leaves, and an old entry does not bring it back.
+    table.withdraw("e", Start + 2s, Start);
+    CHECK(table.find("e") == nullptr);
+    table.learn(engine("e", 1, 3), Start);
+    CHECK_FALSE(table.isOpen(*table.find("e"), Start));
+    ServerEntry reborn = engine("e", 1, 1);
+    reborn.born = 2000;
+    table.learn(reborn, Start);
+    CHECK(table.isOpen(*table.find("e"), Start));
+    // An answer of the earlier start that comes late.
+    table.saidLeaving("e", 1000);
+    CHECK(table.isOpen(*table.find("e"), Start));
+}
+
+TEST_CASE("server table: servers that have left are remembered within a bound, those in the list first")
+{
+    ServerTable table;
+    table.learn(engine("listed"), Start);
+    table.saidLeaving("listed", 1000);
+    for (std::size_t i = 0; i < 2 * config::LeftServersKept; ++i) {
+        table.saidLeaving("gone" + std::to_string(i), 2000 + i);
+    }
+    table.learn(engine("listed", 1, 2), Start);
+    CHECK_FALSE(table.isOpen(*table.find("listed"), Start));
+    CHECK_FALSE(table.saidLeaving("gone" + std::to_string(2 * config::LeftServersKept - 1), 2000));
+}
+
+// Replays an engine that refuses each host again as soon as all come back at once.
+TEST_CASE("server table: after a rest one request goes first, and the others once it is answered")
+{
+    ServerTable table = enginePool(2);
+    const auto backAt = table.askedForRest("e0", 1000, 2s, 12'345'678, Start);
+    REQUIRE(backAt);
+    CHECK(*backAt >= Start + 2s);
+    CHECK(*backAt <= Start + 2s + 400ms);
+    CHECK_FALSE(table.isOpen(*table.find("e0"), *backAt - 1ms));
+    CHECK(table.isOpen(*table.find("e0"), *backAt));
+    // A shorter time named later does not end the rest.
+    CHECK(table.askedForRest("e0", 1000, 100ms, 0, Start) == backAt);
+    CHECK_FALSE(table.askedForRest("e0", 999, 1h, 0, Start));
+    table.started("e0", 10, *backAt);
+    CHECK_FALSE(table.isOpen(*table.find("e0"), *backAt));
+    table.ended("e0", AttemptOutcome::Cancelled, *backAt + 1s);
+    CHECK(table.isOpen(*table.find("e0"), *backAt + 1s));
+    table.started("e0", 10, *backAt + 1s);
+    table.ended("e0", AttemptOutcome::Answered, *backAt + 2s);
+    table.started("e0", 10, *backAt + 2s);
+    CHECK(table.isOpen(*table.find("e0"), *backAt + 2s));
+}
+
+TEST_CASE("server table: there is room again when the first server has had its rest, unless one does not rest")
+{
+    ServerTable table = enginePool(3);
+    table.askedForRest("e0", 1000, 3s, 0, Start);
+    table.askedForRest("e1", 1000, 2s, 0, Start);
+    CHECK_FALSE(table.restEndsAt("llm", Start));
+    table.saidLeaving("e2", 1000);
+    CHECK(table.restEndsAt("llm", Start) == Start + 2s);
+    CHECK_FALSE(table.restEndsAt("llm", Start + 2s));
+    CHECK_FALSE(table.restEndsAt("other", Start));
+    const PlacementChoice choice = makeExpectedStartPlacement()->choose(table, promptNeed(1), 7, Start + 1s);
+    CHECK(choice.server.empty());
+    CHECK(choice.known == 3);
+    CHECK(choice.leaving == 1);
+    CHECK(choice.resting == 2);
+}
