--- a/packages/core/include/endivespan/relay.h
+++ b/packages/core/include/endivespan/relay.h
@@ -42,7 +42,6 @@
 
     /// Sets whether another host reads for this one.
     void setShared(bool shared);
-    [[nodiscard]] bool isShared() const;
 
     /// Takes that the fact held at @p asOf.
     void confirmed(TimePoint asOf);
--- a/packages/core/src/relay.cpp
+++ b/packages/core/src/relay.cpp
@@ -34,11 +34,6 @@
     this->shared = newShared;
 }
 
-bool SharedFact::isShared() const
-{
-    return this->shared;
-}
-
 void SharedFact::confirmed(TimePoint heldAt)
 {
     this->asOf = std::max(this->asOf.value_or(heldAt), heldAt);
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -597,7 +597,9 @@
         return;
     }
     const TimePoint now = this->task.parts.loop.now();
-    const auto restEndsAt = this->task.parts.servers.restEndsAt(this->work.service, now);
+    const bool loaded = kind == ErrorKind::Overloaded;
+    const auto restEndsAt
+        = loaded ? this->task.parts.servers.restEndsAt(this->work.service, now) : std::optional<TimePoint>();
     this->task.replyRefusal(*this->work.exchange,
                             this->work.request.id,
                             {kind, std::string(why)},
--- a/packages/node/src/operator_feed.cpp
+++ b/packages/node/src/operator_feed.cpp
@@ -125,13 +125,11 @@
 
 void OperatorFeed::take(std::uint64_t from, const KeyedBatch &batch, TimePoint asOf)
 {
-    // Records that a peer has passed on meanwhile must not be followed by older ones.
-    if (from == this->next) {
-        for (const KeyedRecord &record : batch.records) {
-            this->apply(record);
-        }
-        this->folded(batch.next);
+    // A peer may have passed on the first of these records and later ones meanwhile.
+    for (std::size_t i = this->next - from; i < batch.records.size(); ++i) {
+        this->apply(batch.records[i]);
     }
+    this->folded(batch.next);
     this->confirmation.logAnswered(batch.end, asOf);
     if (batch.end <= this->next) {
         this->fact.confirmed(asOf);
--- a/packages/node/src/server_feed.cpp
+++ b/packages/node/src/server_feed.cpp
@@ -124,14 +124,13 @@
                            this->followed = false;
                            return this->schedule(Duration::zero());
                        }
-                       // Records that another host has passed on meanwhile must not be followed by older ones.
-                       if (from == this->next) {
-                           this->batchNext = batch.value().next;
-                           for (const KeyedRecord &record : batch.value().records) {
-                               this->take(record, now);
-                           }
-                           this->read(batch.value().next, askedAt);
+                       // Another host may have passed on the first of these records and later ones meanwhile.
+                       const auto &records = batch.value().records;
+                       this->batchNext = std::max(this->next, batch.value().next);
+                       for (std::size_t i = this->next - from; i < records.size(); ++i) {
+                           this->take(records[i], now);
                        }
+                       this->read(batch.value().next, askedAt);
                        this->schedule(this->ages.serverPoll);
                    });
 }
--- a/tests/platform/poison.cpp
+++ b/tests/platform/poison.cpp
@@ -117,19 +117,19 @@
     const PoisonWorld::Ending early {"before the first byte", nothing};
     const PoisonWorld::Ending late {"in the stream", headAndEvent};
     const PoisonWorld::Ending silent {"silently", nothing, true};
-    for (const auto &[ending, path] : std::vector<Case> {{early, "/once/"},
-                                                         {early, "/again/"},
-                                                         {late, "/stream/"},
-                                                         {late, "/resume/"},
-                                                         {silent, "/once/"},
-                                                         {silent, "/resume/"}}) {
-        CAPTURE(ending.name);
-        CAPTURE(path);
-        PoisonWorld poison(8, ending);
+    for (const Case &test : std::vector<Case> {{early, "/once/"},
+                                               {early, "/again/"},
+                                               {late, "/stream/"},
+                                               {late, "/resume/"},
+                                               {silent, "/once/"},
+                                               {silent, "/resume/"}}) {
+        CAPTURE(test.ending.name);
+        CAPTURE(test.path);
+        PoisonWorld poison(8, test.ending);
         std::size_t innocent = 0;
         const TimePoint until = poison.world.loop.now() + 8s;
         while (poison.world.loop.now() < until) {
-            poison.world.ask(path, {}, "POST", "poison");
+            poison.world.ask(test.path, {}, "POST", "poison");
             innocent = poison.world.ask("/again/", {}, "POST", "innocent");
             poison.world.runFor(200ms);
         }
