--- a/tests/platform/poison.cpp
+++ b/tests/platform/poison.cpp
@@ -27,8 +27,8 @@
         bool silent = false; ///< Connections stay open.
     };
 
-    PoisonWorld(std::size_t count, const Ending &ending)
-        : world(count)
+    PoisonWorld(std::size_t count, const Ending &ending, std::size_t hosts = 1)
+        : world(count, hosts)
         , ending(ending)
     {
         for (std::size_t i = 0; i < count; ++i) {
@@ -138,3 +138,20 @@
         CHECK(poison.lateArrivals() <= RetriesAllowed);
     }
 }
+
+TEST_CASE("a request under which three runners have ended reaches no more of them through any host")
+{
+    constexpr std::size_t Hosts = 5;
+    PoisonWorld poison(10, {"in the stream", headAndEvent}, Hosts);
+    poison.world.runFor(1500ms);
+    std::size_t innocent = 0;
+    const TimePoint until = poison.world.loop.now() + 8s;
+    for (std::size_t asked = 0; poison.world.loop.now() < until; ++asked) {
+        poison.world.askHost(asked % Hosts, "/resume/", {}, "poison");
+        innocent = poison.world.askHost((asked + 1) % Hosts, "/again/", {}, "innocent");
+        poison.world.runFor(100ms);
+    }
+    CHECK(poison.world.answer(innocent).status == 200);
+    CHECK(poison.ends() >= EndsUntilBound);
+    CHECK(poison.lateArrivals() <= RetriesAllowed);
+}
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -507,13 +507,15 @@
     return this->send(std::move(call));
 }
 
-std::size_t World::askHost(std::size_t host, const std::string &path, const HttpHeaders &headers)
+std::size_t
+World::askHost(std::size_t host, const std::string &path, const HttpHeaders &headers, const std::string &body)
 {
     PooledCall call;
     call.address = loopback(this->hosts[host].callerPort);
     call.method = "POST";
     call.target = path;
     call.headers = headers;
+    call.body = body;
     return this->send(std::move(call));
 }
 
