--- a/packages/core/include/endivespan/crash_watch.h
+++ b/packages/core/include/endivespan/crash_watch.h
@@ -96,6 +96,7 @@
         std::optional<std::uint64_t> heartbeat;
     };
 
+    static CrashFinding findingOf(const ServerLife &life, CrashEvidence evidence, bool excused);
     void accuse(const ServerLife &life, Watch &watch, CrashEvidence evidence);
     void acquit(const ServerLife &life, Watch &watch, TimePoint before, bool accusedToo);
 
--- a/packages/core/src/crash_watch.cpp
+++ b/packages/core/src/crash_watch.cpp
@@ -67,9 +67,14 @@
     this->watches.erase(found);
 }
 
+CrashFinding CrashWatch::findingOf(const ServerLife &life, CrashEvidence evidence, bool excused)
+{
+    return {life, deathIdOf(life.server, std::to_string(life.born)), evidence, excused, {}};
+}
+
 void CrashWatch::accuse(const ServerLife &life, Watch &watch, CrashEvidence evidence)
 {
-    CrashFinding finding {life, deathIdOf(life.server, std::to_string(life.born)), evidence, false, {}};
+    CrashFinding finding = CrashWatch::findingOf(life, evidence, false);
     for (Loss &loss : watch.losses) {
         if (!std::exchange(loss.accused, true)) {
             finding.running.push_back(loss.request);
@@ -84,8 +89,7 @@
 // What was lost only just before may have been lost with the server's last bytes still on the way.
 void CrashWatch::acquit(const ServerLife &life, Watch &watch, TimePoint before, bool accusedToo)
 {
-    CrashFinding finding {
-        life, deathIdOf(life.server, std::to_string(life.born)), CrashEvidence::Unreachable, true, {}};
+    CrashFinding finding = CrashWatch::findingOf(life, CrashEvidence::Unreachable, true);
     std::erase_if(watch.losses, [&finding, before, accusedToo](const Loss &loss) {
         const bool lives = loss.at <= before && (accusedToo || !loss.accused);
         if (lives && loss.accused) {
--- a/packages/net/include/endivespan/http_pool.h
+++ b/packages/net/include/endivespan/http_pool.h
@@ -49,7 +49,8 @@
     [[nodiscard]] virtual std::unique_ptr<HttpPending> start(PooledCall call, PooledCallbacks callbacks) = 0;
 
     /// Tries to connect to @p address without sending anything. The connection is kept for later calls.
-    /// @param done Gets whether something listens there; never called inside this function, nor after the pool's end.
+    /// @param done Gets whether something listens there; never called inside this function, after the pool's end, nor
+    ///     where this host could make no socket, which says nothing of the server.
     virtual void reach(const std::string &address, std::chrono::milliseconds timeout, std::function<void(bool)> done)
         = 0;
 
--- a/packages/net/src/http_pool.cpp
+++ b/packages/net/src/http_pool.cpp
@@ -216,8 +216,11 @@
 
 private:
     Connection *takeIdle(const std::string &address);
+    Connection *open(const std::string &address, std::chrono::milliseconds timeout);
 
-    std::uint64_t nextId = 1;
+    static constexpr std::uint64_t NoConnection = 0;
+
+    std::uint64_t nextId = NoConnection + 1;
     std::map<std::uint64_t, std::unique_ptr<Connection>> connections;
     std::map<std::string, std::vector<std::uint64_t>> idle;
     std::vector<std::unique_ptr<Connection>> dead;
@@ -507,13 +510,21 @@
     return taken;
 }
 
-void Pool::reach(const std::string &address, std::chrono::milliseconds timeout, std::function<void(bool)> done)
+// Returns null when no socket could be made.
+Connection *Pool::open(const std::string &address, std::chrono::milliseconds timeout)
 {
     const std::uint64_t id = this->nextId++;
     auto made = std::make_unique<Connection>(*this, id, address);
-    if (made->connect(timeout)) {
-        made->onReached(std::move(done));
-        this->connections.emplace(id, std::move(made));
+    if (!made->connect(timeout)) {
+        return nullptr;
+    }
+    return this->connections.emplace(id, std::move(made)).first->second.get();
+}
+
+void Pool::reach(const std::string &address, std::chrono::milliseconds timeout, std::function<void(bool)> done)
+{
+    if (Connection *connection = this->open(address, timeout); connection != nullptr) {
+        connection->onReached(std::move(done));
     }
 }
 
@@ -535,23 +546,20 @@
     if (connection != nullptr) {
         ++this->counters.reused;
     } else {
-        const std::uint64_t id = this->nextId++;
-        auto made = std::make_unique<Connection>(*this, id, running->call.address);
-        if (!made->connect(running->call.connectTimeout)) {
-            const std::uint64_t number = this->nextFailure++;
-            // The call lives on in the timer until its failure has been told.
-            this->failures[number] = this->loop.after(Duration::zero(), [this, number, running] {
-                const auto timer = std::move(this->failures[number]);
-                this->failures.erase(number);
-                running->ended = true;
-                if (const auto onFailure = running->callbacks.onFailure) {
-                    onFailure({Error {ErrorKind::ConnectionFailed, "cannot connect"}, false});
-                }
-            });
-            return std::make_unique<Pending>(*this, id, running);
-        }
-        connection = made.get();
-        this->connections.emplace(id, std::move(made));
+        connection = this->open(running->call.address, running->call.connectTimeout);
+    }
+    if (connection == nullptr) {
+        const std::uint64_t number = this->nextFailure++;
+        // The call lives on in the timer until its failure has been told.
+        this->failures[number] = this->loop.after(Duration::zero(), [this, number, running] {
+            const auto timer = std::move(this->failures[number]);
+            this->failures.erase(number);
+            running->ended = true;
+            if (const auto onFailure = running->callbacks.onFailure) {
+                onFailure({Error {ErrorKind::ConnectionFailed, "cannot connect"}, false});
+            }
+        });
+        return std::make_unique<Pending>(*this, NoConnection, running);
     }
     auto pending = std::make_unique<Pending>(*this, connection->number(), running);
     connection->serve(std::move(running));
--- a/packages/node/include/endivespan/forward_codec.h
+++ b/packages/node/include/endivespan/forward_codec.h
@@ -64,6 +64,12 @@
     bool leaving = false; ///< The server leaves.
     std::optional<std::chrono::milliseconds> rest; ///< It refused, and wants nothing from this host for so long.
     std::string badRest; ///< What stood there instead of a time; empty when nothing did.
+
+    /// @returns whether the answer says that it comes from another server than @p asked.
+    [[nodiscard]] bool isFromOther(const std::string &asked) const
+    {
+        return !this->server.empty() && this->server != asked;
+    }
 };
 
 /// Translates between one wire and the types above.
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -282,9 +282,13 @@
     this->task.lost(this->life, this->work.fingerprint, now);
 }
 
-bool ForwardRun::isSilent(TimePoint now) const
+// Ends an attempt before its answer is whole. A server that has gone silent may have crashed.
+void ForwardRun::giveUp(AttemptOutcome outcome)
 {
-    return now - this->heardAt >= config::ForwardStreamSilence;
+    if (const TimePoint now = this->task.parts.loop.now(); now - this->heardAt >= config::ForwardStreamSilence) {
+        this->lostAttempt(now);
+    }
+    this->endAttempt(outcome);
 }
 
 void ForwardRun::onHead(int answerStatus, const HttpHeaders &fields)
@@ -300,7 +304,7 @@
     this->status = answerStatus;
     this->headers = fields;
     this->heardAt = now;
-    if (!answer.server.empty() && answer.server != this->life.server) {
+    if (answer.isFromOther(this->life.server)) {
         this->task.crashes.ended(this->life);
     } else {
         this->task.crashes.heard(this->life, now);
@@ -449,8 +453,7 @@
 {
     const TimePoint now = this->task.parts.loop.now();
     const std::string refusing = this->server;
-    const bool misdirected = !answer.server.empty() && answer.server != refusing;
-    this->endAttempt(misdirected ? AttemptOutcome::Misdirected : AttemptOutcome::Refused);
+    this->endAttempt(answer.isFromOther(refusing) ? AttemptOutcome::Misdirected : AttemptOutcome::Refused);
     ++this->notRun;
     this->task.parts.events.line("attempt_refused")
         .with("request", this->work.request.id)
@@ -562,10 +565,7 @@
 {
     const bool sent = !this->server.empty();
     if (sent) {
-        if (const TimePoint now = this->task.parts.loop.now(); this->isSilent(now)) {
-            this->lostAttempt(now);
-        }
-        this->endAttempt(AttemptOutcome::Failed);
+        this->giveUp(AttemptOutcome::Failed);
         ++this->ran;
     }
     if (this->ran == 0) {
@@ -578,10 +578,7 @@
 void ForwardRun::onCallerGone()
 {
     if (!this->server.empty()) {
-        if (const TimePoint now = this->task.parts.loop.now(); this->isSilent(now)) {
-            this->lostAttempt(now);
-        }
-        this->endAttempt(AttemptOutcome::Cancelled);
+        this->giveUp(AttemptOutcome::Cancelled);
     }
     this->finish(0, "caller_gone", "", LogRank::Routine);
 }
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -66,7 +66,7 @@
     [[nodiscard]] bool mayRepeat(TimePoint now);
     void endAttempt(AttemptOutcome outcome);
     void lostAttempt(TimePoint now);
-    [[nodiscard]] bool isSilent(TimePoint now) const;
+    void giveUp(AttemptOutcome outcome);
     [[nodiscard]] Duration patience() const;
     void markPrefilled();
     void watchSilence();
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -281,7 +281,7 @@
 
 void ForwardTask::observedEngine(Duration time)
 {
-    this->firstByte += std::chrono::duration_cast<Duration>(config::FirstByteSmoothing * (time - this->firstByte));
+    this->firstByte.add(std::chrono::duration<double, std::milli>(time).count());
 }
 
 // What a run holds counts for as long as it runs, so that runs are looked at and not arrivals.
@@ -296,7 +296,7 @@
 
 Duration ForwardTask::firstByteTime() const
 {
-    return this->firstByte;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(this->firstByte.mean()));
 }
 
 bool ForwardTask::wait(ForwardRun &run)
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -145,7 +145,7 @@
     std::unique_ptr<Timer> cleanup;
     std::unique_ptr<Timer> wakeup;
     std::vector<ForwardRun *> waiting;
-    Duration firstByte {}; ///< Smoothed.
+    SmoothedMean firstByte {0, config::FirstByteSmoothing}; ///< In milliseconds.
     bool refusing = false;
 };
 
--- a/packages/node/src/server_feed.cpp
+++ b/packages/node/src/server_feed.cpp
@@ -177,6 +177,11 @@
     if (this->servers.find(key) != nullptr) {
         this->events.line(keepUntil ? "server_missing" : "server_gone").with("server", key);
     }
+    this->drop(key, keepUntil, now);
+}
+
+void ServerFeed::drop(const std::string &key, std::optional<TimePoint> keepUntil, TimePoint now)
+{
     this->servers.withdraw(key, keepUntil, now);
     this->relay.server(
         {key, std::nullopt, keepUntil ? *keepUntil - now : Duration::zero()}, this->batchNext, true, now);
@@ -188,8 +193,7 @@
     if (!entry) {
         this->events.line("server_entry_unreadable").with("server", key).with("why", entry.error().detail);
         // Whatever it was before, it names no server to use now.
-        this->servers.withdraw(key, std::nullopt, now);
-        this->relay.server({key, std::nullopt, {}}, this->batchNext, true, now);
+        this->drop(key, std::nullopt, now);
         return;
     }
     const bool isNews = this->servers.learn(entry.value(), now);
--- a/packages/node/src/server_feed.h
+++ b/packages/node/src/server_feed.h
@@ -53,6 +53,7 @@
     void readNewest();
     void readOn();
     void take(const KeyedRecord &record, TimePoint now);
+    void drop(const std::string &key, std::optional<TimePoint> keepUntil, TimePoint now);
     void remove(const std::string &key, std::optional<TimePoint> keepUntil, TimePoint now);
     void put(const std::string &key, const std::string &value, TimePoint now);
     void read(std::uint64_t upTo, TimePoint asOf);
