--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -349,6 +349,7 @@
 constexpr std::size_t LogBufferBytes = 256 * 1024;
 constexpr std::uint32_t LogLinesPerSecond = 60; ///< Of one event, for routine lines.
 constexpr std::chrono::milliseconds LogFlushDelay = 100ms;
+constexpr std::chrono::milliseconds HostLinePeriod = 1000ms; ///< Between lines on how many hosts are heard of.
 
 // Forwarded requests: serving
 constexpr std::chrono::milliseconds ForwardTickPeriod = 100ms;
--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -46,6 +46,7 @@
     std::uint32_t resting = 0; ///< Of these, those that have asked this host for a rest.
     std::uint32_t open = 0; ///< Of those known, those that take new work.
     std::uint32_t full = 0; ///< Of the open ones, those with no room for this host now.
+    std::uint32_t cold = 0; ///< Of the open ones, the cold ones that this host may not send to now.
 };
 
 /// One way to choose.
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -102,9 +102,11 @@
         ++choice.open;
         const double requests = requestsAt(view, need, alike, now);
         const std::uint32_t mostInFlight = need.model.empty() ? view.entry.slots : need.mostInFlight;
-        const bool hasRoom = ServerTable::hasColdRoom(view, need.cold, now) && !isCrowded(view, need, requests, now)
+        const bool hasColdRoom = ServerTable::hasColdRoom(view, need.cold, now);
+        const bool hasRoom = hasColdRoom && !isCrowded(view, need, requests, now)
             && (mostInFlight == 0 || view.inFlight < mostInFlight);
         choice.full += hasRoom ? 0 : 1;
+        choice.cold += hasColdRoom ? 0 : 1;
         visit(view, hasRoom, requests);
     }
     return choice;
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -277,6 +277,7 @@
         const TimePoint now = this->loop.now();
         this->peers.tick(now);
         this->rankHosts(now);
+        this->logHosts(now);
         this->rollout.tick(now);
         this->relay.tick(now);
         this->stores.tick(now);
@@ -304,6 +305,34 @@
             })));
     }
 
+    // Parts of what all hosts share depend on how many of them are known.
+    void logHosts(TimePoint now)
+    {
+        const MembershipStats stats = this->membership.stats();
+        if (now < this->nextHostLine || (stats.known == this->lastHosts.known && stats.alive == this->lastHosts.alive)) {
+            return;
+        }
+        this->nextHostLine = now + config::HostLinePeriod;
+        this->lastHosts = stats;
+        TimePoint oldest = now;
+        for (const auto &[name, host] : this->membership.hosts()) {
+            oldest = name == this->settings.host || host.liveness == Liveness::Dead ? oldest
+                                                                                     : std::min(oldest, host.advancedAt);
+        }
+        const GossipStats &gossip = this->peers.gossipStats();
+        this->events.line("hosts_counted", LogRank::Failure)
+            .with("known", stats.known)
+            .with("alive", stats.alive)
+            .with("counted", this->forward.hosts())
+            .with("deaths", stats.deaths)
+            .with("returns", stats.returns)
+            .with("oldest_heartbeat_ms", now - oldest)
+            .with("rounds", gossip.rounds)
+            .with("messages", gossip.messages)
+            .with("bytes", gossip.bytes)
+            .with("deferred", gossip.deferred);
+    }
+
     void continueStop(TimePoint now)
     {
         const Duration since = now - this->stopBegan;
@@ -354,6 +383,8 @@
     std::unique_ptr<HttpServer> metricsServer;
     std::unique_ptr<Timer> ticker;
     TimePoint nextRanking;
+    TimePoint nextHostLine;
+    MembershipStats lastHosts;
     TimePoint stopBegan;
     bool stopping = false;
     bool wasReady = false;
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -229,6 +229,9 @@
     call.belongs = [codec = &this->task.parts.codec, id = this->work.request.id](int, const HttpHeaders &fields) {
         return codec->belongs(id, fields);
     };
+    if (ServerTable::isCold(view, now)) {
+        this->logColdSend(view, now);
+    }
     this->task.parts.servers.started(this->server, this->attemptTokens, now);
     this->call = this->task.pool->start(
         std::move(call),
@@ -241,6 +244,22 @@
     }
 }
 
+void ForwardRun::logColdSend(const ServerView &view, TimePoint now)
+{
+    PlacementNeed need;
+    need.service = this->work.service;
+    this->task.completeNeed(need, now);
+    this->task.parts.events.line("cold_server_used")
+        .with("request", this->work.request.id)
+        .with("attempt", this->sends)
+        .with("server", this->server)
+        .with("born", view.entry.born)
+        .with("cold_ms", std::max<Duration>(view.coldUntil - now, Duration::zero()))
+        .with("confirmed", view.unconfirmedSince == TimePoint {} ? "yes" : "no")
+        .with("per_second", std::to_string(need.cold.perSecond))
+        .with("hosts", this->task.hosts());
+}
+
 // A second attempt at an engine still has to come in time, so that it is made while a usual first byte fits.
 Duration ForwardRun::patience() const
 {
@@ -656,6 +675,7 @@
         .with("resting", this->lastChoice.resting)
         .with("open", this->lastChoice.open)
         .with("full", this->lastChoice.full)
+        .with("cold", this->lastChoice.cold)
         .with("expected_ms", this->lastChoice.expected)
         .with("attempts", this->sends)
         .with("parts_fetched", this->partsFetched)
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -52,6 +52,8 @@
     void
     prepareEngine(ForwardDispatch &dispatch, const ServerView &view, const std::string &likelyHolder, TimePoint now);
 
+    void logColdSend(const ServerView &view, TimePoint now);
+
     void onHead(int status, const HttpHeaders &headers);
     void onBody(std::string_view bytes);
     void onDone();
--- a/packages/node/src/peer_task.cpp
+++ b/packages/node/src/peer_task.cpp
@@ -86,6 +86,11 @@
     }
 }
 
+const GossipStats &PeerTask::gossipStats() const
+{
+    return this->gossip->stats();
+}
+
 std::set<std::string> PeerTask::takeChangedServers()
 {
     return this->gossip->takeChangedServers();
--- a/packages/node/src/peer_task.h
+++ b/packages/node/src/peer_task.h
@@ -84,6 +84,8 @@
     /// Does what is due.
     void tick(TimePoint now);
 
+    [[nodiscard]] const GossipStats &gossipStats() const;
+
     /// @returns the backend servers whose notes peers have changed since the last call.
     [[nodiscard]] std::set<std::string> takeChangedServers();
 
