Deal rights to cold servers among all hosts that exist, a whole right to a few hosts

Cause: the bound was divided by 1.4 times the live hosts. Below one request a second a host's part became a longer span, but each host began with the right to one; with fewer hosts heard of each part grew. Class: a share of a bound over all hosts that is rounded up and depends on who is heard of.

Ruled out: late knowledge (295 of 295 hosts listed it as cold), paths that do not ask (229 of 241 sends to cold servers are first attempts; the others went through the same check).

Change: HostRoster deals whole rights by rendezvous among the hosts that exist, heard of or not; nine tenths of the bound are dealt. A right is free again a second after the request has gone out (the pool says when), and what was sent just before a server turned cold counts. A new host waits until all others read that it exists, one that has started again until its earlier process's requests are over. An empty cold server no longer passes for as crowded as its pool. A server's own word on how long it is cold is decoded and checked.

A property with hosts that connect slowly, restart and join found a host that starts again before the others know it (mended: it waits from its first listing). Room: at least 0.8 of the bound at 12 to 400 hosts.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -257,8 +257,9 @@
 constexpr double RestReturnShare = 0.2; ///< Of the time asked for, over which hosts come back.
 constexpr std::chrono::milliseconds RestReturnLeast = 200ms;
 constexpr std::size_t LeftServersKept = 1024; ///< Starts of servers that have said they leave.
-constexpr std::chrono::seconds ColdSendsKept = 10s;
+constexpr std::chrono::seconds ColdMost = 300s; ///< That a server may call itself cold; longer is taken for a mistake.
 constexpr std::chrono::milliseconds ColdSpanMargin = 60ms; ///< Requests may be held up by different times on the way.
+constexpr double ColdRightsShare = 0.9; ///< Of a bound; hosts may join before the others know them.
 constexpr std::array<double, 3> PrefixHitShares {0.8, 0.4, 0.2}; ///< Chance of a hit, by rendezvous place.
 constexpr std::chrono::milliseconds FailureCost = 4000ms; ///< Of a request at a server that fails all.
 constexpr std::chrono::milliseconds SilentAvoidAfter = 400ms; ///< Longer than prompts of others hold up all streams.
@@ -338,8 +339,12 @@
 constexpr std::chrono::milliseconds ServerPollMost = 600ms; ///< Servers write there about every second.
 constexpr std::chrono::milliseconds ListLapseAfter = 2400ms; ///< Entries may lapse in an outage of two heartbeats.
 constexpr std::chrono::milliseconds HostAnnouncePause = 500ms;
-constexpr std::chrono::milliseconds HostReadAgain = 500ms; ///< After the first read; the fleet may start at once.
+constexpr std::chrono::milliseconds HostReadAgain
+    = 500ms; ///< After a failed read, and from the own report on; the fleet may start at once.
 constexpr std::chrono::milliseconds HostReadPeriod = 10000ms;
+constexpr std::chrono::milliseconds HostJoinDelay
+    = 14000ms; ///< Within it all others read that a new host is in the list.
+constexpr std::chrono::milliseconds HostReturnDelay = 1100ms; ///< An earlier process may have sent a moment ago.
 
 // Structured log
 constexpr std::chrono::seconds StoryStaleSpan = 30s; ///< Before a refusal, in which a lost log may be its cause.
--- a/packages/core/include/endivespan/membership.h
+++ b/packages/core/include/endivespan/membership.h
@@ -125,6 +125,9 @@
     /// @returns every known host, this one included, by name.
     [[nodiscard]] const std::map<std::string, HostView> &hosts() const;
 
+    /// @returns the ids of all hosts that exist, this one included, heard of or not.
+    [[nodiscard]] std::vector<std::uint64_t> ids() const;
+
     /// @returns the names of the hosts that may own something: not dead, and in state Live.
     [[nodiscard]] std::set<std::string> owners() const;
 
--- /dev/null
+++ b/packages/core/include/endivespan/mix.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+
+namespace endivespan {
+
+/// @returns @p value with its bits spread evenly, the same on every host.
+constexpr std::uint64_t mix(std::uint64_t value)
+{
+    value ^= value >> 33U;
+    value *= 0xff51afd7ed558ccdULL;
+    value ^= value >> 33U;
+    value *= 0xc4ceb9fe1a85ec53ULL;
+    return value ^ (value >> 33U);
+}
+
+} // namespace endivespan
--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -24,7 +24,7 @@
     std::string domain; ///< Failure domain of this host.
     std::uint64_t newestWeights = 0; ///< Newest version named for the model.
     std::uint64_t oldestWeights = 0; ///< Servers with older ones may not be used.
-    ColdShare cold;
+    ColdBound cold;
     std::shared_ptr<const RolloutQueue> loadingNext; ///< Null while no weights change.
     std::size_t urgency = 0; ///< 0 is the most urgent.
     std::uint32_t mostInFlight = 0; ///< Own attempts at one server; 0 for no bound.
--- a/packages/core/include/endivespan/server_table.h
+++ b/packages/core/include/endivespan/server_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <endivespan/clock.h>
+#include <endivespan/host_roster.h>
 
 #include <cstdint>
 #include <map>
@@ -52,7 +53,8 @@
     TimePoint unconfirmedSince; ///< When a connection failed and no later heartbeat has come; epoch if none has.
     TimePoint avoidUntil; ///< Refused or unreachable: not chosen before.
     Duration avoidStep {}; ///< Grows with each failed connection in a row.
-    std::vector<TimePoint> coldSends; ///< The latest ones while it was cold.
+    std::vector<TimePoint> sends; ///< When requests of this host went out, as far as a bound may still count them.
+    std::uint32_t unsent = 0; ///< Own attempts whose request has not gone out yet.
     std::uint32_t inFlight = 0; ///< Own attempts.
     std::uint64_t prefillTokens = 0; ///< Of own attempts that have no answer yet.
     std::uint32_t streams = 0; ///< Own attempts whose answer has begun and goes on.
@@ -91,11 +93,20 @@
 /// @returns a short number for a server, the same on every host; two servers seldom share one.
 std::uint32_t shortIdOf(const ServerView &view);
 
-/// Bounds on cold servers for this host.
-struct ColdShare {
-    double perSecond = 0; ///< Requests that this host may send to one cold server each second; 0 for no bound.
+/// What all hosts together may send to one cold server.
+struct ColdBound {
+    std::uint32_t rights = 0; ///< Requests a second, over all hosts.
+    const HostRoster *hosts = nullptr; ///< Among whom they are dealt; null for no bound.
+
+    [[nodiscard]] bool isBounded() const
+    {
+        return this->hosts != nullptr;
+    }
 };
 
+/// @returns how many requests a second of @p bound are dealt; the rest is for hosts that others do not know yet.
+std::uint32_t coldRights(double bound);
+
 /// Servers by id. Decisions on placement read it; tasks report to it.
 class ServerTable
 {
@@ -116,9 +127,13 @@
     /// Drops servers whose time has come. Call it now and then.
     void tick(TimePoint now);
 
-    /// Takes that an attempt was sent.
+    /// Takes that an attempt begins. sent() or notSent() follows.
     void started(const std::string &id, std::uint64_t prefillTokens, TimePoint now);
 
+    /// Takes that the request of an attempt has gone out, or never will.
+    void sent(const std::string &id, TimePoint now);
+    void notSent(const std::string &id);
+
     /// Takes the first sign of an answer: the prompt has been read.
     void prefilled(const std::string &id, std::uint64_t prefillTokens);
 
@@ -144,6 +159,9 @@
     /// Takes a weight version that a server itself has named; the list lags.
     void saidWeights(const std::string &id, const std::string &model, std::uint64_t version);
 
+    /// Takes that a server has said that it is cold for @p time. That holds for the start named by @p born alone.
+    void saidCold(const std::string &id, std::uint64_t born, Duration time, TimePoint now);
+
     /// Takes that a server has said in an answer that it leaves. That holds for the start named by @p born alone.
     /// @returns true when it was news.
     bool saidLeaving(const std::string &id, std::uint64_t born);
@@ -165,7 +183,7 @@
     [[nodiscard]] static bool isCold(const ServerView &server, TimePoint now);
 
     /// @returns whether a cold server has room for one more request of this host.
-    [[nodiscard]] static bool hasColdRoom(const ServerView &server, const ColdShare &share, TimePoint now);
+    [[nodiscard]] static bool hasColdRoom(const ServerView &server, const ColdBound &bound, TimePoint now);
 
     [[nodiscard]] const std::map<std::string, ServerView> &servers() const;
     [[nodiscard]] const ServerView *find(const std::string &id) const;
--- a/packages/core/src/membership.cpp
+++ b/packages/core/src/membership.cpp
@@ -210,6 +210,16 @@
     return this->entries;
 }
 
+std::vector<std::uint64_t> Membership::ids() const
+{
+    std::vector<std::uint64_t> ids;
+    ids.reserve(this->entries.size());
+    for (const auto &[name, host] : this->entries) {
+        ids.push_back(host.id);
+    }
+    return ids;
+}
+
 std::set<std::string> Membership::owners() const
 {
     std::set<std::string> names;
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -1,4 +1,5 @@
 #include <endivespan/config.h>
+#include <endivespan/mix.h>
 #include <endivespan/placement.h>
 
 #include <algorithm>
@@ -13,15 +14,6 @@
 
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
-std::uint64_t mix(std::uint64_t value)
-{
-    value ^= value >> 33U;
-    value *= 0xff51afd7ed558ccdULL;
-    value ^= value >> 33U;
-    value *= 0xc4ceb9fe1a85ec53ULL;
-    return value ^ (value >> 33U);
-}
-
 std::uint64_t hashText(std::string_view text)
 {
     std::uint64_t hash = 0xcbf29ce484222325ULL;
@@ -47,11 +39,29 @@
         config::HostsAlikeMost * config::HostsAlikeMost / hosts, 1.0, std::min(hosts, config::HostsAlikeMost));
 }
 
+// A cold server gets requests of the few hosts that hold rights to it, whatever the rest of its pool bears. It must not
+// pass for as crowded as the pool before it has said anything.
+double requestsAtCold(const ServerView &view, const PlacementNeed &need, TimePoint now)
+{
+    const double own = need.cold.hosts->rightsOf(view.idHash, need.cold.rights, now);
+    const double alike = own > 0 ? need.cold.rights / own : 1;
+    double estimate = view.inFlight * alike;
+    if (const Duration age = now - view.loadAt; view.load && age <= config::CrowdReportTime) {
+        const double left
+            = std::exp(-Milliseconds(age).count() / std::max(1.0, Milliseconds(need.rates.runTime).count()));
+        estimate = left * (view.load->running + view.load->waiting) + view.sentSinceLoad * alike;
+    }
+    return std::max(estimate, static_cast<double>(view.inFlight));
+}
+
 // Requests at the server: those reported, as far as they still run, and those sent since, as the other hosts do the
 // same. Without them all hosts would flood an engine that has just come free. Once a report is too old, the own share
 // stands for all: a swamped server answers seldom, and must not look empty before it can speak again.
 double requestsAt(const ServerView &view, const PlacementNeed &need, double alike, TimePoint now)
 {
+    if (need.cold.isBounded() && ServerTable::isCold(view, now)) {
+        return requestsAtCold(view, need, now);
+    }
     const double unseen = need.meanRequests * (1 - alike / static_cast<double>(std::max<std::size_t>(need.hosts, 1)));
     double estimate = view.inFlight * alike + unseen;
     if (const Duration age = now - view.loadAt; view.load && age <= config::CrowdReportTime) {
--- a/packages/core/src/server_table.cpp
+++ b/packages/core/src/server_table.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr Duration ColdSpan = std::chrono::seconds(1) + config::ColdSpanMargin;
+
 double decayed(double value, Duration age)
 {
     using Seconds = std::chrono::duration<double>;
@@ -37,6 +39,12 @@
     return now < this->returnAt;
 }
 
+std::uint32_t coldRights(double bound)
+{
+    const double dealt = std::floor(bound * config::ColdRightsShare);
+    return static_cast<std::uint32_t>(std::max(dealt, std::min(std::floor(bound), 1.0)));
+}
+
 std::uint32_t shortIdOf(const ServerView &view)
 {
     return static_cast<std::uint32_t>(view.idHash);
@@ -61,7 +69,11 @@
             // Nothing of the earlier start holds, except that its attempts still have to end.
             const std::uint32_t inFlight = view.inFlight;
             const std::uint32_t streams = view.streams;
+            const std::uint32_t unsent = view.unsent;
+            std::vector<TimePoint> sends = std::move(view.sends);
             view = ServerView {};
+            view.unsent = unsent;
+            view.sends = std::move(sends);
             view.inFlight = inFlight;
             view.streams = streams;
             view.heardAt = now;
@@ -133,9 +145,23 @@
     view.lastSentAt = now;
     view.prefillTokens += prefillTokens;
     view.trialSends += view.onTrial ? 1 : 0;
-    std::erase_if(view.coldSends, [now](TimePoint at) { return now - at >= config::ColdSendsKept; });
-    if (isCold(view, now)) {
-        view.coldSends.push_back(now);
+    ++view.unsent;
+}
+
+void ServerTable::sent(const std::string &id, TimePoint now)
+{
+    if (const auto found = this->views.find(id); found != this->views.end()) {
+        ServerView &view = found->second;
+        view.unsent -= std::min<std::uint32_t>(view.unsent, 1);
+        std::erase_if(view.sends, [now](TimePoint at) { return now - at >= ColdSpan; });
+        view.sends.push_back(now);
+    }
+}
+
+void ServerTable::notSent(const std::string &id)
+{
+    if (const auto found = this->views.find(id); found != this->views.end()) {
+        found->second.unsent -= std::min<std::uint32_t>(found->second.unsent, 1);
     }
 }
 
@@ -263,6 +289,13 @@
     }
 }
 
+void ServerTable::saidCold(const std::string &id, std::uint64_t born, Duration time, TimePoint now)
+{
+    if (const auto found = this->views.find(id); found != this->views.end() && found->second.entry.born == born) {
+        found->second.coldUntil = std::max(found->second.coldUntil, now + time);
+    }
+}
+
 bool ServerTable::saidLeaving(const std::string &id, std::uint64_t born)
 {
     if (this->left.size() >= config::LeftServersKept && !this->left.contains(id)) {
@@ -327,19 +360,16 @@
     return now < server.coldUntil || server.unconfirmedSince != TimePoint {};
 }
 
-bool ServerTable::hasColdRoom(const ServerView &server, const ColdShare &share, TimePoint now)
+// A right is one request, and is free again a second after the request has gone out: the time until then, such as that
+// of connecting, does not shorten the span between two requests.
+bool ServerTable::hasColdRoom(const ServerView &server, const ColdBound &bound, TimePoint now)
 {
-    if (share.perSecond <= 0 || !isCold(server, now)) {
+    if (!bound.isBounded() || !isCold(server, now)) {
         return true;
     }
-    // Shares below one a second are kept by a longer span between two requests.
-    const auto span
-        = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::max(1.0, 1.0 / share.perSecond)));
-    const auto most = static_cast<std::ptrdiff_t>(std::max(1.0, std::floor(share.perSecond)));
-    return std::count_if(server.coldSends.begin(),
-                         server.coldSends.end(),
-                         [now, span](TimePoint at) { return now - at < span + config::ColdSpanMargin; })
-        < most;
+    const auto used = server.unsent
+        + std::count_if(server.sends.begin(), server.sends.end(), [now](TimePoint at) { return now - at < ColdSpan; });
+    return used < bound.hosts->rightsOf(server.idHash, bound.rights, now);
 }
 
 const std::map<std::string, ServerView> &ServerTable::servers() const
--- a/packages/net/include/endivespan/http_pool.h
+++ b/packages/net/include/endivespan/http_pool.h
@@ -29,6 +29,7 @@
     std::function<void(std::string_view bytes)> onBody;
     std::function<void()> onDone; ///< The answer is whole.
     std::function<void(const HttpFailure &)> onFailure;
+    std::function<void()> onSent {}; ///< The whole request has gone out; must not end the call.
 };
 
 /// Counters of one HttpPool.
--- a/packages/net/src/http_pool.cpp
+++ b/packages/net/src/http_pool.cpp
@@ -144,6 +144,7 @@
 
 private:
     static void onRead(bufferevent *stream, void *context);
+    static void onWritten(bufferevent *stream, void *context);
     static void onEvent(bufferevent *stream, short what, void *context);
     void read();
     bool parse();
@@ -280,7 +281,7 @@
         return false;
     }
     this->stream = bufferevent_socket_new(this->pool.loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
-    bufferevent_setcb(this->stream, &Connection::onRead, nullptr, &Connection::onEvent, this);
+    bufferevent_setcb(this->stream, &Connection::onRead, &Connection::onWritten, &Connection::onEvent, this);
     if (bufferevent_socket_connect(this->stream, reinterpret_cast<const sockaddr *>(&target), sizeof(target)) != 0) {
         return false;
     }
@@ -318,6 +319,14 @@
     static_cast<Connection *>(context)->read();
 }
 
+// Runs when nothing is left to write.
+void Connection::onWritten(bufferevent *, void *context)
+{
+    if (const auto current = static_cast<Connection *>(context)->call; current && current->callbacks.onSent) {
+        current->callbacks.onSent();
+    }
+}
+
 void Connection::onEvent(bufferevent *, short what, void *context)
 {
     auto *self = static_cast<Connection *>(context);
--- a/packages/node/include/endivespan/forward_codec.h
+++ b/packages/node/include/endivespan/forward_codec.h
@@ -62,6 +62,7 @@
     std::optional<ServerLoadReport> load;
     std::optional<std::uint64_t> weights; ///< Version that the server has.
     bool leaving = false; ///< The server leaves.
+    std::optional<std::chrono::milliseconds> coldFor; ///< How much longer it is cold, where it says so.
     std::optional<std::chrono::milliseconds> rest; ///< It refused, and wants nothing from this host for so long.
     std::string badRest; ///< What stood there instead of a time; empty when nothing did.
 
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -61,7 +61,13 @@
                      this->settings.bounds.listLapse + this->ages.serverPoll,
                      this->ages,
                      [this] { this->forward.placesChanged(); })
-        , hostFeed(loop, adapters.log, adapters.records, this->events, this->membership)
+        , roster(hostIdOf(this->settings.host))
+        , hostFeed(loop,
+                   adapters.log,
+                   adapters.records,
+                   this->events,
+                   this->membership,
+                   [this] { this->joinHosts(this->loop.now()); })
         , peers(PeerTaskParts {loop,
                                this->settings.listenPeers,
                                {},
@@ -107,6 +113,7 @@
                                 this->progress,
                                 this->serverFeed,
                                 this->membership,
+                                this->roster,
                                 this->confirmation,
                                 this->peers.suspicions,
                                 this->metrics,
@@ -141,6 +148,7 @@
         if (auto listening = this->peers.start(); !listening) {
             return listening.error();
         }
+        this->startedAt = this->loop.now();
         this->operators.start();
         this->serverFeed.start();
         this->hostFeed.start();
@@ -148,6 +156,7 @@
         this->events.line("started", LogRank::Failure)
             .with("incarnation", this->membership.self().status.version.incarnation)
             .with("domain", this->settings.failureDomain)
+            .with("first_start", this->settings.firstStart ? "yes" : "no")
             .with("callers", this->settings.listenCallers)
             .with("peers", this->peers.address());
         return boost::outcome_v2::success();
@@ -297,6 +306,7 @@
             return;
         }
         this->nextRanking = now + config::OwnershipPeriod;
+        this->roster.setHosts(this->membership.ids());
         const std::uint64_t own = rendezvousWeight(this->settings.host, "orders");
         const auto owners = this->membership.owners();
         this->rollout.setRank(
@@ -305,6 +315,28 @@
             })));
     }
 
+    // From here on this host uses its parts of what all hosts share.
+    void joinHosts(TimePoint now)
+    {
+        this->roster.setHosts(this->membership.ids());
+        TimePoint joins = now;
+        const auto earlier = this->hostFeed.earlierStart();
+        if (earlier) {
+            const std::chrono::nanoseconds clock = std::chrono::system_clock::now().time_since_epoch();
+            const std::chrono::nanoseconds longest = config::HostJoinDelay;
+            const auto untilKnown = std::chrono::duration_cast<Duration>(
+                std::clamp<std::chrono::nanoseconds>(*earlier + longest - clock, std::chrono::nanoseconds(0), longest));
+            joins = std::max<TimePoint>(now + untilKnown, this->startedAt + config::HostReturnDelay);
+        } else if (!this->settings.firstStart) {
+            joins = now + config::HostJoinDelay;
+        }
+        this->roster.join(joins);
+        this->events.line("host_joins", LogRank::Failure)
+            .with("listed_before", earlier ? "yes" : "no")
+            .with("hosts", this->roster.size())
+            .with("cold_rights_in_ms", joins - now);
+    }
+
     // Parts of what all hosts share depend on how many of them are known.
     void logHosts(TimePoint now)
     {
@@ -373,6 +405,7 @@
     WeightProgress progress;
     OperatorFeed operators;
     ServerFeed serverFeed;
+    HostRoster roster;
     HostFeed hostFeed;
     PeerTask peers;
     RolloutTask rollout;
@@ -383,6 +416,7 @@
     std::unique_ptr<HttpServer> readiness;
     std::unique_ptr<HttpServer> metricsServer;
     std::unique_ptr<Timer> ticker;
+    TimePoint startedAt;
     TimePoint nextRanking;
     TimePoint nextHostLine;
     MembershipStats lastHosts;
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -196,6 +196,7 @@
     this->heardAt = now;
     this->headAt = {};
     this->prefilled = false;
+    this->requestSent = false;
     this->status = 0;
     this->body.clear();
     this->tried.insert(choice.server);
@@ -238,7 +239,8 @@
         {[this](int answerStatus, const HttpHeaders &fields) { this->onHead(answerStatus, fields); },
          [this](std::string_view bytes) { this->onBody(bytes); },
          [this] { this->onDone(); },
-         [this](const HttpFailure &failure) { this->onFailure(failure); }});
+         [this](const HttpFailure &failure) { this->onFailure(failure); },
+         [this] { this->markSent(); }});
     if (this->work.route->repeat != RepeatRule::Once && this->ran + 1 < this->work.route->maxAttempts) {
         this->patienceTimer = this->task.parts.loop.after(this->patience(), [this] { this->onImpatient(); });
     }
@@ -256,7 +258,8 @@
         .with("born", view.entry.born)
         .with("cold_ms", std::max<Duration>(view.coldUntil - now, Duration::zero()))
         .with("confirmed", view.unconfirmedSince == TimePoint {} ? "yes" : "no")
-        .with("per_second", std::to_string(need.cold.perSecond))
+        .with("rights", need.cold.isBounded() ? need.cold.hosts->rightsOf(view.idHash, need.cold.rights, now) : 0)
+        .with("all_rights", need.cold.rights)
         .with("hosts", this->task.hosts());
 }
 
@@ -273,6 +276,14 @@
     return std::max<Duration>(std::clamp(aim - lead, least, longest), config::ForwardLeastPatience);
 }
 
+void ForwardRun::markSent()
+{
+    if (!this->requestSent) {
+        this->requestSent = true;
+        this->task.parts.servers.sent(this->server, this->task.parts.loop.now());
+    }
+}
+
 void ForwardRun::markPrefilled()
 {
     if (!this->prefilled) {
@@ -284,6 +295,7 @@
 void ForwardRun::endAttempt(AttemptOutcome outcome)
 {
     this->markPrefilled();
+    this->markSent();
     if (this->streamBegan) {
         this->streamBegan = false;
         this->task.parts.servers.streamEnded(this->server);
@@ -327,6 +339,9 @@
         this->task.crashes.ended(this->life);
     } else {
         this->task.crashes.heard(this->life, now);
+        if (answer.coldFor) {
+            this->task.parts.servers.saidCold(this->life.server, this->life.born, *answer.coldFor, now);
+        }
         if (answer.leaving) {
             this->task.serverLeaves(this->life, this->address);
         }
@@ -505,6 +520,8 @@
     const TimePoint now = this->task.parts.loop.now();
     if (!failure.requestSent) {
         const std::string unreachable = this->server;
+        this->requestSent = true;
+        this->task.parts.servers.notSent(unreachable);
         this->endAttempt(AttemptOutcome::Unreachable);
         this->task.pool->closeIdle(this->address);
         this->task.parts.events.line("server_unreachable", LogRank::Failure)
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -70,6 +70,7 @@
     void lostAttempt(TimePoint now);
     void giveUp(AttemptOutcome outcome);
     [[nodiscard]] Duration patience() const;
+    void markSent();
     void markPrefilled();
     void watchSilence();
 
@@ -92,6 +93,7 @@
     TimePoint heardAt; ///< The attempt's latest byte, or its start.
     TimePoint headAt; ///< When the answer of the attempt began; epoch before.
     bool prefilled = false;
+    bool requestSent = false; ///< Or it is settled that it never will be.
     int status = 0;
     HttpHeaders headers;
     std::string body;
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -249,8 +249,7 @@
     if (const ForwardService *service = state.config->service(need.service)) {
         if (service->coldRate > 0) {
             const ForwardBounds &bounds = this->parts.settings.bounds;
-            const double all = service->coldRate * bounds.coldFactor + bounds.coldSlack;
-            need.cold.perSecond = all / (config::SpareHostFactor * static_cast<double>(this->hosts()));
+            need.cold = {coldRights(service->coldRate * bounds.coldFactor + bounds.coldSlack), &this->parts.roster};
         }
         need.hosts = this->hosts();
         if (service->slots > 0) {
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -11,6 +11,7 @@
 #include <endivespan/event_log.h>
 #include <endivespan/forward_codec.h>
 #include <endivespan/forward_settings.h>
+#include <endivespan/host_roster.h>
 #include <endivespan/http_pool.h>
 #include <endivespan/http_server.h>
 #include <endivespan/loop.h>
@@ -44,6 +45,7 @@
     WeightProgress &progress;
     const ServerFeed &serverFeed;
     Membership &membership;
+    const HostRoster &roster;
     Confirmation &confirmation;
     SuspicionTable &suspicions;
     Metrics &metrics;
--- a/packages/node/src/host_feed.cpp
+++ b/packages/node/src/host_feed.cpp
@@ -4,20 +4,54 @@
 
 #include <nlohmann/json.hpp>
 
+#include <utility>
+
 namespace endivespan {
 
-HostFeed::HostFeed(Loop &loop, KeyedLog &log, const RecordCodec &codec, EventLog &events, Membership &membership)
+HostFeed::HostFeed(Loop &loop,
+                   KeyedLog &log,
+                   const RecordCodec &codec,
+                   EventLog &events,
+                   Membership &membership,
+                   std::function<void()> onListed)
     : loop(loop)
     , log(log)
     , codec(codec)
     , events(events)
     , membership(membership)
+    , onListed(std::move(onListed))
 {
 }
 
 void HostFeed::start()
 {
-    this->announce();
+    this->readFirst();
+}
+
+std::optional<std::chrono::nanoseconds> HostFeed::earlierStart() const
+{
+    return this->listedStart;
+}
+
+// What the list says before the own report is written tells whether others already count this host.
+void HostFeed::readFirst()
+{
+    this->log.newest(this->codec.hostTopic(), [this](const Result<KeyedBatch> &batch) {
+        if (!batch) {
+            this->announceTimer = this->loop.after(config::HostAnnouncePause, [this] { this->readFirst(); });
+            return;
+        }
+        const std::string &self = this->membership.self().name;
+        for (const KeyedRecord &record : batch.value().records) {
+            if (record.key == self && record.value) {
+                const auto fields = nlohmann::json::parse(*record.value, nullptr, false);
+                const auto start = fields.is_object() ? fields.value("incarnation", std::int64_t {0}) : 0;
+                this->listedStart = std::chrono::nanoseconds(start);
+            }
+            this->take(record);
+        }
+        this->announce();
+    });
 }
 
 void HostFeed::announce()
@@ -31,7 +65,8 @@
         if (!done) {
             this->announceTimer = this->loop.after(config::HostAnnouncePause, [this] { this->announce(); });
         } else {
-            this->read();
+            // Others may have started with this host and not have written theirs yet.
+            this->readTimer = this->loop.after(config::HostReadAgain, [this] { this->read(); });
         }
     });
 }
@@ -44,10 +79,11 @@
                 this->take(record);
             }
         }
-        // Once more soon after the start, for those that start with this host; later ones make themselves known.
-        const auto pause = this->isListed ? Duration(config::HostReadPeriod) : Duration(config::HostReadAgain);
-        this->isListed = this->isListed || batch.has_value();
-        this->readTimer = this->loop.after(pause, [this] { this->read(); });
+        this->readTimer = this->loop.after(batch ? Duration(config::HostReadPeriod) : Duration(config::HostReadAgain),
+                                           [this] { this->read(); });
+        if (batch && !std::exchange(this->isListed, true)) {
+            this->onListed();
+        }
     });
 }
 
--- a/packages/node/src/host_feed.h
+++ b/packages/node/src/host_feed.h
@@ -6,7 +6,10 @@
 #include <endivespan/loop.h>
 #include <endivespan/membership.h>
 
+#include <chrono>
+#include <functional>
 #include <memory>
+#include <optional>
 
 /// Makes this host known to the others, and the others to it, through the log. After that they speak directly.
 namespace endivespan {
@@ -15,11 +18,22 @@
 class HostFeed
 {
 public:
-    HostFeed(Loop &loop, KeyedLog &log, const RecordCodec &codec, EventLog &events, Membership &membership);
+    /// @param onListed Called once, when the list has been read after the own report was written.
+    HostFeed(Loop &loop,
+             KeyedLog &log,
+             const RecordCodec &codec,
+             EventLog &events,
+             Membership &membership,
+             std::function<void()> onListed);
 
     void start();
 
+    /// @returns the start, by the clock of the day, of the process whose report the list had before; nothing when the
+    ///     list did not name this host.
+    [[nodiscard]] std::optional<std::chrono::nanoseconds> earlierStart() const;
+
 private:
+    void readFirst();
     void announce();
     void read();
     void take(const KeyedRecord &record);
@@ -29,9 +43,11 @@
     const RecordCodec &codec;
     EventLog &events;
     Membership &membership;
+    std::function<void()> onListed;
     std::unique_ptr<Timer> announceTimer;
     std::unique_ptr<Timer> readTimer;
-    bool isListed = false; ///< The others were read once.
+    std::optional<std::chrono::nanoseconds> listedStart;
+    bool isListed = false; ///< The others were read after the own report was written.
 };
 
 } // namespace endivespan
--- a/packages/wire/include/endivespan/forward_settings.h
+++ b/packages/wire/include/endivespan/forward_settings.h
@@ -37,6 +37,7 @@
     std::string listenPeers;
     std::string listenMetrics;
     std::string logAddress;
+    bool firstStart = false; ///< The whole system starts for the first time: no host has served before.
     ForwardBounds bounds;
 
     bool operator==(const ForwardSettings &) const = default;
--- a/packages/wire/src/forward_settings.cpp
+++ b/packages/wire/src/forward_settings.cpp
@@ -67,7 +67,7 @@
         YamlMap top(document,
                     *document.root(),
                     "the settings",
-                    {"host", "region", "failure_domain", "listen", "log", "bounds"});
+                    {"host", "region", "failure_domain", "listen", "log", "first_start", "bounds"});
         settings.host = top.name("host");
         settings.region = top.name("region");
         settings.failureDomain = top.name("failure_domain");
@@ -75,6 +75,7 @@
         if (const auto node = top.require("log")) {
             settings.logAddress = YamlMap(document, *node, "'log'", {"address"}).address("address");
         }
+        settings.firstStart = top.flag("first_start", false);
         settings.bounds = boundSettings(document, top);
     }
     if (document.hasProblems()) {
--- a/tests/core/forward.cpp
+++ b/tests/core/forward.cpp
@@ -1,5 +1,7 @@
 #include <endivespan/config.h>
 #include <endivespan/forward.h>
+#include <endivespan/host_roster.h>
+#include <endivespan/membership.h>
 #include <endivespan/order_lease.h>
 #include <endivespan/placement.h>
 #include <endivespan/retry_share.h>
@@ -70,6 +72,108 @@
     return table;
 }
 
+/// Hosts that all want one cold server.
+struct ColdFleet {
+    struct Host {
+        HostRoster roster;
+        ServerTable table;
+        Duration connecting {}; ///< From the choice of the server until the request goes out.
+        std::optional<TimePoint> goesOutAt;
+        TimePoint joinsAt;
+    };
+
+    static std::string name(std::size_t index)
+    {
+        return "host-" + std::to_string(index);
+    }
+
+    /// @param heard Share of the others that a host still hears of.
+    ColdFleet(std::size_t count, double heard, Duration coldFor)
+        : entry(engine("e"))
+    {
+        this->entry.coldFor = coldFor;
+        Membership view({name(0), "", "", "", {}}, Start - 1h);
+        for (std::size_t i = 0; i < count; ++i) {
+            view.learn({name(i), "", "", "", {{1, 1}}}, Start - 1h);
+        }
+        view.tick(Start - 30min);
+        view.tick(Start - 30min + 1ms);
+        for (std::size_t i = 0; i < static_cast<std::size_t>(heard * static_cast<double>(count)); ++i) {
+            view.learn({name(i), "", "", "", {{1, 2}}}, Start);
+        }
+        this->known = view.ids();
+        for (std::size_t i = 0; i < count; ++i) {
+            this->add(Start);
+        }
+        this->tell();
+    }
+
+    Host &add(TimePoint joinsAt)
+    {
+        this->hosts.push_back({HostRoster(hostIdOf(name(this->hosts.size()))), {}, {}, {}, joinsAt});
+        Host &host = this->hosts.back();
+        host.table.learn(this->entry, Start);
+        host.roster.join(joinsAt);
+        return host;
+    }
+
+    /// Adds a host that the others do not know yet.
+    void addUnknown(TimePoint joinsAt)
+    {
+        const std::uint64_t id = hostIdOf(name(this->hosts.size()));
+        Host &host = this->add(joinsAt);
+        this->known.push_back(id);
+        host.roster.setHosts(this->known);
+    }
+
+    /// Lets all hosts know all others.
+    void tell()
+    {
+        for (Host &host : this->hosts) {
+            host.roster.setHosts(this->known);
+        }
+    }
+
+    void restart(std::size_t index, TimePoint joinsAt)
+    {
+        Host &host = this->hosts[index];
+        host.table = {};
+        host.table.learn(this->entry, Start);
+        host.joinsAt = std::max(host.joinsAt, joinsAt);
+        host.roster.join(host.joinsAt);
+        host.goesOutAt.reset();
+    }
+
+    /// Offers a request to each of @p atOnce random hosts, each @p gap. @returns when they went out.
+    std::vector<TimePoint> offer(double bound, TimePoint from, TimePoint to, Duration gap, std::size_t atOnce = 1)
+    {
+        std::vector<TimePoint> sent;
+        for (TimePoint now = from; now < to; now += gap) {
+            for (Host &host : this->hosts) {
+                if (host.goesOutAt && *host.goesOutAt <= now) {
+                    host.goesOutAt.reset();
+                    host.table.sent("e", now);
+                    sent.push_back(now);
+                }
+            }
+            for (std::size_t i = 0; i < atOnce; ++i) {
+                Host &host = this->hosts[this->random() % this->hosts.size()];
+                const ColdBound all {coldRights(bound), &host.roster};
+                if (!host.goesOutAt && ServerTable::hasColdRoom(*host.table.find("e"), all, now)) {
+                    host.table.started("e", 0, now);
+                    host.goesOutAt = now + host.connecting;
+                }
+            }
+        }
+        return sent;
+    }
+
+    std::mt19937 random {7};
+    ServerEntry entry;
+    std::vector<Host> hosts;
+    std::vector<std::uint64_t> known;
+};
+
 } // namespace
 
 TEST_CASE("split routes choose by weight")
@@ -157,32 +261,103 @@
 TEST_CASE("cold servers: hundreds of hosts stay within the bound from the first instant, whatever each counts")
 {
     for (const std::size_t hosts : {1U, 12U, 18U, 30U, 60U, 114U, 295U, 400U}) {
-        for (const double counted : {1.0, 0.5, 0.2}) {
+        for (const double heard : {1.0, 0.5, 0.2}) {
             CAPTURE(hosts);
-            CAPTURE(counted);
+            CAPTURE(heard);
             const double bound = 21.5;
-            const double seen = std::max(1.0, counted * static_cast<double>(hosts));
-            const ColdShare share {bound / (config::SpareHostFactor * seen)};
-            std::vector<ServerTable> tables(hosts);
-            ServerEntry cold = engine("e");
-            cold.coldFor = 3s;
-            for (ServerTable &table : tables) {
-                table.learn(cold, Start);
+            ColdFleet fleet(hosts, heard, 3s);
+            const auto sent = fleet.offer(bound, Start, Start + 3s, 2ms);
+            CHECK(static_cast<double>(mostInSecond(sent)) <= bound);
+        }
+    }
+}
+
+TEST_CASE("cold servers: hosts that stand still, restart and join stay within the bound, in any second")
+{
+    CHECK(rc::check([] {
+        const auto hosts = *rc::gen::inRange<std::size_t>(1, 300);
+        const double bound = *rc::gen::inRange(3, 60);
+        std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+        ColdFleet fleet(hosts, 1.0, 60s);
+        TimePoint toldAt = Start;
+        std::vector<TimePoint> sent;
+        for (TimePoint now = Start; now < Start + 20s; now += 500ms) {
+            const std::size_t host = random() % fleet.hosts.size();
+            switch (random() % 4) {
+            case 0:
+                fleet.hosts[host].connecting = std::chrono::milliseconds(random() % 150);
+                break;
+            case 1:
+                fleet.restart(host, now + config::HostReturnDelay);
+                break;
+            case 2:
+                fleet.addUnknown(now + config::HostJoinDelay);
+                break;
+            default:
+                break;
             }
-            std::mt19937 random(7);
-            std::vector<TimePoint> sent;
-            for (TimePoint now = Start; now < Start + 3s; now += std::chrono::milliseconds(1 + random() % 3)) {
-                ServerTable &table = tables[random() % hosts];
-                if (ServerTable::hasColdRoom(*table.find("e"), share, now)) {
-                    table.started("e", 0, now);
-                    sent.push_back(now);
-                }
+            if (now - toldAt >= config::HostReadPeriod) {
+                toldAt = now;
+                fleet.tell();
             }
-            CHECK(static_cast<double>(mostInSecond(sent)) <= bound);
+            const auto part = fleet.offer(bound, now, now + 500ms, std::chrono::milliseconds(1 + random() % 20));
+            sent.insert(sent.end(), part.begin(), part.end());
         }
+        std::sort(sent.begin(), sent.end());
+        RC_ASSERT(static_cast<double>(mostInSecond(sent)) <= bound);
+    }));
+}
+
+TEST_CASE("cold servers: hosts with requests waiting use four fifths of what they bear, at any number of hosts")
+{
+    for (const std::size_t hosts : {12U, 18U, 30U, 114U, 139U, 295U, 400U}) {
+        CAPTURE(hosts);
+        ColdFleet fleet(hosts, 1.0, 11s);
+        const auto sent = fleet.offer(21.5, Start, Start + 10s, 2ms, hosts);
+        CHECK(static_cast<double>(sent.size()) >= 0.8 * 21.5 * 10);
     }
 }
 
+TEST_CASE("cold servers: a request that waits for its connection holds its right until a second after it went out")
+{
+    HostRoster roster(1);
+    roster.join(Start);
+    const ColdBound bound {1, &roster};
+    ServerTable table;
+    ServerEntry cold = engine("e");
+    cold.coldFor = 60s;
+    table.learn(cold, Start);
+    table.started("e", 0, Start);
+    CHECK_FALSE(ServerTable::hasColdRoom(*table.find("e"), bound, Start + 5s));
+    table.sent("e", Start + 5s);
+    CHECK_FALSE(ServerTable::hasColdRoom(*table.find("e"), bound, Start + 6s));
+    CHECK(ServerTable::hasColdRoom(*table.find("e"), bound, Start + 6s + config::ColdSpanMargin));
+    table.started("e", 0, Start + 7s);
+    table.notSent("e");
+    CHECK(ServerTable::hasColdRoom(*table.find("e"), bound, Start + 7s));
+}
+
+TEST_CASE("cold servers: what was sent a moment before a server turned cold counts")
+{
+    HostRoster roster(1);
+    roster.join(Start);
+    const ColdBound bound {1, &roster};
+    ServerTable table;
+    table.learn(engine("e", 1, 1), Start);
+    table.started("e", 0, Start);
+    table.sent("e", Start);
+    table.saidCold("e", 999, 3s, Start);
+    CHECK(ServerTable::hasColdRoom(*table.find("e"), bound, Start));
+    table.saidCold("e", 1000, 3s, Start);
+    CHECK_FALSE(ServerTable::hasColdRoom(*table.find("e"), bound, Start + 500ms));
+    ServerEntry reborn = engine("e", 1, 1);
+    reborn.born = 2000;
+    reborn.coldFor = 3s;
+    table.learn(reborn, Start + 600ms);
+    CHECK_FALSE(ServerTable::hasColdRoom(*table.find("e"), bound, Start + 900ms));
+    CHECK(ServerTable::hasColdRoom(*table.find("e"), bound, Start + 2s));
+}
+
 TEST_CASE("cold servers: one that could not be reached counts as cold until its next heartbeat")
 {
     ServerTable table = enginePool(1);
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -1,6 +1,7 @@
 #include "world.h"
 
 #include <endivespan/base64.h>
+#include <endivespan/config.h>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -385,6 +386,8 @@
     for (std::size_t i = 0; i < hostCount; ++i) {
         this->until([this, i] { return this->isReady(i); });
     }
+    // Hosts have their parts of what all share once they have read the list of hosts again.
+    this->runFor(config::HostReadAgain + 100ms);
 }
 
 World::~World()
@@ -419,6 +422,7 @@
     settings.listenPeers = "127.0.0.1:0";
     settings.listenMetrics = "127.0.0.1:0";
     settings.logAddress = loopback(host.store->server->port());
+    settings.firstStart = true;
     settings.bounds.retrySlack = 100;
     settings.bounds.stopTime = 6s;
     host.log = std::make_unique<platform::KeyedLogClient>(this->loop, settings.logAddress);
