Share the slack of repeats among all hosts that exist, and none within a window of a restart

Cause: the slack was divided by the hosts heard of, so that a part grew when others were lost from sight. The same class has a second way: a process that starts again began with a whole part, though its predecessor may have used its own a moment ago.

Change: the slack is divided by the hosts that exist (HostRoster), and is not used before a host has joined, nor within a window of a restart. On the first start of the whole system (first_start, from the platform's bootstrap) it is used at once.

Evidence: the new case, with the part used at once after a restart: 576 repeats where 492 are allowed (12 hosts); with this change it passes at 12, 114 and 295 hosts that hear of a fifth of the others.

--- a/packages/core/include/endivespan/retry_share.h
+++ b/packages/core/include/endivespan/retry_share.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 /// This host's part of the budget for sending requests once more.
@@ -17,7 +18,7 @@
     Duration window = std::chrono::seconds(10);
 };
 
-/// Counts requests and repeats by service. Takes a fixed part of the slack, so that hosts need not agree. Answers a
+/// Counts requests and repeats by service. Takes an equal part of the slack, so that hosts need not agree. Answers a
 /// load where many servers fail at once and each failed request would be sent again.
 class RetryShare
 {
@@ -27,7 +28,10 @@
     /// Takes that a caller's request for @p service came.
     void requested(const std::string &service, TimePoint now);
 
-    /// @param hosts How many hosts share the slack.
+    /// Sets from when on the slack may be used: an earlier process of this host may have used its part. Never, before.
+    void useSlackFrom(TimePoint at);
+
+    /// @param hosts How many hosts share the slack, heard of or not.
     /// @returns whether a request may be sent once more now, and then counts it.
     bool take(const std::string &service, std::size_t hosts, TimePoint now);
 
@@ -44,6 +48,7 @@
     Slot &slotAt(const std::string &service, TimePoint now);
 
     RetryBounds bounds;
+    std::optional<TimePoint> slackFrom;
     std::map<std::string, Ring> rings;
 };
 
--- a/packages/core/src/retry_share.cpp
+++ b/packages/core/src/retry_share.cpp
@@ -25,6 +25,11 @@
     ++this->slotAt(service, now).requests;
 }
 
+void RetryShare::useSlackFrom(TimePoint at)
+{
+    this->slackFrom = at;
+}
+
 bool RetryShare::take(const std::string &service, std::size_t hosts, TimePoint now)
 {
     Slot &current = this->slotAt(service, now);
@@ -37,8 +42,10 @@
             repeats += slot.repeats;
         }
     }
-    const double share
-        = this->bounds.slack / (config::SpareHostFactor * static_cast<double>(std::max<std::size_t>(hosts, 1)));
+    const bool hasSlack = this->slackFrom && *this->slackFrom <= now;
+    const double share = hasSlack
+        ? this->bounds.slack / (config::SpareHostFactor * static_cast<double>(std::max<std::size_t>(hosts, 1)))
+        : 0;
     if (repeats + 1 > config::RetryRatioUsed * this->bounds.ratio * requests + share) {
         return false;
     }
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -320,6 +320,7 @@
     {
         this->roster.setHosts(this->membership.ids());
         TimePoint joins = now;
+        TimePoint slackFrom = now;
         const auto earlier = this->hostFeed.earlierStart();
         if (earlier) {
             const std::chrono::nanoseconds clock = std::chrono::system_clock::now().time_since_epoch();
@@ -327,14 +328,18 @@
             const auto untilKnown = std::chrono::duration_cast<Duration>(
                 std::clamp<std::chrono::nanoseconds>(*earlier + longest - clock, std::chrono::nanoseconds(0), longest));
             joins = std::max<TimePoint>(now + untilKnown, this->startedAt + config::HostReturnDelay);
+            slackFrom = std::max<TimePoint>(now + untilKnown, this->startedAt + this->settings.bounds.retryWindow);
         } else if (!this->settings.firstStart) {
             joins = now + config::HostJoinDelay;
+            slackFrom = joins;
         }
         this->roster.join(joins);
+        this->forward.retries.useSlackFrom(slackFrom);
         this->events.line("host_joins", LogRank::Failure)
             .with("listed_before", earlier ? "yes" : "no")
             .with("hosts", this->roster.size())
-            .with("cold_rights_in_ms", joins - now);
+            .with("cold_rights_in_ms", joins - now)
+            .with("retry_slack_in_ms", slackFrom - now);
     }
 
     // Parts of what all hosts share depend on how many of them are known.
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -229,11 +229,7 @@
 
 std::size_t ForwardTask::hosts() const
 {
-    std::size_t alive = 0;
-    for (const auto &[name, host] : this->parts.membership.hosts()) {
-        alive += host.liveness == Liveness::Dead ? 0 : 1;
-    }
-    return std::max<std::size_t>(alive, 1);
+    return this->parts.roster.size();
 }
 
 void ForwardTask::completeNeed(PlacementNeed &need, TimePoint now) const
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -122,6 +122,7 @@
     /// @returns how many servers have crashed under a request, or may just have.
     [[nodiscard]] std::size_t deathsUnder(const Fingerprint &fingerprint, TimePoint now) const;
 
+    /// @returns how many hosts exist, heard of or not.
     [[nodiscard]] std::size_t hosts() const;
 
     ForwardParts parts;
--- a/tests/core/forward.cpp
+++ b/tests/core/forward.cpp
@@ -377,6 +377,9 @@
         const auto hosts = *rc::gen::inRange<std::size_t>(1, 25);
         const RetryBounds bounds {0.2, 126, 10s};
         std::vector<RetryShare> shares(hosts, RetryShare(bounds));
+        for (RetryShare &share : shares) {
+            share.useSlackFrom(Start);
+        }
         std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
         const int rate = 1 + static_cast<int>(random() % 300);
         std::vector<TimePoint> requests;
@@ -406,6 +409,38 @@
     }));
 }
 
+TEST_CASE("retry share: hosts that have lost sight of others, and all start again, stay within the budget of all")
+{
+    const RetryBounds bounds {0.2, 292, 10s};
+    for (const std::size_t hosts : {12U, 114U, 295U}) {
+        CAPTURE(hosts);
+        const ColdFleet fleet(hosts, 0.2, 3s);
+        std::vector<RetryShare> shares(hosts, RetryShare(bounds));
+        for (RetryShare &share : shares) {
+            share.useSlackFrom(Start);
+        }
+        std::vector<TimePoint> repeats;
+        std::size_t requests = 0;
+        for (TimePoint now = Start; now < Start + 10s; now += 10ms) {
+            if (now == Start + 5s) {
+                for (RetryShare &share : shares) {
+                    share = RetryShare(bounds);
+                    share.useSlackFrom(now + bounds.window);
+                }
+            }
+            const auto host = static_cast<std::size_t>((now - Start) / 10ms) % hosts;
+            shares[host].requested("s", now);
+            ++requests;
+            for (int again = 0; again < 30; ++again) {
+                if (shares[host].take("s", fleet.hosts[host].roster.size(), now)) {
+                    repeats.push_back(now);
+                }
+            }
+        }
+        CHECK(static_cast<double>(repeats.size()) <= bounds.ratio * static_cast<double>(requests) + bounds.slack);
+    }
+}
+
 TEST_CASE("order lease: holders never overlap nor follow each other within the gap, and fences rise")
 {
     CHECK(rc::check([] {
