Send to cold servers that a host has a right to before a crowded pool; spare servers that come back from evacuation

What callers saw: while 34 empty engines stood cold, prompts waited at crowded ones: at warm engines first tokens of short prompts took 139 ms (median) and 1,437 ms (90th percentile), at cold ones 142 and 250.

Cause: a cold server was weighed only when it was among the three that a host looks at in a large pool, and cost 30 ms more than any other, although rights already keep hosts from crowding it. Also, the servers of a domain that comes back from evacuation are cold and empty, and hosts held them for warm until the next heartbeat.

Change: a host weighs every cold server that it has a right to, without the extra cost. Servers of a domain that was evacuated count as cold for ListLag after its return.

New cases: an empty cold server goes before a crowded pool; servers back from evacuation; the time that a server calls itself cold.

--- a/packages/core/include/endivespan/server_table.h
+++ b/packages/core/include/endivespan/server_table.h
@@ -120,8 +120,9 @@
     ///     unless its entry comes back.
     void withdraw(const std::string &id, std::optional<TimePoint> lapsedUntil, TimePoint now);
 
-    /// Sets the failure domains whose servers get nothing.
-    void setEvacuated(std::set<std::string> domains);
+    /// Sets the failure domains whose servers get nothing. Those of a domain that is back count as cold until their own
+    /// word on it can have come.
+    void setEvacuated(std::set<std::string> domains, TimePoint now);
     [[nodiscard]] const std::set<std::string> &evacuated() const;
 
     /// Drops servers whose time has come. Call it now and then.
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -163,7 +163,9 @@
             // Less than a millisecond decides between equals.
             const double jitter = static_cast<double>(mix(random ^ candidate.rank) % 1000) / 1000.0;
             candidate.cost = costOf(view, need, requests, now) + jitter;
-            Candidate &rival = mix(~random ^ view.idHash) <= sampled ? best : bestOfRest;
+            // Few hosts have a right to a cold server, so that they do not crowd it.
+            const bool isOffered = need.cold.isBounded() && ServerTable::isCold(view, now);
+            Candidate &rival = isOffered || mix(~random ^ view.idHash) <= sampled ? best : bestOfRest;
             rival = rival.view == nullptr || candidate.cost < rival.cost ? candidate : rival;
             withRoom.offer(candidate);
         };
@@ -250,7 +252,7 @@
         if (view.isSilent(config::SilentAvoidAfter, now)) {
             cost += Milliseconds(config::SilentCost).count();
         }
-        if (ServerTable::isCold(view, now)) {
+        if (ServerTable::isCold(view, now) && !need.cold.isBounded()) {
             cost += Milliseconds(config::ColdCost).count();
         }
         if (view.entry.domain != need.domain) {
--- a/packages/core/src/server_table.cpp
+++ b/packages/core/src/server_table.cpp
@@ -116,8 +116,13 @@
     this->views.erase(found);
 }
 
-void ServerTable::setEvacuated(std::set<std::string> domains)
+void ServerTable::setEvacuated(std::set<std::string> domains, TimePoint now)
 {
+    for (auto &[id, view] : this->views) {
+        if (this->evacuatedDomains.contains(view.entry.domain) && !domains.contains(view.entry.domain)) {
+            view.coldUntil = std::max<TimePoint>(view.coldUntil, now + config::ListLag);
+        }
+    }
     this->evacuatedDomains = std::move(domains);
 }
 
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -274,7 +274,7 @@
     void operatorsChanged()
     {
         const OperatorState &state = this->operators.state();
-        this->servers.setEvacuated(state.evacuated);
+        this->servers.setEvacuated(state.evacuated, this->loop.now());
         this->rollout.setTargets(state.weights.newest());
         if (state.config) {
             this->stores.setStores(state.config->stores);
--- a/tests/core/forward.cpp
+++ b/tests/core/forward.cpp
@@ -247,9 +247,9 @@
     leaving.draining = true;
     table.learn(leaving, Start);
     CHECK_FALSE(table.isOpen(*table.find("e0"), Start));
-    table.setEvacuated({"z"});
+    table.setEvacuated({"z"}, Start);
     CHECK_FALSE(table.isOpen(*table.find("e1"), Start));
-    table.setEvacuated({});
+    table.setEvacuated({}, Start);
     CHECK(table.isOpen(*table.find("e1"), Start));
     table.started("e1", 10, Start);
     table.reported("e1", {2, 0, 64}, Start);
@@ -358,6 +358,45 @@
     CHECK(ServerTable::hasColdRoom(*table.find("e"), bound, Start + 2s));
 }
 
+TEST_CASE("cold servers: those of a domain that was evacuated count as cold until they can have said so")
+{
+    ServerTable table = enginePool(1);
+    table.setEvacuated({"z"}, Start);
+    CHECK_FALSE(ServerTable::isCold(*table.find("e0"), Start + 1s));
+    table.setEvacuated({}, Start + 1s);
+    table.learn(engine("e0", 1, 2), Start + 1500ms);
+    CHECK(ServerTable::isCold(*table.find("e0"), Start + 3s));
+    CHECK_FALSE(ServerTable::isCold(*table.find("e0"), Start + 1s + config::ListLag));
+}
+
+TEST_CASE("cold servers: an empty one with a right goes before a crowded pool, one without a right is passed over")
+{
+    HostRoster roster(1);
+    ServerTable table = enginePool(200);
+    for (int i = 0; i < 200; ++i) {
+        table.reported("e" + std::to_string(i), {64, 10, 64}, Start);
+    }
+    ServerEntry cold = engine("cold");
+    cold.coldFor = 60s;
+    table.learn(cold, Start);
+    PlacementNeed need = promptNeed(7);
+    need.hosts = 295;
+    need.meanRequests = 74;
+    need.mostWaiting = 14;
+    need.memoryTokens = 100'000;
+    need.cold = {19, &roster};
+    const auto placement = makeExpectedStartPlacement();
+    for (std::uint64_t random = 0; random < 50; ++random) {
+        CHECK(placement->choose(table, need, random, Start).server != "cold");
+    }
+    roster.join(Start);
+    for (std::uint64_t random = 0; random < 50; ++random) {
+        CHECK(placement->choose(table, need, random, Start).server == "cold");
+    }
+    const auto choice = placement->choose(table, need, 0, Start);
+    CHECK(choice.cold == 0);
+}
+
 TEST_CASE("cold servers: one that could not be reached counts as cold until its next heartbeat")
 {
     ServerTable table = enginePool(1);
--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -130,6 +130,22 @@
     CHECK(codec.encodeRetryAfter(1250ms) == "1.250");
 }
 
+TEST_CASE("answers: how long a server is cold is read where it is a number, and bounded")
+{
+    const platform::RequestCodec codec;
+    const auto coldFor = [&codec](const std::string &text) {
+        return codec.decodeAnswer(200, {{"x-endivespan-cold-ms", text}}).coldFor;
+    };
+    CHECK_FALSE(codec.decodeAnswer(200, {}).coldFor);
+    CHECK(coldFor("0") == 0ms);
+    CHECK(coldFor("1499.5") == 1500ms);
+    CHECK(coldFor("1e300") == config::ColdMost);
+    for (const char *text : {"", "-1", "nan", "soon", "5, 5", "1 s"}) {
+        CAPTURE(text);
+        CHECK_FALSE(coldFor(text));
+    }
+}
+
 TEST_CASE("entries of servers: forged ones name no server to use")
 {
     const StoreRecordCodec codec;
