Survive an own record in the list of hosts that cannot be read

Fault: found on reading the change. A host that starts reads when its earlier process started from its own record there; a field of another type threw out of the callback and would end the process, at each start again.

Evidence: the new case starts a host after six such records: 2 of 6 threw json type_error before, 0 after.

--- a/packages/node/src/host_feed.cpp
+++ b/packages/node/src/host_feed.cpp
@@ -45,8 +45,10 @@
         for (const KeyedRecord &record : batch.value().records) {
             if (record.key == self && record.value) {
                 const auto fields = nlohmann::json::parse(*record.value, nullptr, false);
-                const auto start = fields.is_object() ? fields.value("incarnation", std::int64_t {0}) : 0;
-                this->listedStart = std::chrono::nanoseconds(start);
+                const bool isReadable
+                    = fields.is_object() && fields.contains("incarnation") && fields["incarnation"].is_number_integer();
+                this->listedStart
+                    = std::chrono::nanoseconds(isReadable ? fields["incarnation"].get<std::int64_t>() : 0);
             }
             this->take(record);
         }
--- a/tests/platform/shared_reading.cpp
+++ b/tests/platform/shared_reading.cpp
@@ -96,3 +96,14 @@
     CHECK(hostsThatMissTheChange({0, 4}, resets) == 0);
     CHECK(hostsThatMissTheChange({0, 1, 2, 3, 4, 5, 6, 7, 8}, slow) == 0);
 }
+
+TEST_CASE("an own record in the list of hosts that cannot be read does not end a host that starts")
+{
+    for (const char *value : {"", "no json", "[]", "{}", R"({"incarnation":"soon"})", R"({"incarnation":null})"}) {
+        CAPTURE(value);
+        World world(1);
+        world.store.put("keyed.hosts", "host-1", value);
+        world.restartHost(0);
+        CHECK(world.until([&world] { return world.isReady(0); }));
+    }
+}
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -437,6 +437,12 @@
     }
 }
 
+void World::restartHost(std::size_t host)
+{
+    this->hosts[host].node.reset();
+    this->startHost(this->hosts[host]);
+}
+
 bool World::until(const std::function<bool()> &condition, std::chrono::milliseconds patience)
 {
     const TimePoint end = this->loop.now() + patience;
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -199,6 +199,9 @@
     void leave(std::size_t call);
 
     [[nodiscard]] bool isReady(std::size_t host = 0);
+
+    /// Ends a host and starts it again under its name.
+    void restartHost(std::size_t host);
     [[nodiscard]] const CallerAnswer &answer(std::size_t call);
 
     Loop loop;
