--- a/packages/core/include/endivespan/host_roster.h
+++ b/packages/core/include/endivespan/host_roster.h
@@ -27,9 +27,6 @@
     /// have used its rights a moment ago.
     void join(TimePoint at);
 
-    /// @returns whether this host takes part.
-    [[nodiscard]] bool isJoined(TimePoint now) const;
-
     /// @returns the number of hosts.
     [[nodiscard]] std::size_t size() const;
 
--- a/packages/core/src/host_roster.cpp
+++ b/packages/core/src/host_roster.cpp
@@ -29,11 +29,6 @@
     this->joinedAt = at;
 }
 
-bool HostRoster::isJoined(TimePoint now) const
-{
-    return this->joinedAt && *this->joinedAt <= now;
-}
-
 std::size_t HostRoster::size() const
 {
     return this->hosts.size();
@@ -58,7 +53,7 @@
 
 std::uint32_t HostRoster::rightsOf(std::uint64_t resource, std::uint32_t rights, TimePoint now) const
 {
-    if (!this->isJoined(now)) {
+    if (!this->joinedAt || now < *this->joinedAt) {
         return 0;
     }
     const std::size_t rank = this->rankFor(resource);
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -39,19 +39,10 @@
         config::HostsAlikeMost * config::HostsAlikeMost / hosts, 1.0, std::min(hosts, config::HostsAlikeMost));
 }
 
-// A cold server gets requests of the few hosts that hold rights to it, whatever the rest of its pool bears. It must not
-// pass for as crowded as the pool before it has said anything.
-double requestsAtCold(const ServerView &view, const PlacementNeed &need, TimePoint now)
+// Whether only the few hosts that hold rights to the server send to it now.
+bool isDealt(const ServerView &view, const PlacementNeed &need, TimePoint now)
 {
-    const double own = need.cold.hosts->rightsOf(view.idHash, need.cold.rights, now);
-    const double alike = own > 0 ? need.cold.rights / own : 1;
-    double estimate = view.inFlight * alike;
-    if (const Duration age = now - view.loadAt; view.load && age <= config::CrowdReportTime) {
-        const double left
-            = std::exp(-Milliseconds(age).count() / std::max(1.0, Milliseconds(need.rates.runTime).count()));
-        estimate = left * (view.load->running + view.load->waiting) + view.sentSinceLoad * alike;
-    }
-    return std::max(estimate, static_cast<double>(view.inFlight));
+    return need.cold.isBounded() && ServerTable::isCold(view, now);
 }
 
 // Requests at the server: those reported, as far as they still run, and those sent since, as the other hosts do the
@@ -59,10 +50,13 @@
 // stands for all: a swamped server answers seldom, and must not look empty before it can speak again.
 double requestsAt(const ServerView &view, const PlacementNeed &need, double alike, TimePoint now)
 {
-    if (need.cold.isBounded() && ServerTable::isCold(view, now)) {
-        return requestsAtCold(view, need, now);
+    double unseen = need.meanRequests * (1 - alike / static_cast<double>(std::max<std::size_t>(need.hosts, 1)));
+    if (isDealt(view, need, now)) {
+        // The rest of the pool says nothing of it, so that it does not pass for as crowded before it has spoken.
+        const std::uint32_t own = need.cold.hosts->rightsOf(view.idHash, need.cold.rights, now);
+        alike = own > 0 ? need.cold.rights / static_cast<double>(own) : 1;
+        unseen = 0;
     }
-    const double unseen = need.meanRequests * (1 - alike / static_cast<double>(std::max<std::size_t>(need.hosts, 1)));
     double estimate = view.inFlight * alike + unseen;
     if (const Duration age = now - view.loadAt; view.load && age <= config::CrowdReportTime) {
         const double left
@@ -164,8 +158,8 @@
             const double jitter = static_cast<double>(mix(random ^ candidate.rank) % 1000) / 1000.0;
             candidate.cost = costOf(view, need, requests, now) + jitter;
             // Few hosts have a right to a cold server, so that they do not crowd it.
-            const bool isOffered = need.cold.isBounded() && ServerTable::isCold(view, now);
-            Candidate &rival = isOffered || mix(~random ^ view.idHash) <= sampled ? best : bestOfRest;
+            const bool isWeighed = isDealt(view, need, now) || mix(~random ^ view.idHash) <= sampled;
+            Candidate &rival = isWeighed ? best : bestOfRest;
             rival = rival.view == nullptr || candidate.cost < rival.cost ? candidate : rival;
             withRoom.offer(candidate);
         };
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -346,12 +346,14 @@
     // Parts of what all hosts share depend on how many of them are known.
     void logHosts(TimePoint now)
     {
-        const MembershipStats stats = this->membership.stats();
-        if (now < this->nextHostLine
-            || (stats.known == this->lastHosts.known && stats.alive == this->lastHosts.alive)) {
+        if (now < this->nextHostLine) {
             return;
         }
         this->nextHostLine = now + config::HostLinePeriod;
+        const MembershipStats stats = this->membership.stats();
+        if (stats.known == this->lastHosts.known && stats.alive == this->lastHosts.alive) {
+            return;
+        }
         this->lastHosts = stats;
         TimePoint oldest = now;
         for (const auto &[name, host] : this->membership.hosts()) {
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -248,9 +248,8 @@
 
 void ForwardRun::logColdSend(const ServerView &view, TimePoint now)
 {
-    PlacementNeed need;
-    need.service = this->work.service;
-    this->task.completeNeed(need, now);
+    const ForwardService *service = this->task.parts.operators.state().config->service(this->work.service);
+    const ColdBound bound = service == nullptr ? ColdBound {} : this->task.coldBound(*service);
     this->task.parts.events.line("cold_server_used")
         .with("request", this->work.request.id)
         .with("attempt", this->sends)
@@ -258,8 +257,8 @@
         .with("born", view.entry.born)
         .with("cold_ms", std::max<Duration>(view.coldUntil - now, Duration::zero()))
         .with("confirmed", view.unconfirmedSince == TimePoint {} ? "yes" : "no")
-        .with("rights", need.cold.isBounded() ? need.cold.hosts->rightsOf(view.idHash, need.cold.rights, now) : 0)
-        .with("all_rights", need.cold.rights)
+        .with("rights", bound.isBounded() ? bound.hosts->rightsOf(view.idHash, bound.rights, now) : 0)
+        .with("all_rights", bound.rights)
         .with("hosts", this->task.hosts());
 }
 
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -232,6 +232,15 @@
     return this->parts.roster.size();
 }
 
+ColdBound ForwardTask::coldBound(const ForwardService &service) const
+{
+    if (service.coldRate <= 0) {
+        return {};
+    }
+    const ForwardBounds &bounds = this->parts.settings.bounds;
+    return {coldRights(service.coldRate * bounds.coldFactor + bounds.coldSlack), &this->parts.roster};
+}
+
 void ForwardTask::completeNeed(PlacementNeed &need, TimePoint now) const
 {
     const OperatorState &state = this->parts.operators.state();
@@ -243,10 +252,7 @@
         need.oldestWeights = state.weights.oldestUsable(need.model, bound, now);
     }
     if (const ForwardService *service = state.config->service(need.service)) {
-        if (service->coldRate > 0) {
-            const ForwardBounds &bounds = this->parts.settings.bounds;
-            need.cold = {coldRights(service->coldRate * bounds.coldFactor + bounds.coldSlack), &this->parts.roster};
-        }
+        need.cold = this->coldBound(*service);
         need.hosts = this->hosts();
         if (service->slots > 0) {
             const double share
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -82,6 +82,9 @@
     /// @returns the server for an attempt, if there is one with room.
     [[nodiscard]] PlacementChoice place(PlacementNeed need, TimePoint now);
 
+    /// @returns what all hosts together may send to a cold server of @p service.
+    [[nodiscard]] ColdBound coldBound(const ForwardService &service) const;
+
     /// Fills in what @p need says of weights and cold servers.
     void completeNeed(PlacementNeed &need, TimePoint now) const;
 
--- a/packages/node/src/host_feed.cpp
+++ b/packages/node/src/host_feed.cpp
@@ -8,6 +8,26 @@
 
 namespace endivespan {
 
+namespace {
+
+Result<HostReport> decodeReport(const KeyedRecord &record)
+{
+    const auto fields = nlohmann::json::parse(*record.value, nullptr, false);
+    try {
+        HostReport report;
+        report.name = record.key;
+        report.address = fields.at("address").get<std::string>();
+        report.domain = fields.at("domain").get<std::string>();
+        report.region = fields.at("region").get<std::string>();
+        report.status.version.incarnation = fields.at("incarnation").get<std::uint64_t>();
+        return report;
+    } catch (const nlohmann::json::exception &problem) {
+        return Error {ErrorKind::ProtocolError, problem.what()};
+    }
+}
+
+} // namespace
+
 HostFeed::HostFeed(Loop &loop,
                    KeyedLog &log,
                    const RecordCodec &codec,
@@ -44,11 +64,8 @@
         const std::string &self = this->membership.self().name;
         for (const KeyedRecord &record : batch.value().records) {
             if (record.key == self && record.value) {
-                const auto fields = nlohmann::json::parse(*record.value, nullptr, false);
-                const bool isReadable
-                    = fields.is_object() && fields.contains("incarnation") && fields["incarnation"].is_number_integer();
-                this->listedStart
-                    = std::chrono::nanoseconds(isReadable ? fields["incarnation"].get<std::int64_t>() : 0);
+                const auto report = decodeReport(record);
+                this->listedStart = std::chrono::nanoseconds(report ? report.value().status.version.incarnation : 0);
             }
             this->take(record);
         }
@@ -94,23 +111,17 @@
     if (!record.value || record.key == this->membership.self().name) {
         return;
     }
-    const auto fields = nlohmann::json::parse(*record.value, nullptr, false);
-    try {
-        HostReport report;
-        report.name = record.key;
-        report.address = fields.at("address").get<std::string>();
-        report.domain = fields.at("domain").get<std::string>();
-        report.region = fields.at("region").get<std::string>();
-        report.status.version.incarnation = fields.at("incarnation").get<std::uint64_t>();
-        const HostView *known = this->membership.find(record.key);
-        if (known == nullptr || known->report.status.version.incarnation < report.status.version.incarnation) {
-            this->membership.learn(report, this->loop.now());
-            this->events.line("host_listed").with("peer", record.key).with("address", report.address);
-        }
-    } catch (const nlohmann::json::exception &problem) {
+    const auto report = decodeReport(record);
+    if (!report) {
         this->events.line("host_record_unreadable", LogRank::Failure)
             .with("peer", record.key)
-            .with("why", problem.what());
+            .with("why", report.error().detail);
+        return;
+    }
+    const HostView *known = this->membership.find(record.key);
+    if (known == nullptr || known->report.status.version.incarnation < report.value().status.version.incarnation) {
+        this->membership.learn(report.value(), this->loop.now());
+        this->events.line("host_listed").with("peer", record.key).with("address", report.value().address);
     }
 }
 
