--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -26,6 +26,15 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(time);
 }
 
+/// Returns what marks the end of an answer's body: its length, its last chunk or the end of its connection.
+std::string_view framingOf(const HttpHeaders &fields)
+{
+    if (fields.contains("transfer-encoding")) {
+        return "chunked";
+    }
+    return fields.contains("content-length") ? "length" : "close";
+}
+
 } // namespace
 
 ForwardRun::ForwardRun(ForwardTask &task, ForwardJob job)
@@ -438,6 +447,7 @@
 {
     if (this->streaming) {
         if (const std::string rest = this->events.takeRest(); !rest.empty()) {
+            this->bytesInsideEvent = rest.size();
             this->work.exchange->sendChunk(rest);
         }
         const TimePoint now = this->task.parts.loop.now();
@@ -701,6 +711,8 @@
         .with("cold", this->lastChoice.cold)
         .with("expected_ms", this->lastChoice.expected)
         .with("attempts", this->attemptsSent)
+        .with("framing", this->status == 0 ? "none" : framingOf(this->headers))
+        .with("incomplete_event_bytes", this->bytesInsideEvent)
         .with("parts_fetched", this->partsFetched)
         .with("parts_saved", this->partsSaved)
         .with("parts_sought", this->partsSought)
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -112,6 +112,7 @@
     bool streamBegan = false; ///< The stream of the current attempt has begun.
     bool streaming = false; ///< The header of a streamed answer was sent to the caller.
     EventSplitter events;
+    std::uint64_t bytesInsideEvent = 0; ///< Bytes after the last complete event of a stream that ended.
     std::optional<std::uint64_t> lastEvent; ///< Last event that was sent to the caller completely.
     TimePoint firstByteAt;
     Duration waited {};
