Test that a stream which ends inside an event is not delivered as complete

A stream that ends before its first event with its connection is delivered as complete, too. A complete stream without a length passes (guard).

--- a/tests/platform/serving.cpp
+++ b/tests/platform/serving.cpp
@@ -26,6 +26,18 @@
     }
 }
 
+// Returns the header of an event stream that has neither a length nor chunks.
+std::string headWithoutFraming(const ReceivedRequest &request)
+{
+    return "HTTP/1.1 200 OK\r\nX-Endivespan-Request-Id: " + request.field("x-endivespan-request-id")
+        + "\r\nX-Endivespan-Server-Seal: seal\r\nContent-Type: text/event-stream\r\n\r\n";
+}
+
+std::string eventText(int id, const std::string &data)
+{
+    return "id: " + std::to_string(id) + "\ndata: " + data + "\n\n";
+}
+
 } // namespace
 
 TEST_CASE("a request is forwarded unchanged to one runner and its complete answer is returned")
@@ -201,6 +213,65 @@
     CHECK_FALSE(cut.whole);
 }
 
+// Guards against runners that break off inside an event although the framing of their answer is complete.
+TEST_CASE("a stream that ends inside an event is resumed or cut, however its answer is framed")
+{
+    const std::string half = "id: 3\ndat";
+    const std::string before = eventText(1, "a") + eventText(2, "b");
+    const std::string after = eventText(3, "c") + eventText(4, "d");
+    const auto chunked = [&](const ReceivedRequest &request) {
+        return streamHead(request) + eventChunk(1, "a") + eventChunk(2, "b") + "9\r\n" + half + "\r\n0\r\n\r\n";
+    };
+    const auto withLength = [&](const ReceivedRequest &request) {
+        return answerTo(request, 200, before + half, "Content-Type: text/event-stream\r\n");
+    };
+    const auto closed = [&](const ReceivedRequest &request) { return headWithoutFraming(request) + before + half; };
+    const std::vector<std::function<std::string(const ReceivedRequest &)>> framings {chunked, withLength, closed};
+    for (std::size_t i = 0; i < framings.size(); ++i) {
+        CAPTURE(i);
+        World world(3);
+        scriptAll(world, [&](const ReceivedRequest &request) {
+            if (!request.field("last-event-id").empty()) {
+                return RunnerStandin::Reply {headWithoutFraming(request) + after, Then::Close};
+            }
+            return RunnerStandin::Reply {framings[i](request), Then::Close};
+        });
+        const CallerAnswer resumed = world.answer(world.ask("/resume/"));
+        CHECK(resumed.whole);
+        CHECK(resumed.body == before + after);
+        const CallerAnswer cut = world.answer(world.ask("/stream/"));
+        CHECK(cut.failed);
+        CHECK_FALSE(cut.whole);
+        CHECK(cut.body == before);
+    }
+}
+
+TEST_CASE("a stream without a length is complete when its connection is closed cleanly after an event")
+{
+    World world(1);
+    scriptAll(world, [](const ReceivedRequest &request) {
+        return RunnerStandin::Reply {headWithoutFraming(request) + eventText(1, "a") + eventText(2, "b"), Then::Close};
+    });
+    for (const char *path : {"/stream/", "/resume/"}) {
+        CAPTURE(path);
+        const CallerAnswer answer = world.answer(world.ask(path));
+        CHECK(answer.whole);
+        CHECK(answer.body == eventText(1, "a") + eventText(2, "b"));
+    }
+}
+
+TEST_CASE("a stream without a length that ends before its first event is not delivered as complete")
+{
+    World world(2);
+    scriptAll(world, [](const ReceivedRequest &request) {
+        return RunnerStandin::Reply {headWithoutFraming(request), Then::Close};
+    });
+    for (const char *path : {"/stream/", "/resume/"}) {
+        CAPTURE(path);
+        CHECK_FALSE(world.answer(world.ask(path)).whole);
+    }
+}
+
 // Guards against cutting a stream whose runner sends nothing for a while when no other runner can continue it.
 TEST_CASE("a silent stream is not abandoned while no other runner can continue it")
 {
