Resume or cut a stream that ends inside an event

Cause: a stream was taken as complete when its answer was, and the bytes after the last event were sent before the end. An answer with neither length nor chunks ends with its connection, so that a runner which crashes inside an event, and closes without a reset, ended its stream in order. The class: the end of the transport taken for the end of the message.

Change: a stream whose end lies inside an event is a failed attempt however it is framed: resumed where the route allows it, else cut. So is one without length or chunks that ends before its first event. It counts as a lost attempt, which may be a crash, and no longer as a complete run: it clears no suspicion and is no sample of a run's time. Blank lines and comments after the last event are no event.

--- a/packages/node/src/event_splitter.cpp
+++ b/packages/node/src/event_splitter.cpp
@@ -31,6 +31,19 @@
     return this->held.size();
 }
 
+bool EventSplitter::isInsideEvent() const
+{
+    std::string_view rest = this->held;
+    while (!rest.empty()) {
+        const std::string_view line = rest.substr(0, rest.find('\n'));
+        if (!line.empty() && line != "\r" && !line.starts_with(':')) {
+            return true;
+        }
+        rest.remove_prefix(std::min(line.size() + 1, rest.size()));
+    }
+    return false;
+}
+
 std::string EventSplitter::feed(std::string_view bytes)
 {
     // The buffer contains no complete event, so only its last bytes can be the beginning of an event end.
--- a/packages/node/src/event_splitter.h
+++ b/packages/node/src/event_splitter.h
@@ -15,6 +15,9 @@
     /// @returns the number of buffered bytes.
     [[nodiscard]] std::size_t heldBytes() const;
 
+    /// @returns whether the buffer contains a part of an event. Blank lines and comments are no events.
+    [[nodiscard]] bool isInsideEvent() const;
+
     /// Adds the next bytes of the stream.
     /// @returns the bytes of all events that are now complete; empty when none is.
     std::string feed(std::string_view bytes);
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -15,6 +15,7 @@
 constexpr int StatusOk = 200;
 constexpr int StatusMultiple = 300;
 constexpr int StatusServerError = 500;
+constexpr std::string_view FramedByClose = "close";
 
 bool isSuccess(int status)
 {
@@ -32,7 +33,7 @@
     if (fields.contains("transfer-encoding")) {
         return "chunked";
     }
-    return fields.contains("content-length") ? "length" : "close";
+    return fields.contains("content-length") ? "length" : FramedByClose;
 }
 
 } // namespace
@@ -208,6 +209,7 @@
     this->headAt = {};
     this->prefilled = false;
     this->requestSent = false;
+    this->eventReceived = false;
     this->status = 0;
     this->body.clear();
     this->tried.insert(choice.server);
@@ -422,6 +424,7 @@
     this->task.parts.servers.receivedBytes(this->server, now);
     const std::string complete = this->events.feed(bytes);
     if (!complete.empty()) {
+        this->eventReceived = true;
         if (this->firstByteAt == TimePoint {}) {
             this->firstByteAt = now;
         }
@@ -446,18 +449,7 @@
 void ForwardRun::onDone()
 {
     if (this->streaming) {
-        if (const std::string rest = this->events.takeRest(); !rest.empty()) {
-            this->bytesInsideEvent = rest.size();
-            this->work.exchange->sendChunk(rest);
-        }
-        const TimePoint now = this->task.parts.loop.now();
-        if (!this->work.request.model.empty()) {
-            this->task.engines.observeRun(now - this->attemptAt, now - this->headAt, this->work.request.answerTokens);
-        }
-        this->endAttempt(AttemptOutcome::Answered);
-        this->task.parts.suspicions.clear(this->work.fingerprint, now);
-        this->work.exchange->endStream();
-        this->finish(StatusOk, "answered", "", LogRank::Routine);
+        this->onStreamEnd();
         return;
     }
     const bool isFailure = this->status >= StatusServerError;
@@ -495,6 +487,29 @@
         this->status, isFailure ? "server_failed" : "answered", "", isFailure ? LogRank::Failure : LogRank::Routine);
 }
 
+void ForwardRun::onStreamEnd()
+{
+    const TimePoint now = this->task.parts.loop.now();
+    // The end of a connection says little: a server that crashes may close it in order.
+    const bool closed = framingOf(this->headers) == FramedByClose;
+    const bool isInside = this->events.isInsideEvent();
+    if (isInside || (closed && !this->eventReceived)) {
+        this->bytesInsideEvent = this->events.heldBytes();
+        this->reportLostAttempt(now);
+        this->attemptFailed(closed ? AttemptOutcome::Unreachable : AttemptOutcome::Failed,
+                            isInside ? "the stream ended inside an event" : "the stream ended without an event");
+        return;
+    }
+    this->work.exchange->sendChunk(this->events.takeRest());
+    if (!this->work.request.model.empty()) {
+        this->task.engines.observeRun(now - this->attemptAt, now - this->headAt, this->work.request.answerTokens);
+    }
+    this->endAttempt(AttemptOutcome::Answered);
+    this->task.parts.suspicions.clear(this->work.fingerprint, now);
+    this->work.exchange->endStream();
+    this->finish(StatusOk, "answered", "", LogRank::Routine);
+}
+
 // Handles an answer by which the server guarantees that it did not run the request. It is safe to send the request to
 // another server, whatever the route says of repeats.
 void ForwardRun::onNotRun(const ServerAnswer &answer)
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -58,6 +58,7 @@
     void onHead(int status, const HttpHeaders &headers);
     void onBody(std::string_view bytes);
     void onDone();
+    void onStreamEnd();
     void onFailure(const HttpFailure &failure);
     void onServerSilent();
     void onDeadline();
@@ -110,6 +111,7 @@
     std::uint64_t weights = 0; ///< Version of the weights that the last attempt required; 0 for none.
     PlacementChoice lastChoice; ///< Result of the latest search for a server.
     bool streamBegan = false; ///< The stream of the current attempt has begun.
+    bool eventReceived = false; ///< The stream of the current attempt had a complete event.
     bool streaming = false; ///< The header of a streamed answer was sent to the caller.
     EventSplitter events;
     std::uint64_t bytesInsideEvent = 0; ///< Bytes after the last complete event of a stream that ended.
