--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -27,6 +27,17 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(time);
 }
 
+/// Returns the ids of the parts that other requests may have too, separated by commas.
+std::string sharedPartNames(const std::vector<PromptPart> &parts)
+{
+    std::string names;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        names += i == 0 ? "" : ",";
+        names += parts[i].id;
+    }
+    return names;
+}
+
 /// Returns what marks the end of an answer's body: its length, its last chunk or the end of its connection.
 std::string_view framingOf(const HttpHeaders &fields)
 {
@@ -616,6 +627,7 @@
         .with("after_ms", age)
         .with("status", static_cast<std::uint64_t>(std::max(this->status, 0)))
         .with("why", why)
+        .with("parts", sharedPartNames(this->work.request.parts))
         .with("last_event", this->lastEvent.value_or(0));
     this->events.takeRest();
     const bool allowed = this->streaming ? this->work.route->repeat == RepeatRule::Resumable
