--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -270,7 +270,7 @@
     bufferevent *stream = bufferevent_socket_new(self->loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(stream, &RunnerStandin::onRead, nullptr, &RunnerStandin::onEvent, self);
     bufferevent_enable(stream, EV_READ | EV_WRITE);
-    self->connections[stream] = {stream, "", 0};
+    self->connections[stream] = {stream, "", 0, ++self->connectionCount};
 }
 
 void RunnerStandin::onEvent(bufferevent *stream, short, void *context)
@@ -321,6 +321,21 @@
     this->received.push_back(request);
     connection.current = this->received.size();
     const Reply reply = this->script(request);
+    if (reply.delay.count() == 0) {
+        this->send(stream, reply);
+        return;
+    }
+    this->closing.push_back(this->loop.after(reply.delay, [this, stream, number = connection.number, reply] {
+        const auto found = this->connections.find(stream);
+        if (found != this->connections.end() && found->second.number == number) {
+            this->send(stream, reply);
+        }
+    }));
+}
+
+void RunnerStandin::send(bufferevent *stream, const Reply &reply)
+{
+    Connection &connection = this->connections.at(stream);
     switch (reply.then) {
     case Reply::Then::Keep:
         bufferevent_write(stream, reply.bytes.data(), reply.bytes.size());
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -93,6 +93,7 @@
     struct Reply {
         std::string bytes;
         enum class Then { Keep, Close, Reset, Hang } then = Then::Keep;
+        std::chrono::milliseconds delay {}; ///< How long the runner works before it sends the bytes.
     };
     using Script = std::function<Reply(const ReceivedRequest &request)>;
 
@@ -121,12 +122,14 @@
         bufferevent *stream;
         std::string input;
         std::size_t current = 0; ///< Index into received, plus one; 0 for none.
+        std::uint64_t number = 0; ///< Unique, unlike the address of the bufferevent.
     };
     static void accepted(evconnlistener *listener, int socket, sockaddr *address, int size, void *context);
     static void onRead(bufferevent *stream, void *context);
     static void onEvent(bufferevent *stream, short what, void *context);
     void drop(bufferevent *stream);
     void serve(bufferevent *stream);
+    void send(bufferevent *stream, const Reply &reply);
     void listen(int wantedPort);
     void stopListening();
 
@@ -135,7 +138,9 @@
     bool silent = false;
     int port = 0;
     std::map<bufferevent *, Connection> connections;
-    std::vector<std::unique_ptr<Timer>> closing; ///< Delayed resets, so that the bytes sent before them arrive.
+    std::uint64_t connectionCount = 0;
+    std::vector<std::unique_ptr<Timer>>
+        closing; ///< Delayed answers, and resets, so that the bytes sent before them arrive.
 };
 
 /// @returns a complete answer with a server seal and the id of @p request.
