Suspect the shared parts of prompts of crashing runners, not requests alone

What callers saw: requests with one part in common, none alike, crashed runner after runner (BUDGET, LOST); each crash ends all streams there.

Cause: suspicions were kept by a fingerprint of organisation, target and body, so that they never added up. The class: a failure is counted by one identity of its cause, and the cause has another.

Ruled out: late recognition (0.36 s, median, from the lost attempt to the accusation); slow gossip (no request had three crashes anywhere).

Change: each lost attempt also accuses the shared parts of its prompt, in the same table and gossip. From the third unexplained crash on, requests with the part are refused at once as not run. An answer that ends with its connection clears nothing, since a crash may look the same. Of more than eight crashes each host now keeps the same ones (lowest ids, open ones first).

Logs: part_suspected, part_excused, part_refused.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -216,7 +216,11 @@
 constexpr std::size_t SuspectTableSize = 4096; ///< Request fingerprints on which a host keeps suspicions.
 constexpr std::chrono::minutes SuspectRetention = 10min; ///< After the last change of a suspicion.
 constexpr std::size_t CrashesUntilRefused = 2; ///< Server crashes under one request after which it is refused.
-constexpr std::size_t CrashesKept = 8; ///< Recorded for one request.
+constexpr std::size_t CrashesKept = 8; ///< Recorded for one request or part of a prompt.
+/// Unexplained server crashes under requests with one part of a prompt after which requests with the part are refused.
+constexpr std::size_t PartCrashesUntilRefused = 3;
+constexpr std::size_t SuspectPartsPerRequest = 16; ///< Parts of one prompt that are suspected, from the first one on.
+constexpr std::size_t AnswersRemembered = 8192; ///< Requests and parts whose last complete answer is remembered.
 constexpr std::chrono::seconds SuspectPermitTtl = 2s; ///< In which a permit to run a suspect alone must be used.
 constexpr std::chrono::seconds SuspectRunBound = 30s; ///< Longest run under one permit.
 /// The last bytes of a server that crashed may arrive this late, so they do not clear a request lost just before.
@@ -230,7 +234,7 @@
 /// For which evidence of a crash is awaited. Long, since the list may be late while the log is unreachable.
 constexpr std::chrono::seconds CrashWatchTime = 15s;
 constexpr std::size_t CrashWatchServers = 256;
-constexpr std::size_t CrashWatchRequests = 64; ///< At each server.
+constexpr std::size_t CrashWatchRequests = 256; ///< Requests and parts of prompts at each server.
 
 // Routing and directory
 constexpr std::size_t DirectoryServersPerPiece = 6; ///< Known holders of a piece in accelerator memory.
--- a/packages/core/include/endivespan/crash_watch.h
+++ b/packages/core/include/endivespan/crash_watch.h
@@ -35,7 +35,8 @@
     CrashId death = 0;
     CrashEvidence evidence = CrashEvidence::Unreachable;
     bool retracted = false; ///< True when the report is withdrawn: the crash no longer counts against the requests.
-    std::vector<Fingerprint> running; ///< Requests that were running on the server.
+    TimePoint at; ///< When the last of their attempts was lost.
+    std::vector<Fingerprint> running; ///< Requests that were running on the server, and parts of their prompts.
 };
 
 /// Counters of one CrashWatch.
@@ -54,6 +55,7 @@
 {
 public:
     /// Records an attempt that ended without a complete answer and without an error answer from its server.
+    /// @param request Fingerprint of the request or of a part of its prompt.
     void recordLoss(const ServerIncarnation &life, const Fingerprint &request, TimePoint now);
 
     /// Handles bytes of an answer from the server: drops its earlier losses for which there is no evidence of a crash.
--- a/packages/core/include/endivespan/suspect.h
+++ b/packages/core/include/endivespan/suspect.h
@@ -16,7 +16,8 @@
 #include <vector>
 
 /// Handling of requests that may crash the backend server that runs them. Suspicions are shared among hosts; a suspect
-/// request runs on a server by itself, and is refused once too many servers have crashed while they ran it.
+/// request runs on a server by itself, and is refused once too many servers have crashed while they ran it. The parts
+/// of prompts that requests share are suspected like requests.
 namespace endivespan {
 
 /// Identifies a request by a hash of its content, so that a request that is sent again has the same fingerprint.
@@ -29,6 +30,17 @@
 /// @returns the fingerprint of a request of @p organisation to @p target with @p body.
 Fingerprint fingerprintOf(std::string_view organisation, std::string_view target, std::string_view body);
 
+/// @returns the fingerprint of the part called @p part of prompts for @p model.
+Fingerprint partFingerprintOf(std::string_view model, std::string_view part);
+
+/// Identifies a request and the parts of its prompt that other requests may have too.
+struct SuspectKeys {
+    Fingerprint request;
+    std::vector<Fingerprint> parts; ///< At most config::SuspectPartsPerRequest.
+
+    [[nodiscard]] bool contains(const Fingerprint &fingerprint) const;
+};
+
 /// @returns the first digits of a fingerprint in hexadecimal, for logs: enough to find all requests that share it.
 std::string fingerprintText(const Fingerprint &fingerprint);
 
@@ -65,15 +77,31 @@
 
 /// The suspicions on this host, own and of peers; bounded by config::SuspectTableSize. Entries expire after
 /// config::SuspectRetention.
+///
+/// A crash is recorded against all that was running on the server, so that sound parts of prompts collect crashes
+/// too. Three rules tell a part that crashes servers from those that were only beside it: a complete answer clears its
+/// parts of all earlier crashes, known or not; a crash is explained by another suspect with at least as many crashes;
+/// and a part is refused only where requests without it have been answered since, for when all servers fail at once
+/// there is nothing to compare it with.
 class SuspicionTable
 {
 public:
-    /// Records a crash against the requests that were running on the server.
-    void recordCrash(CrashId death, std::span<const Fingerprint> running, TimePoint now);
+    /// Records a crash at time @p at against the requests and parts that were running on the server, except those that
+    /// were answered completely since.
+    void recordCrash(CrashId death, std::span<const Fingerprint> running, TimePoint at);
 
-    /// Clears all crashes recorded against a request, after a run of it was answered completely.
+    /// Clears all crashes before @p now of a request or a part, after a run of it was answered completely.
     void clear(const Fingerprint &fingerprint, TimePoint now);
 
+    /// Handles a complete answer: clears its request and parts.
+    /// @param service Service of the server that answered.
+    /// @param beganAt When the server began to answer.
+    void recordAnswer(const std::string &service, const SuspectKeys &keys, TimePoint beganAt, TimePoint now);
+
+    /// @returns the index of the part of the request with most crashes of those that crash servers of @p service, or
+    ///     nothing.
+    [[nodiscard]] std::optional<std::size_t> findRefusedPart(const std::string &service, const SuspectKeys &keys) const;
+
     /// Clears one crash of requests, after the server turned out to have kept running.
     void retractCrash(CrashId death, std::span<const Fingerprint> running, TimePoint now);
 
@@ -97,7 +125,7 @@
     /// @returns versions of the refused requests after @p version, ascending, at most @p limit.
     [[nodiscard]] std::vector<std::uint64_t> refusedAfter(std::uint64_t version, std::size_t limit) const;
 
-    /// Drops entries that have not changed for config::SuspectRetention.
+    /// Drops entries that have not changed for config::SuspectRetention, and old answers.
     void tick(TimePoint now);
 
     [[nodiscard]] SuspicionStats stats() const;
@@ -108,19 +136,29 @@
         std::vector<CrashId> cleared;
         TimePoint changedAt;
         std::uint64_t version = 0;
+        TimePoint manySince; ///< When it became one of the entries in many.
+        std::set<std::string> answeredWithout; ///< Services that have answered a request without it since then.
     };
 
-    static std::size_t openDeathsOf(const Entry &entry);
+    static std::vector<CrashId> openDeathsOf(const Entry &entry);
+    static void dropExcess(Entry &entry);
     static Verdict verdictOf(const Entry &entry);
+    [[nodiscard]] std::size_t unexplainedDeaths(const Entry &entry, const SuspectKeys &keys) const;
+    [[nodiscard]] bool isAnsweredSince(const Fingerprint &fingerprint, TimePoint at) const;
     Entry &entryOf(const Fingerprint &fingerprint);
-    /// Gives the entry a new version after a change. @param before Verdict before the change.
+    /// Gives the entry a new version after a change at time @p at.
+    /// @param before Verdict before the change.
     void touch(const Fingerprint &fingerprint, Entry &entry, Verdict before, TimePoint at);
-    void forget(std::uint64_t version);
+    void forget(const Fingerprint &fingerprint, std::uint64_t version);
     void evictOldest();
 
     std::map<Fingerprint, Entry> entries;
     std::map<std::uint64_t, Fingerprint> byVersion; ///< By the version of an entry's last change.
     std::set<std::uint64_t> refused; ///< Versions of the entries with Verdict::Refused.
+    std::set<Fingerprint> many; ///< Entries with config::PartCrashesUntilRefused crashes or more.
+    std::map<Fingerprint, TimePoint> answeredAt; ///< Last complete answer, of those of the current period.
+    std::map<Fingerprint, TimePoint> answeredBefore; ///< The same for the period before.
+    TimePoint answersRotatedAt;
     std::uint64_t lastVersion = 0;
     SuspicionStats counters;
 };
--- a/packages/core/src/crash_watch.cpp
+++ b/packages/core/src/crash_watch.cpp
@@ -69,7 +69,7 @@
 
 CrashFinding CrashWatch::findingOf(const ServerIncarnation &life, CrashEvidence evidence, bool excused)
 {
-    return {life, crashIdOf(life.server, std::to_string(life.born)), evidence, excused, {}};
+    return {life, crashIdOf(life.server, std::to_string(life.born)), evidence, excused, {}, {}};
 }
 
 void CrashWatch::reportCrash(const ServerIncarnation &life, Watch &watch, CrashEvidence evidence)
@@ -77,6 +77,7 @@
     CrashFinding finding = CrashWatch::findingOf(life, evidence, false);
     for (Loss &loss : watch.losses) {
         if (!std::exchange(loss.reported, true)) {
+            finding.at = std::max(finding.at, loss.at);
             finding.running.push_back(loss.request);
         }
     }
--- a/packages/core/src/suspect.cpp
+++ b/packages/core/src/suspect.cpp
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <cstring>
+#include <iterator>
 #include <set>
+#include <utility>
 
 namespace endivespan {
 
@@ -30,13 +32,18 @@
 bool insertSorted(std::vector<CrashId> &ids, CrashId id)
 {
     const auto place = std::lower_bound(ids.begin(), ids.end(), id);
-    if ((place != ids.end() && *place == id) || ids.size() >= config::CrashesKept) {
+    if (place != ids.end() && *place == id) {
         return false;
     }
     ids.insert(place, id);
     return true;
 }
 
+bool containsSorted(const std::vector<CrashId> &ids, CrashId id)
+{
+    return std::binary_search(ids.begin(), ids.end(), id);
+}
+
 } // namespace
 
 Fingerprint fingerprintOf(std::string_view organisation, std::string_view target, std::string_view body)
@@ -47,6 +54,17 @@
     return fingerprint;
 }
 
+Fingerprint partFingerprintOf(std::string_view model, std::string_view part)
+{
+    return fingerprintOf("part", model, part);
+}
+
+bool SuspectKeys::contains(const Fingerprint &fingerprint) const
+{
+    return fingerprint == this->request
+        || std::find(this->parts.begin(), this->parts.end(), fingerprint) != this->parts.end();
+}
+
 std::string fingerprintText(const Fingerprint &fingerprint)
 {
     constexpr std::size_t Bytes = 6;
@@ -67,22 +85,94 @@
     return id;
 }
 
-std::size_t SuspicionTable::openDeathsOf(const Entry &entry)
+std::vector<CrashId> SuspicionTable::openDeathsOf(const Entry &entry)
+{
+    std::vector<CrashId> open;
+    std::set_difference(
+        entry.deaths.begin(), entry.deaths.end(), entry.cleared.begin(), entry.cleared.end(), std::back_inserter(open));
+    return open;
+}
+
+// Drops cleared crashes first, and the highest ids first, so that all hosts keep the same ones.
+void SuspicionTable::dropExcess(Entry &entry)
 {
-    return static_cast<std::size_t>(std::count_if(entry.deaths.begin(), entry.deaths.end(), [&entry](CrashId death) {
-        return !std::binary_search(entry.cleared.begin(), entry.cleared.end(), death);
-    }));
+    while (entry.deaths.size() > config::CrashesKept) {
+        const auto cleared = std::find_if(entry.deaths.rbegin(), entry.deaths.rend(), [&entry](CrashId death) {
+            return containsSorted(entry.cleared, death);
+        });
+        const CrashId dropped = cleared == entry.deaths.rend() ? entry.deaths.back() : *cleared;
+        std::erase(entry.deaths, dropped);
+        std::erase(entry.cleared, dropped);
+    }
+    while (entry.cleared.size() > config::CrashesKept) {
+        const auto unknown = std::find_if(entry.cleared.rbegin(), entry.cleared.rend(), [&entry](CrashId death) {
+            return !containsSorted(entry.deaths, death);
+        });
+        entry.cleared.erase(std::next(unknown).base());
+    }
 }
 
 Verdict SuspicionTable::verdictOf(const Entry &entry)
 {
-    const std::size_t open = SuspicionTable::openDeathsOf(entry);
+    const std::size_t open = SuspicionTable::openDeathsOf(entry).size();
     if (open == 0) {
         return Verdict::Free;
     }
     return open < config::CrashesUntilRefused ? Verdict::Suspect : Verdict::Refused;
 }
 
+bool SuspicionTable::isAnsweredSince(const Fingerprint &fingerprint, TimePoint at) const
+{
+    for (const auto *answers : {&this->answeredAt, &this->answeredBefore}) {
+        if (const auto found = answers->find(fingerprint); found != answers->end() && found->second > at) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Counts the crashes of an entry that no other suspect explains. Of two suspects that were in the same crashes each
+// explains those of the other, so that only requests with both are refused; the next answer or crash tells them apart.
+std::size_t SuspicionTable::unexplainedDeaths(const Entry &entry, const SuspectKeys &keys) const
+{
+    std::vector<CrashId> rest = SuspicionTable::openDeathsOf(entry);
+    const std::size_t own = rest.size();
+    for (const Fingerprint &fingerprint : this->many) {
+        if (keys.contains(fingerprint)) {
+            continue;
+        }
+        const std::vector<CrashId> other = SuspicionTable::openDeathsOf(this->entries.at(fingerprint));
+        if (other.size() < own) {
+            continue;
+        }
+        // Of a full entry only the lowest ids are kept, so that it may have been in any crash above them.
+        const bool full = other.size() >= config::CrashesKept;
+        std::erase_if(rest, [&other, full](CrashId death) {
+            return containsSorted(other, death) || (full && death > other.back());
+        });
+    }
+    return rest.size();
+}
+
+std::optional<std::size_t> SuspicionTable::findRefusedPart(const std::string &service, const SuspectKeys &keys) const
+{
+    std::optional<std::size_t> found;
+    std::size_t most = 0;
+    for (std::size_t i = 0; i < keys.parts.size(); ++i) {
+        if (!this->many.contains(keys.parts[i])) {
+            continue;
+        }
+        const Entry &entry = this->entries.at(keys.parts[i]);
+        const std::size_t deaths = SuspicionTable::openDeathsOf(entry).size();
+        if (deaths >= most && entry.answeredWithout.contains(service)
+            && this->unexplainedDeaths(entry, keys) >= config::PartCrashesUntilRefused) {
+            found = i;
+            most = deaths;
+        }
+    }
+    return found;
+}
+
 SuspicionTable::Entry &SuspicionTable::entryOf(const Fingerprint &fingerprint)
 {
     if (this->entries.size() >= config::SuspectTableSize && !this->entries.contains(fingerprint)) {
@@ -91,10 +181,11 @@
     return this->entries[fingerprint];
 }
 
-void SuspicionTable::forget(std::uint64_t version)
+void SuspicionTable::forget(const Fingerprint &fingerprint, std::uint64_t version)
 {
     this->byVersion.erase(version);
     this->refused.erase(version);
+    this->many.erase(fingerprint);
 }
 
 // Evicts refused requests last: many requests that were running during one crash must not displace those that have
@@ -105,14 +196,16 @@
         return !this->refused.contains(entry.first);
     });
     const auto oldest = free == this->byVersion.end() ? this->byVersion.begin() : free;
-    this->entries.erase(oldest->second);
-    this->forget(oldest->first);
+    const auto [version, fingerprint] = *oldest;
+    this->entries.erase(fingerprint);
+    this->forget(fingerprint, version);
     ++this->counters.evicted;
 }
 
 void SuspicionTable::touch(const Fingerprint &fingerprint, Entry &entry, Verdict before, TimePoint at)
 {
-    this->forget(entry.version);
+    const bool hadMany = this->many.contains(fingerprint);
+    this->forget(fingerprint, entry.version);
     entry.version = ++this->lastVersion;
     entry.changedAt = std::max(entry.changedAt, at);
     this->byVersion[entry.version] = fingerprint;
@@ -121,26 +214,34 @@
         this->refused.insert(entry.version);
     }
     this->counters.refused += before != Verdict::Refused && after == Verdict::Refused ? 1 : 0;
+    if (SuspicionTable::openDeathsOf(entry).size() >= config::PartCrashesUntilRefused) {
+        this->many.insert(fingerprint);
+        if (!hadMany) {
+            entry.manySince = at;
+            entry.answeredWithout.clear();
+        }
+    }
 }
 
-void SuspicionTable::recordCrash(CrashId death, std::span<const Fingerprint> running, TimePoint now)
+void SuspicionTable::recordCrash(CrashId death, std::span<const Fingerprint> running, TimePoint at)
 {
     for (const Fingerprint &fingerprint : running) {
+        if (this->isAnsweredSince(fingerprint, at)) {
+            continue;
+        }
         Entry &entry = this->entryOf(fingerprint);
         const Verdict before = SuspicionTable::verdictOf(entry);
-        if (before == Verdict::Free && entry.deaths.size() >= config::CrashesKept) {
-            entry.deaths.clear();
-            entry.cleared.clear();
-        }
         if (insertSorted(entry.deaths, death)) {
+            SuspicionTable::dropExcess(entry);
             ++this->counters.accused;
-            this->touch(fingerprint, entry, before, now);
+            this->touch(fingerprint, entry, before, at);
         }
     }
 }
 
 void SuspicionTable::clear(const Fingerprint &fingerprint, TimePoint now)
 {
+    this->answeredAt[fingerprint] = now;
     const auto found = this->entries.find(fingerprint);
     if (found == this->entries.end() || SuspicionTable::verdictOf(found->second) == Verdict::Free) {
         return;
@@ -152,6 +253,20 @@
     this->touch(fingerprint, entry, before, now);
 }
 
+void SuspicionTable::recordAnswer(const std::string &service, const SuspectKeys &keys, TimePoint beganAt, TimePoint now)
+{
+    this->clear(keys.request, now);
+    for (const Fingerprint &part : keys.parts) {
+        this->clear(part, now);
+    }
+    for (const Fingerprint &fingerprint : this->many) {
+        Entry &entry = this->entries.at(fingerprint);
+        if (beganAt > entry.manySince) {
+            entry.answeredWithout.insert(service);
+        }
+    }
+}
+
 void SuspicionTable::retractCrash(CrashId death, std::span<const Fingerprint> running, TimePoint now)
 {
     for (const Fingerprint &fingerprint : running) {
@@ -162,6 +277,7 @@
         Entry &entry = found->second;
         const Verdict before = SuspicionTable::verdictOf(entry);
         if (insertSorted(entry.cleared, death)) {
+            SuspicionTable::dropExcess(entry);
             ++this->counters.cleared;
             this->touch(fingerprint, entry, before, now);
         }
@@ -175,13 +291,20 @@
     }
     Entry &entry = this->entryOf(suspicion.fingerprint);
     const Verdict before = SuspicionTable::verdictOf(entry);
-    bool news = false;
+    const auto deathsBefore = entry.deaths;
+    const auto clearedBefore = entry.cleared;
+    // None of the crashes is later than the last change.
+    const bool answered = this->isAnsweredSince(suspicion.fingerprint, now - suspicion.age);
     for (const CrashId death : suspicion.deaths) {
-        news = insertSorted(entry.deaths, death) || news;
+        if (insertSorted(entry.deaths, death) && answered) {
+            insertSorted(entry.cleared, death);
+        }
     }
     for (const CrashId death : suspicion.cleared) {
-        news = insertSorted(entry.cleared, death) || news;
+        insertSorted(entry.cleared, death);
     }
+    SuspicionTable::dropExcess(entry);
+    const bool news = entry.deaths != deathsBefore || entry.cleared != clearedBefore;
     if (news) {
         this->touch(suspicion.fingerprint, entry, before, now - suspicion.age);
     }
@@ -191,7 +314,7 @@
 std::size_t SuspicionTable::openCrashes(const Fingerprint &fingerprint) const
 {
     const auto found = this->entries.find(fingerprint);
-    return found == this->entries.end() ? 0 : SuspicionTable::openDeathsOf(found->second);
+    return found == this->entries.end() ? 0 : SuspicionTable::openDeathsOf(found->second).size();
 }
 
 Verdict SuspicionTable::verdict(const Fingerprint &fingerprint) const
@@ -241,10 +364,15 @@
     std::erase_if(this->entries, [this, now](const auto &item) {
         const bool expired = now - item.second.changedAt >= config::SuspectRetention;
         if (expired) {
-            this->forget(item.second.version);
+            this->forget(item.first, item.second.version);
         }
         return expired;
     });
+    if (now - this->answersRotatedAt >= config::CrashWatchTime
+        || this->answeredAt.size() >= config::AnswersRemembered / 2) {
+        this->answersRotatedAt = now;
+        this->answeredBefore = std::exchange(this->answeredAt, {});
+    }
 }
 
 SuspicionStats SuspicionTable::stats() const
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -145,10 +145,16 @@
         this->refuse(ErrorKind::ConfigurationStale, "the configuration has not been confirmed recently");
         return false;
     }
-    if (this->task.crashesDuring(this->work.fingerprint, now) >= config::ForwardCrashesUntilRefused) {
+    if (this->task.crashesDuring(this->work.keys.request, now) >= config::ForwardCrashesUntilRefused) {
         this->refuse(ErrorKind::Overloaded, "several servers crashed while they ran an identical request");
         return false;
     }
+    if (const auto part = this->task.parts.suspicions.findRefusedPart(this->work.service, this->work.keys)) {
+        this->task.reportRefusedPart(this->work, *part);
+        this->refuse(ErrorKind::Overloaded,
+                     "several servers crashed while they ran requests with a part of this prompt");
+        return false;
+    }
     const PlacementChoice choice = this->task.place(this->need(), now);
     this->lastChoice = choice;
     if (!choice.server.empty()) {
@@ -334,7 +340,7 @@
 // Reports that the server may have crashed while it ran the request.
 void ForwardRun::reportLostAttempt(TimePoint now)
 {
-    this->task.recordLostAttempt(this->life, this->work.fingerprint, now);
+    this->task.recordLostAttempt(this->life, this->work, now);
 }
 
 // Ends an attempt whose answer is incomplete. Counts it as lost when the server has sent nothing for
@@ -360,6 +366,7 @@
     this->status = answerStatus;
     this->headers = fields;
     this->lastByteAt = now;
+    this->beganAt = now;
     if (answer.isFromOther(this->life.server)) {
         this->task.crashes.onServerGone(this->life);
     } else {
@@ -490,7 +497,7 @@
         this->endAttempt(isFailure ? AttemptOutcome::Failed : AttemptOutcome::Answered);
     }
     if (isSuccess(this->status)) {
-        this->task.parts.suspicions.clear(this->work.fingerprint, this->task.parts.loop.now());
+        this->recordAnswer(this->task.parts.loop.now());
     }
     this->firstByteAt = this->task.parts.loop.now();
     this->work.exchange->reply(this->status, this->task.parts.codec.callerHeaders(this->headers), this->body);
@@ -498,6 +505,14 @@
         this->status, isFailure ? "server_failed" : "answered", "", isFailure ? LogRank::Failure : LogRank::Routine);
 }
 
+// Records that a server has run the request without a crash. The end of a connection does not show that.
+void ForwardRun::recordAnswer(TimePoint now)
+{
+    if (framingOf(this->headers) != FramedByClose) {
+        this->task.parts.suspicions.recordAnswer(this->work.service, this->work.keys, this->beganAt, now);
+    }
+}
+
 void ForwardRun::onStreamEnd()
 {
     const TimePoint now = this->task.parts.loop.now();
@@ -516,7 +531,7 @@
         this->task.engines.observeRun(now - this->attemptAt, now - this->headAt, this->work.request.answerTokens);
     }
     this->endAttempt(AttemptOutcome::Answered);
-    this->task.parts.suspicions.clear(this->work.fingerprint, now);
+    this->recordAnswer(now);
     this->work.exchange->endStream();
     this->finish(StatusOk, "answered", "", LogRank::Routine);
 }
@@ -551,7 +566,7 @@
 bool ForwardRun::mayRepeat(TimePoint now)
 {
     return this->work.deadline - now > config::ForwardLeastTime && this->task.isInForce(now)
-        && this->task.crashesDuring(this->work.fingerprint, now) < config::ForwardCrashesUntilNotRepeated
+        && this->task.crashesDuring(this->work.keys.request, now) < config::ForwardCrashesUntilNotRepeated
         && this->task.retries.tryTake(this->work.service, this->task.hosts(), now);
 }
 
@@ -622,7 +637,7 @@
     ++this->possibleRuns;
     this->task.parts.events.line("attempt_failed", LogRank::Failure)
         .with("request", this->work.request.id)
-        .with("alike", fingerprintText(this->work.fingerprint))
+        .with("alike", fingerprintText(this->work.keys.request))
         .with("server", failedServer)
         .with("after_ms", age)
         .with("status", static_cast<std::uint64_t>(std::max(this->status, 0)))
@@ -722,7 +737,7 @@
     const auto age = this->task.parts.confirmation.statement(this->task.parts.membership, now).confirmedAge;
     this->task.parts.events.line("request", rank)
         .with("request", this->work.request.id)
-        .with("alike", fingerprintText(this->work.fingerprint))
+        .with("alike", fingerprintText(this->work.keys.request))
         .with("outcome", outcome)
         .with("status", static_cast<std::uint64_t>(finalStatus))
         .with("why", why)
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -20,7 +20,7 @@
     const ForwardRoute *route = nullptr;
     const ForwardOrganisation *organisation = nullptr; ///< Null on public routes.
     std::string service;
-    Fingerprint fingerprint;
+    SuspectKeys keys; ///< Of the request and the shared parts of its prompt.
     TimePoint arrivedAt;
     TimePoint deadline; ///< The earlier one of the caller's and the route's.
 };
@@ -59,6 +59,7 @@
     void onBody(std::string_view bytes);
     void onDone();
     void onStreamEnd();
+    void recordAnswer(TimePoint now);
     void onFailure(const HttpFailure &failure);
     void onServerSilent();
     void onDeadline();
@@ -94,6 +95,7 @@
     ServerIncarnation life; ///< Server and start time of the server of the latest attempt.
     TimePoint attemptAt;
     TimePoint lastByteAt; ///< When the latest byte of the attempt's answer arrived; its start before.
+    TimePoint beganAt; ///< When the header of the latest attempt's answer arrived.
     TimePoint headAt; ///< When the header of the attempt's answer arrived; epoch before.
     bool prefilled = false; ///< The prompt tokens of the attempt no longer count as queued at the server.
     bool requestSent = false; ///< The request was sent completely, or certainly never will be.
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -80,9 +80,13 @@
     job.service = chooseTarget(*job.route, this->random());
     const auto limit = std::min(job.request.deadline.value_or(config::ForwardDefaultDeadline), job.route->timeout);
     job.deadline = now + limit;
-    job.fingerprint = fingerprintOf(job.organisation == nullptr ? "" : job.organisation->name,
-                                    exchange->request().target,
-                                    exchange->request().body);
+    job.keys.request = fingerprintOf(job.organisation == nullptr ? "" : job.organisation->name,
+                                     exchange->request().target,
+                                     exchange->request().body);
+    const auto &parts = job.request.parts;
+    for (std::size_t i = 0; i + 1 < parts.size() && i < config::SuspectPartsPerRequest; ++i) {
+        job.keys.parts.push_back(partFingerprintOf(job.request.model, parts[i].id));
+    }
     this->retries.countRequest(job.service, now);
     this->parts.metrics.count("requests_total");
     auto run = std::make_unique<ForwardRun>(*this, std::move(job));
@@ -128,15 +132,34 @@
     this->parts.metrics.count("refusals_total", "kind=\"" + std::string(answer.name) + "\"");
 }
 
-void ForwardTask::recordLostAttempt(const ServerIncarnation &life, const Fingerprint &fingerprint, TimePoint now)
+void ForwardTask::recordLostAttempt(const ServerIncarnation &life, const ForwardJob &job, TimePoint now)
 {
     // A leaving server ends the requests that it still runs, so that a lost attempt there is no sign of a crash.
     const ServerView *view = this->parts.servers.find(life.server);
-    if (view == nullptr || view->entry.born != life.born || !view->isLeaving()) {
-        this->crashes.recordLoss(life, fingerprint, now);
+    if (view != nullptr && view->entry.born == life.born && view->isLeaving()) {
+        return;
+    }
+    this->crashes.recordLoss(life, job.keys.request, now);
+    if (this->partNames.size() >= config::SuspectTableSize) {
+        this->partNames.clear();
+    }
+    for (std::size_t i = 0; i < job.keys.parts.size(); ++i) {
+        this->crashes.recordLoss(life, job.keys.parts[i], now);
+        this->partNames[job.keys.parts[i]] = job.request.parts[i].id;
     }
 }
 
+void ForwardTask::reportRefusedPart(const ForwardJob &job, std::size_t part)
+{
+    this->parts.metrics.count("refused_parts_total");
+    this->parts.events.line("part_refused", LogRank::Failure)
+        .with("request", job.request.id)
+        .with("part", job.request.parts[part].id)
+        .with("model", job.request.model)
+        .with("alike", fingerprintText(job.keys.parts[part]))
+        .with("deaths", this->parts.suspicions.openCrashes(job.keys.parts[part]));
+}
+
 void ForwardTask::recordLeaving(const ServerIncarnation &life, const std::string &address)
 {
     if (this->parts.servers.reportedLeaving(life.server, life.born)) {
@@ -206,11 +229,17 @@
     if (finding.retracted) {
         this->parts.suspicions.retractCrash(finding.death, finding.running, now);
     } else {
-        this->parts.suspicions.recordCrash(finding.death, finding.running, now);
+        this->parts.suspicions.recordCrash(finding.death, finding.running, finding.at);
     }
     for (const Fingerprint &fingerprint : finding.running) {
-        this->parts.events.line(finding.retracted ? "request_excused" : "request_suspected", LogRank::Failure)
-            .with("alike", fingerprintText(fingerprint))
+        const auto name = this->partNames.find(fingerprint);
+        LogLine line = name != this->partNames.end()
+            ? this->parts.events.line(finding.retracted ? "part_excused" : "part_suspected", LogRank::Failure)
+            : this->parts.events.line(finding.retracted ? "request_excused" : "request_suspected", LogRank::Failure);
+        if (name != this->partNames.end()) {
+            line.with("part", name->second);
+        }
+        line.with("alike", fingerprintText(fingerprint))
             .with("server", finding.life.server)
             .with("born", finding.life.born)
             .with("evidence", crashEvidenceName(finding.evidence))
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -33,6 +33,7 @@
 namespace endivespan {
 
 class ForwardRun;
+struct ForwardJob;
 
 /// Dependencies of ForwardTask; all must outlive it.
 struct ForwardParts {
@@ -119,7 +120,10 @@
 
     /// Records that an attempt was lost: it got no complete answer and its server gave no reason, so that the server
     /// may have crashed.
-    void recordLostAttempt(const ServerIncarnation &life, const Fingerprint &fingerprint, TimePoint now);
+    void recordLostAttempt(const ServerIncarnation &life, const ForwardJob &job, TimePoint now);
+
+    /// Logs that a request is refused for the shared part of its prompt at index @p part.
+    void reportRefusedPart(const ForwardJob &job, std::size_t part);
 
     /// Records that a server has stated in an answer that it is leaving.
     void recordLeaving(const ServerIncarnation &life, const std::string &address);
@@ -150,6 +154,7 @@
     [[nodiscard]] std::chrono::milliseconds retryAfter(ErrorKind kind, std::chrono::milliseconds timeLeft);
 
     std::unique_ptr<Placement> placement;
+    std::map<Fingerprint, std::string> partNames; ///< Ids of the parts of lost attempts, for the log.
     /// Engines that are to load the newest weights, by model, as of the last tick.
     std::map<std::string, std::shared_ptr<const RolloutQueue>> weightLoadQueues;
     std::map<std::string, double> meanRequests; ///< At an engine, by service, as of the last tick.
