Tell a part that crashes servers from those that are answered beside it

Cause: where crashes come faster than answers, sound parts collect three open crashes within a second and count as causes: they explained the real one's crashes, were refused themselves beside two causes, and filled the gossip, whose order was by crashes.

Change: a part is not refused within 2 s of a complete answer to a request with it, and one answered within 10 s explains no crash of another and is not urgent for peers. Crashes beyond the eight that are kept are presumed explained only for answered parts. Each message repeats the two most urgent suspicions, which a host that was behind needs first.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -161,6 +161,7 @@
 constexpr std::size_t GossipLeastBytes = 160; ///< Of a message, granted also when the budget is used up.
 constexpr std::size_t GossipUrgentBytes = 2048; ///< Budget that must be left for a round outside the regular period.
 constexpr std::chrono::milliseconds GossipUrgentPause = 100ms; ///< Least time between such a round and the last one.
+constexpr std::size_t UrgentInEachMessage = 2; ///< Suspicions with most crashes that each message repeats.
 constexpr std::size_t RefusedInTurn = 4; ///< Suspicions of refused requests repeated in each message, in turn.
 constexpr std::size_t GossipPeersRemembered = 32; ///< Peers whose known state is kept, to send only what they lack.
 /// Times that a change is passed on, beyond the logarithm of the number of hosts.
@@ -219,6 +220,10 @@
 constexpr std::size_t CrashesKept = 8; ///< Recorded for one request or part of a prompt.
 /// Unexplained server crashes under requests with one part of a prompt after which requests with the part are refused.
 constexpr std::size_t PartCrashesUntilRefused = 3;
+/// A part is not refused for so long after a complete answer to a request with it.
+constexpr std::chrono::seconds PartSoundTime = 2s;
+/// For which a part that was answered completely explains no crash of another one.
+constexpr std::chrono::seconds PartSoundMemory = 10s;
 constexpr std::size_t SuspectPartsPerRequest = 16; ///< Parts of one prompt that are suspected, from the first one on.
 constexpr std::size_t AnswersRemembered = 8192; ///< Requests and parts whose last complete answer is remembered.
 constexpr std::chrono::seconds SuspectPermitTtl = 2s; ///< In which a permit to run a suspect alone must be used.
--- a/packages/core/include/endivespan/suspect.h
+++ b/packages/core/include/endivespan/suspect.h
@@ -80,9 +80,9 @@
 ///
 /// A crash is recorded against all that was running on the server, so that sound parts of prompts collect crashes
 /// too. Three rules tell a part that crashes servers from those that were only beside it: a complete answer clears its
-/// parts of all earlier crashes, known or not; a crash is explained by another suspect with at least as many crashes;
-/// and a part is refused only where requests without it have been answered since, for when all servers fail at once
-/// there is nothing to compare it with.
+/// parts of all earlier crashes, known or not, and for a time of later ones; a crash is explained by another suspect
+/// that has at least as many or, beside a part that was answered, by one that was not; and a part is refused only where
+/// requests without it have been answered since, for when all servers fail at once there is nothing to compare it with.
 class SuspicionTable
 {
 public:
@@ -100,7 +100,8 @@
 
     /// @returns the index of the part of the request with most crashes of those that crash servers of @p service, or
     ///     nothing.
-    [[nodiscard]] std::optional<std::size_t> findRefusedPart(const std::string &service, const SuspectKeys &keys) const;
+    [[nodiscard]] std::optional<std::size_t>
+    findRefusedPart(const std::string &service, const SuspectKeys &keys, TimePoint now) const;
 
     /// Clears one crash of requests, after the server turned out to have kept running.
     void retractCrash(CrashId death, std::span<const Fingerprint> running, TimePoint now);
@@ -113,6 +114,10 @@
     /// @returns the number of crashes during which the request was running and that have not been cleared.
     [[nodiscard]] std::size_t openCrashes(const Fingerprint &fingerprint) const;
 
+    /// @returns how urgently peers must hear of the entry: its number of open crashes, or 0 when it was answered
+    ///     completely within config::PartSoundMemory, as peers will see for themselves.
+    [[nodiscard]] std::size_t urgency(const Fingerprint &fingerprint, TimePoint now) const;
+
     /// @returns the entry whose last change has @p version, or nothing when it has changed again or was dropped since.
     [[nodiscard]] std::optional<Suspicion> changedAt(std::uint64_t version, TimePoint now) const;
 
@@ -125,6 +130,11 @@
     /// @returns versions of the refused requests after @p version, ascending, at most @p limit.
     [[nodiscard]] std::vector<std::uint64_t> refusedAfter(std::uint64_t version, std::size_t limit) const;
 
+    /// @returns versions of the entries with most urgency, of those with config::PartCrashesUntilRefused crashes or
+    /// more;
+    ///     at most @p limit.
+    [[nodiscard]] std::vector<std::uint64_t> mostUrgent(std::size_t limit, TimePoint now) const;
+
     /// Drops entries that have not changed for config::SuspectRetention, and old answers.
     void tick(TimePoint now);
 
@@ -137,14 +147,18 @@
         TimePoint changedAt;
         std::uint64_t version = 0;
         TimePoint manySince; ///< When it became one of the entries in many.
+        TimePoint clearedAt; ///< When crashes of it were last cleared, here or at a peer.
         std::set<std::string> answeredWithout; ///< Services that have answered a request without it since then.
     };
 
     static std::vector<CrashId> openDeathsOf(const Entry &entry);
     static void dropExcess(Entry &entry);
     static Verdict verdictOf(const Entry &entry);
-    [[nodiscard]] std::size_t unexplainedDeaths(const Entry &entry, const SuspectKeys &keys) const;
+    [[nodiscard]] std::size_t
+    unexplainedDeaths(const Fingerprint &fingerprint, const SuspectKeys &keys, TimePoint now) const;
     [[nodiscard]] bool isAnsweredSince(const Fingerprint &fingerprint, TimePoint at) const;
+    /// The same, with the answers that peers report by clearing crashes.
+    [[nodiscard]] bool isSoundSince(const Fingerprint &fingerprint, TimePoint at) const;
     Entry &entryOf(const Fingerprint &fingerprint);
     /// Gives the entry a new version after a change at time @p at.
     /// @param before Verdict before the change.
--- a/packages/core/src/gossip.cpp
+++ b/packages/core/src/gossip.cpp
@@ -302,9 +302,9 @@
         this->lastSuspicionAdded = version;
     }
     this->fillRefused(message, room, now);
-    // Sorted by most crashes, then by fewest sends, then by latest change.
+    // Sorted by urgency, then by fewest sends, then by latest change.
     struct RecentChange {
-        std::size_t deaths;
+        std::size_t urgency;
         std::uint32_t times;
         std::uint64_t version;
         Suspicion suspicion;
@@ -313,13 +313,13 @@
     std::erase_if(this->recentSuspicions, [&table, &recent, now](const auto &item) {
         auto suspicion = table.changedAt(item.first, now);
         if (suspicion) {
-            const std::size_t deaths = table.openCrashes(suspicion->fingerprint);
-            recent.push_back({deaths, item.second, item.first, std::move(*suspicion)});
+            const std::size_t urgency = table.urgency(suspicion->fingerprint, now);
+            recent.push_back({urgency, item.second, item.first, std::move(*suspicion)});
         }
         return !suspicion;
     });
     std::sort(recent.begin(), recent.end(), [](const RecentChange &a, const RecentChange &b) {
-        return std::tuple(b.deaths, a.times, b.version) < std::tuple(a.deaths, b.times, a.version);
+        return std::tuple(b.urgency, a.times, b.version) < std::tuple(a.urgency, b.times, a.version);
     });
     const std::uint32_t sends = rumourSendLimit(this->tables.membership.stats().known);
     for (RecentChange &item : recent) {
@@ -340,11 +340,16 @@
     }
 }
 
-// Adds suspicions of refused requests in turn to every message, so that a host that has restarted or was cut off
-// receives all of them within a few messages.
+// Adds the most urgent suspicions and, in turn, those of refused requests to every message, so that a host that has
+// restarted or was cut off receives all of them within a few messages.
 void Gossip::fillRefused(GossipMessage &message, std::size_t &room, TimePoint now)
 {
     const SuspicionTable &table = this->tables.suspicions;
+    for (const std::uint64_t version : table.mostUrgent(config::UrgentInEachMessage, now)) {
+        if (const auto suspicion = table.changedAt(version, now); reserveRoom(room, sizeOf(*suspicion))) {
+            message.suspicions.push_back(*suspicion);
+        }
+    }
     auto versions = table.refusedAfter(this->refusedCursor, config::RefusedInTurn);
     if (versions.empty()) {
         versions = table.refusedAfter(0, config::RefusedInTurn);
--- a/packages/core/src/suspect.cpp
+++ b/packages/core/src/suspect.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <functional>
 #include <iterator>
 #include <set>
 #include <utility>
@@ -133,28 +134,37 @@
 
 // Counts the crashes of an entry that no other suspect explains. Of two suspects that were in the same crashes each
 // explains those of the other, so that only requests with both are refused; the next answer or crash tells them apart.
-std::size_t SuspicionTable::unexplainedDeaths(const Entry &entry, const SuspectKeys &keys) const
+std::size_t
+SuspicionTable::unexplainedDeaths(const Fingerprint &fingerprint, const SuspectKeys &keys, TimePoint now) const
 {
-    std::vector<CrashId> rest = SuspicionTable::openDeathsOf(entry);
+    const TimePoint soundSince = now - config::PartSoundMemory;
+    const bool sound = this->isSoundSince(fingerprint, soundSince);
+    std::vector<CrashId> rest = SuspicionTable::openDeathsOf(this->entries.at(fingerprint));
     const std::size_t own = rest.size();
-    for (const Fingerprint &fingerprint : this->many) {
-        if (keys.contains(fingerprint)) {
+    for (const Fingerprint &suspect : this->many) {
+        if (keys.contains(suspect) || this->isSoundSince(suspect, soundSince)) {
             continue;
         }
-        const std::vector<CrashId> other = SuspicionTable::openDeathsOf(this->entries.at(fingerprint));
-        if (other.size() < own) {
+        const std::vector<CrashId> other = SuspicionTable::openDeathsOf(this->entries.at(suspect));
+        if (!sound && other.size() < own) {
             continue;
         }
         // Of a full entry only the lowest ids are kept, so that it may have been in any crash above them.
-        const bool full = other.size() >= config::CrashesKept;
-        std::erase_if(rest, [&other, full](CrashId death) {
-            return containsSorted(other, death) || (full && death > other.back());
+        const bool mayHaveMore = sound && other.size() >= config::CrashesKept;
+        std::erase_if(rest, [&other, mayHaveMore](CrashId death) {
+            return containsSorted(other, death) || (mayHaveMore && death > other.back());
         });
     }
     return rest.size();
 }
 
-std::optional<std::size_t> SuspicionTable::findRefusedPart(const std::string &service, const SuspectKeys &keys) const
+bool SuspicionTable::isSoundSince(const Fingerprint &fingerprint, TimePoint at) const
+{
+    return this->entries.at(fingerprint).clearedAt > at || this->isAnsweredSince(fingerprint, at);
+}
+
+std::optional<std::size_t>
+SuspicionTable::findRefusedPart(const std::string &service, const SuspectKeys &keys, TimePoint now) const
 {
     std::optional<std::size_t> found;
     std::size_t most = 0;
@@ -165,7 +175,8 @@
         const Entry &entry = this->entries.at(keys.parts[i]);
         const std::size_t deaths = SuspicionTable::openDeathsOf(entry).size();
         if (deaths >= most && entry.answeredWithout.contains(service)
-            && this->unexplainedDeaths(entry, keys) >= config::PartCrashesUntilRefused) {
+            && !this->isSoundSince(keys.parts[i], now - config::PartSoundTime)
+            && this->unexplainedDeaths(keys.parts[i], keys, now) >= config::PartCrashesUntilRefused) {
             found = i;
             most = deaths;
         }
@@ -249,6 +260,7 @@
     Entry &entry = found->second;
     const Verdict before = SuspicionTable::verdictOf(entry);
     entry.cleared = entry.deaths;
+    entry.clearedAt = now;
     ++this->counters.cleared;
     this->touch(fingerprint, entry, before, now);
 }
@@ -305,6 +317,9 @@
     }
     SuspicionTable::dropExcess(entry);
     const bool news = entry.deaths != deathsBefore || entry.cleared != clearedBefore;
+    if (entry.cleared != clearedBefore) {
+        entry.clearedAt = std::max(entry.clearedAt, now - suspicion.age);
+    }
     if (news) {
         this->touch(suspicion.fingerprint, entry, before, now - suspicion.age);
     }
@@ -317,6 +332,12 @@
     return found == this->entries.end() ? 0 : SuspicionTable::openDeathsOf(found->second).size();
 }
 
+std::size_t SuspicionTable::urgency(const Fingerprint &fingerprint, TimePoint now) const
+{
+    const std::size_t open = this->openCrashes(fingerprint);
+    return open > 0 && this->isSoundSince(fingerprint, now - config::PartSoundMemory) ? 0 : open;
+}
+
 Verdict SuspicionTable::verdict(const Fingerprint &fingerprint) const
 {
     const auto found = this->entries.find(fingerprint);
@@ -359,6 +380,24 @@
     return this->lastVersion;
 }
 
+std::vector<std::uint64_t> SuspicionTable::mostUrgent(std::size_t limit, TimePoint now) const
+{
+    std::vector<std::pair<std::size_t, std::uint64_t>> ranked;
+    for (const Fingerprint &fingerprint : this->many) {
+        if (const std::size_t urgency = this->urgency(fingerprint, now); urgency > 0) {
+            ranked.emplace_back(urgency, this->entries.at(fingerprint).version);
+        }
+    }
+    std::sort(ranked.begin(), ranked.end(), std::greater<>());
+    ranked.resize(std::min(ranked.size(), limit));
+    std::vector<std::uint64_t> versions;
+    versions.reserve(ranked.size());
+    for (const auto &[urgency, version] : ranked) {
+        versions.push_back(version);
+    }
+    return versions;
+}
+
 void SuspicionTable::tick(TimePoint now)
 {
     std::erase_if(this->entries, [this, now](const auto &item) {
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -149,7 +149,7 @@
         this->refuse(ErrorKind::Overloaded, "several servers crashed while they ran an identical request");
         return false;
     }
-    if (const auto part = this->task.parts.suspicions.findRefusedPart(this->work.service, this->work.keys)) {
+    if (const auto part = this->task.parts.suspicions.findRefusedPart(this->work.service, this->work.keys, now)) {
         this->task.reportRefusedPart(this->work, *part);
         this->refuse(ErrorKind::Overloaded,
                      "several servers crashed while they ran requests with a part of this prompt");
--- a/tests/core/crash_watch.cpp
+++ b/tests/core/crash_watch.cpp
@@ -40,29 +40,6 @@
     }));
 }
 
-/// Runs gossip for a time: every config::GossipUrgentPause on hosts with urgent changes, on others once per gossip
-/// period.
-void gossipFor(GossipFleet &fleet, Duration span)
-{
-    std::vector<TimePoint> next(fleet.hosts.size());
-    for (std::size_t i = 0; i < next.size(); ++i) {
-        next[i] = fleet.now + (i * 37 % 10) * (fleet.hosts[i]->gossip.period() / 10);
-    }
-    for (const TimePoint end = fleet.now + span; fleet.now < end; fleet.now += config::GossipUrgentPause) {
-        for (std::size_t i = 0; i < fleet.hosts.size(); ++i) {
-            GossipHost &host = *fleet.hosts[i];
-            if (fleet.now < next[i] && !host.gossip.isUrgent(fleet.now)) {
-                continue;
-            }
-            next[i] = fleet.now + host.gossip.period();
-            host.membership.tick(fleet.now);
-            for (const GossipTarget &target : host.gossip.round()) {
-                fleet.exchange(i, target.address);
-            }
-        }
-    }
-}
-
 } // namespace
 
 TEST_CASE("crashes: an unreachable server makes all its lost requests suspect, and only once")
