--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -165,10 +165,31 @@
                                    entry(R"(,"slots":"many")"),
                                    entry(R"(,"cold_ms":null)"),
                                    entry(R"(,"address":7)"),
-                                   entry(R"(,"models":[{"name":"m"}])")}) {
-        CAPTURE(bad);
-        CHECK_FALSE(codec.decodeServer("i-1", bad));
+                                   entry(R"(,"models":[{"name":"m"}])"),
+                                   entry(R"(,"models":[{"name":"m","version":-1}])"),
+                                   entry(R"(,"models":[{"name":"m","version":1.5}])"),
+                                   entry(R"(,"slots":4294967296)"),
+                                   entry(R"(,"born":1e400)"),
+                                   entry(R"(,"seq":18446744073709551616)"),
+                                   entry(R"(,"cold_ms":-1)"),
+                                   entry(R"(,"address":"10.0.0.9")"),
+                                   entry(R"(,"address":"10.0.0.9:")"),
+                                   entry(R"(,"address":"10.0.0.9:0")"),
+                                   entry(R"(,"address":"10.0.0.9:-1")"),
+                                   entry(R"(,"address":"10.0.0.9:65536")"),
+                                   entry(R"(,"address":"10.0.0.9:80x")"),
+                                   entry(R"(,"address":":80")"),
+                                   entry(R"(,"address":"host:80")"),
+                                   entry(R"(,"service":"")"),
+                                   std::string(100'000, '['),
+                                   entry(R"(,"models":)" + std::string(100'000, '[') + std::string(100'000, ']')),
+                                   entry(R"(,"other":)" + std::string(100'000, '9'))}) {
+        CAPTURE(bad.substr(0, 200));
+        const auto decoded = codec.decodeServer("i-1", bad);
+        CHECK_FALSE(decoded);
+        CHECK((decoded || decoded.error().detail.size() < 300));
     }
+    CHECK(codec.decodeServer("i-1", entry(R"(,"cold_ms":1e300)")).value().coldFor == config::ColdMost);
 }
 
 TEST_CASE("configuration, evacuation and weights records of operators are decoded")
