Cut a stream whose next runner answers with an error or repeats events

It happened here: the body of any status went into a stream that had begun, and one whose events began again was passed on with the repeats.

A status other than 2xx, or a first event that does not come after the last one sent, is now a failed attempt of a stream that has begun. "an error of the runner that should resume a stream..." and "a resumed stream that does not go on after the last event is cut" failed and pass.

--- a/packages/node/src/event_splitter.cpp
+++ b/packages/node/src/event_splitter.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <utility>
+#include <vector>
 
 namespace endivespan {
 
@@ -24,8 +25,37 @@
     return end;
 }
 
+std::vector<std::uint64_t> idsOf(std::string_view events)
+{
+    std::vector<std::uint64_t> ids;
+    std::size_t at = 0;
+    while (at < events.size()) {
+        const std::size_t end = std::min(events.find('\n', at), events.size());
+        std::string_view line = events.substr(at, end - at);
+        at = end + 1;
+        if (!line.starts_with(IdField)) {
+            continue;
+        }
+        line.remove_prefix(IdField.size());
+        while (line.starts_with(' ')) {
+            line.remove_prefix(1);
+        }
+        std::uint64_t number = 0;
+        if (std::from_chars(line.data(), line.data() + line.size(), number).ec == std::errc()) {
+            ids.push_back(number);
+        }
+    }
+    return ids;
+}
+
 } // namespace
 
+std::optional<std::uint64_t> firstEventId(std::string_view events)
+{
+    const auto ids = idsOf(events);
+    return ids.empty() ? std::nullopt : std::optional(ids.front());
+}
+
 std::size_t EventSplitter::heldBytes() const
 {
     return this->held.size();
@@ -56,7 +86,9 @@
     }
     std::string complete = this->held.substr(0, end);
     this->held.erase(0, end);
-    this->readIds(complete);
+    if (const auto ids = idsOf(complete); !ids.empty()) {
+        this->id = ids.back();
+    }
     return complete;
 }
 
@@ -70,25 +102,4 @@
     return this->id;
 }
 
-void EventSplitter::readIds(std::string_view events)
-{
-    std::size_t at = 0;
-    while (at < events.size()) {
-        const std::size_t end = std::min(events.find('\n', at), events.size());
-        std::string_view line = events.substr(at, end - at);
-        at = end + 1;
-        if (!line.starts_with(IdField)) {
-            continue;
-        }
-        line.remove_prefix(IdField.size());
-        while (line.starts_with(' ')) {
-            line.remove_prefix(1);
-        }
-        std::uint64_t number = 0;
-        if (std::from_chars(line.data(), line.data() + line.size(), number).ec == std::errc()) {
-            this->id = number;
-        }
-    }
-}
-
 } // namespace endivespan
--- a/packages/node/src/event_splitter.h
+++ b/packages/node/src/event_splitter.h
@@ -8,6 +8,9 @@
 /// Splits a stream of server-sent events at event boundaries without changing a byte.
 namespace endivespan {
 
+/// @returns the first numeric id among complete events, or nothing when none has one.
+std::optional<std::uint64_t> firstEventId(std::string_view events);
+
 /// Passes complete events through and buffers the incomplete event at the end of the stream.
 class EventSplitter
 {
@@ -30,8 +33,6 @@
     [[nodiscard]] std::optional<std::uint64_t> lastId() const;
 
 private:
-    void readIds(std::string_view events);
-
     std::string held;
     std::optional<std::uint64_t> id;
 };
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -387,6 +387,10 @@
         this->attemptFailed(AttemptOutcome::Failed, "successful answer without the header field of a backend server");
         return;
     }
+    if (this->streaming && !isSuccess(answerStatus)) {
+        this->attemptFailed(AttemptOutcome::Failed, "the server that should resume the stream answered with an error");
+        return;
+    }
     if (!this->work.route->isStream || !isSuccess(answerStatus)) {
         return;
     }
@@ -442,6 +446,11 @@
     this->task.parts.servers.receivedBytes(this->server, now);
     const std::string complete = this->events.feed(bytes);
     if (!complete.empty()) {
+        const auto first = firstEventId(complete);
+        if (!this->eventReceived && first && this->lastEvent && *first <= *this->lastEvent) {
+            this->attemptFailed(AttemptOutcome::Failed, "the resumed stream repeats events");
+            return;
+        }
         this->eventReceived = true;
         if (this->firstByteAt == TimePoint {}) {
             this->firstByteAt = now;
--- a/tests/platform/serving.cpp
+++ b/tests/platform/serving.cpp
@@ -1,8 +1,13 @@
 #include "raw_socket.h"
 #include "world.h"
 
+#include <endivespan/config.h>
+
 #include <doctest/doctest.h>
 
+#include <map>
+#include <set>
+
 using namespace endivespan;
 using namespace endivespan::tests;
 using namespace std::chrono_literals;
@@ -510,3 +515,108 @@
     CHECK(got.size() > body.size());
     CHECK(world.until([&world] { return world.stopped; }));
 }
+
+// Guards against entries of other writers that end a host, stop it from following the list, or attract requests.
+TEST_CASE("odd entries in the list of servers cost no request, and the list is followed on")
+{
+    World world(2);
+    scriptAll(world,
+              [](const ReceivedRequest &request) { return RunnerStandin::Reply {answerTo(request, 200, "ok")}; });
+    const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+    const std::string start = R"({"service":"llm","address":"127.0.0.1:)";
+    const std::string end
+        = R"(","zone":"z","version":"v1","slots":64,"state":"ready","cold_ms":0,"seq":1,"born":1000})";
+    for (const std::string &odd : {nested,
+                                   R"({"service":)" + nested + "}",
+                                   start + "65536" + end,
+                                   start + "0" + end,
+                                   start + "-1" + end,
+                                   std::string(R"({"seq":1e999})")}) {
+        CAPTURE(odd.substr(0, 200));
+        world.store.put("keyed.servers", "i-odd", odd);
+        world.runFor(config::ServerPollMost + 200ms);
+        for (int i = 0; i < 10; ++i) {
+            CHECK(world.answer(world.ask("/once/")).status == 200);
+        }
+    }
+    world.list(*world.runners[0], {{"state", "draining"}});
+    world.runFor(config::ServerPollMost + 200ms);
+    const std::size_t before = world.runners[0]->received.size();
+    for (int i = 0; i < 10; ++i) {
+        CHECK(world.answer(world.ask("/once/")).status == 200);
+    }
+    CHECK(world.runners[0]->received.size() == before);
+}
+
+// Guards against a refusal that a runner writes once more on a kept connection, where the next answer is due.
+TEST_CASE("a repeated refusal is not taken as the answer to the next request on its connection")
+{
+    for (const bool named : {false, true}) {
+        CAPTURE(named);
+        World world(2);
+        std::map<std::pair<std::string, std::uint64_t>, std::string> refusals;
+        std::set<std::string> ran;
+        bool refusing = true;
+        bool ranTwice = false;
+        for (const auto &runner : world.runners) {
+            runner->script = [&, id = runner->id](const ReceivedRequest &request) {
+                const std::string requestId = request.field("x-endivespan-request-id");
+                std::string &earlier = refusals[{id, request.connection}];
+                if (refusing) {
+                    earlier = "HTTP/1.1 503 X\r\nX-Endivespan-Not-Executed: 1\r\nContent-Length: 0\r\n"
+                        + (named ? "X-Endivespan-Request-Id: " + requestId + "\r\n" : std::string()) + "\r\n";
+                    return RunnerStandin::Reply {earlier};
+                }
+                ranTwice = !ran.insert(requestId).second || ranTwice;
+                return RunnerStandin::Reply {earlier + answerTo(request, 200, "ran")};
+            };
+        }
+        CHECK(world.answer(world.ask("/once/")).status == 503);
+        refusing = false;
+        world.runFor(config::RefusedFreePause + 500ms);
+        for (int i = 0; i < 6; ++i) {
+            const CallerAnswer answer = world.answer(world.ask("/once/"));
+            CHECK(answer.status == 200);
+            CHECK(answer.body == "ran");
+        }
+        CHECK_FALSE(ranTwice);
+    }
+}
+
+// Guards against the body of an error in the middle of a stream that another runner has begun.
+TEST_CASE("an error of the runner that should resume a stream is not sent as part of the stream")
+{
+    for (const bool framed : {true, false}) {
+        CAPTURE(framed);
+        World world(2);
+        scriptAll(world, [framed](const ReceivedRequest &request) {
+            if (request.field("last-event-id").empty()) {
+                return RunnerStandin::Reply {streamHead(request) + eventChunk(1, "a"), Then::Reset};
+            }
+            const std::string error = "id: 2\ndata: failed\n\n";
+            return framed ? RunnerStandin::Reply {answerTo(request, 500, error)}
+                          : RunnerStandin::Reply {"HTTP/1.1 500 X\r\nX-Endivespan-Request-Id: "
+                                                      + request.field("x-endivespan-request-id") + "\r\n\r\n" + error,
+                                                  Then::Close};
+        });
+        const CallerAnswer answer = world.answer(world.ask("/resume/"));
+        CHECK(answer.failed);
+        CHECK_FALSE(answer.whole);
+        CHECK(answer.body == "id: 1\ndata: a\n\n");
+    }
+}
+
+TEST_CASE("a resumed stream that does not go on after the last event is cut")
+{
+    World world(2);
+    scriptAll(world, [](const ReceivedRequest &request) {
+        if (request.field("last-event-id").empty()) {
+            return RunnerStandin::Reply {streamHead(request) + eventChunk(1, "a") + eventChunk(2, "b"), Then::Reset};
+        }
+        return RunnerStandin::Reply {streamHead(request) + eventChunk(1, "a") + eventChunk(2, "b") + eventChunk(3, "c")
+                                     + "0\r\n\r\n"};
+    });
+    const CallerAnswer answer = world.answer(world.ask("/resume/"));
+    CHECK(answer.failed);
+    CHECK(answer.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -311,6 +311,7 @@
     }
     ReceivedRequest request;
     request.head = connection.input.substr(0, end + 2);
+    request.connection = connection.number;
     const std::string length = request.field("content-length");
     const std::size_t size = length.empty() ? 0 : std::stoul(length);
     if (connection.input.size() < end + 4 + size) {
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -80,6 +80,7 @@
 struct ReceivedRequest {
     std::string head; ///< Request line and header fields, as sent.
     std::string body;
+    std::uint64_t connection = 0; ///< Number of the connection that it came on.
     bool callerGone = false; ///< The connection was closed by the caller before the answer was complete.
 
     [[nodiscard]] std::string field(const std::string &name) const;
