--- a/packages/core/include/endivespan/suspect.h
+++ b/packages/core/include/endivespan/suspect.h
@@ -130,9 +130,7 @@
     /// @returns versions of the refused requests after @p version, ascending, at most @p limit.
     [[nodiscard]] std::vector<std::uint64_t> refusedAfter(std::uint64_t version, std::size_t limit) const;
 
-    /// @returns versions of the entries with most urgency, of those with config::PartCrashesUntilRefused crashes or
-    /// more;
-    ///     at most @p limit.
+    /// @returns versions of the candidates with most urgency, at most @p limit.
     [[nodiscard]] std::vector<std::uint64_t> mostUrgent(std::size_t limit, TimePoint now) const;
 
     /// Drops entries that have not changed for config::SuspectRetention, and old answers.
@@ -146,7 +144,7 @@
         std::vector<CrashId> cleared;
         TimePoint changedAt;
         std::uint64_t version = 0;
-        TimePoint manySince; ///< When it became one of the entries in many.
+        TimePoint candidateSince; ///< When it became one of the candidates.
         TimePoint clearedAt; ///< When crashes of it were last cleared, here or at a peer.
         std::set<std::string> answeredWithout; ///< Services that have answered a request without it since then.
     };
@@ -169,7 +167,7 @@
     std::map<Fingerprint, Entry> entries;
     std::map<std::uint64_t, Fingerprint> byVersion; ///< By the version of an entry's last change.
     std::set<std::uint64_t> refused; ///< Versions of the entries with Verdict::Refused.
-    std::set<Fingerprint> many; ///< Entries with config::PartCrashesUntilRefused crashes or more.
+    std::set<Fingerprint> candidates; ///< Entries with config::PartCrashesUntilRefused crashes or more.
     std::map<Fingerprint, TimePoint> answeredAt; ///< Last complete answer, of those of the current period.
     std::map<Fingerprint, TimePoint> answeredBefore; ///< The same for the period before.
     TimePoint answersRotatedAt;
--- a/packages/core/src/suspect.cpp
+++ b/packages/core/src/suspect.cpp
@@ -141,7 +141,7 @@
     const bool sound = this->isSoundSince(fingerprint, soundSince);
     std::vector<CrashId> rest = SuspicionTable::openDeathsOf(this->entries.at(fingerprint));
     const std::size_t own = rest.size();
-    for (const Fingerprint &suspect : this->many) {
+    for (const Fingerprint &suspect : this->candidates) {
         if (keys.contains(suspect) || this->isSoundSince(suspect, soundSince)) {
             continue;
         }
@@ -169,7 +169,7 @@
     std::optional<std::size_t> found;
     std::size_t most = 0;
     for (std::size_t i = 0; i < keys.parts.size(); ++i) {
-        if (!this->many.contains(keys.parts[i])) {
+        if (!this->candidates.contains(keys.parts[i])) {
             continue;
         }
         const Entry &entry = this->entries.at(keys.parts[i]);
@@ -196,7 +196,7 @@
 {
     this->byVersion.erase(version);
     this->refused.erase(version);
-    this->many.erase(fingerprint);
+    this->candidates.erase(fingerprint);
 }
 
 // Evicts refused requests last: many requests that were running during one crash must not displace those that have
@@ -215,7 +215,7 @@
 
 void SuspicionTable::touch(const Fingerprint &fingerprint, Entry &entry, Verdict before, TimePoint at)
 {
-    const bool hadMany = this->many.contains(fingerprint);
+    const bool wasCandidate = this->candidates.contains(fingerprint);
     this->forget(fingerprint, entry.version);
     entry.version = ++this->lastVersion;
     entry.changedAt = std::max(entry.changedAt, at);
@@ -226,9 +226,9 @@
     }
     this->counters.refused += before != Verdict::Refused && after == Verdict::Refused ? 1 : 0;
     if (SuspicionTable::openDeathsOf(entry).size() >= config::PartCrashesUntilRefused) {
-        this->many.insert(fingerprint);
-        if (!hadMany) {
-            entry.manySince = at;
+        this->candidates.insert(fingerprint);
+        if (!wasCandidate) {
+            entry.candidateSince = at;
             entry.answeredWithout.clear();
         }
     }
@@ -271,9 +271,9 @@
     for (const Fingerprint &part : keys.parts) {
         this->clear(part, now);
     }
-    for (const Fingerprint &fingerprint : this->many) {
+    for (const Fingerprint &fingerprint : this->candidates) {
         Entry &entry = this->entries.at(fingerprint);
-        if (beganAt > entry.manySince) {
+        if (beganAt > entry.candidateSince) {
             entry.answeredWithout.insert(service);
         }
     }
@@ -383,7 +383,7 @@
 std::vector<std::uint64_t> SuspicionTable::mostUrgent(std::size_t limit, TimePoint now) const
 {
     std::vector<std::pair<std::size_t, std::uint64_t>> ranked;
-    for (const Fingerprint &fingerprint : this->many) {
+    for (const Fingerprint &fingerprint : this->candidates) {
         if (const std::size_t urgency = this->urgency(fingerprint, now); urgency > 0) {
             ranked.emplace_back(urgency, this->entries.at(fingerprint).version);
         }
