--- a/tests/core/suspect_parts.cpp
+++ b/tests/core/suspect_parts.cpp
@@ -141,10 +141,13 @@
     constexpr Duration Detection = config::CrashProbeDelay + config::ForwardConnectTimeout + config::ForwardTickPeriod;
     constexpr std::size_t Crashes = 5;
     constexpr std::size_t BesideACrash = 24;
-    const std::vector<std::pair<std::size_t, Duration>> sizes {{12, 3s}, {18, 3s}, {114, 4s}, {295, 5s}};
-    for (const auto &[hosts, bound] : sizes) {
-        CAPTURE(hosts);
-        GossipFleet fleet(hosts);
+    struct Size {
+        std::size_t hosts;
+        Duration bound;
+    };
+    for (const Size &size : std::vector<Size> {{12, 3s}, {18, 3s}, {114, 4s}, {295, 5s}}) {
+        CAPTURE(size.hosts);
+        GossipFleet fleet(size.hosts);
         for (const auto &to : fleet.hosts) {
             for (const auto &from : fleet.hosts) {
                 to->membership.learn(from->membership.self(), fleet.now);
@@ -171,14 +174,14 @@
             crash(fleet.hosts[random() % fleet.hosts.size()]->suspicions, number, {"first0", "dead"}, fleet.now);
             serve(600ms);
         }
-        serve(bound - Detection - 600ms);
+        serve(size.bound - Detection - 600ms);
         std::size_t refusing = 0;
         std::size_t soundRefused = 0;
         for (const auto &host : fleet.hosts) {
             refusing += isRefused(host->suspicions, {"first0", "dead"}, fleet.now) ? 1 : 0;
             soundRefused += isRefused(host->suspicions, soundParts(), fleet.now) ? 1 : 0;
         }
-        CHECK(refusing == hosts);
+        CHECK(refusing == size.hosts);
         CHECK(soundRefused == 0);
     }
 }
--- a/tests/platform/serving.cpp
+++ b/tests/platform/serving.cpp
@@ -523,14 +523,23 @@
     scriptAll(world,
               [](const ReceivedRequest &request) { return RunnerStandin::Reply {answerTo(request, 200, "ok")}; });
     const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
-    const std::string start = R"({"service":"llm","address":"127.0.0.1:)";
-    const std::string end
-        = R"(","zone":"z","version":"v1","slots":64,"state":"ready","cold_ms":0,"seq":1,"born":1000})";
+    const auto entryWithPort = [](const std::string &port) {
+        return nlohmann::json {{"service", "llm"},
+                               {"address", "127.0.0.1:" + port},
+                               {"zone", "z"},
+                               {"version", "v1"},
+                               {"slots", 64},
+                               {"state", "ready"},
+                               {"cold_ms", 0},
+                               {"seq", 1},
+                               {"born", 1000}}
+            .dump();
+    };
     for (const std::string &odd : {nested,
                                    R"({"service":)" + nested + "}",
-                                   start + "65536" + end,
-                                   start + "0" + end,
-                                   start + "-1" + end,
+                                   entryWithPort("65536"),
+                                   entryWithPort("0"),
+                                   entryWithPort("-1"),
                                    std::string(R"({"seq":1e999})")}) {
         CAPTURE(odd.substr(0, 200));
         world.store.put("keyed.servers", "i-odd", odd);
