Keep one time of an attempt's header in ForwardRun

beganAt, added for suspects, repeated headAt, which was set for streams of engines only and guarded against a second header that HttpPool never reports. headAt is now set for each header and serves both; the guard was dead. Behaviour is unchanged.

--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -366,7 +366,7 @@
     this->status = answerStatus;
     this->headers = fields;
     this->lastByteAt = now;
-    this->beganAt = now;
+    this->headAt = now;
     if (answer.isFromOther(this->life.server)) {
         this->task.crashes.onServerGone(this->life);
     } else {
@@ -401,12 +401,9 @@
     }
     if (!this->work.request.model.empty()) {
         this->task.observeFirstByte(now - this->attemptAt);
-        if (this->headAt == TimePoint {}) {
-            this->headAt = now;
-            const auto &parts = this->work.request.parts;
-            this->task.engines.observeFirstToken(
-                parts.empty() ? 0 : parts.back().tokens, this->attemptTokens, now - this->attemptAt);
-        }
+        const auto &parts = this->work.request.parts;
+        this->task.engines.observeFirstToken(
+            parts.empty() ? 0 : parts.back().tokens, this->attemptTokens, now - this->attemptAt);
     }
     if (!this->fetchedFrom.empty()) {
         const std::uint64_t own = this->work.request.parts.back().tokens;
@@ -518,7 +515,7 @@
 void ForwardRun::recordAnswer(TimePoint now)
 {
     if (framingOf(this->headers) != FramedByClose) {
-        this->task.parts.suspicions.recordAnswer(this->work.service, this->work.keys, this->beganAt, now);
+        this->task.parts.suspicions.recordAnswer(this->work.service, this->work.keys, this->headAt, now);
     }
 }
 
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -95,7 +95,6 @@
     ServerIncarnation life; ///< Server and start time of the server of the latest attempt.
     TimePoint attemptAt;
     TimePoint lastByteAt; ///< When the latest byte of the attempt's answer arrived; its start before.
-    TimePoint beganAt; ///< When the header of the latest attempt's answer arrived.
     TimePoint headAt; ///< When the header of the attempt's answer arrived; epoch before.
     bool prefilled = false; ///< The prompt tokens of the attempt no longer count as queued at the server.
     bool requestSent = false; ///< The request was sent completely, or certainly never will be.
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -140,8 +140,8 @@
     int port = 0;
     std::map<bufferevent *, Connection> connections;
     std::uint64_t connectionCount = 0;
-    std::vector<std::unique_ptr<Timer>>
-        closing; ///< Delayed answers, and resets, so that the bytes sent before them arrive.
+    /// Delayed answers, and resets, which are delayed so that the bytes sent before them arrive.
+    std::vector<std::unique_ptr<Timer>> closing;
 };
 
 /// @returns a complete answer with a server seal and the id of @p request.
