--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -385,10 +385,15 @@
     return std::string(size) + "\r\n" + event + "\r\n";
 }
 
-World::World(std::size_t count, std::size_t hostCount)
+World::World(std::size_t count, std::size_t hostCount, const std::function<void(ForwardBounds &)> &change)
     : store(this->loop)
     , callers(HttpPool::create(this->loop, 5s))
 {
+    this->bounds.retrySlack = 100;
+    this->bounds.stopTime = 6s;
+    if (change) {
+        change(this->bounds);
+    }
     for (std::size_t i = 0; i < count; ++i) {
         this->runners.push_back(std::make_unique<RunnerStandin>(this->loop, "i-" + std::to_string(i)));
         this->list(*this->runners.back());
@@ -439,8 +444,7 @@
     settings.listenMetrics = "127.0.0.1:0";
     settings.logAddress = loopback(host.store->server->port());
     settings.firstStart = true;
-    settings.bounds.retrySlack = 100;
-    settings.bounds.stopTime = 6s;
+    settings.bounds = this->bounds;
     host.log = std::make_unique<platform::KeyedLogClient>(this->loop, settings.logAddress);
     host.engines = std::make_unique<platform::RunnerControl>(this->loop);
     host.node = ForwardNode::create(this->loop,
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -180,7 +180,8 @@
 public:
     /// @param runners Number of runners of the only service.
     /// @param hosts Number of hosts, all in one failure domain; functions without a host argument use the first one.
-    explicit World(std::size_t runners, std::size_t hosts = 1);
+    /// @param change Changes the bounds of all hosts.
+    explicit World(std::size_t runners, std::size_t hosts = 1, const std::function<void(ForwardBounds &)> &change = {});
     ~World();
     World(const World &) = delete;
     World &operator=(const World &) = delete;
@@ -225,6 +226,7 @@
     void startHost(WorldHost &host);
     std::size_t send(PooledCall call);
 
+    ForwardBounds bounds;
     std::uint64_t configVersion = 0;
     std::uint64_t heartbeat = 0;
     platform::RequestCodec requests;
