Date new weights by when they may have been named, not by when they are read

Callers' prompts began on replaced weights 10,027 and 10,223 ms after the newer version was acknowledged (10,000 ms allowed), at hosts that had stood still from 8.1 to 12.75 s while it was named.

Cause: OperatorFeed recorded the time of the read as the time of the naming, so that the bound on older weights ran from 12.75 s instead of 8.32 s there; the margin of 2.5 s covers delays of reading, not of standing still. Ruled out: the wait at the runner (190 and 330 ms), see the postmortem.

Change: ConfigConfirmation says when what this host has folded was last known to be the newest; a version that is read next may have been named from then on, and its bound runs from then. While no host can reach the log nothing can be written, so that an outage for all does not count. The same holds after lost history, where a version counted as named long ago.

--- a/packages/core/include/endivespan/weight_history.h
+++ b/packages/core/include/endivespan/weight_history.h
@@ -16,7 +16,8 @@
 {
 public:
     /// Records that @p version was named.
-    /// @param at When this host first read it; the clock's epoch when that is unknown, so that it counts as long ago.
+    /// @param at The earliest time at which it may have been named; the clock's epoch when that is unknown, so that it
+    ///     counts as long ago.
     /// @returns false when it was on record already, in which case the earlier time stays.
     bool recordVersion(const std::string &model, std::uint64_t version, TimePoint at);
 
--- a/packages/node/src/operator_feed.cpp
+++ b/packages/node/src/operator_feed.cpp
@@ -160,6 +160,7 @@
     }
     this->reachable = false;
     this->membership.setLogReachable(false);
+    this->confirmation.onLogFailed(this->membership, this->loop.now());
     const bool isPassedOn = this->hasNewest && this->timeUntilOwnRead() > Duration::zero();
     const auto pause = isPassedOn
         ? Duration(config::OperatorRelayedBackoff)
@@ -217,10 +218,14 @@
                 .with("in_force", evacuation->inForce ? "yes" : "no");
         }
     } else if (const auto *weights = std::get_if<WeightsRecord>(&decoded.value())) {
-        // It is unknown when the records found by the first read were written.
-        const TimePoint at = this->hasNewest ? this->loop.now() : TimePoint {};
+        // A host that stood still or was cut off reads the record late, so that the time of the read does not count. It
+        // is unknown when the records found by the first read were written.
+        const TimePoint at = this->confirmation.lastKnownNewest().value_or(TimePoint {});
         if (this->current.weights.recordVersion(weights->model, weights->version, at)) {
-            this->events.line("weights_named").with("model", weights->model).with("version", weights->version);
+            this->events.line("weights_named")
+                .with("model", weights->model)
+                .with("version", weights->version)
+                .with("within_ms", at == TimePoint {} ? Duration::zero() : this->loop.now() - at);
         }
     }
 }
--- a/tests/core/gossip.cpp
+++ b/tests/core/gossip.cpp
@@ -146,6 +146,35 @@
     CHECK(fleet.standing(6) == ConfigValidity::LogDownForAll);
 }
 
+TEST_CASE(
+    "confirmation: what a host reads after it stood still may have been written as long ago as its last confirmation")
+{
+    GossipFleet fleet(HostCount);
+    fleet.runFor(10s);
+    const TimePoint before = fleet.now;
+    GossipHost &host = *fleet.hosts[7];
+    CHECK(host.confirmation.lastKnownNewest() == before);
+    host.running = false;
+    fleet.logEnd = 5;
+    fleet.runFor(5s);
+    CHECK(host.confirmation.lastKnownNewest() == before);
+    host.confirmation.onLogFailed(host.membership, fleet.now);
+    CHECK(host.confirmation.lastKnownNewest() == before);
+}
+
+TEST_CASE("confirmation: while no host can reach the log, nothing can have been written to it")
+{
+    GossipFleet fleet(HostCount);
+    fleet.runFor(10s);
+    for (const auto &host : fleet.hosts) {
+        host->logUp = false;
+    }
+    fleet.runFor(20s);
+    GossipHost &host = *fleet.hosts[7];
+    host.confirmation.onLogFailed(host.membership, fleet.now);
+    CHECK(host.confirmation.lastKnownNewest() == fleet.now);
+}
+
 TEST_CASE(
     "confirmation: the configuration of hosts that are cut off together from the log and all others becomes stale")
 {
