Let the stand-in of the store return from an older copy

StoreStandin::copy() keeps a copy of all topics; restore() puts it back, raises the era, which every answer carries in the field Store-Era, and resets the reads that wait for records. A read from beyond the end of a topic is answered with 410 and the first offset. The newest records of a topic that does not exist are answered with 404.

--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -79,7 +79,7 @@
     if (access.silent) {
         this->held.push_back(exchange);
     } else if (access.refuses) {
-        exchange->reply(503, {}, "");
+        this->reply(*exchange, 503);
     } else if (access.resets) {
         exchange->abort();
     } else if (access.delay > 0ms) {
@@ -114,6 +114,27 @@
     return found == this->topics.end() ? std::vector<std::string> {} : found->second.records;
 }
 
+std::optional<std::string> StoreStandin::newest(const std::string &name, const std::string &key) const
+{
+    const auto topic = this->topics.find(name);
+    if (topic == this->topics.end()) {
+        return std::nullopt;
+    }
+    const auto entry = topic->second.newest.find(key);
+    return entry == topic->second.newest.end() ? std::nullopt : std::optional(entry->second.first);
+}
+
+void StoreStandin::copy()
+{
+    this->copied = this->topics;
+}
+
+void StoreStandin::restore()
+{
+    this->topics = this->copied;
+    ++this->era;
+}
+
 void StoreStandin::handle(const std::shared_ptr<HttpExchange> &exchange)
 {
     const HttpRequest &request = exchange->request();
@@ -122,32 +143,49 @@
         return;
     }
     if (this->down) {
-        exchange->reply(503, {}, "");
+        this->reply(*exchange, 503);
         return;
     }
     const std::string name = request.query.contains("topic") ? request.query.at("topic") : "";
-    Topic &topic = this->topics[name];
     if (request.path == "/v1/log-newest") {
-        json items = json::array();
-        for (const auto &[key, entry] : topic.newest) {
-            items.push_back({{"key", key}, {"value", toBase64(entry.first)}, {"offset", entry.second}});
-        }
-        exchange->reply(
-            200, {}, json {{"items", items}, {"has_more", false}, {"end", topic.first + topic.records.size()}}.dump());
+        this->readNewest(*exchange, name);
     } else if (request.path == "/v1/log-read") {
         const auto wait = std::chrono::milliseconds(std::stol(request.query.at("wait_ms")));
-        this->read(exchange, topic, this->loop.now() + wait);
+        this->read(exchange, name, this->loop.now() + wait);
     } else {
         this->append(*exchange, name);
     }
 }
 
-void StoreStandin::read(const std::shared_ptr<HttpExchange> &exchange, Topic &topic, TimePoint until)
+void StoreStandin::reply(HttpExchange &exchange, int status, const std::string &body)
 {
+    exchange.reply(status, {{"Store-Era", std::to_string(this->era)}}, body);
+}
+
+void StoreStandin::readNewest(HttpExchange &exchange, const std::string &name)
+{
+    const auto found = this->topics.find(name);
+    if (found == this->topics.end()) {
+        this->reply(exchange, 404);
+        return;
+    }
+    const Topic &topic = found->second;
+    json items = json::array();
+    for (const auto &[key, entry] : topic.newest) {
+        items.push_back({{"key", key}, {"value", toBase64(entry.first)}, {"offset", entry.second}});
+    }
+    const json body {{"items", items}, {"has_more", false}, {"end", topic.first + topic.records.size()}};
+    this->reply(exchange, 200, body.dump());
+}
+
+void StoreStandin::read(const std::shared_ptr<HttpExchange> &exchange, const std::string &name, TimePoint until)
+{
+    const auto found = this->topics.find(name);
+    const Topic &topic = found == this->topics.end() ? Topic {} : found->second;
     const std::uint64_t from = std::stoul(exchange->request().query.at("from"));
     const std::uint64_t end = topic.first + topic.records.size();
-    if (from < topic.first) {
-        exchange->reply(410, {}, json {{"first", topic.first}}.dump());
+    if (from < topic.first || from > end) {
+        this->reply(*exchange, 410, json {{"first", topic.first}}.dump());
         return;
     }
     if (from < end || this->loop.now() >= until) {
@@ -155,11 +193,16 @@
         for (std::uint64_t i = from; i < end; ++i) {
             body += platform::encodeRecord(topic.records[i - topic.first]);
         }
-        exchange->reply(200, {}, body);
+        this->reply(*exchange, 200, body);
         return;
     }
-    this->timers.push_back(
-        this->loop.after(5ms, [this, exchange, &topic, until] { this->read(exchange, topic, until); }));
+    this->timers.push_back(this->loop.after(5ms, [this, exchange, name, until, begun = this->era] {
+        if (begun == this->era) {
+            this->read(exchange, name, until);
+        } else {
+            exchange->abort();
+        }
+    }));
 }
 
 void StoreStandin::append(HttpExchange &exchange, const std::string &name)
@@ -168,7 +211,7 @@
     Topic &topic = this->topics[name];
     const std::uint64_t end = topic.first + topic.records.size();
     if (request.query.contains("at") && std::stoul(request.query.at("at")) != end) {
-        exchange.reply(412, {}, json {{"end", end}}.dump());
+        this->reply(exchange, 412, json {{"end", end}}.dump());
         return;
     }
     const std::string content = request.body.substr(4);
@@ -183,7 +226,7 @@
         exchange.abort();
         return;
     }
-    exchange.reply(200, {}, json {{"offset", end}, {"end", end + 1}}.dump());
+    this->reply(exchange, 200, json {{"offset", end}, {"end", end + 1}}.dump());
 }
 
 std::string ReceivedRequest::field(const std::string &name) const
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -53,6 +54,15 @@
     /// @returns the values of a plain topic.
     [[nodiscard]] std::vector<std::string> plain(const std::string &topic) const;
 
+    /// @returns the newest value of a key of a keyed topic, if there is one.
+    [[nodiscard]] std::optional<std::string> newest(const std::string &topic, const std::string &key) const;
+
+    /// Keeps a copy of all topics.
+    void copy();
+
+    /// Replaces all topics by the copy and raises the era. Reads that wait for records are reset.
+    void restore();
+
     bool down = false; ///< Answers 503.
     bool silent = false; ///< Answers nothing.
     int lostAppends = 0; ///< How many of the next appends are applied but not answered.
@@ -65,11 +75,15 @@
     };
     void handle(const std::shared_ptr<HttpExchange> &exchange);
     void handle(const Access &access, const std::shared_ptr<HttpExchange> &exchange);
-    void read(const std::shared_ptr<HttpExchange> &exchange, Topic &topic, TimePoint until);
+    void readNewest(HttpExchange &exchange, const std::string &name);
+    void read(const std::shared_ptr<HttpExchange> &exchange, const std::string &name, TimePoint until);
     void append(HttpExchange &exchange, const std::string &name);
+    void reply(HttpExchange &exchange, int status, const std::string &body = "");
 
     Loop &loop;
     std::map<std::string, Topic> topics;
+    std::map<std::string, Topic> copied;
+    std::uint64_t era = 1; ///< Sent with each answer; number of restores, plus one.
     std::vector<std::shared_ptr<HttpExchange>> held;
     std::vector<std::unique_ptr<Timer>> timers;
     std::unique_ptr<HttpServer> server;
