Take no outage of the log for all hosts as a sign that nothing was written

Ruled out: marking only outages seen without a pause, since reports of other hosts are as old as the time after which a host is suspected.

Change: only a confirmation counts.

--- a/packages/core/include/endivespan/confirmation.h
+++ b/packages/core/include/endivespan/confirmation.h
@@ -47,9 +47,6 @@
     /// Handles an answer of the log to a request sent at @p askedAt: the stream ended at @p end.
     void onLogAnswer(std::uint64_t end, TimePoint askedAt);
 
-    /// Handles a call to the log that failed.
-    void onLogFailed(const Membership &membership, TimePoint now);
-
     /// Handles the statement in a peer's answer.
     /// @param askedAt When this host sent the request. The stated age is counted from then, so that the confirmation is
     ///     never taken for newer than it is.
@@ -81,7 +78,6 @@
     std::uint64_t offset = 0;
     std::map<std::uint64_t, std::uint64_t> digests; ///< Of the last config::ConfirmationDigestsKept offsets folded.
     std::optional<TimePoint> confirmedAt;
-    std::optional<TimePoint> downForAllAt; ///< Latest time at which no host could reach the log.
     std::map<std::uint64_t, TimePoint> pendingConfirmations; ///< Times by offsets that are not folded yet.
     /// This host's membership has once had at least as many hosts as that of a peer it asked, or there are no peers.
     bool membershipComplete;
--- a/packages/core/src/confirmation.cpp
+++ b/packages/core/src/confirmation.cpp
@@ -41,16 +41,9 @@
     this->confirm(end, askedAt);
 }
 
-void ConfigConfirmation::onLogFailed(const Membership &membership, TimePoint now)
-{
-    if (this->validity(membership, now) == ConfigValidity::LogDownForAll) {
-        this->downForAllAt = now;
-    }
-}
-
 std::optional<TimePoint> ConfigConfirmation::lastKnownNewest() const
 {
-    return std::max(this->confirmedAt, this->downForAllAt);
+    return this->confirmedAt;
 }
 
 bool ConfigConfirmation::onPeerAnswer(const std::string &peer,
--- a/packages/node/src/operator_feed.cpp
+++ b/packages/node/src/operator_feed.cpp
@@ -160,7 +160,6 @@
     }
     this->reachable = false;
     this->membership.setLogReachable(false);
-    this->confirmation.onLogFailed(this->membership, this->loop.now());
     const bool isPassedOn = this->hasNewest && this->timeUntilOwnRead() > Duration::zero();
     const auto pause = isPassedOn
         ? Duration(config::OperatorRelayedBackoff)
