Compare positions of the log with the era that they belong to

Cause: an offset alone names a position, and a restored log gives offsets out again. Hosts compared offsets of two histories: newest records with a lower end were ignored, and reads went on at an offset that the log did not have, every 17 ms.

Change: KeyedLog reports positions that hold the era of the log in their upper bits, so that every comparison of them, in feeds, confirmations, gossip and relayed lists, orders a later era after an earlier one. The client of the platform's store decodes the era once, from the field in each answer; a read from a position of another era reports a gap, pages of two eras fail, and a conditional append of an earlier era counts as refused.

--- a/packages/net/include/endivespan/keyed_log.h
+++ b/packages/net/include/endivespan/keyed_log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <endivespan/error.h>
+#include <endivespan/log_position.h>
 
 #include <chrono>
 #include <cstdint>
@@ -10,7 +11,8 @@
 #include <vector>
 
 /// Client interface of a log service with two kinds of topics: keyed topics, which keep the newest record of each key,
-/// and plain topics, which support conditional appends.
+/// and plain topics, which support conditional appends. All offsets are positions, see log_position.h, since the
+/// service may be restored from a copy that lacks the latest records.
 namespace endivespan {
 
 /// One record of a keyed topic.
@@ -22,15 +24,15 @@
 /// Result of a read.
 struct KeyedBatch {
     std::vector<KeyedRecord> records;
-    std::uint64_t next = 0; ///< Offset to read from next.
-    std::uint64_t end = 0; ///< End offset of the topic when the service answered.
-    bool gap = false; ///< Requested records have expired: call newest() instead.
+    std::uint64_t next = 0; ///< Position to read from next.
+    std::uint64_t end = 0; ///< End of the topic when the service answered.
+    bool gap = false; ///< Requested records have expired or were lost in a restore: call newest() instead.
 };
 
 /// Result of a conditional append.
 struct ConditionalAppend {
-    bool applied = false;
-    std::uint64_t offset = 0; ///< Offset of the record; when not applied, the end of the topic.
+    bool applied = false; ///< False also when the service has been restored since the position was read.
+    std::uint64_t offset = 0; ///< Position of the record; when not applied, the end of the topic.
 };
 
 /// Client for the log service. Each call invokes its callback exactly once, unless the client is destroyed first.
@@ -43,7 +45,10 @@
     /// Reads the newest record of each key.
     virtual void newest(const std::string &topic, std::function<void(Result<KeyedBatch>)> done) = 0;
 
-    /// Reads the records from offset @p from onwards.
+    /// @returns the era of the latest answer; 0 before the first one.
+    [[nodiscard]] virtual std::uint64_t era() const = 0;
+
+    /// Reads the records from position @p from onwards.
     /// @param wait Long-poll time: how long the service may delay its answer while there are no records.
     virtual void read(const std::string &topic,
                       std::uint64_t from,
@@ -63,7 +68,7 @@
     ///     records have expired.
     virtual void last(const std::string &topic, std::uint64_t from, std::function<void(Result<KeyedBatch>)> done) = 0;
 
-    /// Appends to a plain topic, provided that the topic ends at offset @p at.
+    /// Appends to a plain topic, provided that the topic ends at position @p at.
     virtual void appendAt(const std::string &topic,
                           std::uint64_t at,
                           const std::string &value,
--- a/packages/node/src/server_feed.h
+++ b/packages/node/src/server_feed.h
@@ -73,8 +73,8 @@
     const RelayAgeLimits ages;
     std::function<void()> changed;
     std::unique_ptr<Timer> timer;
-    std::uint64_t next = 0; ///< Offset up to which records are applied.
-    std::uint64_t batchNext = 0; ///< Offset after the batch that is being applied.
+    std::uint64_t next = 0; ///< Position up to which records are applied.
+    std::uint64_t batchNext = 0; ///< Position after the batch that is being applied.
     RelayedDataAge sharedFact; ///< Age of the list, and when this host must read it itself.
     bool hasNewest = false; ///< The newest records were read, so that reads can go on at the offset.
     bool reachable = true; ///< The latest poll of the log succeeded.
