Count the order lease from the restore of the log that lost its records

Runners got no order for new weights after a restore of the log (none in 10 s, in the test), or two hosts ordered them 300 and 399 ms apart where the gap is 1,500 ms.

Cause: the lease compared the end of its topic across the restore. A read from the old end answers 410 for ever; with the holder's record gone, the next host took the lease at once, and with a lower fencing number.

Change: fencing numbers are positions, so they rise with the era. When the era rises the lease is nobody's until its term and the gap have passed, with or without a record in the copy. A record names the era that its writer knew: one that the copy still holds, or that is applied late, gives no right.

The cases of the lease in restored_store.cpp failed before and pass.

--- a/packages/core/include/endivespan/order_lease.h
+++ b/packages/core/include/endivespan/order_lease.h
@@ -35,10 +35,13 @@
     ///     onNoAnswer() must be called after Append, and one of onRead() and onNoAnswer() after Read.
     [[nodiscard]] OrderLeaseStep next(TimePoint now) const;
 
+    /// Records the era of the log, see log_position.h. To be called before each other call.
+    void onEra(std::uint64_t era, TimePoint now);
+
     /// Handles the result of a read.
-    /// @param holder Writer of the newest record; empty when there is no record.
-    /// @param end Offset at the end of the stream.
-    void onRead(const std::string &holder, std::uint64_t end, TimePoint now);
+    /// @param newest The newest record; empty when there is none.
+    /// @param end Position of the end of the stream.
+    void onRead(const std::string &newest, std::uint64_t end, TimePoint now);
 
     /// Handles the success of an append that was sent at @p sentAt: this host's record is at @p offset.
     void appended(std::uint64_t offset, TimePoint sentAt);
@@ -53,12 +56,17 @@
     ///     order.
     [[nodiscard]] std::optional<std::uint64_t> fence(TimePoint now) const;
 
-    /// @returns the offset to append at, or the last known end of the stream while the present one is not known.
+    /// @returns the record to append: the holder and the era that it knows.
+    [[nodiscard]] std::string record() const;
+
+    /// @returns the position to append at, or the last known end of the stream while the present one is not known.
     [[nodiscard]] std::uint64_t end() const;
 
 private:
     std::string self;
     OrderLeaseTimes times;
+    std::optional<std::uint64_t> era; ///< Latest one of the log.
+    TimePoint eraSince; ///< When this host first saw it.
     std::optional<std::uint64_t> knownEnd; ///< End of the stream; empty when a read is needed.
     std::uint64_t lastEnd = 0; ///< Latest value of knownEnd.
     bool newestIsOwn = false; ///< The newest record was written by this process.
--- a/packages/node/src/rollout_task.cpp
+++ b/packages/node/src/rollout_task.cpp
@@ -60,6 +60,7 @@
 
 void RolloutTask::tick(TimePoint now)
 {
+    this->lease.onEra(this->log.era(), now);
     if (this->stopping || !this->rollout.isNeeded(this->servers, now)) {
         this->neededSince = {};
         return;
@@ -100,6 +101,7 @@
     this->log.last(this->codec.leaseTopic(), this->lease.end(), [this](const Result<KeyedBatch> &batch) {
         this->calling = false;
         const TimePoint now = this->loop.now();
+        this->lease.onEra(this->log.era(), now);
         this->nextCall = now;
         if (!batch) {
             this->lease.onNoAnswer();
@@ -115,9 +117,13 @@
 {
     this->calling = true;
     this->log.appendAt(
-        this->codec.leaseTopic(), this->lease.end(), this->holder, [this, now](const Result<ConditionalAppend> &done) {
+        this->codec.leaseTopic(),
+        this->lease.end(),
+        this->lease.record(),
+        [this, now](const Result<ConditionalAppend> &done) {
             this->calling = false;
             this->nextCall = this->loop.now();
+            this->lease.onEra(this->log.era(), this->loop.now());
             if (!done) {
                 this->lease.onNoAnswer();
                 this->nextCall += config::OrderRetryPause;
