Ignore entries of removed servers that are not newer than their last one

A runner that had drained and left got 76 requests after a restore of the store, in the test: the copy still listed it as ready.

Cause: only servers in the table remember the heartbeat of their entry; a removed one was taken for a new server.

Change: ServerTable keeps start and heartbeat of the last entry of up to config::LeftServersKept removed servers. A runner that really returns writes a higher heartbeat or a later start. Always on, since an old entry is no news wherever it comes from.

The case of restored_store.cpp failed before and passes; server table cases pass.

--- a/packages/core/include/endivespan/server_table.h
+++ b/packages/core/include/endivespan/server_table.h
@@ -113,7 +113,8 @@
 class ServerTable
 {
 public:
-    /// Adds or updates a server from its entry in the list. An entry older than the known one is ignored.
+    /// Adds or updates a server from its entry in the list. An entry that is older than the known one, or not newer
+    /// than the last one of a server that has been removed, is ignored: a list restored from a copy shows such entries.
     /// @returns true when more than the heartbeat has changed.
     bool update(const ServerEntry &entry, TimePoint now);
 
@@ -206,11 +207,15 @@
     [[nodiscard]] const ServerView *find(const std::string &id) const;
 
 private:
+    void remove(std::map<std::string, ServerView>::iterator server);
+
     std::map<std::string, ServerView> views;
     std::unordered_map<std::uint32_t, std::string> shortIds; ///< Server ids by short id.
     std::set<std::string> evacuatedDomains;
     /// By server id, the latest start at which the server has reported that it is leaving.
     std::map<std::string, std::uint64_t> leavingStarts;
+    /// Start and heartbeat of the last entry of servers whose entries have been removed, by id.
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> removedEntries;
 };
 
 } // namespace endivespan
--- a/packages/core/src/server_table.cpp
+++ b/packages/core/src/server_table.cpp
@@ -57,6 +57,13 @@
 
 bool ServerTable::update(const ServerEntry &entry, TimePoint now)
 {
+    const std::pair state(entry.born, entry.heartbeat);
+    if (const auto gone = this->removedEntries.find(entry.id); gone != this->removedEntries.end()) {
+        if (state <= gone->second) {
+            return false;
+        }
+        this->removedEntries.erase(gone);
+    }
     const auto [place, isNew] = this->views.try_emplace(entry.id);
     ServerView &view = place->second;
     if (!isNew) {
@@ -116,7 +123,20 @@
         found->second.removeAt = lapsedUntil;
         return;
     }
-    this->views.erase(found);
+    this->remove(found);
+}
+
+void ServerTable::remove(std::map<std::string, ServerView>::iterator server)
+{
+    if (this->removedEntries.size() >= config::LeftServersKept) {
+        // Evicts the server that started first: it is the least likely to be listed again.
+        this->removedEntries.erase(std::min_element(this->removedEntries.begin(),
+                                                    this->removedEntries.end(),
+                                                    [](const auto &a, const auto &b) { return a.second < b.second; }));
+    }
+    const ServerEntry &entry = server->second.entry;
+    this->removedEntries[entry.id] = {entry.born, entry.heartbeat};
+    this->views.erase(server);
 }
 
 void ServerTable::setEvacuated(std::set<std::string> domains, TimePoint now)
@@ -136,8 +156,12 @@
 
 void ServerTable::tick(TimePoint now)
 {
-    std::erase_if(this->views,
-                  [now](const auto &entry) { return entry.second.removeAt && *entry.second.removeAt <= now; });
+    for (auto server = this->views.begin(); server != this->views.end();) {
+        const auto current = server++;
+        if (current->second.removeAt && *current->second.removeAt <= now) {
+            this->remove(current);
+        }
+    }
     std::erase_if(this->shortIds, [this](const auto &entry) { return !this->views.contains(entry.second); });
 }
 
