Keep operators' records that a restored log lacks until they can be rewritten

A failure domain that was evacuated in the seconds that the copy lacks got 70 requests in 800 ms after the restore, in the test.

Cause: the newest records replace the known ones, and those that are missing are taken as deleted.

Change: after a restore, missing records stay in force for the time within which entries are renewed; then the newest records are read once more and what is still missing is dropped. Configurations and weight versions older than those in force are not passed to peers either, which would start from them.

--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -51,6 +51,7 @@
                     this->membership,
                     this->confirmation,
                     this->ages,
+                    this->settings.bounds.listLapse + this->ages.operators,
                     [this] { this->operatorsChanged(); })
         , serverFeed(loop,
                      adapters.log,
--- a/packages/node/src/operator_feed.cpp
+++ b/packages/node/src/operator_feed.cpp
@@ -17,6 +17,7 @@
                            Membership &membership,
                            ConfigConfirmation &confirmation,
                            const RelayAgeLimits &ages,
+                           Duration rewriteTime,
                            std::function<void()> changed)
     : loop(loop)
     , log(log)
@@ -25,6 +26,7 @@
     , membership(membership)
     , confirmation(confirmation)
     , ages(ages)
+    , rewriteTime(rewriteTime)
     , changed(std::move(changed))
     , sharedFact(ages.operators)
 {
@@ -52,7 +54,7 @@
         this->onLogAnswer();
         // Records received from peers meanwhile may be newer than this answer.
         if (batch.value().next >= this->next) {
-            this->replaceRecords(batch.value().records);
+            this->adoptNewest(batch.value());
             this->advanceTo(batch.value().next);
             this->confirmation.onLogAnswer(batch.value().end, askedAt);
             this->sharedFact.confirmed(askedAt);
@@ -63,6 +65,24 @@
     });
 }
 
+// Applies the newest records of the log. After a restore those that the copy lacks stay in force until operators have
+// had time to write them again.
+void OperatorFeed::adoptNewest(const KeyedBatch &batch)
+{
+    const TimePoint now = this->loop.now();
+    if (this->next > 0 && eraOf(batch.next) > eraOf(this->next)) {
+        this->dropMissingAt = now + this->rewriteTime;
+        this->events.line("operator_records_restored", LogRank::Failure).with("era", eraOf(batch.next));
+    }
+    if (this->dropMissingAt && now >= *this->dropMissingAt) {
+        this->dropMissingAt.reset();
+    }
+    if (!this->dropMissingAt) {
+        this->dropMissing(batch.records);
+    }
+    this->putRecords(batch.records);
+}
+
 void OperatorFeed::setShared(bool shared)
 {
     this->sharedFact.setShared(shared);
@@ -91,6 +111,9 @@
 
 void OperatorFeed::readOn()
 {
+    if (this->dropMissingAt && this->loop.now() >= *this->dropMissingAt) {
+        return this->readNewest();
+    }
     if (const Duration wait = this->timeUntilOwnRead(); this->reachable && wait > Duration::zero()) {
         this->relayWait = this->loop.after(std::max<Duration>(wait, config::TickPeriod), [this] {
             const auto fired = std::move(this->relayWait);
@@ -192,6 +215,16 @@
     this->confirmation.onFolded(this->next, 0);
 }
 
+// Returns whether a record is older than what is in force, as records of a restored log may be.
+bool OperatorFeed::isOutdated(const OperatorRecord &record) const
+{
+    if (const auto *config = std::get_if<std::shared_ptr<const ForwardConfig>>(&record)) {
+        return this->current.config && (*config)->version < this->current.config->version;
+    }
+    const auto *weights = std::get_if<WeightsRecord>(&record);
+    return weights != nullptr && weights->version < this->current.weights.newest(weights->model).value_or(0);
+}
+
 void OperatorFeed::apply(const KeyedRecord &record)
 {
     const auto decoded = this->codec.decodeOperator(record.key, record.value);
@@ -201,6 +234,9 @@
             .with("why", decoded.error().detail);
         return;
     }
+    if (this->isOutdated(decoded.value())) {
+        return;
+    }
     if (record.value) {
         this->rawValues[record.key] = *record.value;
     } else {
@@ -242,7 +278,7 @@
     this->current.config = config;
 }
 
-void OperatorFeed::replaceRecords(const std::vector<KeyedRecord> &records)
+void OperatorFeed::dropMissing(const std::vector<KeyedRecord> &records)
 {
     std::set<std::string> present;
     for (const KeyedRecord &record : records) {
@@ -257,6 +293,10 @@
     for (const std::string &key : dropped) {
         this->apply({key, std::nullopt});
     }
+}
+
+void OperatorFeed::putRecords(const std::vector<KeyedRecord> &records)
+{
     for (const KeyedRecord &record : records) {
         this->apply(record);
     }
@@ -305,7 +345,8 @@
         }
         records.push_back({key, decoded.value()});
     }
-    this->replaceRecords(records);
+    this->dropMissing(records);
+    this->putRecords(records);
     this->advanceTo(offset);
     this->changed();
     return boost::outcome_v2::success();
--- a/packages/node/src/operator_feed.h
+++ b/packages/node/src/operator_feed.h
@@ -37,6 +37,7 @@
     /// @param confirmation Receives the offset up to which the topic was read, and the log's end with the time of it.
     /// @param membership Receives whether the log is reachable, and the offset.
     /// @param ages Limits on the age of facts, and wait times of reads.
+    /// @param rewriteTime Time after a restore of the log within which operators write again what it lost.
     /// @param changed Called after each change of state().
     OperatorFeed(Loop &loop,
                  KeyedLog &log,
@@ -45,6 +46,7 @@
                  Membership &membership,
                  ConfigConfirmation &confirmation,
                  const RelayAgeLimits &ages,
+                 Duration rewriteTime,
                  std::function<void()> changed);
 
     void start();
@@ -74,7 +76,10 @@
     void onLogAnswer();
     void apply(const KeyedRecord &record);
     void applyConfig(const std::shared_ptr<const ForwardConfig> &config);
-    void replaceRecords(const std::vector<KeyedRecord> &records);
+    void putRecords(const std::vector<KeyedRecord> &records);
+    void dropMissing(const std::vector<KeyedRecord> &records);
+    void adoptNewest(const KeyedBatch &batch);
+    [[nodiscard]] bool isOutdated(const OperatorRecord &record) const;
     void advanceTo(std::uint64_t offset);
 
     Loop &loop;
@@ -84,10 +89,13 @@
     Membership &membership;
     ConfigConfirmation &confirmation;
     const RelayAgeLimits ages;
+    const Duration rewriteTime;
     std::function<void()> changed;
     OperatorState current;
     std::map<std::string, std::string> rawValues; ///< Newest value by key, for peers.
-    std::uint64_t next = 0; ///< Offset up to which records are applied.
+    std::uint64_t next = 0; ///< Position up to which records are applied.
+    /// After a restore: when records that are still missing are dropped.
+    std::optional<TimePoint> dropMissingAt;
     bool hasNewest = false; ///< The newest records were read, so that reads can go on at the offset.
     RelayedDataAge sharedFact; ///< Age of the state, and when this host must read itself.
     bool newerSeen = false; ///< The reader has read further than this host.
