Write a host's report again when the list of hosts has lost it

Hosts that start later take their shares of common limits from the list of hosts; after a restore of the log, hosts that had started in the lost seconds were missing there for good.

Cause: a host wrote its report once, at its start.

Change: each periodic read of the list checks that the report of this process, or of a later one of the host, is there, and writes it otherwise.

--- a/packages/node/src/host_feed.cpp
+++ b/packages/node/src/host_feed.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace endivespan {
@@ -74,6 +75,19 @@
     });
 }
 
+// Returns whether the list has the report of this process or of a later one of this host.
+bool HostFeed::isListedIn(const KeyedBatch &batch) const
+{
+    const HostReport &self = this->membership.self();
+    return std::any_of(batch.records.begin(), batch.records.end(), [&self](const KeyedRecord &record) {
+        if (record.key != self.name || !record.value) {
+            return false;
+        }
+        const auto report = decodeReport(record);
+        return report && report.value().status.version.incarnation >= self.status.version.incarnation;
+    });
+}
+
 void HostFeed::announce()
 {
     const HostReport &self = this->membership.self();
@@ -98,6 +112,11 @@
             for (const KeyedRecord &record : batch.value().records) {
                 this->take(record);
             }
+            if (!this->isListedIn(batch.value())) {
+                // The log was restored from a copy that is older than the report.
+                this->events.line("host_report_lost", LogRank::Failure).with("era", eraOf(batch.value().end));
+                return this->announce();
+            }
         }
         this->readTimer = this->loop.after(batch ? Duration(config::HostReadPeriod) : Duration(config::HostReadAgain),
                                            [this] { this->read(); });
--- a/packages/node/src/host_feed.h
+++ b/packages/node/src/host_feed.h
@@ -14,7 +14,8 @@
 /// Host discovery through the log. Hosts that have found each other exchange messages directly.
 namespace endivespan {
 
-/// Writes the report of this host to the log once, and periodically reads the reports of the others.
+/// Writes the report of this host to the log, once unless it is lost there, and periodically reads the reports of the
+/// others.
 class HostFeed
 {
 public:
@@ -35,6 +36,7 @@
 private:
     void readFirst();
     void announce();
+    [[nodiscard]] bool isListedIn(const KeyedBatch &batch) const;
     void read();
     void take(const KeyedRecord &record);
 
