--- a/packages/core/include/endivespan/confirmation.h
+++ b/packages/core/include/endivespan/confirmation.h
@@ -63,6 +63,10 @@
     /// @returns whether the configuration is in force, that is, whether new work may be accepted under it, and why.
     [[nodiscard]] ConfigValidity validity(const Membership &membership, TimePoint now) const;
 
+    /// @returns the latest time at which nothing newer than the folded configuration existed, so that what is read next
+    ///     was appended later; nothing when no such time is known.
+    [[nodiscard]] std::optional<TimePoint> lastKnownNewest() const;
+
     /// @returns the statement to include in an answer to a peer now.
     [[nodiscard]] ConfigStatement statement(const Membership &membership, TimePoint now) const;
 
--- a/packages/core/src/confirmation.cpp
+++ b/packages/core/src/confirmation.cpp
@@ -41,6 +41,11 @@
     this->confirm(end, askedAt);
 }
 
+std::optional<TimePoint> ConfigConfirmation::lastKnownNewest() const
+{
+    return this->confirmedAt;
+}
+
 bool ConfigConfirmation::onPeerAnswer(const std::string &peer,
                                       const ConfigStatement &statement,
                                       TimePoint askedAt,
--- a/tests/core/gossip.cpp
+++ b/tests/core/gossip.cpp
@@ -146,6 +146,41 @@
     CHECK(fleet.standing(6) == ConfigValidity::LogDownForAll);
 }
 
+TEST_CASE(
+    "confirmation: what a host reads after it stood still may have been written as long ago as its last confirmation")
+{
+    GossipFleet fleet(HostCount);
+    fleet.runFor(10s);
+    const TimePoint before = fleet.now;
+    GossipHost &host = *fleet.hosts[7];
+    CHECK(host.confirmation.lastKnownNewest() == before);
+    host.running = false;
+    fleet.logEnd = 5;
+    fleet.runFor(5s);
+    CHECK(host.confirmation.lastKnownNewest() == before);
+}
+
+TEST_CASE("confirmation: a host that stands still over the end of an outage of the log does not count the outage as "
+          "confirmed")
+{
+    GossipFleet fleet(HostCount);
+    fleet.runFor(10s);
+    const TimePoint before = fleet.now;
+    for (const auto &host : fleet.hosts) {
+        host->logUp = false;
+    }
+    fleet.runFor(20s);
+    GossipHost &host = *fleet.hosts[7];
+    CHECK(fleet.standing(7) == ConfigValidity::LogDownForAll);
+    host.running = false;
+    for (const auto &other : fleet.hosts) {
+        other->logUp = true;
+    }
+    fleet.logEnd = 5;
+    fleet.runFor(5s);
+    CHECK(host.confirmation.lastKnownNewest() == before);
+}
+
 TEST_CASE(
     "confirmation: the configuration of hosts that are cut off together from the log and all others becomes stale")
 {
