Accept an answer with a length whose body arrives after its head

What callers saw: 502 "body limit exceeded" when a server sent the head of an answer with Content-Length and its body in separate segments, so that the input ended just after the head. The server had run the request. By reading (not measured): routes with repeats sent it to a second server, and the host noted a lost attempt as after a crash.

Cause: HttpPool set Beast's body limit to boost::none for "no limit". Beast 1.74 compares the length with the optional itself in finish_header(), and any number is greater than an empty optional, so that each answer with a length ends its head with error::body_limit. When more input follows the head, put() goes on with the body and replaces the error; when the input ends there, the error is returned. Chunked answers and answers without a length skip this comparison.

Ruled out: a truncated read (the head was complete in the buffer), an idle connection in use again (fails on new ones too), the evhttp client (its calls with the same bytes succeed) and the server side, which sets a number as its limit.

Change: the limit is the largest number of 64 bits. ForwardAnswerBytes still bounds what is kept of an answer.

Conclusion: no answer was wrong, but sound ones were lost whenever the network or the server split them after the head.

--- a/packages/net/src/http_pool.cpp
+++ b/packages/net/src/http_pool.cpp
@@ -17,6 +17,7 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <limits>
 #include <map>
 #include <optional>
 #include <utility>
@@ -376,7 +377,8 @@
     if (this->parser == nullptr) {
         this->parser = std::make_unique<Parser>();
         this->parser->eager(true);
-        this->parser->body_limit(boost::none);
+        // Not boost::none: Beast 1.74 reports any length as beyond it when the input ends with the head.
+        this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         this->parser->skip(this->call->call.method == "HEAD");
         this->headHandled = false;
         this->stray = false;
