Test that calls and engine runs cut at any byte of the answer fail

Question: can a server that stops inside the head of its answer be taken for one that answered completely by the evhttp client (startHttpCall, EngineClient)? No fault was found.

Mechanism: evhttp reports a closed connection as an error in every state except the body of an answer that has neither a length nor chunks, and Pending::done() counts a call as complete only without such an error. EngineClient further needs the summary of a stream, or a whole JSON object in a refusal, before it reports either.

Tests: answers with a length, chunks, trailers, no body and no framing, cut at every byte, closed in order and reset, sent at once and byte by byte, for calls with and without onChunk, for an engine's stream and for an engine's refusal.

Conclusion: cuts of these answers are reported as failures.

--- a/tests/net/broken_answers.cpp
+++ b/tests/net/broken_answers.cpp
@@ -1,5 +1,7 @@
 #include "byte_server.h"
 
+#include <endivespan/engine_client.h>
+#include <endivespan/http_client.h>
 #include <endivespan/http_pool.h>
 #include <endivespan/loop.h>
 
@@ -199,3 +201,92 @@
                    });
     }
 }
+
+TEST_CASE("a call with its own connection whose answer is cut at any byte fails")
+{
+    Loop loop;
+    ByteServer server(loop);
+    for (const bool streamed : {false, true}) {
+        CAPTURE(streamed);
+        forEachCut(answers("200 OK", "0123456789abcdefghijklm"),
+                   [&](const Answer &answer, std::size_t size, const Sending &sending) {
+                       INFO(describe(answer, size, sending));
+                       server.script = [&sending](const std::string &) -> const Sending & { return sending; };
+                       HttpCall call;
+                       call.address = server.address;
+                       call.target = "/";
+                       Outcome outcome(loop);
+                       HttpCallbacks callbacks;
+                       if (streamed) {
+                           callbacks.onChunk = [&outcome](int, std::string_view bytes) { outcome.body += bytes; };
+                       }
+                       callbacks.onDone = [&outcome](const HttpAnswer &received) {
+                           outcome.status = received.status;
+                           outcome.body += received.body;
+                           outcome.succeed();
+                       };
+                       callbacks.onFailure = [&outcome](const HttpFailure &) { outcome.fail(); };
+                       const auto pending = startHttpCall(loop, call, std::move(callbacks));
+                       outcome.await();
+                       checkOutcome(outcome, answer, size, sending);
+                   });
+    }
+}
+
+TEST_CASE("an engine's stream that is cut at any byte before its summary fails")
+{
+    Loop loop;
+    ByteServer server(loop);
+    const auto client = EngineClient::create(loop);
+    const std::string content = "data: {\"request_id\":\"a\",\"index\":0,\"text\":\"x\"}\n\n"
+                                "data: {\"request_id\":\"a\",\"done\":true,\"count\":1}\n\n";
+    forEachCut(answers("200 OK", content), [&](const Answer &answer, std::size_t size, const Sending &sending) {
+        INFO(describe(answer, size, sending));
+        server.script = [&sending](const std::string &) -> const Sending & { return sending; };
+        EngineRequest request;
+        request.address = server.address;
+        request.attemptId = "a";
+        Outcome outcome(loop);
+        int tokens = 0;
+        const auto run = client->run(request,
+                                     {[&tokens](const EngineToken &) { ++tokens; },
+                                      [&outcome](const EngineSummary &) { outcome.succeed(); },
+                                      [&outcome](EngineRefusal, const std::string &) { outcome.refuse(); },
+                                      [&outcome](const Error &, bool) { outcome.fail(); }});
+        outcome.await();
+        CHECK(outcome.refusals == 0);
+        // The summary ends the answer whatever follows it.
+        const bool summary = sending.bytes.find("\"count\":1}\n\n") != std::string::npos;
+        CHECK(outcome.done == (summary ? 1 : 0));
+        CHECK(outcome.failures == (summary ? 0 : 1));
+        CHECK(tokens <= 1);
+        CHECK((outcome.done == 0 || tokens == 1));
+    });
+}
+
+TEST_CASE("an engine's refusal that is cut at any byte is not taken for a promise that the request has not run")
+{
+    Loop loop;
+    ByteServer server(loop);
+    const auto client = EngineClient::create(loop);
+    const std::string content = "{\"error\":\"cold\",\"ran\":false}";
+    forEachCut(answers("503 X", content), [&](const Answer &answer, std::size_t size, const Sending &sending) {
+        INFO(describe(answer, size, sending));
+        server.script = [&sending](const std::string &) -> const Sending & { return sending; };
+        EngineRequest request;
+        request.address = server.address;
+        request.attemptId = "a";
+        Outcome outcome(loop);
+        const auto run = client->run(request,
+                                     {{},
+                                      [&outcome](const EngineSummary &) { outcome.succeed(); },
+                                      [&outcome](EngineRefusal, const std::string &) { outcome.refuse(); },
+                                      [&outcome](const Error &, bool) { outcome.fail(); }});
+        outcome.await();
+        CHECK(outcome.done == 0);
+        const bool whole
+            = answer.content == content && answer.isWhole(size, sending.end) && size == answer.bytes().size();
+        CHECK(outcome.refusals == (whole ? 1 : 0));
+        CHECK(outcome.failures == (whole ? 0 : 1));
+    });
+}
