Derive the times of a stop from the time that the host is given

What callers saw: with a stop_time of 3 s a host passed on requests until 2.5 s after SIGTERM and ended at 2.6 s, so that requests taken shortly before were cut.

Cause: StopRefuseAfter and StopLeastTime were used as they are, whatever bounds.stopTime is.

Ruled out: a fault at the moment of the change itself: requests every 5 ms around it are all answered and run at most once (new case, passed before).

Change: new requests are refused from StopRefuseAfter, at most a third of stop_time, and the process does not end before StopLeastTime, at most the time at which the requests are ended. With a stop_time of 8 s both are as before.

Before (stop_time 3 s, answers that take 0.8 s, one request each 0.1 s): 6 of 25 requests got no answer; with 1 s and a runner that hangs, a request 0.6 s after SIGTERM was passed on and cut. After: all 25 get 200 or 503, and only those with 200 reached the runner; the late request gets 503.

Conclusion: the times follow from the bound that the operators set.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -521,6 +521,7 @@
 constexpr std::chrono::milliseconds OldWeightsMargin = 2500ms; ///< Before older weights may no longer be used.
 /// From SIGTERM until new requests are refused; the load balancer has checked readiness twice by then.
 constexpr std::chrono::milliseconds StopRefuseAfter = 2500ms;
+constexpr double StopRefuseShareMost = 1.0 / 3; ///< Part of the time for a stop that StopRefuseAfter may take.
 constexpr std::chrono::milliseconds StopLeastTime = 3000ms; ///< From SIGTERM until the process ends, at the least.
 /// Before the time at which the process would be killed; then the requests still under way are ended. Half of it is
 /// left for their answers to be read.
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -32,15 +32,21 @@
 
 /// Times of a stop, since SIGTERM.
 struct StopTimes {
+    Duration refuse; ///< When the host begins to refuse all new requests.
+    Duration least; ///< Before which the process does not end.
     Duration end; ///< When the requests still under way are ended.
     Duration exit; ///< When the process ends, at the latest.
 };
 
 StopTimes stopTimes(Duration limit)
 {
-    const auto most = std::chrono::duration_cast<Duration>(limit * config::StopMarginShareMost);
-    const Duration margin = std::min<Duration>(config::StopMargin, most);
-    return {limit - margin, limit - margin / 2};
+    const auto part = [limit](double share) { return std::chrono::duration_cast<Duration>(limit * share); };
+    const Duration margin = std::min<Duration>(config::StopMargin, part(config::StopMarginShareMost));
+    const Duration end = limit - margin;
+    return {std::min<Duration>(config::StopRefuseAfter, part(config::StopRefuseShareMost)),
+            std::min<Duration>(config::StopLeastTime, end),
+            end,
+            limit - margin / 2};
 }
 
 class Node : public ForwardNode
@@ -392,7 +398,7 @@
     {
         const Duration since = now - this->stopBegan;
         const StopTimes times = stopTimes(this->settings.bounds.stopTime);
-        if (since >= config::StopRefuseAfter) {
+        if (since >= times.refuse) {
             this->forward.refuseNew();
             this->callers->closeIdle();
         }
@@ -400,13 +406,13 @@
         if (since >= times.end) {
             this->cutByStop += this->forward.endAll();
         }
-        if (this->forward.inFlight() == 0 && since >= config::StopLeastTime) {
+        if (this->forward.inFlight() == 0 && since >= times.least) {
             this->callers->stopAccepting();
             this->callers->closeIdle();
         }
         // A caller's connection closes once the caller has read the last answer.
         const bool finished
-            = this->forward.inFlight() == 0 && since >= config::StopLeastTime && this->callers->connections() == 0;
+            = this->forward.inFlight() == 0 && since >= times.least && this->callers->connections() == 0;
         if (!finished && since < times.exit) {
             return;
         }
--- a/tests/platform/stopping.cpp
+++ b/tests/platform/stopping.cpp
@@ -1,7 +1,10 @@
+#include "raw_socket.h"
 #include "world.h"
 
 #include <doctest/doctest.h>
 
+#include <set>
+
 using namespace endivespan;
 using namespace endivespan::tests;
 using namespace std::chrono_literals;
@@ -48,6 +51,11 @@
     return world.runners[0]->received.size();
 }
 
+std::string rawRequest(const std::string &id)
+{
+    return "GET /once/ HTTP/1.1\r\nHost: h.example\r\nX-Endivespan-Request-Id: " + id + "\r\nApi-Key: key\r\n\r\n";
+}
+
 } // namespace
 
 // Guards against connections that were closed without an answer because the process ended.
@@ -113,3 +121,83 @@
     CHECK(world.answers[stream].failed);
     CHECK_FALSE(world.answers[stream].whole);
 }
+
+// Guards against a fixed delay that left requests 100 ms of a short stop.
+TEST_CASE("a host with a short stop time refuses new requests early enough to finish those it has taken")
+{
+    World world(1, 1, [](ForwardBounds &bounds) { bounds.stopTime = SmallStopTime; });
+    configureTimes(world, 20s, 400ms);
+    world.runners[0]->script = [](const ReceivedRequest &request) {
+        return RunnerStandin::Reply {answerTo(request, 200, "a"), Then::Keep, 800ms};
+    };
+    RawSocket kept(world.callerPort());
+    kept.send(rawRequest("kept"));
+    world.runFor(950ms);
+    REQUIRE(statusOf(kept.readAnswer()) == 200);
+
+    world.node().beginStop();
+    std::vector<std::size_t> calls;
+    for (auto time = 0ms; time < SmallStopTime - 500ms; time += 100ms) {
+        calls.push_back(world.ask("/once/", Patient));
+        world.runFor(100ms);
+    }
+    finishStop(world);
+    std::size_t served = 0;
+    for (const auto call : calls) {
+        const CallerAnswer &answer = world.answers[call];
+        CHECK(answer.whole);
+        CHECK((answer.status == 200 || answer.status == 503));
+        served += answer.status == 200 ? 1 : 0;
+    }
+    CHECK(served > 0);
+    CHECK(served < calls.size());
+    CHECK(received(world) == served + 1);
+}
+
+TEST_CASE("a stopping host of a very short stop time answers all requests in time")
+{
+    World world(1, 1, [](ForwardBounds &bounds) { bounds.stopTime = 1000ms; });
+    configureTimes(world, 20s, 100ms);
+    world.runners[0]->script = [](const ReceivedRequest &) { return RunnerStandin::Reply {"", Then::Hang}; };
+    const auto first = world.ask("/once/", Patient);
+    REQUIRE(world.until([&world] { return received(world) == 1; }));
+    const TimePoint begin = world.loop.now();
+    world.node().beginStop();
+    world.runFor(600ms);
+    const auto late = world.ask("/once/", Patient);
+    finishStop(world);
+    CHECK(world.loop.now() - begin < 1100ms);
+    CHECK(world.answers[first].status == 502);
+    CHECK(world.answers[first].whole);
+    CHECK(world.answers[late].status == 503);
+    CHECK(received(world) == 1);
+}
+
+// Guards against requests on kept connections that are closed or cut in the moment in which the host begins to refuse.
+TEST_CASE("requests around the moment from which a stopping host refuses are answered, and run at most once")
+{
+    World world(1, 1, [](ForwardBounds &bounds) { bounds.stopTime = SmallStopTime; });
+    configureTimes(world, 20s, 400ms);
+    world.runners[0]->script = [](const ReceivedRequest &request) {
+        return RunnerStandin::Reply {answerTo(request, 200, "a"), Then::Keep, 5ms};
+    };
+    world.node().beginStop();
+    std::vector<std::size_t> calls;
+    const TimePoint end = world.loop.now() + 1500ms;
+    while (world.loop.now() < end) {
+        calls.push_back(world.ask("/once/", Patient));
+        world.runFor(5ms);
+    }
+    finishStop(world);
+    std::size_t served = 0;
+    for (const auto call : calls) {
+        CHECK(world.answers[call].whole);
+        CHECK((world.answers[call].status == 200 || world.answers[call].status == 503));
+        served += world.answers[call].status == 200 ? 1 : 0;
+    }
+    std::set<std::string> ids;
+    for (const ReceivedRequest &request : world.runners[0]->received) {
+        CHECK(ids.insert(request.field("x-endivespan-request-id")).second);
+    }
+    CHECK(ids.size() == served);
+}
