Refuse requests that are not expected to finish before a stop ends

What callers saw: requests that usually take longer than the rest of the stop were passed on all the same, and a failed attempt was repeated late in the stop; they could only be cut.

Cause: no attempt was compared with the end of the stop.

Ruled out: refusing all requests whose deadline is later than the end. Deadlines are far longer than runs, so that the host would refuse nearly everything from SIGTERM on, while callers still reach it.

Change: an attempt is sent only when it should be answered before the end, by the request's deadline or by its expected time: of an engine's run twice the expected time to the first byte and of the longest answer, of another request the route's aim. Otherwise a request that has not run is refused with 503, and one that may have run is not repeated.

Before (stop_time 3 s): a prompt for 2000 tokens and a request on a route with an aim of 4 s were passed on (200, 503 expected), and a request with an aim of 2.5 s was repeated after a failure at 1.0 s. The last figure is from this code with isBeforeEnd() always true. After: 503, 503, and the runner's own 500 with one arrival. A prompt for 20 tokens and a request with a deadline of 1 s are served.

Conclusion: a stopping host sends only what it can expect to answer. The expected times are estimates; a run that takes far longer than usual is still ended with 502.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -523,6 +523,8 @@
 constexpr std::chrono::milliseconds StopRefuseAfter = 2500ms;
 constexpr double StopRefuseShareMost = 1.0 / 3; ///< Part of the time for a stop that StopRefuseAfter may take.
 constexpr std::chrono::milliseconds StopLeastTime = 3000ms; ///< From SIGTERM until the process ends, at the least.
+/// Multiple of the expected time of an engine's run that must be left of a stop for the run to start.
+constexpr double StopRunTimes = 2.0;
 /// Before the time at which the process would be killed; then the requests still under way are ended. Half of it is
 /// left for their answers to be read.
 constexpr std::chrono::milliseconds StopMargin = 400ms;
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -193,6 +193,7 @@
         this->peers.leave();
         this->rollout.stop();
         this->callers->closeAfterAnswers();
+        this->forward.endAt(this->stopBegan + stopTimes(this->settings.bounds.stopTime).end);
         this->stopTicker = this->loop.every(config::TickPeriod, [this] { this->continueStop(this->loop.now()); });
         this->events.line("stop_begun", LogRank::Failure).with("under_way", this->forward.inFlight());
     }
@@ -398,6 +399,7 @@
     {
         const Duration since = now - this->stopBegan;
         const StopTimes times = stopTimes(this->settings.bounds.stopTime);
+        this->forward.endAt(this->stopBegan + times.end);
         if (since >= times.refuse) {
             this->forward.refuseNew();
             this->callers->closeIdle();
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -157,6 +157,10 @@
     }
     const PlacementChoice choice = this->task.place(this->need(), now);
     this->lastChoice = choice;
+    if (!this->task.isBeforeEnd(this->expectedAnswer(choice.expected, now))) {
+        this->refuse(ErrorKind::HostStopping, "this host is expected to stop before the request is answered");
+        return false;
+    }
     if (!choice.server.empty()) {
         this->send(choice, now);
         return true;
@@ -164,6 +168,17 @@
     return false;
 }
 
+// The aim of the route stands for the time that plain servers take, since it is not measured.
+TimePoint ForwardRun::expectedAnswer(Duration firstByte, TimePoint now) const
+{
+    Duration time = this->work.route->aim;
+    if (!this->work.request.model.empty()) {
+        const Duration answer = this->task.engines.rates().answerTokenTime * this->work.request.answerTokens;
+        time = std::chrono::duration_cast<Duration>((firstByte + answer) * config::StopRunTimes);
+    }
+    return std::min(now + time, this->work.deadline);
+}
+
 // Adds the fields that only engines use. Cached prefixes are valid for one version of the weights only, so that the
 // attempt names the version and an engine with another one refuses.
 void ForwardRun::prepareEngine(ForwardDispatch &dispatch,
@@ -572,6 +587,7 @@
 bool ForwardRun::mayRepeat(TimePoint now)
 {
     return this->work.deadline - now > config::ForwardLeastTime && this->task.isInForce(now)
+        && this->task.isBeforeEnd(this->expectedAnswer(Duration::zero(), now))
         && this->task.crashesDuring(this->work.keys.request, now) < config::ForwardCrashesUntilNotRepeated
         && this->task.retries.tryTake(this->work.service, this->task.hosts(), now);
 }
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -252,6 +252,16 @@
     this->refusing = true;
 }
 
+void ForwardTask::endAt(TimePoint time)
+{
+    this->end = time;
+}
+
+bool ForwardTask::isBeforeEnd(TimePoint answered) const
+{
+    return !this->end || answered <= *this->end;
+}
+
 std::size_t ForwardTask::endAll()
 {
     this->refuseNew();
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -68,6 +68,10 @@
     /// Refuses all further requests; their callers are told that they have not run.
     void refuseNew();
 
+    /// Sets when endAll() will be called. Requests that are not expected to be answered by then are no longer sent to
+    /// servers.
+    void endAt(TimePoint end);
+
     /// Ends all requests under way with an answer, or cuts their streams, and refuses all further ones.
     /// @returns the number of requests that it ended.
     std::size_t endAll();
@@ -100,6 +104,9 @@
     /// @returns the smoothed mean of these times.
     [[nodiscard]] Duration firstByteTime() const;
 
+    /// @returns whether a request that is answered at @p answered at the latest is answered before endAll() is called.
+    [[nodiscard]] bool isBeforeEnd(TimePoint answered) const;
+
     /// Queues a run until a server may have room.
     /// @returns false when the queue is full.
     bool wait(ForwardRun &run);
@@ -169,6 +176,7 @@
     std::vector<ForwardRun *> waiting;
     SmoothedMean firstByte {0, config::FirstByteSmoothing}; ///< Of engines, in milliseconds.
     bool refusing = false;
+    std::optional<TimePoint> end; ///< When endAll() will be called; unset until the host stops.
 };
 
 } // namespace endivespan
--- a/tests/platform/stopping.cpp
+++ b/tests/platform/stopping.cpp
@@ -173,6 +173,59 @@
     CHECK(received(world) == 1);
 }
 
+// Guards against runs that are sure to be cut when the process ends.
+TEST_CASE("a stopping host passes on no request that is not expected to finish before the process ends")
+{
+    World world(1, 1, [](ForwardBounds &bounds) { bounds.stopTime = SmallStopTime; });
+    configureTimes(world, 20s, 400ms);
+    world.runners[0]->script = [](const ReceivedRequest &request) {
+        return RunnerStandin::Reply {streamHead(request) + eventChunk(1, "a") + "0\r\n\r\n"};
+    };
+    CHECK(world.answer(world.ask("/stream/", promptOf(2000))).status == 200);
+    world.node().beginStop();
+    const std::size_t before = received(world);
+    CHECK(world.answer(world.ask("/stream/", promptOf(2000))).status == 503);
+    CHECK(received(world) == before);
+    CHECK(world.answer(world.ask("/stream/", promptOf(20))).status == 200);
+    CHECK(received(world) == before + 1);
+    finishStop(world);
+}
+
+// Guards against runs that are sure to be cut when the process ends.
+TEST_CASE("a stopping host passes on no request whose usual time is longer than the rest of the stop")
+{
+    World world(1, 1, [](ForwardBounds &bounds) { bounds.stopTime = SmallStopTime; });
+    configureTimes(world, 20s, 4s);
+    world.node().beginStop();
+    CHECK(world.answer(world.ask("/once/", Patient)).status == 503);
+    CHECK(received(world) == 0);
+    // It ends before the process does, whatever its usual time is.
+    world.runners[0]->script
+        = [](const ReceivedRequest &request) { return RunnerStandin::Reply {answerTo(request, 200, "a")}; };
+    CHECK(world.answer(world.ask("/once/", {{"x-endivespan-deadline-ms", "1000"}})).status == 200);
+    finishStop(world);
+}
+
+// Guards against repeats that are sure to be cut when the process ends.
+TEST_CASE("a stopping host repeats no request late in its stop")
+{
+    World world(2, 1, [](ForwardBounds &bounds) { bounds.stopTime = SmallStopTime; });
+    configureTimes(world, 20s, 2500ms);
+    for (const auto &runner : world.runners) {
+        runner->script = [](const ReceivedRequest &request) {
+            return RunnerStandin::Reply {answerTo(request, 500, "failed"), Then::Keep, 1000ms};
+        };
+    }
+    const auto count = [&world] { return world.runners[0]->received.size() + world.runners[1]->received.size(); };
+    world.node().beginStop();
+    const auto call = world.ask("/again/", Patient);
+    REQUIRE(world.until([&] { return count() == 1; }));
+    CHECK(world.until([&] { return world.answers[call].whole; }, 1500ms));
+    CHECK(world.answers[call].status == 500);
+    CHECK(count() == 1);
+    finishStop(world);
+}
+
 // Guards against requests on kept connections that are closed or cut in the moment in which the host begins to refuse.
 TEST_CASE("requests around the moment from which a stopping host refuses are answered, and run at most once")
 {
