Estimate the end of an attempt only while a host stops

tryPlace computed the expected end of each attempt although it only matters during a stop, and beginStop repeated a step of continueStop.

--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -193,7 +193,7 @@
         this->peers.leave();
         this->rollout.stop();
         this->callers->closeAfterAnswers();
-        this->forward.endAt(this->stopBegan + stopTimes(this->settings.bounds.stopTime).end);
+        this->continueStop(this->stopBegan);
         this->stopTicker = this->loop.every(config::TickPeriod, [this] { this->continueStop(this->loop.now()); });
         this->events.line("stop_begun", LogRank::Failure).with("under_way", this->forward.inFlight());
     }
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -157,7 +157,7 @@
     }
     const PlacementChoice choice = this->task.place(this->need(), now);
     this->lastChoice = choice;
-    if (!this->task.isBeforeEnd(this->expectedAnswer(choice.expected, now))) {
+    if (!this->endsBeforeStop(choice.expected, now)) {
         this->refuse(ErrorKind::HostStopping, "this host is expected to stop before the request is answered");
         return false;
     }
@@ -169,14 +169,18 @@
 }
 
 // The aim of the route stands for the time that plain servers take, since it is not measured.
-TimePoint ForwardRun::expectedAnswer(Duration firstByte, TimePoint now) const
+bool ForwardRun::endsBeforeStop(Duration firstByte, TimePoint now) const
 {
+    const std::optional<TimePoint> stop = this->task.endOfStop();
+    if (!stop) {
+        return true;
+    }
     Duration time = this->work.route->aim;
     if (!this->work.request.model.empty()) {
         const Duration answer = this->task.engines.rates().answerTokenTime * this->work.request.answerTokens;
         time = std::chrono::duration_cast<Duration>((firstByte + answer) * config::StopRunTimes);
     }
-    return std::min(now + time, this->work.deadline);
+    return std::min(now + time, this->work.deadline) <= *stop;
 }
 
 // Adds the fields that only engines use. Cached prefixes are valid for one version of the weights only, so that the
@@ -587,7 +591,7 @@
 bool ForwardRun::mayRepeat(TimePoint now)
 {
     return this->work.deadline - now > config::ForwardLeastTime && this->task.isInForce(now)
-        && this->task.isBeforeEnd(this->expectedAnswer(Duration::zero(), now))
+        && this->endsBeforeStop(Duration::zero(), now)
         && this->task.crashesDuring(this->work.keys.request, now) < config::ForwardCrashesUntilNotRepeated
         && this->task.retries.tryTake(this->work.service, this->task.hosts(), now);
 }
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -51,9 +51,9 @@
 private:
     void attempt();
     bool tryPlace(TimePoint now);
-    /// @returns when an attempt that is sent now should be answered at the latest.
+    /// @returns whether an attempt that is sent now is expected to be answered before a stop of this host ends it.
     /// @param firstByte Expected time to the first byte of the answer.
-    [[nodiscard]] TimePoint expectedAnswer(Duration firstByte, TimePoint now) const;
+    [[nodiscard]] bool endsBeforeStop(Duration firstByte, TimePoint now) const;
     void send(const PlacementChoice &choice, TimePoint now);
     [[nodiscard]] PlacementNeed need() const;
     void
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -257,9 +257,9 @@
     this->end = time;
 }
 
-bool ForwardTask::isBeforeEnd(TimePoint answered) const
+std::optional<TimePoint> ForwardTask::endOfStop() const
 {
-    return !this->end || answered <= *this->end;
+    return this->end;
 }
 
 std::size_t ForwardTask::endAll()
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -104,8 +104,8 @@
     /// @returns the smoothed mean of these times.
     [[nodiscard]] Duration firstByteTime() const;
 
-    /// @returns whether a request that is answered at @p answered at the latest is answered before endAll() is called.
-    [[nodiscard]] bool isBeforeEnd(TimePoint answered) const;
+    /// @returns when endAll() will be called; nothing until the host stops.
+    [[nodiscard]] std::optional<TimePoint> endOfStop() const;
 
     /// Queues a run until a server may have room.
     /// @returns false when the queue is full.
