--- a/packages/core/include/endivespan/log_position.h
+++ b/packages/core/include/endivespan/log_position.h
@@ -30,4 +30,10 @@
     return position & ((std::uint64_t {1} << LogOffsetBits) - 1);
 }
 
+/// @returns whether the log was restored between the reads that ended at @p before, 0 for none, and at @p after.
+constexpr bool isRestoredBetween(std::uint64_t before, std::uint64_t after)
+{
+    return before > 0 && eraOf(after) > eraOf(before);
+}
+
 } // namespace endivespan
--- a/packages/node/src/operator_feed.cpp
+++ b/packages/node/src/operator_feed.cpp
@@ -70,14 +70,12 @@
 void OperatorFeed::adoptNewest(const KeyedBatch &batch)
 {
     const TimePoint now = this->loop.now();
-    if (this->next > 0 && eraOf(batch.next) > eraOf(this->next)) {
+    if (isRestoredBetween(this->next, batch.next)) {
         this->dropMissingAt = now + this->rewriteTime;
         this->events.line("operator_records_restored", LogRank::Failure).with("era", eraOf(batch.next));
     }
-    if (this->dropMissingAt && now >= *this->dropMissingAt) {
+    if (!this->dropMissingAt || now >= *this->dropMissingAt) {
         this->dropMissingAt.reset();
-    }
-    if (!this->dropMissingAt) {
         this->dropMissing(batch.records);
     }
     this->putRecords(batch.records);
--- a/packages/node/src/server_feed.cpp
+++ b/packages/node/src/server_feed.cpp
@@ -85,7 +85,7 @@
         if (batch.value().next < this->next) {
             return this->schedule(this->ages.serverPoll);
         }
-        if (this->next > 0 && eraOf(batch.value().next) > eraOf(this->next)) {
+        if (isRestoredBetween(this->next, batch.value().next)) {
             // The copy lacks servers that have been listed since; those that run write their entries again.
             this->lapsedUntil = now + this->lapse;
             this->events.line("server_list_restored", LogRank::Failure).with("era", eraOf(batch.value().next));
