Split the simulation of the order lease into steps

Change: the simulation is a struct with a function for each step. Calls of the random generator, checks and bounds are the same, in the same order.

--- a/tests/core/forward.cpp
+++ b/tests/core/forward.cpp
@@ -178,9 +178,7 @@
 
 /// Simulates four hosts that use one order lease, with lost answers and hosts that stand still, and asserts that two
 /// holders never follow each other within the gap and that fences never decrease.
-/// @param restores The log is restored from older copies meanwhile, and hosts start anew.
-void checkOrderLeases(std::uint32_t seed, bool restores)
-{
+struct OrderLeaseSimulation {
     struct Call {
         std::size_t host;
         bool isAppend;
@@ -190,89 +188,123 @@
         TimePoint done;
         bool lost;
     };
-    constexpr OrderLeaseTimes Times {1200ms, 3200ms};
-    std::mt19937 random(seed);
-    std::vector<OrderLease> hosts;
-    std::vector<bool> calling(4, false);
-    std::vector<TimePoint> frozenUntil(4);
-    hosts.reserve(4);
-    for (int i = 0; i < 4; ++i) {
-        hosts.emplace_back("h" + std::to_string(i), Times);
-    }
-    std::vector<std::string> log;
-    std::uint64_t era = restores ? 1 : 0;
-    int restarts = 0;
-    std::vector<Call> calls;
-    std::optional<std::pair<std::string, TimePoint>> lastOrder;
-    std::uint64_t lastFence = 0;
-    for (TimePoint now = Start; now < Start + (restores ? 120s : 60s); now += 20ms) {
-        if (restores && random() % 400 == 0) {
-            log.resize(log.size() - std::min<std::size_t>(random() % 20, log.size()));
-            ++era;
+
+    /// @param withRestores The log is restored from older copies meanwhile, and hosts start anew.
+    OrderLeaseSimulation(std::uint32_t seed, bool withRestores)
+        : random(seed)
+        , restores(withRestores)
+        , era(withRestores ? 1 : 0)
+    {
+        this->hosts.reserve(this->calling.size());
+        for (std::size_t i = 0; i < this->calling.size(); ++i) {
+            this->hosts.emplace_back("h" + std::to_string(i), Times);
         }
-        // The log handles each call at its due time, but not before its host is running again if that is frozen.
-        for (std::size_t i = 0; i < calls.size();) {
-            Call call = calls[i];
-            if (call.done > now || frozenUntil[call.host] > now) {
-                ++i;
-                continue;
-            }
-            calls.erase(calls.begin() + static_cast<std::ptrdiff_t>(i));
-            calling[call.host] = false;
-            OrderLease &host = hosts[call.host];
-            bool applied = false;
-            if (call.isAppend && offsetOf(call.at) == log.size()) {
-                log.push_back(call.record);
-                applied = eraOf(call.at) == era;
-            }
-            if (call.lost) {
-                host.onNoAnswer();
-                continue;
+    }
+
+    void run()
+    {
+        for (TimePoint now = Start; now < Start + (this->restores ? 120s : 60s); now += 20ms) {
+            if (this->restores && this->random() % 400 == 0) {
+                this->log.resize(this->log.size() - std::min<std::size_t>(this->random() % 20, this->log.size()));
+                ++this->era;
             }
-            host.onEra(era, now);
-            if (!call.isAppend) {
-                host.onRead(log.empty() ? "" : log.back(), logPosition(era, log.size()), now);
-            } else if (applied) {
-                host.appended(logPosition(era, log.size() - 1), call.sentAt);
-            } else {
-                host.onRefused();
+            this->handleCalls(now);
+            for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+                this->advanceHost(i, now);
             }
         }
-        for (std::size_t i = 0; i < hosts.size(); ++i) {
-            if (restores && random() % 1000 == 0 && !calling[i]) {
-                hosts[i] = OrderLease("h" + std::to_string(i) + "#" + std::to_string(++restarts), Times);
-                hosts[i].onEra(era, now);
-            }
-            if (random() % 600 == 0) {
-                frozenUntil[i] = now + std::chrono::milliseconds(random() % 6000);
-            }
-            if (frozenUntil[i] > now) {
+        RC_ASSERT(this->lastFence > 0);
+    }
+
+    /// The log handles each call at its due time, but not before its host is running again if that is frozen.
+    void handleCalls(TimePoint now)
+    {
+        for (std::size_t i = 0; i < this->calls.size();) {
+            Call call = this->calls[i];
+            if (call.done > now || this->frozenUntil[call.host] > now) {
+                ++i;
                 continue;
             }
-            if (const auto fence = hosts[i].fence(now)) {
-                const std::string name = "h" + std::to_string(i);
-                RC_ASSERT(*fence >= lastFence);
-                if (lastOrder && lastOrder->first != name) {
-                    RC_ASSERT(now - lastOrder->second >= 3000ms);
-                }
-                lastFence = *fence;
-                lastOrder = {name, now};
-            }
-            const OrderLeaseStep step = hosts[i].next(now);
-            if (!calling[i] && (step == OrderLeaseStep::Read || step == OrderLeaseStep::Append)) {
-                calling[i] = true;
-                calls.push_back({i,
-                                 step == OrderLeaseStep::Append,
-                                 hosts[i].end(),
-                                 hosts[i].record(),
-                                 now,
-                                 now + std::chrono::milliseconds(random() % 300),
-                                 random() % 10 == 0});
-            }
+            this->calls.erase(this->calls.begin() + static_cast<std::ptrdiff_t>(i));
+            this->calling[call.host] = false;
+            this->handle(call, now);
         }
     }
-    RC_ASSERT(lastFence > 0);
-}
+
+    void handle(const Call &call, TimePoint now)
+    {
+        OrderLease &host = this->hosts[call.host];
+        bool applied = false;
+        if (call.isAppend && offsetOf(call.at) == this->log.size()) {
+            this->log.push_back(call.record);
+            applied = eraOf(call.at) == this->era;
+        }
+        if (call.lost) {
+            host.onNoAnswer();
+            return;
+        }
+        host.onEra(this->era, now);
+        if (!call.isAppend) {
+            host.onRead(this->log.empty() ? "" : this->log.back(), logPosition(this->era, this->log.size()), now);
+        } else if (applied) {
+            host.appended(logPosition(this->era, this->log.size() - 1), call.sentAt);
+        } else {
+            host.onRefused();
+        }
+    }
+
+    void advanceHost(std::size_t index, TimePoint now)
+    {
+        OrderLease &host = this->hosts[index];
+        if (this->restores && this->random() % 1000 == 0 && !this->calling[index]) {
+            host = OrderLease("h" + std::to_string(index) + "#" + std::to_string(++this->restarts), Times);
+            host.onEra(this->era, now);
+        }
+        if (this->random() % 600 == 0) {
+            this->frozenUntil[index] = now + std::chrono::milliseconds(this->random() % 6000);
+        }
+        if (this->frozenUntil[index] > now) {
+            return;
+        }
+        if (const auto fence = host.fence(now)) {
+            this->sendOrder(index, *fence, now);
+        }
+        const OrderLeaseStep step = host.next(now);
+        if (!this->calling[index] && (step == OrderLeaseStep::Read || step == OrderLeaseStep::Append)) {
+            this->calling[index] = true;
+            this->calls.push_back({index,
+                                   step == OrderLeaseStep::Append,
+                                   host.end(),
+                                   host.record(),
+                                   now,
+                                   now + std::chrono::milliseconds(this->random() % 300),
+                                   this->random() % 10 == 0});
+        }
+    }
+
+    void sendOrder(std::size_t index, std::uint64_t fence, TimePoint now)
+    {
+        RC_ASSERT(fence >= this->lastFence);
+        if (this->lastOrder && this->lastOrder->first != index) {
+            RC_ASSERT(now - this->lastOrder->second >= 3000ms);
+        }
+        this->lastFence = fence;
+        this->lastOrder = {index, now};
+    }
+
+    static constexpr OrderLeaseTimes Times {1200ms, 3200ms};
+    std::mt19937 random;
+    bool restores;
+    std::vector<OrderLease> hosts;
+    std::vector<bool> calling = std::vector<bool>(4, false);
+    std::vector<TimePoint> frozenUntil = std::vector<TimePoint>(4);
+    std::vector<std::string> log;
+    std::uint64_t era;
+    int restarts = 0;
+    std::vector<Call> calls;
+    std::optional<std::pair<std::size_t, TimePoint>> lastOrder;
+    std::uint64_t lastFence = 0;
+};
 
 } // namespace
 
@@ -582,12 +614,12 @@
 
 TEST_CASE("order lease: holders never overlap nor follow each other within the gap, and fences never decrease")
 {
-    CHECK(rc::check([](std::uint32_t seed) { checkOrderLeases(seed, false); }));
+    CHECK(rc::check([](std::uint32_t seed) { OrderLeaseSimulation(seed, false).run(); }));
 }
 
 TEST_CASE("order lease: holders keep the gap and fences never decrease when the log is restored from an older copy")
 {
-    CHECK(rc::check([](std::uint32_t seed) { checkOrderLeases(seed, true); }));
+    CHECK(rc::check([](std::uint32_t seed) { OrderLeaseSimulation(seed, true).run(); }));
 }
 
 TEST_CASE("rollout: all engines reach the newest weights, a few at a time, when answers are lost")
