Order engines whose weights may no longer be used at once

Callers saw: in a rollout under load, when each engine is away for 2.5 to 3.5 s, part of the pool stood idle: its weights could not be used any more, yet it waited for its turn to load the new ones. Cause: Rollout counted every engine that changes its weights against RolloutAwayMost (a quarter of the pool), which exists to keep the pool serving. An engine whose weights may no longer be used serves nothing. Ruled out: a larger share for all. Half the pool of 18 would be away for 7 s in the burst in which engines are away for longest. Change: Rollout knows the oldest usable version of each model, as placement does, and neither limits nor counts engines that have only older ones. weightsUsableFor() gives the time for both.

--- a/tests/core/forward.cpp
+++ b/tests/core/forward.cpp
@@ -633,11 +633,11 @@
             engines[id].weights["m"] = 1;
         }
         Rollout rollout(RolloutPace {5s, 1400ms});
-        rollout.setTargets({{"m", 2}});
+        rollout.setTargets({{"m", {2, 0}}});
         TimePoint now = Start;
         for (; now < Start + 60s && rollout.isNeeded(table, now); now += 50ms) {
             if (now >= Start + 4s) {
-                rollout.setTargets({{"m", 3}});
+                rollout.setTargets({{"m", {3, 0}}});
             }
             std::size_t loading = 0;
             for (auto &[id, state] : engines) {
