Set up the keys of restored-store tests in one place

Cause: three cases repeated the same six lines (copy, three keys, wait). Change: copyThenSetKeys(); checks are unchanged.

--- a/tests/platform/restored_store.cpp
+++ b/tests/platform/restored_store.cpp
@@ -208,18 +208,25 @@
     std::vector<std::unique_ptr<Timer>> loads;
 };
 
+/// Copies the store and then sets one key after the other, until all hosts accept the last one.
+/// @returns the record of the last configuration.
+std::string copyThenSetKeys(World &world, const std::vector<std::string> &keys)
+{
+    world.store.copy();
+    for (const std::string &key : keys) {
+        setKey(world, key);
+    }
+    REQUIRE(world.until([&] { return allAccept(world, keys.back()); }));
+    return world.store.newest("keyed.op", "config").value_or("");
+}
+
 } // namespace
 
 // Guards against followers whose offset is past the end of the restored topic.
 TEST_CASE("a host does not return to an older configuration of a restored store, and follows the newer ones")
 {
     World world(1, 3);
-    world.store.copy();
-    for (const char *key : {"second", "third", "fourth"}) {
-        setKey(world, key);
-    }
-    const std::string fourth = world.store.newest("keyed.op", "config").value_or("");
-    REQUIRE(world.until([&] { return allAccept(world, "fourth"); }));
+    const std::string fourth = copyThenSetKeys(world, {"second", "third", "fourth"});
     world.store.restore();
     for (const TimePoint end = world.loop.now() + 1s; world.loop.now() < end; world.runFor(50ms)) {
         for (std::size_t host = 0; host < world.hosts.size(); ++host) {
@@ -239,12 +246,7 @@
 TEST_CASE("a configuration is not missed when the restored topic is already longer than what a host had read")
 {
     World world(1);
-    world.store.copy();
-    for (const char *key : {"second", "third", "fourth"}) {
-        setKey(world, key);
-    }
-    const std::string fourth = world.store.newest("keyed.op", "config").value_or("");
-    REQUIRE(world.until([&] { return allAccept(world, "fourth"); }));
+    const std::string fourth = copyThenSetKeys(world, {"second", "third", "fourth"});
     world.store.restore();
     world.store.put("keyed.op", "config", fourth);
     setKey(world, "fifth");
@@ -257,12 +259,7 @@
 TEST_CASE("a host does not return to the state of a peer that has not read the restored store")
 {
     World world(1, 2);
-    world.store.copy();
-    for (const char *key : {"second", "third", "fourth"}) {
-        setKey(world, key);
-    }
-    const std::string fourth = world.store.newest("keyed.op", "config").value_or("");
-    REQUIRE(world.until([&] { return allAccept(world, "fourth"); }));
+    const std::string fourth = copyThenSetKeys(world, {"second", "third", "fourth"});
     world.hosts[1].store->refuses = true;
     world.store.restore();
     world.store.put("keyed.op", "config", fourth);
