Revert ordering engines whose weights may no longer be used at once

Engines that wait for their turn without requests finish their runs meanwhile. Conclusion: reverted.

--- a/packages/core/include/endivespan/rollout.h
+++ b/packages/core/include/endivespan/rollout.h
@@ -3,7 +3,6 @@
 #include <endivespan/config.h>
 #include <endivespan/server_table.h>
 #include <endivespan/smoothed_mean.h>
-#include <endivespan/weight_history.h>
 
 #include <cstdint>
 #include <map>
@@ -42,16 +41,6 @@
     WeightOrder order;
 };
 
-/// Weights of one model that its engines shall have.
-struct RolloutTarget {
-    std::uint64_t newest = 0; ///< Version to be loaded.
-    std::uint64_t oldestUsable = 0; ///< Engines with an older version get no requests.
-};
-
-/// @param usableFor How long a version may still be used after it was replaced.
-/// @returns the target by model.
-std::map<std::string, RolloutTarget> rolloutTargets(const WeightHistory &weights, Duration usableFor, TimePoint now);
-
 /// How fast the engines of a pool are moved to new weights.
 struct RolloutPace {
     Duration span = std::chrono::seconds(5); ///< Time for the whole pool.
@@ -83,17 +72,18 @@
 rolloutQueue(const ServerTable &table, const std::string &model, std::uint64_t version, const RolloutPace &pace);
 
 /// Decides which engine is asked or ordered next. Lets a whole pool, of any size, load new weights within a time bound
-/// while it keeps serving: only a part of the engines is away at a time, as large as the bound requires. Engines whose
-/// weights may no longer be used serve nothing and do not count as part of it, so that they are ordered at once. This
-/// matters under load, when engines are away for so long that a part of the pool still has unusable weights.
+/// while it keeps serving: only a part of the engines is away at a time, as large as the bound requires.
 class Rollout
 {
 public:
     /// @param pace Initial pace. The time that engines are away is then estimated from those that are done.
     explicit Rollout(RolloutPace pace);
 
-    /// Sets the targets by model.
-    void setTargets(std::map<std::string, RolloutTarget> targets);
+    /// Sets the newest version by model.
+    void setTargets(std::map<std::string, std::uint64_t> targets);
+
+    /// @returns the newest version by model.
+    [[nodiscard]] const std::map<std::string, std::uint64_t> &targets() const;
 
     /// @returns whether any engine that is not leaving has older weights than the targets.
     [[nodiscard]] bool isNeeded(const ServerTable &table, TimePoint now) const;
@@ -133,16 +123,13 @@
     ///     nothing.
     [[nodiscard]] std::optional<std::pair<std::string, std::uint64_t>> pendingTarget(const ServerView &view) const;
 
-    /// @returns whether none of the engine's weights may be used any more.
-    [[nodiscard]] bool isUnusable(const ServerView &view) const;
-
     void addSteps(std::vector<RolloutStep> &steps, const ServerTable &table, const std::string &model, TimePoint now);
 
     void finished(Work &task, TimePoint now);
 
     RolloutPace pace;
     SmoothedMean away; ///< Time that an engine is away, in milliseconds.
-    std::map<std::string, RolloutTarget> targets; ///< By model.
+    std::map<std::string, std::uint64_t> wanted; ///< Newest version by model.
     std::map<std::string, Work> work; ///< By server.
 };
 
--- a/packages/core/src/rollout.cpp
+++ b/packages/core/src/rollout.cpp
@@ -67,24 +67,20 @@
     return queue;
 }
 
-std::map<std::string, RolloutTarget> rolloutTargets(const WeightHistory &weights, Duration usableFor, TimePoint now)
-{
-    std::map<std::string, RolloutTarget> targets;
-    for (const auto &[model, newest] : weights.newest()) {
-        targets[model] = {newest, weights.oldestUsable(model, usableFor, now)};
-    }
-    return targets;
-}
-
 Rollout::Rollout(RolloutPace pace)
     : pace(pace)
     , away(Milliseconds(pace.away).count(), config::EngineAwaySmoothing)
 {
 }
 
-void Rollout::setTargets(std::map<std::string, RolloutTarget> newTargets)
+void Rollout::setTargets(std::map<std::string, std::uint64_t> targets)
+{
+    this->wanted = std::move(targets);
+}
+
+const std::map<std::string, std::uint64_t> &Rollout::targets() const
 {
-    this->targets = std::move(newTargets);
+    return this->wanted;
 }
 
 std::optional<std::pair<std::string, std::uint64_t>> Rollout::pendingTarget(const ServerView &view) const
@@ -93,23 +89,13 @@
         return std::nullopt;
     }
     for (const auto &[model, version] : view.entry.weights) {
-        const auto target = this->targets.find(model);
-        if (target != this->targets.end() && version < target->second.newest) {
-            return std::pair(model, target->second.newest);
+        if (const auto target = this->wanted.find(model); target != this->wanted.end() && version < target->second) {
+            return std::pair(model, target->second);
         }
     }
     return std::nullopt;
 }
 
-bool Rollout::isUnusable(const ServerView &view) const
-{
-    const auto &weights = view.entry.weights;
-    return std::all_of(weights.begin(), weights.end(), [this](const auto &entry) {
-        const auto target = this->targets.find(entry.first);
-        return target != this->targets.end() && entry.second < target->second.oldestUsable;
-    });
-}
-
 bool Rollout::isNeeded(const ServerTable &table, TimePoint) const
 {
     return std::any_of(table.servers().begin(), table.servers().end(), [this](const auto &entry) {
@@ -132,7 +118,7 @@
             this->finished(done.mapped(), now);
         }
     }
-    for (const auto &[model, target] : this->targets) {
+    for (const auto &[model, version] : this->wanted) {
         this->addSteps(steps, table, model, now);
     }
     return steps;
@@ -149,12 +135,11 @@
         if (task.phase == Phase::Loading && now >= task.until) {
             task.phase = Phase::Waiting;
         }
-        const bool isUnderWay = task.phase != Phase::Waiting || task.loading;
-        underWay += task.model == model && isUnderWay && !this->isUnusable(*table.find(server)) ? 1 : 0;
+        underWay += task.model != model || (task.phase == Phase::Waiting && !task.loading) ? 0 : 1;
     }
     this->pace.away = std::chrono::duration_cast<Duration>(Milliseconds(this->away.mean()));
     const std::size_t most = this->pace.atOnce(enginesWith(table, model));
-    for (const std::string &id : rolloutOrder(table, model, this->targets.at(model).newest)) {
+    for (const std::string &id : rolloutOrder(table, model, this->wanted.at(model))) {
         const ServerView &view = *table.find(id);
         const auto need = this->pendingTarget(view);
         if (!need) {
@@ -173,12 +158,9 @@
             task.phase = Phase::Ordering;
             step.kind = RolloutStep::Kind::Order;
             steps.push_back(step);
-            continue;
-        }
-        const bool isUnusable = this->isUnusable(view);
-        if (task.phase == Phase::Waiting && now >= task.until && (task.loading || isUnusable || underWay < most)) {
+        } else if (task.phase == Phase::Waiting && now >= task.until && (task.loading || underWay < most)) {
             task.phase = Phase::Asking;
-            underWay += task.loading || isUnusable ? 0 : 1;
+            underWay += task.loading ? 0 : 1;
             steps.push_back(step);
         }
     }
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -297,7 +297,7 @@
     {
         const OperatorState &state = this->operators.state();
         this->servers.setEvacuated(state.evacuated, this->loop.now());
-        this->rollout.setWeights(state.weights);
+        this->rollout.setTargets(state.weights.newest());
         if (state.config) {
             this->stores.setStores(state.config->stores);
         }
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -301,8 +301,8 @@
         need.newestWeights = *newest;
         const auto places = this->weightLoadQueues.find(need.model);
         need.weightLoadQueue = places == this->weightLoadQueues.end() ? nullptr : places->second;
-        const Duration usableFor = weightsUsableFor(this->parts.settings.bounds);
-        need.oldestWeights = state.weights.oldestUsable(need.model, usableFor, now);
+        const Duration bound = this->parts.settings.bounds.weights - config::OldWeightsMargin;
+        need.oldestWeights = state.weights.oldestUsable(need.model, bound, now);
     }
     if (const ForwardService *service = state.config->service(need.service)) {
         need.coldBound = this->coldBound(*service);
--- a/packages/node/src/rollout_task.cpp
+++ b/packages/node/src/rollout_task.cpp
@@ -23,11 +23,6 @@
     return {std::chrono::duration_cast<Duration>(config::RolloutShare * bounds.weights), config::StartEngineAway};
 }
 
-Duration weightsUsableFor(const ForwardBounds &bounds)
-{
-    return bounds.weights - config::OldWeightsMargin;
-}
-
 RolloutTask::RolloutTask(Loop &loop,
                          KeyedLog &log,
                          const RecordCodec &codec,
@@ -45,13 +40,12 @@
     , holder(std::move(holder))
     , lease(this->holder, {config::OrderLeaseTerm, bounds.leaseGap + config::OrderLeaseMargin})
     , rollout(rolloutPace(bounds))
-    , usableFor(weightsUsableFor(bounds))
 {
 }
 
-void RolloutTask::setWeights(const WeightHistory &newWeights)
+void RolloutTask::setTargets(const std::map<std::string, std::uint64_t> &targets)
 {
-    this->weights = newWeights;
+    this->rollout.setTargets(targets);
 }
 
 void RolloutTask::setRank(std::size_t newRank)
@@ -67,7 +61,6 @@
 void RolloutTask::tick(TimePoint now)
 {
     this->lease.onEra(this->log.era(), now);
-    this->rollout.setTargets(rolloutTargets(this->weights, this->usableFor, now));
     if (this->stopping || !this->rollout.isNeeded(this->servers, now)) {
         this->neededSince = {};
         return;
--- a/packages/node/src/rollout_task.h
+++ b/packages/node/src/rollout_task.h
@@ -29,8 +29,8 @@
                 std::string holder,
                 const ForwardBounds &bounds);
 
-    /// Sets the weight versions that operators have named.
-    void setWeights(const WeightHistory &weights);
+    /// Sets the weight version that each model shall have, by model.
+    void setTargets(const std::map<std::string, std::uint64_t> &targets);
 
     /// Sets this host's rank among those that may take the lease, 0 for the first; higher ranks wait longer before they
     /// try.
@@ -57,8 +57,6 @@
     std::string holder;
     OrderLease lease;
     Rollout rollout;
-    WeightHistory weights;
-    Duration usableFor; ///< How long weights may be used after they were replaced.
     std::size_t rank = 0;
     bool calling = false; ///< A call to the log is under way.
     bool stopping = false;
@@ -69,7 +67,4 @@
 /// @returns the pace of a rollout that meets the bound on weight changes in @p bounds.
 RolloutPace rolloutPace(const ForwardBounds &bounds);
 
-/// @returns how long weights may be used after newer ones were named.
-Duration weightsUsableFor(const ForwardBounds &bounds);
-
 } // namespace endivespan
--- a/tests/core/engine_pools.cpp
+++ b/tests/core/engine_pools.cpp
@@ -64,13 +64,13 @@
         engines[id].state.weights["m"] = 1;
     }
     Rollout rollout({pool.bound / 2, config::StartEngineAway});
-    rollout.setTargets({{"m", {2, 0}}});
+    rollout.setTargets({{"m", 2}});
     constexpr Duration Step = 20ms;
     RolloutResult result;
     TimePoint now = Start;
     for (; now < Start + 60s && (now < Start + 4s || rollout.isNeeded(table, now)); now += Step) {
         if (now >= Start + 4s) {
-            rollout.setTargets({{"m", {3, 0}}});
+            rollout.setTargets({{"m", 3}});
         }
         const auto loading = std::count_if(engines.begin(), engines.end(), [now](const auto &entry) {
             return entry.second.state.busy && now >= entry.second.runsEnd;
