Count the return of a lost server entry as news

Cause: a host that reads the list of servers for others passes on an entry only if more than the heartbeat has changed. When an entry that a restore of the store lost was written again, unchanged but for the heartbeat, its followers heard of the removal only and dropped the server once the time of grace was over.

Ruled out: that the reader itself drops it; the one host of nine that read for the others kept the server. The same loss in an outage of 3.2 s (second case of the test) passed before as well; why was not traced.

Change: ServerTable::update() returns true also when the entry had disappeared and the server was being kept. Only the list of servers uses the result.

Before: of nine hosts that share a reader, eight answer 503 after the server is listed again, and one of nine requests reaches it. After: none, and nine of nine. The other cases of the new file, hosts that share a reader and are refused by the restored store in part, and two restores in a row, passed before as well. tests/core, forward and relay: 51 of 51 cases.

--- a/packages/core/include/endivespan/server_table.h
+++ b/packages/core/include/endivespan/server_table.h
@@ -115,7 +115,7 @@
 public:
     /// Adds or updates a server from its entry in the list. An entry that is older than the known one, or not newer
     /// than the last one of a server that has been removed, is ignored: a list restored from a copy shows such entries.
-    /// @returns true when more than the heartbeat has changed.
+    /// @returns true when more than the heartbeat has changed, or when the entry had disappeared.
     bool update(const ServerEntry &entry, TimePoint now);
 
     /// Records that the entry of a server has disappeared from the list.
--- a/packages/core/src/server_table.cpp
+++ b/packages/core/src/server_table.cpp
@@ -87,8 +87,9 @@
             view.lastReceivedAt = now;
         }
     }
-    const bool news = isNew || view.entry.address != entry.address || view.entry.service != entry.service
-        || view.entry.draining != entry.draining || view.entry.born != entry.born
+    // Hosts that were told that the entry has disappeared must also be told that it is back.
+    const bool news = isNew || view.removeAt || view.entry.address != entry.address
+        || view.entry.service != entry.service || view.entry.draining != entry.draining || view.entry.born != entry.born
         || view.entry.weights != entry.weights;
     const bool advanced = isNew || entry.heartbeat > view.entry.heartbeat || entry.born > view.entry.born;
     // Between two starts of a server its versions only increase, and it may itself have reported a newer one than its
