Test a restored store with peers that start late, and namings that were lost

- A host that is cut off from the store takes the state of a peer that started after the restore, and drops an evacuation that the copy lacks: 200, 503 expected.
OperatorFeed::adoptState calls dropMissing without the time for rewriting that OperatorFeed::adoptNewest grants.
- A host that starts between restore and rewriting takes the copy, though a peer has the newer configuration: a withdrawn key gets 200 and its successor 401.
State of a peer at the same or an earlier position is refused as a whole.
- A naming that a host had not read, and that is lost and written again 2.9 s later, is dated by the read of the copy: old weights are used at the bound (200, 503 expected).

Ruled out, for the second case: that a read within the 2 s after the start mends it.

--- a/tests/platform/restored_again.cpp
+++ b/tests/platform/restored_again.cpp
@@ -77,6 +77,61 @@
     CHECK(lost.received.size() - before == SharingHosts);
 }
 
+// Guards against taking what a peer that started after the restore does not know for withdrawn.
+TEST_CASE("a host that is cut off from the restored store keeps an evacuation that a restarted peer does not know")
+{
+    World world(1, 2);
+    world.store.copy();
+    world.store.put("keyed.op", "evacuate/z", "{}");
+    REQUIRE(
+        world.until([&] { return statusWithKey(world, "key", 0) == 503 && statusWithKey(world, "key", 1) == 503; }));
+    world.hosts[1].store->refuses = true;
+    world.store.restore();
+    world.restartHost(0);
+    for (const TimePoint end = world.loop.now() + Bounds.changes; world.loop.now() < end; world.runFor(50ms)) {
+        REQUIRE(statusWithKey(world, "key", 1) == 503);
+    }
+}
+
+TEST_CASE("a host that starts between a restore of the store and the rewriting takes the newer state of its peers")
+{
+    World world(1, 2);
+    world.store.copy();
+    world.configure([](nlohmann::json &config) { config["tenants"][0]["api_keys"] = {"new"}; });
+    REQUIRE(
+        world.until([&] { return statusWithKey(world, "new", 0) == 200 && statusWithKey(world, "new", 1) == 200; }));
+    world.store.restore();
+    world.restartHost(1);
+    world.runFor(Bounds.changes);
+    CHECK(statusWithKey(world, "key", 0) == 401);
+    CHECK(statusWithKey(world, "key", 1) == 401);
+    CHECK(statusWithKey(world, "new", 1) == 200);
+}
+
+// Guards against taking a restored log, which may lack the naming, for evidence that nothing was named.
+TEST_CASE("weights that were named before a restore of the store are not dated by their rewriting")
+{
+    constexpr std::chrono::milliseconds Bound = 8000ms;
+    World world(1, 1, [&](ForwardBounds &bounds) { bounds.weights = Bound; });
+    world.runners[0]->script = [](const ReceivedRequest &request) {
+        const bool isPrompt = request.head.starts_with("POST /again/");
+        return RunnerStandin::Reply {answerTo(request, isPrompt ? 200 : 503, "old")};
+    };
+    const HttpHeaders prompt {{"x-endivespan-model", "m"},
+                              {"x-endivespan-token-count", "700,20"},
+                              {"x-endivespan-prompt-prefix", "0a:600,0b:100"}};
+    REQUIRE(world.answer(world.ask("/again/", prompt)).status == 200);
+    const TimePoint namedAt = world.loop.now();
+    // The host reads nothing between the naming and the restore.
+    world.store.copy();
+    world.store.restore();
+    world.runFor(2900ms);
+    world.store.put("keyed.op", "version/m", R"({"model":"m","version":2})");
+    REQUIRE(world.until([&] { return world.answer(world.ask("/again/", prompt)).status == 200; }, 1500ms));
+    world.until([&] { return world.loop.now() >= namedAt + Bound; });
+    CHECK(world.answer(world.ask("/again/", prompt)).status == 503);
+}
+
 TEST_CASE("changes are in force on hosts that share a reader while the restored store refuses some of them")
 {
     std::size_t refusedFrom = SharingHosts;
