Ask the next reader at once when one is cut off from the log

The test of leaving servers failed in 1 of 12 plays with readers 0, 1 and 3 cut off from the store: a host that was cut off itself used the draining runner 2.0 s after the change (2.0 s allowed), with a list 1.9 s old.

Cause: the wait after a reader whose facts are too old. Hosts ask at ticks of 100 ms, 300 ms or more apart, so every 400 ms at worst. Facts of a cut-off reader count as old at 1100 ms, which the follower sees up to 400 ms later; after that it waited 300 to 400 ms at each further reader that was cut off as well. With two such readers in front of it a host may have a list of 1100 + 400 + 2 * 400 = 2300 ms. A reader that does not answer at all was already followed by the next one at the next tick.

Now the next reader is asked at the next tick, 100 ms later: 1700 ms at worst with two cut-off readers in front, 1900 ms with four. The price: a host whose readers are all cut off, while other hosts reach the log, sends ten requests a second in place of three.

--- a/packages/node/src/relay_task.cpp
+++ b/packages/node/src/relay_task.cpp
@@ -129,6 +129,9 @@
     this->parts.stores.applyRelayed(reply.stores, askedAt);
     if (this->isBehind(reply.config.confirmedAge, reply.serversAge, now)) {
         this->choice.markFailed(host, now);
+        // Several readers in a row may be cut off from the log. A wait at each of them adds to the age of what this
+        // host knows, which its own bound does not allow for.
+        this->nextAsk = now;
         this->parts.events.line("reader_behind")
             .with("reader", host)
             .with("confirmed_ms", reply.config.confirmedAge.value_or(Duration::zero()))
--- a/tests/platform/shared_reading.cpp
+++ b/tests/platform/shared_reading.cpp
@@ -99,6 +99,13 @@
     CHECK(hostsThatMissTheChange({0, 1, 2, 3, 4, 5, 6, 7, 8}, slow) == 0);
 }
 
+// Guards against a wait of one relay period at each reader that is cut off from the store, one after the other.
+TEST_CASE("hosts whose first readers are all cut off from the store learn in time that a server leaves")
+{
+    const Trouble silent = [](StoreStandin::Access &access) { access.silent = true; };
+    CHECK(hostsThatMissTheChange({0, 1, 2, 3}, silent) == 0);
+}
+
 TEST_CASE("a host starts although its own record in the list of hosts is unreadable")
 {
     for (const char *value : {"", "no json", "[]", "{}", R"({"incarnation":"soon"})", R"({"incarnation":null})"}) {
