Recognise the causes of refusals in the log by name

Cause: LogIndex::cause compared the field why, a text for people, with one that hosts no longer write, so that a request refused for crashes under identical ones was explained as overload. Ruled out: comparing with the present text, which would fail again at the next rewording. Change: RefusalCause is a closed list with the name, the error kind and the text of each cause. Hosts refuse with one and write its name in the new field cause; the reader recognises names only, in a switch over all values. Outcomes and error kinds are compared with shared names as well. Refusals for a part of the prompt and for servers that rest are explained as such, too. Names of events that other files write (server_gone, server_listed, weights_ordered, started, dependency_lost) are still written as literals on both sides.

--- a/packages/core/include/endivespan/log_cause.h
+++ b/packages/core/include/endivespan/log_cause.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <endivespan/error.h>
+
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -10,6 +12,46 @@
 /// Reads the structured log lines of any number of hosts and explains the outcome of one request.
 namespace endivespan {
 
+/// Why a host did not send a request to a server, or not to a further one. Its name is in the field "cause" of the log
+/// line of the request. Hosts write names, and LogIndex recognises causes by them, never by the text for people.
+enum class RefusalCause {
+    None, ///< The request was not refused.
+    ServersRest,
+    NoPlaceInTime,
+    QueueFull,
+    TooLittleTime,
+    ConfigurationStale,
+    IdenticalCrashes,
+    PartCrashes,
+    HostStopping,
+    StopBeforeAnswer,
+    NotRunAnswers,
+    NoServer,
+    Count,
+};
+
+/// What a host writes and answers for one cause.
+struct RefusalAnswer {
+    RefusalCause cause;
+    std::string_view name; ///< Value of the field "cause"; never changes.
+    ErrorKind kind; ///< Of the answer to the caller.
+    std::string_view why; ///< For people.
+};
+
+/// @returns the answer for @p cause.
+const RefusalAnswer &refusalAnswer(RefusalCause cause);
+
+/// @returns the cause with this name; RefusalCause::None for any other text.
+RefusalCause refusalCauseNamed(std::string_view name);
+
+/// Outcomes of requests in the log that are not names of errors.
+namespace outcome {
+constexpr std::string_view Answered = "answered";
+constexpr std::string_view ServerFailed = "server_failed";
+constexpr std::string_view CallerGone = "caller_gone";
+constexpr std::string_view StreamCut = "stream_cut";
+} // namespace outcome
+
 /// One structured log line.
 struct LogEntry {
     double at = 0; ///< Unix time in seconds.
@@ -49,7 +91,8 @@
     /// @returns the lines of all hosts from @p before seconds before @p entry until @p after seconds after it.
     [[nodiscard]] std::vector<const LogEntry *> linesAround(const LogEntry &entry, double before, double after) const;
     [[nodiscard]] std::string causeOfStale(const LogEntry &last) const;
-    [[nodiscard]] std::string causeOfRefusal(const LogEntry &last) const;
+    [[nodiscard]] std::optional<std::string> causeOfRefusal(RefusalCause cause, const LogEntry &last) const;
+    [[nodiscard]] std::string causeOfNoPlace(const LogEntry &last) const;
     [[nodiscard]] std::string causeOfFailure(const LogEntry &last, const std::string &server) const;
     [[nodiscard]] std::optional<std::string> findPause(const LogEntry &last) const;
 
--- a/packages/core/src/log_cause.cpp
+++ b/packages/core/src/log_cause.cpp
@@ -2,6 +2,7 @@
 #include <endivespan/log_cause.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdlib>
 #include <set>
@@ -13,6 +14,59 @@
 
 using Seconds = std::chrono::duration<double>;
 
+constexpr std::array<RefusalAnswer, static_cast<std::size_t>(RefusalCause::Count)> Table {{
+    {RefusalCause::None, "none", ErrorKind::Internal, ""},
+    {RefusalCause::ServersRest,
+     "servers_rest",
+     ErrorKind::Overloaded,
+     "all servers of the service have asked this host to pause"},
+    {RefusalCause::NoPlaceInTime, "no_place_in_time", ErrorKind::Overloaded, "no place came free in time"},
+    {RefusalCause::QueueFull, "queue_full", ErrorKind::Overloaded, "the queue of waiting requests is full"},
+    {RefusalCause::TooLittleTime,
+     "too_little_time",
+     ErrorKind::Overloaded,
+     "too little time is left before the deadline"},
+    {RefusalCause::ConfigurationStale,
+     "configuration_stale",
+     ErrorKind::ConfigurationStale,
+     "the configuration has not been confirmed recently"},
+    {RefusalCause::IdenticalCrashes,
+     "identical_crashes",
+     ErrorKind::Overloaded,
+     "several servers crashed while they ran an identical request"},
+    {RefusalCause::PartCrashes,
+     "part_crashes",
+     ErrorKind::Overloaded,
+     "several servers crashed while they ran requests with a part of this prompt"},
+    {RefusalCause::HostStopping, "host_stopping", ErrorKind::HostStopping, "this host is stopping"},
+    {RefusalCause::StopBeforeAnswer,
+     "stop_before_answer",
+     ErrorKind::HostStopping,
+     "this host is expected to stop before the request is answered"},
+    {RefusalCause::NotRunAnswers,
+     "not_run_answers",
+     ErrorKind::Overloaded,
+     "servers refused the request without running it"},
+    {RefusalCause::NoServer, "no_server", ErrorKind::NoServer, "no server is reachable"},
+}};
+
+constexpr bool tableFollowsEnumeration()
+{
+    for (std::size_t i = 0; i < Table.size(); ++i) {
+        if (static_cast<std::size_t>(Table[i].cause) != i) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static_assert(tableFollowsEnumeration(), "Table must have one entry for each cause, in the order of the enumeration");
+
+bool isError(const std::string &result, ErrorKind kind)
+{
+    return result == errorAnswer(kind).name;
+}
+
 // Formats seconds as in "12.3 s".
 std::string formatSeconds(double value)
 {
@@ -60,6 +114,18 @@
 
 } // namespace
 
+const RefusalAnswer &refusalAnswer(RefusalCause cause)
+{
+    return Table.at(static_cast<std::size_t>(cause));
+}
+
+RefusalCause refusalCauseNamed(std::string_view name)
+{
+    const auto *found
+        = std::find_if(Table.begin(), Table.end(), [name](const RefusalAnswer &answer) { return answer.name == name; });
+    return found == Table.end() ? RefusalCause::None : found->cause;
+}
+
 std::string LogEntry::field(const std::string &name) const
 {
     const auto found = this->fields.find(name);
@@ -140,37 +206,42 @@
         return std::nullopt;
     }
     const LogEntry &last = *lines.back();
-    const std::string outcome = last.event == "request_refused" ? last.field("kind") : last.field("outcome");
+    const std::string result = last.event == "request_refused" ? last.field("kind") : last.field("outcome");
     const std::string why = last.field("why");
     const std::string server = lastServer(lines);
     if (last.event != "request" && last.event != "request_refused") {
         return "the host logged no outcome; its last line is: " + last.text;
     }
-    if (outcome == "answered") {
+    if (result == outcome::Answered) {
         return "the request was answered";
     }
-    if (outcome == "configuration_stale") {
+    const RefusalCause refusal = refusalCauseNamed(last.field("cause"));
+    const bool isCrash = refusal == RefusalCause::IdenticalCrashes || refusal == RefusalCause::PartCrashes;
+    // After an attempt that may have run, the outcome is that of the attempt, unless crashes forbade another one.
+    if (isCrash || isError(result, refusalAnswer(refusal).kind)) {
+        if (auto cause = this->causeOfRefusal(refusal, last)) {
+            return cause;
+        }
+    }
+    if (isError(result, ErrorKind::ConfigurationStale)) {
         return this->causeOfStale(last);
     }
-    if (outcome == "unauthorized" || outcome == "not_found") {
+    if (isError(result, ErrorKind::Unauthorized) || isError(result, ErrorKind::NotFound)) {
         return why + " in configuration " + last.field("config");
     }
-    if (outcome == "host_stopping") {
+    if (isError(result, ErrorKind::HostStopping)) {
         return "host " + last.host + " was stopping";
     }
-    if (outcome == "server_failed") {
+    if (result == outcome::ServerFailed) {
         return "server " + server + " itself returned status " + last.field("status");
     }
-    if (why == "servers died while they ran this request") {
-        return "it was refused because servers had died while they ran it";
-    }
-    if (outcome == "overloaded" || outcome == "no_server") {
-        return this->causeOfRefusal(last);
+    if (isError(result, ErrorKind::Overloaded) || isError(result, ErrorKind::NoServer)) {
+        return this->causeOfNoPlace(last);
     }
     if (auto pause = this->findPause(last)) {
         return pause;
     }
-    if (outcome == "caller_gone" && !server.empty()) {
+    if (result == outcome::CallerGone && !server.empty()) {
         const bool began = parseNumber(last.field("first_ms")) > 0;
         return "its caller disconnected after " + formatSeconds(parseNumber(last.field("total_ms")) / 1000)
             + "; server " + server
@@ -206,7 +277,35 @@
     return "host " + last.host + " had received no answer from the log for some time; no line shows why";
 }
 
-std::string LogIndex::causeOfRefusal(const LogEntry &last) const
+// Returns nothing when the request was not refused.
+std::optional<std::string> LogIndex::causeOfRefusal(RefusalCause cause, const LogEntry &last) const
+{
+    switch (cause) {
+    case RefusalCause::ServersRest:
+        return "all servers of the service had asked host " + last.host + " to pause";
+    case RefusalCause::IdenticalCrashes:
+        return "it was refused because several servers had crashed while they ran identical requests";
+    case RefusalCause::PartCrashes:
+        return "it was refused because several servers had crashed while they ran requests with a part of its prompt";
+    case RefusalCause::ConfigurationStale:
+        return this->causeOfStale(last);
+    case RefusalCause::HostStopping:
+    case RefusalCause::StopBeforeAnswer:
+        return "host " + last.host + " was stopping";
+    case RefusalCause::NoPlaceInTime:
+    case RefusalCause::QueueFull:
+    case RefusalCause::TooLittleTime:
+    case RefusalCause::NotRunAnswers:
+    case RefusalCause::NoServer:
+        return this->causeOfNoPlace(last);
+    case RefusalCause::None:
+    case RefusalCause::Count:
+        break;
+    }
+    return std::nullopt;
+}
+
+std::string LogIndex::causeOfNoPlace(const LogEntry &last) const
 {
     std::set<std::string> gone;
     std::set<std::string> loading;
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -109,18 +109,17 @@
         return;
     }
     if (this->task.parts.servers.restEndsAt(this->work.service, now)) {
-        this->refuse(ErrorKind::Overloaded, "all servers of the service have asked this host to pause");
+        this->refuse(RefusalCause::ServersRest);
         return;
     }
     if (this->task.wait(*this)) {
         const auto longest = std::max<std::chrono::milliseconds>(
             std::chrono::duration_cast<std::chrono::milliseconds>(this->work.route->aim * config::ForwardWaitShare),
             config::ForwardLeastWait);
-        this->waitTimer = this->task.parts.loop.after(
-            longest, [this] { this->refuse(ErrorKind::Overloaded, "no place came free in time"); });
+        this->waitTimer = this->task.parts.loop.after(longest, [this] { this->refuse(RefusalCause::NoPlaceInTime); });
         return;
     }
-    this->refuse(ErrorKind::Overloaded, "the queue of waiting requests is full");
+    this->refuse(RefusalCause::QueueFull);
 }
 
 bool ForwardRun::retryPlace(TimePoint now)
@@ -138,27 +137,26 @@
 bool ForwardRun::tryPlace(TimePoint now)
 {
     if (this->work.deadline - now < config::ForwardLeastTime) {
-        this->refuse(ErrorKind::Overloaded, "too little time is left before the deadline");
+        this->refuse(RefusalCause::TooLittleTime);
         return false;
     }
     if (!this->task.isInForce(now)) {
-        this->refuse(ErrorKind::ConfigurationStale, "the configuration has not been confirmed recently");
+        this->refuse(RefusalCause::ConfigurationStale);
         return false;
     }
     if (this->task.crashesDuring(this->work.keys.request, now) >= config::ForwardCrashesUntilRefused) {
-        this->refuse(ErrorKind::Overloaded, "several servers crashed while they ran an identical request");
+        this->refuse(RefusalCause::IdenticalCrashes);
         return false;
     }
     if (const auto part = this->task.parts.suspicions.findRefusedPart(this->work.service, this->work.keys, now)) {
         this->task.reportRefusedPart(this->work, *part);
-        this->refuse(ErrorKind::Overloaded,
-                     "several servers crashed while they ran requests with a part of this prompt");
+        this->refuse(RefusalCause::PartCrashes);
         return false;
     }
     const PlacementChoice choice = this->task.place(this->need(), now);
     this->lastChoice = choice;
     if (!this->endsBeforeStop(choice.expected, now)) {
-        this->refuse(ErrorKind::HostStopping, "this host is expected to stop before the request is answered");
+        this->refuse(RefusalCause::StopBeforeAnswer);
         return false;
     }
     if (!choice.server.empty()) {
@@ -526,8 +524,10 @@
     }
     this->firstByteAt = this->task.parts.loop.now();
     this->work.exchange->reply(this->status, this->task.parts.codec.callerHeaders(this->headers), this->body);
-    this->finish(
-        this->status, isFailure ? "server_failed" : "answered", "", isFailure ? LogRank::Failure : LogRank::Routine);
+    this->finish(this->status,
+                 isFailure ? outcome::ServerFailed : outcome::Answered,
+                 "",
+                 isFailure ? LogRank::Failure : LogRank::Routine);
 }
 
 // Records that a server has run the request without a crash. The end of a connection does not show that.
@@ -558,7 +558,7 @@
     this->endAttempt(AttemptOutcome::Answered);
     this->recordAnswer(now);
     this->work.exchange->endStream();
-    this->finish(StatusOk, "answered", "", LogRank::Routine);
+    this->finish(StatusOk, outcome::Answered, "", LogRank::Routine);
 }
 
 // Handles an answer by which the server guarantees that it did not run the request. It is safe to send the request to
@@ -585,7 +585,7 @@
         this->cut("no server for another attempt");
         return;
     }
-    this->refuse(ErrorKind::Overloaded, "servers refused the request without running it");
+    this->refuse(RefusalCause::NotRunAnswers);
 }
 
 bool ForwardRun::mayRepeat(TimePoint now)
@@ -615,7 +615,7 @@
         if (this->possibleRuns > 0 || this->streaming) {
             this->cut("no server for another attempt");
         } else {
-            this->refuse(ErrorKind::NoServer, "no server is reachable");
+            this->refuse(RefusalCause::NoServer);
         }
         return;
     }
@@ -689,7 +689,7 @@
         ++this->possibleRuns;
     }
     if (this->possibleRuns == 0) {
-        this->refuse(ErrorKind::Overloaded, "no place came free in time");
+        this->refuse(RefusalCause::NoPlaceInTime);
     } else {
         this->cut("the deadline expired");
     }
@@ -697,11 +697,10 @@
 
 void ForwardRun::stop()
 {
-    constexpr std::string_view Why = "this host is stopping";
     if (!this->server.empty() || this->possibleRuns > 0 || this->streaming) {
-        this->cut(ErrorKind::OutcomeUnknown, Why);
+        this->cut(ErrorKind::OutcomeUnknown, refusalAnswer(RefusalCause::HostStopping).why);
     } else {
-        this->refuse(ErrorKind::HostStopping, Why);
+        this->refuse(RefusalCause::HostStopping);
     }
 }
 
@@ -710,15 +709,18 @@
     if (!this->server.empty()) {
         this->abandonAttempt(AttemptOutcome::Cancelled);
     }
-    this->finish(0, "caller_gone", "", LogRank::Routine);
+    this->finish(0, outcome::CallerGone, "", LogRank::Routine);
 }
 
 // Refuses a request that has certainly not run. If an attempt may have run after all, cut() answers the caller.
-void ForwardRun::refuse(ErrorKind kind, std::string_view why)
+void ForwardRun::refuse(RefusalCause cause)
 {
     if (this->ended) {
         return;
     }
+    const ErrorKind kind = refusalAnswer(cause).kind;
+    const std::string_view why = refusalAnswer(cause).why;
+    this->refusal = cause;
     if (this->possibleRuns > 0 || this->streaming) {
         this->cut(why);
         return;
@@ -752,7 +754,7 @@
     }
     if (this->streaming) {
         this->work.exchange->abort();
-        this->finish(0, "stream_cut", why, LogRank::Failure);
+        this->finish(0, outcome::StreamCut, why, LogRank::Failure);
         return;
     }
     const ErrorContext context {this->task.parts.settings.host, this->work.request.id, {}};
@@ -760,7 +762,7 @@
     this->finish(errorAnswer(kind).httpStatus, errorAnswer(kind).name, why, LogRank::Failure);
 }
 
-void ForwardRun::finish(int finalStatus, std::string_view outcome, std::string_view why, LogRank rank)
+void ForwardRun::finish(int finalStatus, std::string_view result, std::string_view why, LogRank rank)
 {
     if (this->ended) {
         return;
@@ -778,9 +780,10 @@
     this->task.parts.events.line("request", rank)
         .with("request", this->work.request.id)
         .with("alike", fingerprintText(this->work.keys.request))
-        .with("outcome", outcome)
+        .with("outcome", result)
         .with("status", static_cast<std::uint64_t>(finalStatus))
         .with("why", why)
+        .with("cause", refusalAnswer(this->refusal).name)
         .with("route", this->work.route->name)
         .with("service", this->work.service)
         .with("organisation", this->work.organisation == nullptr ? "-" : this->work.organisation->name)
@@ -805,7 +808,7 @@
         .with("first_ms",
               this->firstByteAt == TimePoint {} ? Duration::zero() : this->firstByteAt - this->work.arrivedAt)
         .with("total_ms", now - this->work.arrivedAt);
-    this->task.parts.metrics.count("outcomes_total", "outcome=\"" + std::string(outcome) + "\"");
+    this->task.parts.metrics.count("outcomes_total", "outcome=\"" + std::string(result) + "\"");
     this->task.parts.metrics.observe("request_seconds", now - this->work.arrivedAt);
     if (this->firstByteAt != TimePoint {}) {
         this->task.parts.metrics.observe("first_byte_seconds", this->firstByteAt - this->work.arrivedAt);
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -3,6 +3,8 @@
 #include "event_splitter.h"
 #include "forward_task.h"
 
+#include <endivespan/log_cause.h>
+
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -84,10 +86,10 @@
     void markPrefilled();
     void watchSilence();
 
-    void refuse(ErrorKind kind, std::string_view why);
+    void refuse(RefusalCause cause);
     void cut(std::string_view why);
     void cut(ErrorKind kind, std::string_view why);
-    void finish(int status, std::string_view outcome, std::string_view why, LogRank rank);
+    void finish(int status, std::string_view result, std::string_view why, LogRank rank);
 
     ForwardTask &task;
     ForwardJob work;
@@ -126,6 +128,7 @@
     std::optional<std::uint64_t> lastEvent; ///< Last event that was sent to the caller completely.
     TimePoint firstByteAt;
     Duration waited {};
+    RefusalCause refusal = RefusalCause::None;
     bool ended = false;
 };
 
--- a/tests/core/log_cause.cpp
+++ b/tests/core/log_cause.cpp
@@ -112,3 +112,35 @@
                    "total_ms=900.0"})
           == "its caller disconnected after 0.9 s; server s1 had not begun to answer, which was expected after 0.5 s");
 }
+
+TEST_CASE("log cause: a request refused because servers crashed under identical ones is not explained as overload")
+{
+    CHECK(causeIn({"t=1 host=h1 event=request request=r1 outcome=overloaded status=503 why=\"several servers crashed "
+                   "while they ran an identical request\" cause=identical_crashes servers= known=18 open=13 full=2"})
+          == "it was refused because several servers had crashed while they ran identical requests");
+}
+
+TEST_CASE("log cause: each cause that hosts write has a name of its own and is explained")
+{
+    const auto explain = [](std::string_view name, std::string_view outcome) {
+        const std::string line = "t=1 host=h1 event=request request=r1 outcome=" + std::string(outcome)
+            + " status=503 why=\"\" cause=" + std::string(name) + " servers= known=18 open=13 full=2";
+        return causeIn({line.c_str()});
+    };
+    const std::string unexplained = explain("none", "unknown");
+    for (std::size_t i = 0; i < static_cast<std::size_t>(RefusalCause::Count); ++i) {
+        const auto cause = static_cast<RefusalCause>(i);
+        const RefusalAnswer &answer = refusalAnswer(cause);
+        CAPTURE(answer.name);
+        CHECK_FALSE(answer.name.empty());
+        CHECK(refusalCauseNamed(answer.name) == cause);
+        if (cause != RefusalCause::None) {
+            CHECK_FALSE(answer.why.empty());
+            CHECK(explain(answer.name, errorAnswer(answer.kind).name) != unexplained);
+        }
+    }
+    CHECK(refusalCauseNamed("a name of a later version") == RefusalCause::None);
+    CHECK(explain("part_crashes", "backend_failed").starts_with("it was refused because several servers had crashed"));
+    CHECK(explain("no_place_in_time", "backend_failed") == unexplained);
+    CHECK(explain("servers_rest", "overloaded") == "all servers of the service had asked host h1 to pause");
+}
