Do not take a host's own pause for an outage of the list of servers

Cause: ServerFeed::onLogAnswer called the log away when the last answer lay more than ListLapseAfter (2.4 s) back. So did every host that had stood still for that long; it then kept servers that had been removed meanwhile.

Ruled out: counting from the first failed read alone. It begins up to a poll (a follower: up to the age limit) after the outage, so that entries that expired in a short outage would be dropped; and a read that failed before or across a pause would count the pause.

Change: the log was away only if a read that was sent after the list was last known has failed. The time counts from then to the sending of the read that succeeded, less the time in which the host did not run (timers that came late by more than ForwardTickPeriod). The list is dated by when its read was sent, not by receipt.

Before: in all 3 cases of the new test (a pause of 3.5 s between two reads, during one, after a failed one) the removed server got 22, 23 and 12 requests in the 500 ms after the bound (2 s). After: 0, 0 and 0. The second new test (an outage of 3.2 s by refusals or silence still keeps a missing server) passed before and after.

--- a/packages/node/src/server_feed.cpp
+++ b/packages/node/src/server_feed.cpp
@@ -33,9 +33,27 @@
 
 void ServerFeed::start()
 {
+    this->watchDue = this->loop.now() + config::ForwardTickPeriod;
+    this->watch();
     this->poll();
 }
 
+void ServerFeed::watch()
+{
+    this->countStandstill();
+    this->watchTimer = this->loop.after(config::ForwardTickPeriod, [this] { this->watch(); });
+}
+
+// Called also before an answer is judged, since after a standstill answers may be handled before the timers.
+void ServerFeed::countStandstill()
+{
+    const TimePoint now = this->loop.now();
+    if (const Duration late = now - this->watchDue; late > config::ForwardTickPeriod) {
+        this->stoodStill += late;
+    }
+    this->watchDue = now + config::ForwardTickPeriod;
+}
+
 bool ServerFeed::isReady() const
 {
     return this->lastAnswer.has_value();
@@ -77,10 +95,10 @@
     const TimePoint askedAt = this->loop.now();
     this->log.newest(this->codec.serverTopic(), [this, askedAt](const Result<KeyedBatch> &batch) {
         if (!batch) {
-            return this->onReadFailed(batch.error());
+            return this->onReadFailed(batch.error(), askedAt);
         }
         const TimePoint now = this->loop.now();
-        this->onLogAnswer(now);
+        this->onLogAnswer(askedAt);
         // The reader may have passed on newer records meanwhile.
         if (batch.value().next < this->next) {
             return this->schedule(this->ages.serverPoll);
@@ -120,10 +138,10 @@
                    std::chrono::milliseconds(0),
                    [this, askedAt, from](const Result<KeyedBatch> &batch) {
                        if (!batch) {
-                           return this->onReadFailed(batch.error());
+                           return this->onReadFailed(batch.error(), askedAt);
                        }
                        const TimePoint now = this->loop.now();
-                       this->onLogAnswer(now);
+                       this->onLogAnswer(askedAt);
                        if (batch.value().gap) {
                            this->events.line("server_records_gone").with("from", from);
                            this->hasNewest = false;
@@ -163,7 +181,7 @@
             this->removeEntry(server.key, lapsed ? std::optional(now + server.keepFor) : std::nullopt, now);
         }
     }
-    this->lastAnswer = std::max(this->lastAnswer.value_or(TimePoint {}), askedAt - *reply.serversAge);
+    this->listKnownAt(askedAt - *reply.serversAge);
     this->hasNewest = true;
     this->onListRead(reply.serversNext, askedAt - *reply.serversAge);
 }
@@ -218,7 +236,7 @@
     }
 }
 
-void ServerFeed::onReadFailed(const Error &error)
+void ServerFeed::onReadFailed(const Error &error, TimePoint askedAt)
 {
     if (this->reachable) {
         this->events.line("dependency_lost", LogRank::Failure)
@@ -227,23 +245,36 @@
             .with("why", error.detail);
     }
     this->reachable = false;
+    this->lastFailureAskedAt = askedAt;
     this->schedule(this->ages.serverPoll);
 }
 
-void ServerFeed::onLogAnswer(TimePoint now)
+// The log was away when a read has failed since the list was last known. Time in which this host stood still does not
+// count: it says nothing about the log.
+void ServerFeed::onLogAnswer(TimePoint askedAt)
 {
-    const bool away = this->lastAnswer && now - *this->lastAnswer > config::ListLapseAfter;
+    this->countStandstill();
+    const bool failed = this->lastAnswer && this->lastFailureAskedAt && *this->lastFailureAskedAt > *this->lastAnswer;
+    const Duration away = failed ? askedAt - *this->lastAnswer - this->stoodStill : Duration::zero();
     if (!this->reachable) {
         this->events.line("dependency_regained", LogRank::Failure)
             .with("dependency", "log")
             .with("topic", this->codec.serverTopic())
-            .with("away_ms", this->lastAnswer ? now - *this->lastAnswer : Duration::zero());
+            .with("away_ms", std::max(away, Duration::zero()));
     }
-    if (away) {
-        this->lapsedUntil = now + this->lapse;
+    if (away > config::ListLapseAfter) {
+        this->lapsedUntil = this->loop.now() + this->lapse;
     }
     this->reachable = true;
-    this->lastAnswer = now;
+    this->listKnownAt(askedAt);
+}
+
+void ServerFeed::listKnownAt(TimePoint asOf)
+{
+    if (!this->lastAnswer || asOf > *this->lastAnswer) {
+        this->lastAnswer = asOf;
+        this->stoodStill = Duration::zero();
+    }
 }
 
 } // namespace endivespan
--- a/packages/node/src/server_feed.h
+++ b/packages/node/src/server_feed.h
@@ -51,6 +51,8 @@
     void applyRelayed(const RelayReply &reply, TimePoint askedAt);
 
 private:
+    void watch();
+    void countStandstill();
     void poll();
     void readNewest();
     void readOn();
@@ -59,8 +61,9 @@
     void removeEntry(const std::string &key, std::optional<TimePoint> keepUntil, TimePoint now);
     void putEntry(const std::string &key, const std::string &value, TimePoint now);
     void onListRead(std::uint64_t upTo, TimePoint asOf);
-    void onReadFailed(const Error &error);
-    void onLogAnswer(TimePoint now);
+    void onReadFailed(const Error &error, TimePoint askedAt);
+    void onLogAnswer(TimePoint askedAt);
+    void listKnownAt(TimePoint asOf);
     void schedule(Duration delay);
 
     Loop &loop;
@@ -73,12 +76,17 @@
     const RelayAgeLimits ages;
     std::function<void()> changed;
     std::unique_ptr<Timer> timer;
+    std::unique_ptr<Timer> watchTimer;
+    TimePoint watchDue; ///< When watchTimer is due; a host that stood still is late.
     std::uint64_t next = 0; ///< Position up to which records are applied.
     std::uint64_t batchNext = 0; ///< Position after the batch that is being applied.
     RelayedDataAge sharedFact; ///< Age of the list, and when this host must read it itself.
     bool hasNewest = false; ///< The newest records were read, so that reads can go on at the offset.
     bool reachable = true; ///< The latest poll of the log succeeded.
-    std::optional<TimePoint> lastAnswer; ///< As of when the list was last received, from the log or the reader.
+    /// As of when the list was last received, from the log or the reader.
+    std::optional<TimePoint> lastAnswer;
+    std::optional<TimePoint> lastFailureAskedAt; ///< When the latest read that failed was sent.
+    Duration stoodStill {}; ///< Time since lastAnswer in which this host did not run.
     std::optional<TimePoint> lapsedUntil; ///< Until then entries may be missing only because of an outage of the log.
 };
 
