Let a host that starts learn from peers when weights were named

Cause: a host that starts reads the newest weights record without knowing when it was written, and counts the version as named long ago. During a rollout it takes all engines with older weights for unusable and answers 503, though it is ready and its peers, which know the time, still use these engines.

Change: the state that hosts hand to each other has the age of each naming, computed while the answer is written and rounded up. The host that asked counts it from when it sent the request, so that pauses of either host only make the naming earlier. It takes over the older versions of the peer with the age. An unknown time is an empty optional instead of the clock's epoch, is stated without an age, and leaves out within_ms in weights_named. After its first own read a host with unknown times asks live peers, one each 200 ms at most, until three have answered; so a fleet in which all versions are old stops asking.

A version that no asked peer can date stays unknown.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -519,6 +519,10 @@
 /// Multiple of an equal share of an engine's slots that each host may take, where this is more: in a small fleet.
 constexpr double EngineInFlightEqualShares = 2.0;
 constexpr std::chrono::milliseconds OldWeightsMargin = 2500ms; ///< Before older weights may no longer be used.
+/// Answers of peers after which a host that has just started no longer asks when weights were named.
+constexpr unsigned NamingAnswersMost = 3;
+constexpr std::chrono::milliseconds NamingAskPeriod = 200ms; ///< Least time between two such questions.
+constexpr std::chrono::hours NamingAgeMost = 24h; ///< Older namings count as named at an unknown time.
 /// From SIGTERM until new requests are refused; the load balancer has checked readiness twice by then.
 constexpr std::chrono::milliseconds StopRefuseAfter = 2500ms;
 constexpr double StopRefuseShareMost = 1.0 / 3; ///< Part of the time for a stop that StopRefuseAfter may take.
--- a/packages/node/src/config_task.cpp
+++ b/packages/node/src/config_task.cpp
@@ -104,7 +104,7 @@
     return encodeConfigState(this->fold.snapshot({this->writer, 0}));
 }
 
-Result<void> ConfigTask::adoptState(std::string_view bytes)
+Result<void> ConfigTask::adoptState(std::string_view bytes, TimePoint)
 {
     const auto parts = decodeConfigState(bytes);
     if (!parts) {
--- a/packages/node/src/config_task.h
+++ b/packages/node/src/config_task.h
@@ -72,7 +72,7 @@
     void setSnapshotRank(std::function<std::size_t()> rank);
 
     [[nodiscard]] std::string encodeState() const override;
-    Result<void> adoptState(std::string_view bytes) override;
+    Result<void> adoptState(std::string_view bytes, TimePoint askedAt) override;
 
 private:
     void read();
--- a/packages/node/src/operator_feed.cpp
+++ b/packages/node/src/operator_feed.cpp
@@ -10,6 +10,55 @@
 
 namespace endivespan {
 
+namespace {
+
+nlohmann::json encodeNamings(const std::vector<WeightNaming> &namings)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const WeightNaming &naming : namings) {
+        nlohmann::json item {{"model", naming.model}, {"version", naming.version}};
+        if (naming.age && *naming.age <= config::NamingAgeMost) {
+            // Rounded up: an age must not be stated shorter than it is.
+            item["age_ms"] = std::chrono::ceil<std::chrono::milliseconds>(*naming.age).count();
+        }
+        list.push_back(std::move(item));
+    }
+    return list;
+}
+
+// Older hosts state no namings.
+Result<std::vector<WeightNaming>> decodeNamings(const nlohmann::json &state)
+{
+    const auto malformed = [] { return Error {ErrorKind::ProtocolError, "state of a peer has a malformed naming"}; };
+    std::vector<WeightNaming> namings;
+    if (!state.contains("namings")) {
+        return namings;
+    }
+    if (!state["namings"].is_array()) {
+        return malformed();
+    }
+    constexpr std::uint64_t Most = std::chrono::milliseconds(config::NamingAgeMost).count();
+    for (const auto &item : state["namings"]) {
+        if (!item.is_object() || !item.contains("model") || !item["model"].is_string() || !item.contains("version")
+            || !item["version"].is_number_unsigned()) {
+            return malformed();
+        }
+        WeightNaming naming {item["model"].get<std::string>(), item["version"].get<std::uint64_t>(), std::nullopt};
+        if (const auto age = item.find("age_ms"); age != item.end()) {
+            if (!age->is_number_unsigned()) {
+                return malformed();
+            }
+            if (const auto stated = age->get<std::uint64_t>(); stated <= Most) {
+                naming.age = std::chrono::milliseconds(stated);
+            }
+        }
+        namings.push_back(std::move(naming));
+    }
+    return namings;
+}
+
+} // namespace
+
 OperatorFeed::OperatorFeed(Loop &loop,
                            KeyedLog &log,
                            const RecordCodec &codec,
@@ -253,12 +302,13 @@
     } else if (const auto *weights = std::get_if<WeightsRecord>(&decoded.value())) {
         // A host that stood still or was cut off reads the record late, so that the time of the read does not count. It
         // is unknown when the records found by the first read were written.
-        const TimePoint at = this->confirmation.lastKnownNewest().value_or(TimePoint {});
+        const std::optional<TimePoint> at = this->confirmation.lastKnownNewest();
         if (this->current.weights.recordVersion(weights->model, weights->version, at)) {
-            this->events.line("weights_named")
-                .with("model", weights->model)
-                .with("version", weights->version)
-                .with("within_ms", at == TimePoint {} ? Duration::zero() : this->loop.now() - at);
+            LogLine line = this->events.line("weights_named");
+            line.with("model", weights->model).with("version", weights->version);
+            if (at) {
+                line.with("within_ms", this->loop.now() - *at);
+            }
         }
     }
 }
@@ -305,6 +355,11 @@
     return !this->reachable || !this->hasNewest || this->isOverdue();
 }
 
+bool OperatorFeed::wantsPeerTimes() const
+{
+    return this->hasNewest && this->namingAnswers < config::NamingAnswersMost && this->current.weights.lacksTimes();
+}
+
 // Returns whether a read is overdue. A log service that accepts calls of this host but never answers them can only be
 // detected by the time that they take.
 bool OperatorFeed::isOverdue() const
@@ -321,18 +376,37 @@
     for (const auto &[key, value] : this->rawValues) {
         records[key] = toBase64(value);
     }
-    return nlohmann::json {{"next", this->next}, {"records", std::move(records)}}.dump();
+    return nlohmann::json {{"next", this->next},
+                           {"records", std::move(records)},
+                           {"namings", encodeNamings(this->current.weights.namings(this->loop.now()))}}
+        .dump();
 }
 
-Result<void> OperatorFeed::adoptState(std::string_view bytes)
+void OperatorFeed::adoptNamings(const std::vector<WeightNaming> &namings, TimePoint askedAt)
+{
+    this->namingAnswers += this->hasNewest ? 1 : 0;
+    for (const WeightNaming &naming : this->current.weights.adoptNamings(namings, askedAt)) {
+        this->events.line("weights_naming_learned")
+            .with("model", naming.model)
+            .with("version", naming.version)
+            .with("within_ms", this->loop.now() - askedAt + naming.age.value_or(Duration::zero()));
+    }
+}
+
+Result<void> OperatorFeed::adoptState(std::string_view bytes, TimePoint askedAt)
 {
     const auto state = nlohmann::json::parse(bytes, nullptr, false);
     if (!state.is_object() || !state.contains("next") || !state["next"].is_number_unsigned()
         || !state.contains("records") || !state["records"].is_object()) {
         return Error {ErrorKind::ProtocolError, "state of a peer lacks its offset or records"};
     }
+    const auto namings = decodeNamings(state);
+    if (!namings) {
+        return namings.error();
+    }
     const auto offset = state["next"].get<std::uint64_t>();
     if (offset <= this->next) {
+        this->adoptNamings(namings.value(), askedAt);
         return boost::outcome_v2::success();
     }
     std::vector<KeyedRecord> records;
@@ -345,6 +419,7 @@
     }
     this->dropMissing(records);
     this->putRecords(records);
+    this->adoptNamings(namings.value(), askedAt);
     this->advanceTo(offset);
     this->changed();
     return boost::outcome_v2::success();
--- a/packages/node/src/operator_feed.h
+++ b/packages/node/src/operator_feed.h
@@ -62,8 +62,9 @@
     void onReaderStatement(const std::string &peer, const ConfigStatement &statement, TimePoint askedAt);
 
     [[nodiscard]] bool wantsPeerState() const override;
+    [[nodiscard]] bool wantsPeerTimes() const override;
     [[nodiscard]] std::string encodeState() const override;
-    Result<void> adoptState(std::string_view bytes) override;
+    Result<void> adoptState(std::string_view bytes, TimePoint askedAt) override;
 
 private:
     void readNewest();
@@ -76,6 +77,7 @@
     void onLogAnswer();
     void apply(const KeyedRecord &record);
     void applyConfig(const std::shared_ptr<const ForwardConfig> &config);
+    void adoptNamings(const std::vector<WeightNaming> &namings, TimePoint askedAt);
     void putRecords(const std::vector<KeyedRecord> &records);
     void dropMissing(const std::vector<KeyedRecord> &records);
     void adoptNewest(const KeyedBatch &batch);
@@ -102,6 +104,7 @@
     TimePoint newerSeenAt;
     std::optional<TimePoint> readingSince; ///< Start of the read that is under way.
     bool reachable = true; ///< The latest read of the log succeeded.
+    unsigned namingAnswers = 0; ///< States of peers received since the newest records were read.
     unsigned failures = 0; ///< Reads that have failed since the last success.
     std::unique_ptr<Timer> retry;
     std::unique_ptr<Timer> relayWait; ///< Set while the reader's facts make an own read unnecessary.
--- a/packages/node/src/peer_task.cpp
+++ b/packages/node/src/peer_task.cpp
@@ -78,6 +78,9 @@
 {
     this->parts.membership.tick(now);
     this->suspicions.tick(now);
+    if (now >= this->nextTimesAsk && this->parts.config.wantsPeerTimes()) {
+        this->fetchTimes(now);
+    }
     const bool urgent = this->gossip->isUrgent(now) && now - this->lastRound >= config::GossipUrgentPause;
     if (now < this->nextRound && !urgent) {
         return;
@@ -124,31 +127,49 @@
     const GossipResult news
         = this->gossip->handleAnswer(answer.value().host, *message, askedAt, this->parts.loop.now());
     if (news.fetchConfig && this->parts.config.wantsPeerState()) {
-        this->fetchConfig(target.address);
+        this->fetchConfig(target.address, this->parts.membership.self().status.configOffset);
     }
 }
 
 void PeerTask::fetchConfigOf(const std::string &host)
 {
     if (const HostView *view = this->parts.membership.find(host); view != nullptr) {
-        this->fetchConfig(view->report.address);
+        this->fetchConfig(view->report.address, this->parts.membership.self().status.configOffset);
     }
 }
 
-void PeerTask::fetchConfig(const std::string &address)
+// Asks the hosts in the order of their names, starting after this one, so that not all hosts ask the same one.
+void PeerTask::fetchTimes(TimePoint now)
+{
+    const auto &hosts = this->parts.membership.hosts();
+    const std::string &self = this->parts.membership.self().name;
+    auto next = hosts.upper_bound(this->askedForTimes.empty() ? self : this->askedForTimes);
+    for (std::size_t i = 0; i < hosts.size(); ++i, ++next) {
+        next = next == hosts.end() ? hosts.begin() : next;
+        if (next->first != self && next->second.liveness == Liveness::Alive) {
+            this->askedForTimes = next->first;
+            this->nextTimesAsk = now + config::NamingAskPeriod;
+            // With an offset of 0 a peer answers with its state also when it holds nothing newer.
+            return this->fetchConfig(next->second.report.address, 0);
+        }
+    }
+}
+
+void PeerTask::fetchConfig(const std::string &address, std::uint64_t heldOffset)
 {
     if (this->fetching) {
         return;
     }
     this->fetching = true;
-    const ConfigAsk ask {this->parts.membership.self().status.configOffset};
-    this->link->request(address, ask, config::PeerTimeout, [this](const Result<PeerAnswer> &answer) {
+    const TimePoint askedAt = this->parts.loop.now();
+    const ConfigAsk ask {heldOffset};
+    this->link->request(address, ask, config::PeerTimeout, [this, askedAt](const Result<PeerAnswer> &answer) {
         this->fetching = false;
         const auto *reply = answer ? std::get_if<ConfigReply>(&answer.value().message) : nullptr;
         if (reply == nullptr || reply->state.empty()) {
             return;
         }
-        const auto adopted = this->parts.config.adoptState(reply->state);
+        const auto adopted = this->parts.config.adoptState(reply->state, askedAt);
         logLine("peers",
                 "configuration at offset {} from {} {}",
                 reply->offset,
--- a/packages/node/src/peer_task.h
+++ b/packages/node/src/peer_task.h
@@ -30,12 +30,19 @@
     /// @returns true while this host cannot get the configuration from the log and should fetch it from a peer.
     [[nodiscard]] virtual bool wantsPeerState() const = 0;
 
+    /// @returns true while a peer may know since when parts of the own state are in force and this host does not.
+    [[nodiscard]] virtual bool wantsPeerTimes() const
+    {
+        return false;
+    }
+
     /// @returns the complete state, encoded for a peer.
     [[nodiscard]] virtual std::string encodeState() const = 0;
 
     /// Replaces the own state with that of a peer when the peer's state covers more of the log.
+    /// @param askedAt When this host sent the request; ages in @p bytes are counted from then.
     /// @returns ProtocolError when @p bytes are not a complete state.
-    virtual Result<void> adoptState(std::string_view bytes) = 0;
+    virtual Result<void> adoptState(std::string_view bytes, TimePoint askedAt) = 0;
 };
 
 /// Dependencies and settings of the peer task. All references must outlive the task.
@@ -100,7 +107,8 @@
     PeerMessage answer(const std::string &from, const PeerMessage &request);
     void exchange(const GossipTarget &target);
     void conclude(const Result<PeerAnswer> &answer, const GossipTarget &target, TimePoint askedAt);
-    void fetchConfig(const std::string &address);
+    void fetchConfig(const std::string &address, std::uint64_t heldOffset);
+    void fetchTimes(TimePoint now);
 
     PeerTaskParts parts;
     PeerMessageHandler service;
@@ -109,6 +117,8 @@
     TimePoint lastRound;
     TimePoint nextRound;
     bool fetching = false;
+    std::string askedForTimes; ///< Name of the host asked last.
+    TimePoint nextTimesAsk;
 };
 
 } // namespace endivespan
--- a/packages/wire/include/endivespan/peer_message.h
+++ b/packages/wire/include/endivespan/peer_message.h
@@ -83,7 +83,7 @@
     bool operator==(const SuspectBack &) const = default;
 };
 
-/// Requests the configuration of a peer that holds a newer one.
+/// Requests the configuration of a peer that holds a newer one than up to the offset; with 0 in any case.
 struct ConfigAsk {
     std::uint64_t heldOffset = 0;
 
