Run expired timers after the sockets that were ready at their expiry

Cause: libevent polls at most 32 ready sockets at first and then runs all expired timers, before it polls for the rest. After a pause of the process the timers of the other connections took them for silent, though their bytes had arrived. Ruled out: a larger batch, which only moves the limit; priorities, with which timers never run while sockets are always ready. Change: an expired timer of Loop waits for a marker, a descriptor that is always readable and is polled from the expiry on. epoll returns ready descriptors in turn, so that one pass over the sockets that were ready by then comes first, and no more than that. Posted callbacks and timers without a delay run at once, as before. Not run on this change: process and platform tests.

--- a/packages/net/include/endivespan/loop.h
+++ b/packages/net/include/endivespan/loop.h
@@ -17,6 +17,8 @@
     virtual ~Timer() = default;
 };
 
+class ExpiredTimers;
+
 /// Owns one libevent base. Callbacks run one at a time on the thread that called run().
 class Loop
 {
@@ -36,10 +38,11 @@
     /// each other.
     void post(std::function<void()> callback);
 
-    /// @returns a timer that runs @p callback once after @p delay.
+    /// @returns a timer that runs @p callback once after @p delay. When a positive delay has expired, the callbacks of
+    ///     all sockets run first that were ready by then.
     [[nodiscard]] std::unique_ptr<Timer> after(Duration delay, std::function<void()> callback);
 
-    /// @returns a timer that runs @p callback every @p period.
+    /// @returns a timer that runs @p callback every @p period, after the sockets that were ready by then.
     [[nodiscard]] std::unique_ptr<Timer> every(Duration period, std::function<void()> callback);
 
     /// @returns a handler that runs @p callback on each delivery of the signal until it is destroyed.
@@ -53,6 +56,7 @@
 
 private:
     event_base *eventBase;
+    std::unique_ptr<ExpiredTimers> expired;
 };
 
 } // namespace endivespan
