Do not count old reports as proof that the log is down for all

Cause: ConfigConfirmation::isLogDownForAll counted the last report of every host that was still Alive, which a host stays for suspectTimeout() after its last report, and a pause of this host moves that time on. A host that was cut off in an outage went on with the configuration after the log was back.

Not tried: contact alone, by which two hosts cut off together keep each other in force.

Change: within the staleness bound (4 s of revocation 5 s, the bound that holds for hosts not in touch) a peer must have answered a request sent within it, and in every failure domain more than half of the reports due in it must have arrived. HostView::receivedAt is not moved by a pause. That most hosts are alive and none reaches the log is required as before.

A host that stood still for 6 s counted the log as down at once.

--- a/packages/core/include/endivespan/confirmation.h
+++ b/packages/core/include/endivespan/confirmation.h
@@ -27,7 +27,9 @@
 /// Why the configuration is in force, or that it is not in force.
 enum class ConfigValidity {
     Confirmed, ///< In force: the log confirmed it within the staleness bound, to this host or through peers.
-    LogDownForAll, ///< In force: no host can reach the log, so that nobody can have appended a newer one.
+    /// In force: by reports younger than the staleness bound no host can reach the log, so that nobody can have
+    /// appended a newer one.
+    LogDownForAll,
     Stale, ///< Not in force: a newer configuration may exist.
 };
 
@@ -71,7 +73,7 @@
     [[nodiscard]] ConfigStatement statement(const Membership &membership, TimePoint now) const;
 
 private:
-    [[nodiscard]] bool isLogDownForAll(const Membership &membership) const;
+    [[nodiscard]] bool isLogDownForAll(const Membership &membership, TimePoint now) const;
     void confirm(std::uint64_t offset, TimePoint at);
 
     Duration staleAfter;
@@ -79,6 +81,7 @@
     std::map<std::uint64_t, std::uint64_t> digests; ///< Of the last config::ConfirmationDigestsKept offsets folded.
     std::optional<TimePoint> confirmedAt;
     std::map<std::uint64_t, TimePoint> pendingConfirmations; ///< Times by offsets that are not folded yet.
+    std::optional<TimePoint> peerAskedAt; ///< When the latest of the requests that a peer has answered was sent.
     /// This host's membership has once had at least as many hosts as that of a peer it asked, or there are no peers.
     bool membershipComplete;
     bool everInForce = false; ///< The configuration has been in force at least once.
--- a/packages/core/include/endivespan/membership.h
+++ b/packages/core/include/endivespan/membership.h
@@ -73,6 +73,7 @@
     HostReport report; ///< The newest one received.
     Liveness liveness = Liveness::Alive;
     TimePoint advancedAt; ///< When a newer version was last received; later by the length of any pause of this process.
+    TimePoint receivedAt; ///< When a newer version was last received.
 };
 
 /// Current sizes and counters of one Membership.
--- a/packages/core/src/confirmation.cpp
+++ b/packages/core/src/confirmation.cpp
@@ -52,6 +52,7 @@
                                       std::size_t hostsKnown)
 {
     this->checkDigest(peer, statement.offset, statement.digest);
+    this->peerAskedAt = std::max(this->peerAskedAt.value_or(askedAt), askedAt);
     this->membershipComplete = this->membershipComplete || hostsKnown >= statement.knownHosts;
     if (statement.confirmedAge) {
         this->confirm(statement.offset, askedAt - *statement.confirmedAge);
@@ -74,28 +75,43 @@
 
 // A partition that has lost both the log and the rest of the fleet sees the other hosts as dead; it receives no reports
 // from them that the log is unreachable. Therefore more than half of the known hosts of every failure domain must be
-// alive, and every live host must report the log as unreachable.
-bool ConfigConfirmation::isLogDownForAll(const Membership &membership) const
+// alive, and every live host must report the log as unreachable. A host is alive for long after its last report, so
+// that more than half of the reports that are due within the staleness bound must also have arrived within it. A report
+// may be older than its receipt, above all on a host that stood still and then reads what peers sent it meanwhile. So a
+// peer must also have answered a request that was sent within the bound.
+bool ConfigConfirmation::isLogDownForAll(const Membership &membership, TimePoint now) const
 {
+    const auto isRecent = [this, now](TimePoint at) { return now - at <= this->staleAfter; };
     struct Count {
         std::size_t known = 0;
         std::size_t down = 0;
+        std::size_t recent = 0;
     };
     std::map<std::string, Count> domains;
+    std::size_t peers = 0;
     for (const auto &[name, host] : membership.hosts()) {
         const bool alive = host.liveness == Liveness::Alive;
         if (alive && host.report.status.logReachable) {
             return false;
         }
         const bool left = host.report.status.state == HostState::Leaving && host.liveness == Liveness::Dead;
+        const bool isSelf = name == membership.self().name;
         Count &count = domains[host.report.domain];
         count.known += left ? 0 : 1;
         count.down += alive ? 1 : 0;
+        count.recent += isSelf || (alive && isRecent(host.receivedAt)) ? 1 : 0;
+        peers += left || isSelf ? 0 : 1;
     }
-    const bool everyDomain = std::all_of(domains.begin(), domains.end(), [](const auto &domain) {
-        return domain.second.known == 0 || 2 * domain.second.down > domain.second.known;
+    const std::chrono::duration<double> period = Membership::heartbeatPeriod(membership.hosts().size());
+    const double due = std::min(1.0, this->staleAfter / period);
+    const bool everyDomain = std::all_of(domains.begin(), domains.end(), [due](const auto &domain) {
+        const Count &count = domain.second;
+        const auto known = static_cast<double>(count.known);
+        return count.known == 0
+            || (2 * count.down > count.known && 2 * static_cast<double>(count.recent) > due * known);
     });
-    return everyDomain && this->membershipComplete;
+    const bool inContact = peers == 0 || (this->peerAskedAt && isRecent(*this->peerAskedAt));
+    return everyDomain && inContact && this->membershipComplete;
 }
 
 ConfigValidity ConfigConfirmation::validity(const Membership &membership, TimePoint now) const
@@ -103,8 +119,8 @@
     if (this->confirmedAt && now - *this->confirmedAt <= this->staleAfter) {
         return ConfigValidity::Confirmed;
     }
-    return this->everInForce && this->isLogDownForAll(membership) ? ConfigValidity::LogDownForAll
-                                                                  : ConfigValidity::Stale;
+    return this->everInForce && this->isLogDownForAll(membership, now) ? ConfigValidity::LogDownForAll
+                                                                       : ConfigValidity::Stale;
 }
 
 ConfigStatement ConfigConfirmation::statement(const Membership &membership, TimePoint now) const
--- a/packages/core/src/membership.cpp
+++ b/packages/core/src/membership.cpp
@@ -29,7 +29,7 @@
     const std::uint64_t id = hostIdOf(this->selfName);
     self.status.version.sequence = 1;
     this->namesById[id] = this->selfName;
-    this->entries[this->selfName] = {id, std::move(self), Liveness::Alive, now};
+    this->entries[this->selfName] = {id, std::move(self), Liveness::Alive, now, now};
 }
 
 const HostReport &Membership::self() const
@@ -132,6 +132,7 @@
 void Membership::markAlive(HostView &host, TimePoint now)
 {
     host.advancedAt = now;
+    host.receivedAt = now;
     this->counters.returns += host.liveness == Liveness::Dead ? 1 : 0;
     host.liveness = Liveness::Alive;
 }
@@ -161,7 +162,7 @@
         }
         const std::uint64_t id = hostIdOf(report.name);
         this->namesById[id] = report.name;
-        this->entries[report.name] = {id, report, Liveness::Alive, now};
+        this->entries[report.name] = {id, report, Liveness::Alive, now, now};
         return true;
     }
     HostView &host = found->second;
