Don't count a standstill of the test's loop against its hosts

So the cause is concluded, not seen: by design each host reads the list itself once it is 1100 ms old, and has it 200 ms later, that is 700 ms inside the bound. Hosts have these reads and timers each for themselves; in common they have the loop of the test, on which they, the store and the runners run, and whose standstill the test counted against them.

Now World notes when its loop was late by 100 ms or more beyond what the process computed, and the test waits as much longer.

--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <ctime>
 #include <stdexcept>
 #include <unistd.h>
 
@@ -18,6 +19,8 @@
 
 namespace {
 
+constexpr auto WatchPeriod = 10ms;
+constexpr auto StandstillLeast = 100ms; ///< A loop that is late by less is only busy.
 const HttpServerLimits WideLimits {16 * 1024 * 1024, 64 * 1024, std::chrono::seconds(60)};
 
 std::string offsetBytes(std::uint64_t value)
@@ -49,6 +52,11 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
+Duration cpuTime()
+{
+    return std::chrono::microseconds(std::clock() * (1'000'000 / CLOCKS_PER_SEC));
+}
+
 } // namespace
 
 StoreStandin::StoreStandin(Loop &loop)
@@ -432,6 +440,9 @@
     : store(this->loop)
     , callers(HttpPool::create(this->loop, 5s))
 {
+    this->watchedAt = this->loop.now();
+    this->watchedCpu = cpuTime();
+    this->watch = this->loop.every(WatchPeriod, [this] { this->noteStandstill(); });
     this->bounds.retrySlack = 100;
     this->bounds.stopTime = 6s;
     if (change) {
@@ -523,6 +534,34 @@
     this->loop.run();
 }
 
+void World::runUntil(TimePoint start, std::chrono::milliseconds time)
+{
+    this->until([this, start, time] { return this->loop.now() >= start + time + this->stoodStill(start); },
+                std::chrono::minutes(1));
+}
+
+Duration World::stoodStill(TimePoint start)
+{
+    this->noteStandstill();
+    Duration still {};
+    for (const auto &[at, length] : this->standstills) {
+        still += at > start ? std::min(length, at - start) : Duration::zero();
+    }
+    return still;
+}
+
+void World::noteStandstill()
+{
+    const TimePoint now = this->loop.now();
+    const Duration cpu = cpuTime();
+    const Duration idle = now - this->watchedAt - (cpu - this->watchedCpu) - WatchPeriod;
+    if (idle >= StandstillLeast) {
+        this->standstills.emplace_back(now, idle);
+    }
+    this->watchedAt = now;
+    this->watchedCpu = cpu;
+}
+
 void World::list(const RunnerStandin &runner, const json &changes)
 {
     json entry {{"service", "llm"},
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -204,6 +204,13 @@
     bool until(const std::function<bool()> &condition, std::chrono::milliseconds patience = std::chrono::seconds(10));
     void runFor(std::chrono::milliseconds time);
 
+    /// Runs the loop until @p time has passed since @p start, without the time for which it stood still.
+    void runUntil(TimePoint start, std::chrono::milliseconds time);
+
+    /// @returns for how long the loop has stood still since @p start because the process did not run. Hosts, store and
+    ///     runners share the loop, so none of them could act then. Time in which the process computed does not count.
+    [[nodiscard]] Duration stoodStill(TimePoint start);
+
     /// Writes a runner's entry to the list of servers, with @p changes to the default fields.
     void list(const RunnerStandin &runner, const nlohmann::json &changes = nlohmann::json::object());
 
@@ -239,8 +246,13 @@
 private:
     void startHost(WorldHost &host);
     std::size_t send(PooledCall call);
+    void noteStandstill();
 
     ForwardBounds bounds;
+    std::unique_ptr<Timer> watch;
+    TimePoint watchedAt;
+    Duration watchedCpu {}; ///< Computing time of the process until watchedAt.
+    std::vector<std::pair<TimePoint, Duration>> standstills; ///< When each one ended, and how long it was.
     std::uint64_t configVersion = 0;
     std::uint64_t heartbeat = 0;
     platform::RequestCodec requests;
