--- a/tests/platform/paused_host.cpp
+++ b/tests/platform/paused_host.cpp
@@ -12,17 +12,6 @@
 
 const ForwardBounds Bounds;
 
-/// Sends repeatable requests for @p time. @returns how many requests the runner received meanwhile.
-std::size_t receivedWithin(World &world, const RunnerStandin &runner, std::chrono::milliseconds time)
-{
-    const std::size_t before = runner.received.size();
-    for (const TimePoint end = world.loop.now() + time; world.loop.now() < end;) {
-        world.ask("/again/");
-        world.runFor(10ms);
-    }
-    return runner.received.size() - before;
-}
-
 /// Lets the whole test process, and thus the host in it, stand still.
 void standStill()
 {
--- a/tests/platform/restored_again.cpp
+++ b/tests/platform/restored_again.cpp
@@ -16,11 +16,6 @@
 constexpr auto PollTime = 800ms; ///< In which a host that polls the store sees its state.
 constexpr std::size_t SharingHosts = 9; ///< Enough for one host to read for the others.
 
-int statusWithKey(World &world, const std::string &key, std::size_t host)
-{
-    return world.answer(world.askHost(host, "/again/", {{"api-key", key}})).status;
-}
-
 /// @returns how many hosts answer a request with another status than @p status.
 std::size_t hostsWithout(World &world, int status)
 {
--- a/tests/platform/restored_store.cpp
+++ b/tests/platform/restored_store.cpp
@@ -16,11 +16,6 @@
 const ForwardBounds Bounds;
 constexpr auto PollTime = 800ms; ///< In which a host that polls the store sees its state.
 
-int statusWithKey(World &world, const std::string &key, std::size_t host = 0)
-{
-    return world.answer(world.askHost(host, "/again/", {{"api-key", key}})).status;
-}
-
 void setKey(World &world, const std::string &key)
 {
     world.configure([&key](nlohmann::json &config) { config["tenants"][0]["api_keys"] = {key}; });
@@ -52,17 +47,6 @@
     }
 }
 
-/// Sends repeatable requests for @p time. @returns how many requests the runner received meanwhile.
-std::size_t receivedWithin(World &world, const RunnerStandin &runner, std::chrono::milliseconds time)
-{
-    const std::size_t before = runner.received.size();
-    for (const TimePoint end = world.loop.now() + time; world.loop.now() < end;) {
-        world.ask("/again/");
-        world.runFor(10ms);
-    }
-    return runner.received.size() - before;
-}
-
 /// Sends repeatable requests until the runner receives one. @returns false if it receives none within @p patience.
 bool isUsedWithin(World &world, const RunnerStandin &runner, std::chrono::milliseconds patience)
 {
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -682,4 +682,19 @@
     return this->answers[call];
 }
 
+int statusWithKey(World &world, const std::string &key, std::size_t host)
+{
+    return world.answer(world.askHost(host, "/again/", {{"api-key", key}})).status;
+}
+
+std::size_t receivedWithin(World &world, const RunnerStandin &runner, std::chrono::milliseconds time)
+{
+    const std::size_t before = runner.received.size();
+    for (const TimePoint end = world.loop.now() + time; world.loop.now() < end;) {
+        world.ask("/again/");
+        world.runFor(10ms);
+    }
+    return runner.received.size() - before;
+}
+
 } // namespace endivespan::tests
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -261,4 +261,10 @@
     std::vector<std::unique_ptr<HttpPending>> calls;
 };
 
+/// Sends a repeatable request with @p key to a host. @returns the status of the answer.
+int statusWithKey(World &world, const std::string &key, std::size_t host = 0);
+
+/// Sends repeatable requests for @p time. @returns how many requests the runner received meanwhile.
+std::size_t receivedWithin(World &world, const RunnerStandin &runner, std::chrono::milliseconds time);
+
 } // namespace endivespan::tests
