--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 import stand  # noqa: E402
 
 REVOKE_S = 5.0  # bound revoke_ms
-CUT_S = 9.0  # largest length of platform_down "nodes" in the site file
+CUT_S = 7.0  # of platform_down with `nodes` and count = 1 in the site file
 KEPT, WITHDRAWN = "keykeptkeykeptkeykept1", "keywithdrawnkeywithdr1"
 
 
