--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A chunk of an answer whose size line never ends fills the memory of the machine that waits for its end."""
+"""After all machines were killed at once, a request that crashes its runners is let through to them again."""
 
 import asyncio
 import os
@@ -8,125 +8,122 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
 import stand  # noqa: E402
 
-MEMORY_MB = 182  # of a machine
-LINK_MB_PER_S = 700 / 8  # of a machine's link
-SENT_MB_PER_S = 70  # to one machine, by all runners together
-SPOILED_SHARE = 0.05  # of the answers of a faulty runner: largest x of `garble` in the site file
-FAULTY_SHARE = 0.5  # of the runners; the largest share of `garble` in the site file is 0.6
-PATIENCE_S = 3.2  # after which callers abandon a stream: eight pauses of 400 ms
-ENDS, MACHINES = 3, 2  # of the rule
-SPAN_S = 75
+HOSTS, RUNNERS = 6, 12
+STABLE_S = 3.0  # bound stable_window_ms
+RETRIES = 3  # that the rule allows
+DOWN_S = 4.0  # a runner that crashed is back after some seconds
+KILL_AT_S = 12.0
+LENGTH_S = 32.0
+WORK_S = 0.06  # work of a request to the order service on the sheet
+POISON = b"prompt that crashes its runner"
 
 
 async def case(world):
-    zone = "zone-a"
-    for _ in range(3):
-        await world.add_host(zone)
-    chunk = b"x" * 65536
-    answered = {}  # id of a faulty runner -> its answers
-    busy = {}  # address of a machine -> bytes that it was sent in the current tenth of a second
+    for _ in range(HOSTS):
+        await world.add_host("zone-a")
+    crashes = []  # times
+    reached = []  # (time, host)
+    lost = []  # times at which sound requests were lost with their runner
+    up_since = {}
 
-    async def spoil(runner, identity, address, writer):
-        world.record("spoils_answer", request=identity, runner=runner.id)
-        writer.write(b"1;")
-        loop = asyncio.get_running_loop()
-        sent = 0
-        while True:
-            now = int(loop.time() * 10)
-            at, used = busy.get(address, (now, 0))
-            used = used if at == now else 0
-            if used >= SENT_MB_PER_S * 1e5:
-                await asyncio.sleep(0.01)
-                continue
-            busy[address] = (now, used + len(chunk))
-            writer.write(chunk)
-            sent += len(chunk)
-            await writer.drain()
+    async def back(runner, number):
+        await asyncio.sleep(3 * 1.2)
+        world.store.put("keyed.servers", runner.id)
+        await asyncio.sleep(DOWN_S - 3 * 1.2)
+        await runner.restart(f"{runner.id.split('-n')[0]}-n{number}")
+        world.record("runner_back", runner=runner.id)
 
     async def work(runner, fields, body, writer):
-        faulty = runner.id in answered
-        if faulty:
-            answered[runner.id] += 1
-        identity = fields["x-endivespan-request-id"]
-        writer.write(stand.message("HTTP/1.1 200 X", runner.common(fields) | runner.seal() | {
-            "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}))
-        for number in range(1, 4):
-            event = f"id: {number}\ndata: token\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-            await writer.drain()
-            if stand.TROUBLE and number == 1 and faulty and answered[runner.id] % round(1 / SPOILED_SHARE) == 0:
-                await spoil(runner, identity, fields["x-review-host"], writer)
-            await asyncio.sleep(0.02)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
+        if body == POISON:
+            host = fields["x-review-host"]
+            reached.append((world.record.now(), host))
+            world.record("poison_reaches", runner=runner.id, host=host, request=fields["x-endivespan-request-id"])
+            await asyncio.sleep(0.01)
+            crashes.append(world.record.now())
+            world.record("crash", runner=runner.id, number=len(crashes))
+            world.tasks.append(asyncio.create_task(back(runner, len(crashes))))
+            await runner.crash()
+            return
+        life = runner.born
+        await asyncio.sleep(WORK_S)
+        if runner.up and runner.born == life:
+            await runner.answer(writer, 200, runner.common(fields) | runner.seal(), b"done")
+        else:
+            lost.append(world.record.now())
+            world.record("sound_request_lost", request=fields["x-endivespan-request-id"], runner=runner.id)
 
-    for number in range(6):
-        runner = await world.add_runner("llm", zone, models=[{"name": "m", "version": 1, "adapters": []}], slots=64)
+    for _ in range(RUNNERS):
+        runner = await world.add_runner("orders", "zone-a", slots=6)
         runner.work = work
-        if number < 6 * FAULTY_SHARE:
-            answered[runner.id] = 0
-    world.store.put("keyed.op", "version/m", {"model": "m", "version": 1})
-    world.config["services"] = [{"name": "llm", "health_path": "/health", "max_conns": 720, "cold_s": 0.0,
-                                 "cold_per_s": 0.0, "engine": {"slots": 64, "kv_capacity_tokens": 131597,
-                                                               "models": [{"name": "m"}]}}]
-    world.config["routes"] = [{"name": "r-chat", "host": "shop.example", "path_prefix": "/chat/",
-                               "type": "streaming", "timeout_ms": 10000, "aim_ms": 800, "priority": 1,
-                               "service": "llm", "max_attempts": 1, "public": True, "sticky": True,
-                               "resumable": False, "target_gap_ms": 400}]
+    world.config["services"] = [{"name": "orders", "health_path": "/health", "max_conns": 192, "cold_s": 0.0,
+                                 "cold_per_s": 0.0}]
+    world.config["routes"] = [{"name": "r-orders", "host": "shop.example", "path_prefix": "/orders/",
+                               "type": "non_idempotent", "timeout_ms": 1500, "aim_ms": 300, "priority": 1,
+                               "service": "orders", "max_attempts": 1, "public": True}]
     world.configure()
     if not await world.begin():
         return stand.CANNOT_RUN
-    good = 0
+    began = world.record.now()
+    for host in world.hosts:
+        up_since[host.ip] = began
+    served = {"before": 0, "after": 0}
 
-    async def prompt(host):
-        nonlocal good
+    async def send(host, body):
         request = world.request_id()
-        status, _, body, whole = await stand.call(
-            host.front, "POST", "/chat/1",
-            {"Host": "shop.example", "X-Endivespan-Request-Id": request, "X-Endivespan-Deadline-Ms": "10000",
-             "X-Endivespan-Model": "m", "X-Endivespan-Token-Count": "300,3", "X-Review-Host": host.ip,
-             "X-Endivespan-Prompt-Prefix": f"5c1e07a2:200,{request}:100"}, b"prompt", timeout=PATIENCE_S)
-        good += whole and status == 200
-        world.record("answered", request=request, host=host.name, status=status, whole=whole)
+        status, _, _, _ = await stand.call(
+            host.front, "POST", "/orders/new", {"Host": "shop.example", "X-Endivespan-Request-Id": request,
+                                                "X-Review-Host": host.ip, "X-Endivespan-Deadline-Ms": "1500"},
+            body, timeout=1.5)
+        if body == POISON:
+            world.record("poison_answered", request=request, host=host.name, status=status)
+        elif status == 200:
+            served["before" if world.record.now() < began + KILL_AT_S else "after"] += 1
 
-    async def callers(host):
-        tasks = set()
+    async def callers():
+        """Sound requests, no two alike, all the time."""
+        number = 0
         while True:
-            task = asyncio.create_task(prompt(host))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
-            await asyncio.sleep(0.1)
+            number += 1
+            world.tasks.append(asyncio.create_task(send(world.hosts[number % HOSTS], b"order %d" % number)))
+            await asyncio.sleep(0.01)
 
-    ends = {host.name: 0 for host in world.hosts}
-    most = dict(ends)
-
-    async def platform(host):
-        """Kills a process that exceeds the memory of its machine, and starts it again after a short delay."""
+    async def bad_caller():
+        """The same bad request comes again at any machine, six times a second."""
+        number = 0
         while True:
-            used = host.memory_mb()
-            most[host.name] = max(most[host.name], used)
-            over = used > MEMORY_MB
-            if over or host.process.returncode is not None:
-                world.record("ends", host=host.name, memory_mb=round(used), by="memory" if over else "itself")
-                host.signal(signal.SIGKILL)
-                await host.process.wait()
-                ends[host.name] += 1
-                await asyncio.sleep(0.5)
-                await host.start()
-            await asyncio.sleep(0.02)
+            number += 1
+            host = world.hosts[number % HOSTS]
+            since = up_since.get(host.ip)
+            if since is not None and world.record.now() > since + STABLE_S + 0.2:
+                world.tasks.append(asyncio.create_task(send(host, POISON)))
+            await asyncio.sleep(0.15)
 
-    for host in world.hosts:
-        world.tasks.append(asyncio.create_task(platform(host)))
-        world.tasks.append(asyncio.create_task(callers(host)))
-    for _ in range(SPAN_S * 2):
-        await asyncio.sleep(0.5)
-        if sum(count >= ENDS for count in ends.values()) >= MACHINES:
-            break
-    world.record("checked", good=good, **{f"ends_{name}": count for name, count in ends.items()},
-                 **{f"most_mb_{name}": round(used) for name, used in most.items()})
-    if not good:
+    world.tasks.append(asyncio.create_task(bad_caller()))
+    world.tasks.append(asyncio.create_task(callers()))
+    await asyncio.sleep(KILL_AT_S)
+    if stand.TROUBLE:
+        up_since.clear()
+        for host in world.hosts:
+            host.signal(signal.SIGKILL)
+        for host in world.hosts:
+            await host.process.wait()
+        await asyncio.sleep(1)
+        for host in world.hosts:
+            await host.start()
+        for host in world.hosts:
+            while not await host.is_ready():
+                await asyncio.sleep(0.15)
+            world.record("ready_again", host=host.name)
+        for host in world.hosts:
+            up_since[host.ip] = world.record.now()
+    await asyncio.sleep(began + LENGTH_S - world.record.now())
+    if len(crashes) < 3 or not served["before"] or not served["after"]:
+        world.record("too_few", crashes=len(crashes), **served)
         return stand.CANNOT_RUN
-    return stand.BROKEN if sum(count >= ENDS for count in ends.values()) >= MACHINES else stand.HELD
+    late = [at for at, _ in reached if at > crashes[2] + STABLE_S]
+    world.record("checked", crashes=len(crashes), third_at=round(crashes[2], 3), retries_later=len(late),
+                 sound_requests_lost_later=sum(at > crashes[2] + STABLE_S for at in lost), **served)
+    return stand.BROKEN if len(late) > RETRIES else stand.HELD
 
 
 stand.main(os.path.dirname(os.path.abspath(__file__)), case)
