--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -517,7 +517,7 @@
         self.tasks.append(asyncio.create_task(self.beats()))
         for host in self.hosts:
             await host.start()
-        for _ in range(100):
+        for _ in range(250):
             if all([await host.is_ready() for host in self.hosts]):
                 self.record("all_hosts_ready")
                 return True
