Refuse API keys while the configuration is not confirmed, also when no host reaches the log

Cause: ConfigConfirmation keeps the configuration in force without a bound while every host reports the log as unreachable. A newer one may have been accepted between the last answer and the outage, and a host that is left by itself counts as every host. Ruled out: ages that grow younger on the way through peers; requests that were accepted in time and waited. Public routes are served on. strict_revocation turns it off where the deployment's bound is not strict. Conclusion: no report of peers can replace a confirmation, since the bound holds for hosts out of touch too.

--- a/packages/core/include/endivespan/confirmation.h
+++ b/packages/core/include/endivespan/confirmation.h
@@ -27,8 +27,8 @@
 /// Why the configuration is in force, or that it is not in force.
 enum class ConfigValidity {
     Confirmed, ///< In force: the log confirmed it within the staleness bound, to this host or through peers.
-    /// In force: by reports younger than the staleness bound no host can reach the log, so that nobody can have
-    /// appended a newer one.
+    /// In force: by reports younger than the staleness bound no host can reach the log, so that no host can have read a
+    /// newer one.
     LogDownForAll,
     Stale, ///< Not in force: a newer configuration may exist.
 };
@@ -65,6 +65,11 @@
     /// @returns whether the configuration is in force, that is, whether new work may be accepted under it, and why.
     [[nodiscard]] ConfigValidity validity(const Membership &membership, TimePoint now) const;
 
+    /// @returns whether the log has confirmed the configuration within the staleness bound, to this host or through
+    ///     peers. While no host reaches the log, this becomes false although the configuration stays in force: a newer
+    ///     one may have been accepted just before, which no host has read.
+    [[nodiscard]] bool isConfirmed(TimePoint now) const;
+
     /// @returns the latest time at which nothing newer than the folded configuration existed, so that what is read next
     ///     was appended later; nothing when no such time is known.
     [[nodiscard]] std::optional<TimePoint> lastKnownNewest() const;
--- a/packages/core/src/confirmation.cpp
+++ b/packages/core/src/confirmation.cpp
@@ -114,9 +114,14 @@
     return everyDomain && inContact && this->membershipComplete;
 }
 
+bool ConfigConfirmation::isConfirmed(TimePoint now) const
+{
+    return this->confirmedAt && now - *this->confirmedAt <= this->staleAfter;
+}
+
 ConfigValidity ConfigConfirmation::validity(const Membership &membership, TimePoint now) const
 {
-    if (this->confirmedAt && now - *this->confirmedAt <= this->staleAfter) {
+    if (this->isConfirmed(now)) {
         return ConfigValidity::Confirmed;
     }
     return this->everInForce && this->isLogDownForAll(membership, now) ? ConfigValidity::LogDownForAll
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -252,7 +252,8 @@
 
     [[nodiscard]] bool isReady(TimePoint now) const
     {
-        return !this->stopping && this->serverFeed.isReady() && this->forward.isInForce(now);
+        return !this->stopping && this->serverFeed.isReady() && this->forward.isInForce(now)
+            && this->forward.acceptsKeys(now);
     }
 
     void answerReadiness(HttpExchange &exchange)
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -38,6 +38,13 @@
         && this->parts.confirmation.validity(this->parts.membership, now) != ConfigValidity::Stale;
 }
 
+bool ForwardTask::acceptsKeys(TimePoint now) const
+{
+    const auto &config = this->parts.operators.state().config;
+    return !this->parts.settings.bounds.strictRevocation || this->parts.confirmation.isConfirmed(now)
+        || (config != nullptr && config->organisations.empty());
+}
+
 bool ForwardTask::mayTransfer(TimePoint now) const
 {
     const ConfigConfirmation &confirmation = this->parts.confirmation;
@@ -72,6 +79,10 @@
         return this->refuse(*exchange, job.request, {ErrorKind::NotFound, "no route matches the host and path"});
     }
     if (!job.route->isPublic && !job.config->organisations.empty()) {
+        if (!this->acceptsKeys(now)) {
+            return this->refuse(
+                *exchange, job.request, {ErrorKind::ConfigurationStale, "no host could confirm the API keys recently"});
+        }
         job.organisation = job.config->organisationOfKey(job.request.key);
         if (job.organisation == nullptr) {
             return this->refuse(*exchange, job.request, {ErrorKind::Unauthorized, "unknown API key"});
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -83,6 +83,10 @@
     /// @returns whether there is a configuration and it is confirmed recently enough to serve requests.
     [[nodiscard]] bool isInForce(TimePoint now) const;
 
+    /// @returns whether the configuration is confirmed recently enough to accept API keys, or needs none. Keys may have
+    ///     been withdrawn just before the log became unreachable for all hosts, so that their bound also holds then.
+    [[nodiscard]] bool acceptsKeys(TimePoint now) const;
+
     // Called by the runs.
 
     /// @returns whether the operators' records and the server list held here are recent enough to rely on their weight
--- a/packages/wire/include/endivespan/forward_settings.h
+++ b/packages/wire/include/endivespan/forward_settings.h
@@ -19,6 +19,8 @@
     std::chrono::milliseconds draining {2000};
     /// Longest time from the withdrawal of a key until requests with it are rejected.
     std::chrono::milliseconds revocation {5000};
+    /// Whether revocation also holds while no host reaches the log, so that keys are refused then.
+    bool strictRevocation = true;
     /// Longest time from naming a version of the weights until older ones are no longer used.
     std::chrono::milliseconds weights {10000};
     /// Shortest time between orders of two hosts to the same engine.
--- a/packages/wire/src/forward_settings.cpp
+++ b/packages/wire/src/forward_settings.cpp
@@ -33,6 +33,7 @@
                      "changes",
                      "draining",
                      "revocation",
+                     "strict_revocation",
                      "weights",
                      "lease_gap",
                      "list_lapse",
@@ -45,6 +46,10 @@
         bounds.changes = map.duration("changes", bounds.changes, 100ms, 1h);
         bounds.draining = map.duration("draining", bounds.draining, 100ms, 1h);
         bounds.revocation = map.duration("revocation", bounds.revocation, 100ms, 1h);
+        // A template renders an empty value where the deployment does not state it.
+        if (const auto strict = map.find("strict_revocation"); strict && !strict->IsNull()) {
+            bounds.strictRevocation = map.flag("strict_revocation", bounds.strictRevocation);
+        }
         bounds.weights = map.duration("weights", bounds.weights, 100ms, 1h);
         bounds.leaseGap = map.duration("lease_gap", bounds.leaseGap, 100ms, 1h);
         bounds.listLapse = map.duration("list_lapse", bounds.listLapse, 0ms, 1h);
