Keep suspicions of requests that crash servers in the log, so that they survive the kill of all hosts

Cause: suspicions live in the memory of the hosts and in gossip alone. Ruled out: suspicions that come back but are not looked at at first (no host let two through); crashes recorded late. SuspectFeed (node) writes one at a time and reads the topic before the host is ready; one host removes expired records. Cost: a read of the log when a host starts, one in ten minutes for all; a few writes per request that crashes servers. A refused request stays refused through a restart of all hosts, ten minutes after its last crash at most; so does an innocent one that ran at three crashes. Open: suspicions that cannot be written because the store is away are lost with all hosts.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -224,6 +224,11 @@
 constexpr std::chrono::seconds PartSoundTime = 2s;
 /// For which a part that was answered completely explains no crash of another one.
 constexpr std::chrono::seconds PartSoundMemory = 10s;
+constexpr std::size_t SuspectsArchived = 256; ///< Suspicions that one host writes to the log and follows there.
+/// Server crashes under one request from which its suspicion is written to the log.
+constexpr std::size_t CrashesUntilArchived = 2;
+constexpr std::chrono::milliseconds SuspectArchivePause = 500ms; ///< After a failed read or write of suspicions.
+constexpr std::chrono::minutes SuspectSweepPeriod = 10min; ///< Between two removals of expired suspicions from the log.
 constexpr std::size_t SuspectPartsPerRequest = 16; ///< Parts of one prompt that are suspected, from the first one on.
 constexpr std::size_t AnswersRemembered = 8192; ///< Requests and parts whose last complete answer is remembered.
 constexpr std::chrono::seconds SuspectPermitTtl = 2s; ///< In which a permit to run a suspect alone must be used.
--- a/packages/core/include/endivespan/suspect.h
+++ b/packages/core/include/endivespan/suspect.h
@@ -118,6 +118,9 @@
     ///     completely within config::PartSoundMemory, as peers will see for themselves.
     [[nodiscard]] std::size_t urgency(const Fingerprint &fingerprint, TimePoint now) const;
 
+    /// @returns the suspicion of a request or part, if there is one.
+    [[nodiscard]] std::optional<Suspicion> find(const Fingerprint &fingerprint, TimePoint now) const;
+
     /// @returns the entry whose last change has @p version, or nothing when it has changed again or was dropped since.
     [[nodiscard]] std::optional<Suspicion> changedAt(std::uint64_t version, TimePoint now) const;
 
--- a/packages/core/src/suspect.cpp
+++ b/packages/core/src/suspect.cpp
@@ -344,14 +344,20 @@
     return found == this->entries.end() ? Verdict::Free : SuspicionTable::verdictOf(found->second);
 }
 
-std::optional<Suspicion> SuspicionTable::changedAt(std::uint64_t version, TimePoint now) const
+std::optional<Suspicion> SuspicionTable::find(const Fingerprint &fingerprint, TimePoint now) const
 {
-    const auto found = this->byVersion.find(version);
-    if (found == this->byVersion.end()) {
+    const auto found = this->entries.find(fingerprint);
+    if (found == this->entries.end()) {
         return {};
     }
-    const Entry &entry = this->entries.at(found->second);
-    return Suspicion {found->second, entry.deaths, entry.cleared, std::max(now - entry.changedAt, Duration::zero())};
+    const Entry &entry = found->second;
+    return Suspicion {fingerprint, entry.deaths, entry.cleared, std::max(now - entry.changedAt, Duration::zero())};
+}
+
+std::optional<Suspicion> SuspicionTable::changedAt(std::uint64_t version, TimePoint now) const
+{
+    const auto found = this->byVersion.find(version);
+    return found == this->byVersion.end() ? std::nullopt : this->find(found->second, now);
 }
 
 std::vector<std::uint64_t> SuspicionTable::versionsAfter(std::uint64_t version, std::size_t limit) const
--- a/packages/net/include/endivespan/keyed_log.h
+++ b/packages/net/include/endivespan/keyed_log.h
@@ -56,7 +56,7 @@
                       std::function<void(Result<KeyedBatch>)> done)
         = 0;
 
-    /// Sets the newest record of @p key.
+    /// Sets the newest record of @p key, or deletes the key when @p value is empty.
     virtual void put(const std::string &topic,
                      const std::string &key,
                      const std::string &value,
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -6,6 +6,7 @@
 #include "rollout_task.h"
 #include "server_feed.h"
 #include "store_task.h"
+#include "suspect_feed.h"
 
 #include <endivespan/config.h>
 #include <endivespan/forward_node.h>
@@ -96,6 +97,7 @@
                                this->confirmation,
                                this->operators,
                                true})
+        , suspectFeed(loop, adapters.log, adapters.records, this->events, this->membership, this->peers.suspicions)
         , rollout(loop,
                   adapters.log,
                   adapters.records,
@@ -137,6 +139,7 @@
                                 this->roster,
                                 this->confirmation,
                                 this->peers.suspicions,
+                                this->suspectFeed,
                                 this->metrics,
                                 this->events})
     {
@@ -173,6 +176,7 @@
         this->operators.start();
         this->serverFeed.start();
         this->hostFeed.start();
+        this->suspectFeed.start();
         this->ticker = this->loop.every(config::ForwardTickPeriod, [this] { this->tick(); });
         this->events.line("started", LogRank::Failure)
             .with("incarnation", this->membership.self().status.version.incarnation)
@@ -252,8 +256,8 @@
 
     [[nodiscard]] bool isReady(TimePoint now) const
     {
-        return !this->stopping && this->serverFeed.isReady() && this->forward.isInForce(now)
-            && this->forward.acceptsKeys(now);
+        return !this->stopping && this->serverFeed.isReady() && this->suspectFeed.isReady()
+            && this->forward.isInForce(now) && this->forward.acceptsKeys(now);
     }
 
     void answerReadiness(HttpExchange &exchange)
@@ -309,6 +313,7 @@
     {
         const TimePoint now = this->loop.now();
         this->peers.tick(now);
+        this->suspectFeed.tick(now);
         this->rankHosts(now);
         this->logHosts(now);
         this->rollout.tick(now);
@@ -446,6 +451,7 @@
     HostRoster roster;
     HostFeed hostFeed;
     PeerTask peers;
+    SuspectFeed suspectFeed;
     RolloutTask rollout;
     StoreTask stores;
     RelayTask relay;
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -244,6 +244,9 @@
     }
     for (const Fingerprint &fingerprint : finding.running) {
         const auto name = this->partNames.find(fingerprint);
+        this->parts.suspectFeed.watch(fingerprint,
+                                      name == this->partNames.end() ? config::CrashesUntilArchived
+                                                                    : config::PartCrashesUntilRefused);
         LogLine line = name != this->partNames.end()
             ? this->parts.events.line(finding.retracted ? "part_excused" : "part_suspected", LogRank::Failure)
             : this->parts.events.line(finding.retracted ? "request_excused" : "request_suspected", LogRank::Failure);
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -3,6 +3,7 @@
 #include "metrics.h"
 #include "operator_feed.h"
 #include "server_feed.h"
+#include "suspect_feed.h"
 
 #include <endivespan/config.h>
 #include <endivespan/confirmation.h>
@@ -49,6 +50,7 @@
     const HostRoster &roster;
     ConfigConfirmation &confirmation;
     SuspicionTable &suspicions;
+    SuspectFeed &suspectFeed;
     Metrics &metrics;
     EventLog &events;
 };
--- a/tests/platform/poison.cpp
+++ b/tests/platform/poison.cpp
@@ -182,6 +182,31 @@
     CHECK(poison.lateArrivals() <= RetriesAllowed);
 }
 
+// Guards against suspicions that only the memory of the hosts holds.
+TEST_CASE("a request on which three runners have failed is sent to no further runners after all hosts were killed")
+{
+    constexpr std::size_t Hosts = 6;
+    PoisonWorld poison(12, {"before the first byte", nothing}, Hosts);
+    std::size_t asked = 0;
+    const auto askFor = [&](std::chrono::milliseconds time) {
+        std::size_t innocent = 0;
+        for (const TimePoint until = poison.world.loop.now() + time; poison.world.loop.now() < until; ++asked) {
+            poison.world.askHost(asked % Hosts, "/once/", {}, "poison");
+            innocent = poison.world.askHost((asked + 1) % Hosts, "/again/", {}, "innocent");
+            poison.world.runFor(100ms);
+        }
+        return innocent;
+    };
+    askFor(2s);
+    REQUIRE(poison.ends() >= EndsUntilBound);
+    // The runners are back, and what reaches them from here on comes past the bound.
+    poison.world.runFor(StableWindow);
+    poison.world.restartAllHosts();
+    const std::size_t innocent = askFor(4s);
+    CHECK(poison.lateArrivals() <= RetriesAllowed);
+    CHECK(poison.world.answer(innocent).status == 200);
+}
+
 namespace {
 
 constexpr std::size_t EndsUntilPartBound = 5; ///< Hosts refuse a part after config::PartCrashesUntilRefused already.
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -225,7 +225,8 @@
     const std::string content = request.body.substr(4);
     if (name.starts_with("keyed.")) {
         const auto size = static_cast<unsigned char>(content[0]);
-        this->put(name, content.substr(1, size), content.substr(1 + size));
+        const std::string value = content.substr(1 + size);
+        this->put(name, content.substr(1, size), value.empty() ? std::nullopt : std::optional(value));
     } else {
         topic.records.push_back(content);
     }
@@ -517,6 +518,19 @@
     this->startHost(this->hosts[host]);
 }
 
+void World::restartAllHosts()
+{
+    for (WorldHost &host : this->hosts) {
+        host.node.reset();
+    }
+    for (WorldHost &host : this->hosts) {
+        this->startHost(host);
+    }
+    for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+        this->until([this, i] { return this->isReady(i); });
+    }
+}
+
 bool World::until(const std::function<bool()> &condition, std::chrono::milliseconds patience)
 {
     const TimePoint end = this->loop.now() + patience;
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -230,6 +230,9 @@
 
     /// Destroys a host and starts it again under the same name.
     void restartHost(std::size_t host);
+
+    /// Destroys all hosts before it starts them again under the same names, and waits until they are ready.
+    void restartAllHosts();
     [[nodiscard]] const CallerAnswer &answer(std::size_t call);
 
     Loop loop;
