Limit the bytes of an answer that the parser does not take

Cause: HttpPool keeps what the parser leaves in the input: a chunk size line, its extension and a trailer are taken only as a whole. Ruled out: endless heads, bodies and events, which end at their limits (three older tests). Change: input that the parser does not take may be 16 KiB; beyond that the attempt fails and the connection is closed. No cost seen in calm: sound size lines have a few bytes.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -468,6 +468,7 @@
 /// Time by which the last bytes of two streams of a dead server may differ.
 constexpr std::chrono::milliseconds SilenceMargin = 100ms;
 constexpr std::size_t ForwardAnswerBytes = 8 * 1024 * 1024; ///< Of an answer that is not streamed.
+constexpr std::size_t AnswerLineBytes = 16 * 1024; ///< Of a chunk size with its extensions, and of a trailer.
 constexpr std::size_t ForwardEventBytes = 256 * 1024; ///< Of one event of a stream; a longer one fails the attempt.
 /// Of an answer of the log, a store or an engine's control interface.
 constexpr std::size_t ControlAnswerBytes = 4 * 1024 * 1024;
--- a/packages/net/src/http_pool.cpp
+++ b/packages/net/src/http_pool.cpp
@@ -412,6 +412,11 @@
         this->complete();
         return false;
     }
+    // The parser takes a chunk size line, and the trailer, only as a whole.
+    if (used == 0 && size > config::AnswerLineBytes) {
+        this->fail(ErrorKind::ProtocolError, "a chunk size or trailer of the answer exceeds the size limit");
+        return false;
+    }
     return used > 0;
 }
 
--- a/tests/platform/serving.cpp
+++ b/tests/platform/serving.cpp
@@ -323,6 +323,27 @@
     CHECK(world.until([&world] { return world.runners[0]->received[0].callerGone; }, 1s));
 }
 
+// Guards against input that a parser only keeps while it waits for the end of a line.
+TEST_CASE("an answer whose chunk size, chunk extension or trailer never ends fails its request at once")
+{
+    const std::string endless(8'000'000, 'x');
+    for (const std::string &rest : {std::string(8'000'000, '0'), "5;" + endless, "0\r\nX-Endless: " + endless}) {
+        for (const std::string path : {"/once/", "/stream/"}) {
+            CAPTURE(rest.substr(0, 12));
+            CAPTURE(path);
+            World world(1);
+            scriptAll(world, [&rest](const ReceivedRequest &request) {
+                return RunnerStandin::Reply {streamHead(request) + eventChunk(1, "first") + rest, Then::Hang};
+            });
+            const TimePoint asked = world.loop.now();
+            const CallerAnswer &answer = world.answer(world.ask(path));
+            CHECK_FALSE((answer.status == 200 && answer.whole));
+            CHECK(world.loop.now() - asked < 1s);
+            CHECK(world.until([&world] { return world.runners[0]->received[0].callerGone; }, 1s));
+        }
+    }
+}
+
 TEST_CASE("endless answers of the log and of engines are abandoned before they fill the memory")
 {
     Loop loop;
