Open /dev/null in the place of closed standard streams

Operators saw: processes that end by themselves on real machines (Fault; no logs). This is suspected to be one of the causes, not shown to be. Cause: without standard streams a program gives their numbers to what it opens first, and log lines are written there. Evidence: endivespan-platform with all three closed: /proc/PID/fd had the event loop's poll set as 0 and the two ends of its signal pipe as 1 and 2, so that log lines were read as signals.

--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -1,6 +1,7 @@
 #include "node.h"
 
 #include <endivespan/log.h>
+#include <endivespan/standard_streams.h>
 #include <endivespan/text.h>
 
 #include <CLI/CLI.hpp>
@@ -36,6 +37,9 @@
     app.add_option("settings", path, "Settings of this host, in YAML")->required();
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
+    if (const auto opened = endivespan::openStandardStreams(); !opened) {
+        return ExitCannotStart;
+    }
     const auto text = endivespan::readFile(path);
     if (!text) {
         std::cerr << path << ": cannot be read\n";
