--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -431,6 +431,8 @@
 constexpr std::chrono::milliseconds ServerPollMost = 600ms; ///< Servers write their entries about every second.
 /// Time without the log after which entries of live servers may have expired: two heartbeats of a server.
 constexpr std::chrono::milliseconds ListLapseAfter = 2400ms;
+constexpr std::chrono::milliseconds StartRetryPause = 1s; ///< After a start that found a listen address taken.
+constexpr int StartStopTimes = 2; ///< Stop times of an earlier process for which a start is tried again.
 constexpr std::chrono::milliseconds HostAnnouncePause = 500ms; ///< After a failed call, before a host has announced.
 /// After a failed read, and between a host's own announcement and its first read: the hosts of a fleet may all start
 /// at once.
--- a/packages/node/include/endivespan/forward_node.h
+++ b/packages/node/include/endivespan/forward_node.h
@@ -27,8 +27,9 @@
 public:
     virtual ~ForwardNode() = default;
 
-    /// Starts to listen for callers and to read the log service.
-    /// @returns an error when a listening socket cannot be opened.
+    /// Starts to listen for callers and to read the log service. May be called again after an error.
+    /// @returns ConnectionFailed when a listening socket cannot be opened, for example because an earlier process of the
+    ///     host is still stopping.
     virtual Result<void> start() = 0;
 
     /// Begins a graceful stop. The readiness check fails at once; new requests are refused after the load balancer has
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -217,6 +217,10 @@
     Result<void> listen()
     {
         const HttpServerLimits limits = this->callerLimits();
+        // After a failed start, those that listen already would take their addresses from themselves.
+        this->callers.reset();
+        this->readiness.reset();
+        this->metricsServer.reset();
         auto callersListening
             = HttpServer::listen(this->loop, this->settings.listenCallers, limits, [this](const auto &exchange) {
                   this->forward.serve(exchange);
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -500,16 +500,29 @@
     settings.logAddress = loopback(host.store->server->port());
     settings.firstStart = true;
     settings.bounds = this->bounds;
+    host.settings = settings;
+    this->makeHost(host);
+    const auto started = host.node->start();
+    if (!started) {
+        throw std::runtime_error(started.error().detail);
+    }
+}
+
+void World::makeHost(WorldHost &host)
+{
+    const ForwardSettings &settings = host.settings;
     host.log = std::make_unique<platform::KeyedLogClient>(this->loop, settings.logAddress);
     host.engines = std::make_unique<platform::RunnerControl>(this->loop);
     host.node = ForwardNode::create(this->loop,
                                     settings,
                                     {this->requests, this->records, *host.log, *host.engines, *host.engines},
                                     [this] { this->stopped = true; });
-    const auto started = host.node->start();
-    if (!started) {
-        throw std::runtime_error(started.error().detail);
-    }
+}
+
+void World::replaceHost(std::size_t host)
+{
+    this->hosts[host].node.reset();
+    this->makeHost(this->hosts[host]);
 }
 
 void World::restartHost(std::size_t host)
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -186,6 +186,7 @@
     std::unique_ptr<ForwardNode> node;
     int callerPort = 0;
     int readinessPort = 0;
+    ForwardSettings settings;
 };
 
 /// The hosts under test, with their store, runners and callers.
@@ -233,6 +234,9 @@
 
     /// Destroys all hosts before it starts them again under the same names, and waits until they are ready.
     void restartAllHosts();
+
+    /// Destroys a host and makes it again under the same name and at the same addresses, without starting it.
+    void replaceHost(std::size_t host);
     [[nodiscard]] const CallerAnswer &answer(std::size_t call);
 
     Loop loop;
@@ -248,6 +252,7 @@
 
 private:
     void startHost(WorldHost &host);
+    void makeHost(WorldHost &host);
     std::size_t send(PooledCall call);
     void noteStandstill();
 
