Do not reset a long request whose server reads nothing for a second

Callers see: 502 ("connection reset") far before the deadline, when a sound server falls silent while it is being sent a long body. Cause: TCP_USER_TIMEOUT of 1 s also counts the time for which the receive window is full, although the server's kernel acknowledges. Change: requests of more than 4 KiB get 5 s, shorter ones keep 1 s. Cost: for such a request an unreachable server is found later, unless it may be repeated.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -47,6 +47,9 @@
 constexpr std::chrono::milliseconds ConnectTimeout = 500ms;
 /// TCP_USER_TIMEOUT; covers several retransmissions on a lossy link.
 constexpr std::chrono::milliseconds UnacknowledgedTimeout = 1000ms;
+constexpr std::chrono::seconds UnreadTimeout
+    = 5s; ///< The same for a request that may fill its server's receive window.
+constexpr std::size_t ShortRequestBytes = 4096; ///< Of a request that fits into any receive window.
 constexpr std::chrono::seconds KeepAliveProbeIdle = 1s; ///< The smallest value that the socket option takes.
 constexpr int KeepAliveProbes = 2; ///< Unanswered TCP keep-alive probes that end a connection.
 /// Subtracted from the keep-alive time that a server grants, so that a request arrives before the server closes.
--- a/packages/net/src/http_pool.cpp
+++ b/packages/net/src/http_pool.cpp
@@ -84,16 +84,24 @@
     return out;
 }
 
+// Sets how long sent bytes may stay unacknowledged. The kernel counts the time in which the server reads nothing as
+// well, once its receive window is full, so that a request that may fill the window needs more time than a short one.
+void setUnacknowledgedTimeout(int socket, std::size_t requestBytes)
+{
+    const bool fillsWindow = requestBytes > config::ShortRequestBytes;
+    const auto timeout = fillsWindow ? config::UnreadTimeout : config::UnacknowledgedTimeout;
+    const int milliseconds = static_cast<int>(std::chrono::milliseconds(timeout).count());
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
+}
+
 // Detects unreachable servers: the kernel closes the connection when sent bytes are not acknowledged in time or
 // keep-alive probes are not answered.
 void enableDeadPeerDetection(int socket)
 {
     const int on = 1;
-    const int userTimeout = static_cast<int>(config::UnacknowledgedTimeout.count());
     const int idle = static_cast<int>(config::KeepAliveProbeIdle.count());
     const int probes = config::KeepAliveProbes;
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeout, sizeof(userTimeout));
     setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
     setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
     setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &idle, sizeof(idle));
@@ -289,6 +297,7 @@
         return false;
     }
     enableDeadPeerDetection(bufferevent_getfd(this->stream));
+    setUnacknowledgedTimeout(bufferevent_getfd(this->stream), 0);
     bufferevent_enable(this->stream, EV_READ | EV_WRITE);
     this->connectTimer
         = this->pool.loop.after(timeout, [this] { this->fail(ErrorKind::ConnectionFailed, "connect timed out"); });
@@ -304,6 +313,7 @@
     this->stray = false;
     const std::string bytes = requestBytes(this->call->call);
     this->call->requestSize = bytes.size();
+    setUnacknowledgedTimeout(bufferevent_getfd(this->stream), bytes.size());
     bufferevent_write(this->stream, bytes.data(), bytes.size());
 }
 
--- a/packages/node/include/endivespan/forward_node.h
+++ b/packages/node/include/endivespan/forward_node.h
@@ -28,7 +28,8 @@
     virtual ~ForwardNode() = default;
 
     /// Starts to listen for callers and to read the log service. May be called again after an error.
-    /// @returns ConnectionFailed when a listening socket cannot be opened, for example because an earlier process of the
+    /// @returns ConnectionFailed when a listening socket cannot be opened, for example because an earlier process of
+    /// the
     ///     host is still stopping.
     virtual Result<void> start() = 0;
 
