--- a/packages/core/include/endivespan/digest.h
+++ b/packages/core/include/endivespan/digest.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -14,6 +15,9 @@
 /// @returns the SHA-256 of @p bytes.
 Digest sha256(std::string_view bytes);
 
+/// @returns @p bytes as lower-case hexadecimal digits, two for each.
+std::string hexText(std::span<const std::uint8_t> bytes);
+
 /// @returns @p digest as 64 lower-case hexadecimal digits.
 std::string digestHex(const Digest &digest);
 
--- a/packages/core/src/digest.cpp
+++ b/packages/core/src/digest.cpp
@@ -29,18 +29,23 @@
     return digest;
 }
 
-std::string digestHex(const Digest &digest)
+std::string hexText(std::span<const std::uint8_t> bytes)
 {
     constexpr std::string_view Digits = "0123456789abcdef";
     std::string text;
-    text.reserve(digest.size() * 2);
-    for (const std::uint8_t byte : digest) {
+    text.reserve(bytes.size() * 2);
+    for (const std::uint8_t byte : bytes) {
         text.push_back(Digits[byte >> 4U]);
         text.push_back(Digits[byte & 15U]);
     }
     return text;
 }
 
+std::string digestHex(const Digest &digest)
+{
+    return hexText(digest);
+}
+
 CanonicalEncoder &CanonicalEncoder::add(std::string_view field)
 {
     this->buffer += std::to_string(field.size());
--- a/packages/core/src/suspect.cpp
+++ b/packages/core/src/suspect.cpp
@@ -1,4 +1,5 @@
 #include <endivespan/config.h>
+#include <endivespan/digest.h>
 #include <endivespan/invariant.h>
 #include <endivespan/suspect.h>
 
@@ -15,8 +16,6 @@
 
 namespace {
 
-using Digest = std::array<std::uint8_t, SHA256_DIGEST_LENGTH>;
-
 Digest digestOf(std::initializer_list<std::string_view> fields)
 {
     std::string buffer;
@@ -69,13 +68,7 @@
 std::string fingerprintText(const Fingerprint &fingerprint)
 {
     constexpr std::size_t Bytes = 6;
-    constexpr std::string_view Digits = "0123456789abcdef";
-    std::string text;
-    for (std::size_t i = 0; i < Bytes; ++i) {
-        text += Digits[fingerprint.bytes[i] >> 4U];
-        text += Digits[fingerprint.bytes[i] & 0xfU];
-    }
-    return text;
+    return hexText(std::span(fingerprint.bytes).first<Bytes>());
 }
 
 CrashId crashIdOf(std::string_view server, std::string_view incarnation)
--- a/packages/core/src/suspect_archive.cpp
+++ b/packages/core/src/suspect_archive.cpp
@@ -1,4 +1,5 @@
 #include <endivespan/config.h>
+#include <endivespan/digest.h>
 #include <endivespan/suspect_archive.h>
 
 #include <algorithm>
@@ -14,13 +15,7 @@
 
 std::string fingerprintKey(const Fingerprint &fingerprint)
 {
-    constexpr std::string_view Digits = "0123456789abcdef";
-    std::string key;
-    for (const std::uint8_t byte : fingerprint.bytes) {
-        key += Digits[byte >> 4U];
-        key += Digits[byte & 0xfU];
-    }
-    return key;
+    return hexText(fingerprint.bytes);
 }
 
 std::optional<Fingerprint> parseFingerprintKey(std::string_view key)
--- a/packages/node/src/suspect_feed.cpp
+++ b/packages/node/src/suspect_feed.cpp
@@ -154,13 +154,7 @@
 // Records outlive the host that wrote them, so that one host removes those that have expired for all.
 void SuspectFeed::sweep()
 {
-    const std::string &self = this->membership.self().name;
-    const std::uint64_t own = rendezvousWeight(self, "suspicions");
-    const auto owners = this->membership.eligibleOwners();
-    const bool isFirst = std::none_of(owners.begin(), owners.end(), [own](const std::string &host) {
-        return rendezvousWeight(host, "suspicions") > own;
-    });
-    if (!isFirst) {
+    if (proposedOwner(this->membership.eligibleOwners(), "suspicions") != this->membership.self().name) {
         return;
     }
     this->log.newest(this->codec.suspectTopic(), [this](const Result<KeyedBatch> &batch) {
@@ -180,11 +174,12 @@
 void SuspectFeed::removeExpired()
 {
     this->writing = true;
-    this->log.put(this->codec.suspectTopic(), this->expired.back(), "", [this](const Result<void> &done) {
+    const std::string key = this->expired.back();
+    this->expired.pop_back();
+    this->log.put(this->codec.suspectTopic(), key, "", [this, key](const Result<void> &done) {
         this->writing = false;
-        if (done) {
-            this->expired.pop_back();
-        } else {
+        if (!done) {
+            this->expired.push_back(key);
             this->nextWrite = this->loop.now() + config::SuspectArchivePause;
         }
     });
