Keep the attempt at a silent server until another one has begun to answer

Cause: onServerSilent ended the attempt at the silent server before another one had accepted the request. Whatever then refused, failed or could not be reached took the caller's answer with it. Class: what works is given up before its replacement is secured. Change: a second attempt stands by at another server (forward_standby.cpp). The first one is ended with the header of the second one's answer, so that only one of them is passed on; when the first sends an event before that, the second is cancelled at once. A refused, failed or unreachable second attempt changes nothing for the first. When the first breaks off, the second takes its place. Log lines: standby_started, standby_cancelled. Cost to callers: none is refused or waits longer. The silent server keeps its run until the other's header, some 10 to 100 ms of work that may be made twice; an attempt that stood by in vain has used one of the budget's repeats, as the resumption did before. Evidence: tests/platform/silent_servers.cpp, five cases. Before: 3 failed (all five variants of "goes on there": body cut after the first event; 502 for 200 on both routes; the attempt that stands by is not cancelled). After: 5 of 5. Conclusion: the stream needs no other server to survive a silence, so that no state of the others can end it.

--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -64,8 +64,8 @@
 
 std::uint64_t ForwardRun::tokensHeld() const
 {
-    const bool atEngine = !this->server.empty() && !this->work.request.model.empty();
-    return atEngine ? this->attemptTokens + this->work.request.answerTokens : 0;
+    const bool atEngine = this->active.isUnderWay() && !this->work.request.model.empty();
+    return atEngine ? this->active.tokens + this->work.request.answerTokens : 0;
 }
 
 void ForwardRun::start()
@@ -160,7 +160,7 @@
         return false;
     }
     if (!choice.server.empty()) {
-        this->send(choice, now);
+        this->sendActive(choice, now);
         return true;
     }
     return false;
@@ -184,6 +184,7 @@
 // Adds the fields that only engines use. Cached prefixes are valid for one version of the weights only, so that the
 // attempt names the version and an engine with another one refuses.
 void ForwardRun::prepareEngine(ForwardDispatch &dispatch,
+                               ForwardAttempt &attempt,
                                const ServerView &view,
                                const std::string &likelyHolder,
                                TimePoint now)
@@ -216,7 +217,7 @@
     }
     dispatch.transfers = this->task.parts.stores.plan(dispatch.cacheScope, shared, view.entry.domain, mayUse, now);
     for (const std::string &store : dispatch.transfers.fetch) {
-        this->fetchedFrom = store.empty() ? this->fetchedFrom : store;
+        attempt.fetchedFrom = store.empty() ? attempt.fetchedFrom : store;
         this->partsFetched += store.empty() ? 0 : 1;
     }
     for (const std::string &store : dispatch.transfers.save) {
@@ -231,44 +232,43 @@
     }
 }
 
-void ForwardRun::send(const PlacementChoice &choice, TimePoint now)
+void ForwardRun::sendActive(const PlacementChoice &choice, TimePoint now)
 {
-    const ServerView &view = *this->task.parts.servers.find(choice.server);
     this->waitTimer.reset();
-    this->server = choice.server;
-    this->address = view.entry.address;
-    this->life = {choice.server, view.entry.born};
-    this->attemptAt = now;
-    this->lastByteAt = now;
-    this->headAt = {};
-    this->prefilled = false;
-    this->requestSent = false;
-    this->eventReceived = false;
-    this->status = 0;
-    this->body.clear();
+    this->send(choice, this->active, now);
+    this->watchAnswer();
+}
+
+void ForwardRun::send(const PlacementChoice &choice, ForwardAttempt &attempt, TimePoint now)
+{
+    const ServerView &view = *this->task.parts.servers.find(choice.server);
+    attempt = {};
+    attempt.number = ++this->attemptsSent;
+    attempt.server = choice.server;
+    attempt.address = view.entry.address;
+    attempt.life = {choice.server, view.entry.born};
+    attempt.startedAt = now;
+    attempt.lastByteAt = now;
     this->tried.insert(choice.server);
-    ++this->attemptsSent;
     if (this->attemptsSent == 1) {
         this->waited = now - this->work.arrivedAt;
     }
-    this->attemptTokens = 0;
-    this->fetchedFrom.clear();
     for (const PromptPart &part : this->work.request.parts) {
-        this->attemptTokens += part.tokens;
+        attempt.tokens += part.tokens;
     }
     ForwardDispatch dispatch;
     dispatch.server = choice.server;
     dispatch.organisation = this->work.organisation == nullptr ? "" : this->work.organisation->name;
     dispatch.timeLeft = toMilliseconds(this->work.deadline - now);
     if (!this->work.request.model.empty()) {
-        this->prepareEngine(dispatch, view, choice.likelyHolder, now);
+        this->prepareEngine(dispatch, attempt, view, choice.likelyHolder, now);
     }
     dispatch.lastEvent = this->lastEvent ? this->lastEvent : this->work.request.lastEvent;
-    this->weights = dispatch.weights.value_or(0);
+    attempt.weights = dispatch.weights.value_or(0);
 
     const HttpRequest &received = this->work.exchange->request();
     PooledCall call;
-    call.address = this->address;
+    call.address = attempt.address;
     call.method = received.method;
     call.target = received.target;
     call.headers = this->task.parts.codec.encodeDispatch(this->work.request, dispatch);
@@ -280,14 +280,27 @@
     if (ServerTable::isCold(view, now)) {
         this->logColdSend(view, now);
     }
-    this->task.parts.servers.started(this->server, this->attemptTokens, now);
-    this->call = this->task.pool->start(
+    this->task.parts.servers.started(attempt.server, attempt.tokens, now);
+    // Only the active attempt receives a body or an end: one that stands by becomes active with its head.
+    attempt.call = this->task.pool->start(
         std::move(call),
-        {[this](int answerStatus, const HttpHeaders &fields) { this->onHead(answerStatus, fields); },
+        {[this, number = attempt.number](int status, const HttpHeaders &fields) {
+             this->onHead(number, status, fields);
+         },
          [this](std::string_view bytes) { this->onBody(bytes); },
          [this] { this->onDone(); },
-         [this](const HttpFailure &failure) { this->onFailure(failure); },
-         [this] { this->markSent(); }});
+         [this, number = attempt.number](const HttpFailure &failure) { this->onFailure(number, failure); },
+         [this, number = attempt.number] { this->markSent(this->attemptOf(number)); }});
+}
+
+ForwardAttempt &ForwardRun::attemptOf(std::uint32_t number)
+{
+    return this->standby.isUnderWay() && this->standby.number == number ? this->standby : this->active;
+}
+
+// Times the answer of an attempt that may be repeated.
+void ForwardRun::watchAnswer()
+{
     if (this->work.route->repeat != RepeatRule::Once && this->possibleRuns + 1 < this->work.route->maxAttempts) {
         this->waitTimer = this->task.parts.loop.after(this->hedgeDelay(), [this] { this->onServerSilent(); });
     }
@@ -300,7 +313,7 @@
     this->task.parts.events.line("cold_server_used")
         .with("request", this->work.request.id)
         .with("attempt", this->attemptsSent)
-        .with("server", this->server)
+        .with("server", view.entry.id)
         .with("born", view.entry.born)
         .with("cold_ms", std::max<Duration>(view.coldUntil - now, Duration::zero()))
         .with("confirmed", view.unconfirmedSince == TimePoint {} ? "yes" : "no")
@@ -323,79 +336,91 @@
     return std::max<Duration>(std::clamp(aim - lead, least, longest), config::ForwardHedgeDelayLeast);
 }
 
-void ForwardRun::markSent()
+void ForwardRun::markSent(ForwardAttempt &attempt)
 {
-    if (!this->requestSent) {
-        this->requestSent = true;
-        this->task.parts.servers.sent(this->server, this->task.parts.loop.now());
+    if (!attempt.requestSent) {
+        attempt.requestSent = true;
+        this->task.parts.servers.sent(attempt.server, this->task.parts.loop.now());
     }
 }
 
-void ForwardRun::markPrefilled()
+void ForwardRun::markPrefilled(ForwardAttempt &attempt)
 {
-    if (!this->prefilled) {
-        this->prefilled = true;
-        this->task.parts.servers.prefilled(this->server, this->attemptTokens);
+    if (!attempt.prefilled) {
+        attempt.prefilled = true;
+        this->task.parts.servers.prefilled(attempt.server, attempt.tokens);
     }
 }
 
-void ForwardRun::endAttempt(AttemptOutcome outcome)
+void ForwardRun::endAttempt(ForwardAttempt &attempt, AttemptOutcome outcome)
 {
-    this->markPrefilled();
-    this->markSent();
-    if (this->streamBegan) {
-        this->streamBegan = false;
-        this->task.parts.servers.streamEnded(this->server);
+    this->markPrefilled(attempt);
+    this->markSent(attempt);
+    if (std::exchange(attempt.streamBegan, false)) {
+        this->task.parts.servers.streamEnded(attempt.server);
     }
-    this->waitTimer.reset();
-    this->task.parts.servers.ended(this->server, outcome, this->task.parts.loop.now());
-    this->server.clear();
-    this->call.reset();
+    this->task.parts.servers.ended(attempt.server, outcome, this->task.parts.loop.now());
+    attempt.server.clear();
+    attempt.call.reset();
     this->task.retryWaiting();
 }
 
 // Reports that the server may have crashed while it ran the request.
-void ForwardRun::reportLostAttempt(TimePoint now)
+void ForwardRun::reportLostAttempt(const ForwardAttempt &attempt, TimePoint now)
 {
-    this->task.recordLostAttempt(this->life, this->work, now);
+    this->task.recordLostAttempt(attempt.life, this->work, now);
 }
 
 // Ends an attempt whose answer is incomplete. Counts it as lost when the server has sent nothing for
 // ForwardStreamSilence, since it may have crashed.
-void ForwardRun::abandonAttempt(AttemptOutcome outcome)
+void ForwardRun::abandonAttempt(ForwardAttempt &attempt, AttemptOutcome outcome)
 {
-    if (const TimePoint now = this->task.parts.loop.now(); now - this->lastByteAt >= config::ForwardStreamSilence) {
-        this->reportLostAttempt(now);
+    if (const TimePoint now = this->task.parts.loop.now(); now - attempt.lastByteAt >= config::ForwardStreamSilence) {
+        this->reportLostAttempt(attempt, now);
     }
-    this->endAttempt(outcome);
+    this->endAttempt(attempt, outcome);
 }
 
-void ForwardRun::onHead(int answerStatus, const HttpHeaders &fields)
+ServerAnswer ForwardRun::readHead(ForwardAttempt &attempt, int answerStatus, const HttpHeaders &fields, TimePoint now)
 {
-    const TimePoint now = this->task.parts.loop.now();
-    const ServerAnswer answer = this->task.parts.codec.decodeAnswer(answerStatus, fields);
+    ServerAnswer answer = this->task.parts.codec.decodeAnswer(answerStatus, fields);
     if (answer.load) {
-        this->task.parts.servers.reportedLoad(this->server, *answer.load, now);
+        this->task.parts.servers.reportedLoad(attempt.server, *answer.load, now);
     }
     if (answer.weights && !this->work.request.model.empty()) {
-        this->task.parts.servers.reportedWeights(this->server, this->work.request.model, *answer.weights);
-    }
-    this->status = answerStatus;
-    this->headers = fields;
-    this->lastByteAt = now;
-    this->headAt = now;
-    if (answer.isFromOther(this->life.server)) {
-        this->task.crashes.onServerGone(this->life);
+        this->task.parts.servers.reportedWeights(attempt.server, this->work.request.model, *answer.weights);
+    }
+    attempt.status = answerStatus;
+    attempt.headers = fields;
+    attempt.lastByteAt = now;
+    attempt.headAt = now;
+    if (answer.isFromOther(attempt.life.server)) {
+        this->task.crashes.onServerGone(attempt.life);
     } else {
-        this->task.crashes.onAnswerBytes(this->life, now);
+        this->task.crashes.onAnswerBytes(attempt.life, now);
         if (answer.coldFor) {
-            this->task.parts.servers.reportedCold(this->life.server, this->life.born, *answer.coldFor, now);
+            this->task.parts.servers.reportedCold(attempt.life.server, attempt.life.born, *answer.coldFor, now);
         }
         if (answer.leaving) {
-            this->task.recordLeaving(this->life, this->address);
+            this->task.recordLeaving(attempt.life, attempt.address);
         }
-        this->task.recordRest(this->life, answer, this->work.request.id, now);
+        this->task.recordRest(attempt.life, answer, this->work.request.id, now);
     }
+    return answer;
+}
+
+void ForwardRun::onHead(std::uint32_t number, int answerStatus, const HttpHeaders &fields)
+{
+    if (this->standby.isUnderWay() && this->standby.number == number) {
+        return this->onStandbyHead(answerStatus, fields);
+    }
+    const TimePoint now = this->task.parts.loop.now();
+    this->onActiveHead(this->readHead(this->active, answerStatus, fields, now), now);
+}
+
+void ForwardRun::onActiveHead(const ServerAnswer &answer, TimePoint now)
+{
+    const int answerStatus = this->active.status;
     if (answer.notRun) {
         this->onNotRun(answer);
         return;
@@ -408,30 +433,34 @@
         this->attemptFailed(AttemptOutcome::Failed, "the server that should resume the stream answered with an error");
         return;
     }
+    if (answerStatus < StatusServerError) {
+        this->cancelStandby();
+    }
     if (!this->work.route->isStream || !isSuccess(answerStatus)) {
         return;
     }
-    this->markPrefilled();
-    if (!this->streamBegan) {
-        this->streamBegan = true;
-        this->task.parts.servers.streamBegan(this->server, now);
+    this->markPrefilled(this->active);
+    if (!this->active.streamBegan) {
+        this->active.streamBegan = true;
+        this->task.parts.servers.streamBegan(this->active.server, now);
     }
     if (!this->work.request.model.empty()) {
-        this->task.observeFirstByte(now - this->attemptAt);
+        this->task.observeFirstByte(now - this->active.startedAt);
         const auto &parts = this->work.request.parts;
         this->task.engines.observeFirstToken(
-            parts.empty() ? 0 : parts.back().tokens, this->attemptTokens, now - this->attemptAt);
+            parts.empty() ? 0 : parts.back().tokens, this->active.tokens, now - this->active.startedAt);
     }
-    if (!this->fetchedFrom.empty()) {
+    if (!this->active.fetchedFrom.empty()) {
         const std::uint64_t own = this->work.request.parts.back().tokens;
         const std::chrono::duration<double, std::milli> reading(
             static_cast<double>(own) / this->task.engines.rates().prefillTokensPerMillisecond);
-        this->task.parts.stores.addSample(
-            this->fetchedFrom, now - this->attemptAt - std::chrono::duration_cast<Duration>(reading), now);
+        this->task.parts.stores.addSample(this->active.fetchedFrom,
+                                          now - this->active.startedAt - std::chrono::duration_cast<Duration>(reading),
+                                          now);
     }
     if (!this->streaming) {
         this->streaming = true;
-        this->work.exchange->startStream(answerStatus, this->task.parts.codec.callerHeaders(fields));
+        this->work.exchange->startStream(answerStatus, this->task.parts.codec.callerHeaders(this->active.headers));
     }
     this->watchSilence();
 }
@@ -448,24 +477,26 @@
 void ForwardRun::onBody(std::string_view bytes)
 {
     if (!this->streaming) {
-        this->body += bytes;
-        if (this->body.size() > config::ForwardAnswerBytes) {
+        this->active.body += bytes;
+        if (this->active.body.size() > config::ForwardAnswerBytes) {
             this->attemptFailed(AttemptOutcome::Failed, "the answer exceeds the size limit");
         }
         return;
     }
     const TimePoint now = this->task.parts.loop.now();
-    this->lastByteAt = now;
-    this->task.crashes.onAnswerBytes(this->life, now);
-    this->task.parts.servers.receivedBytes(this->server, now);
+    this->active.lastByteAt = now;
+    this->task.crashes.onAnswerBytes(this->active.life, now);
+    this->task.parts.servers.receivedBytes(this->active.server, now);
     const std::string complete = this->events.feed(bytes);
     if (!complete.empty()) {
         const auto first = firstEventId(complete);
-        if (!this->eventReceived && first && this->lastEvent && *first <= *this->lastEvent) {
+        if (!this->active.eventReceived && first && this->lastEvent && *first <= *this->lastEvent) {
             this->attemptFailed(AttemptOutcome::Failed, "the resumed stream repeats events");
             return;
         }
-        this->eventReceived = true;
+        this->active.eventReceived = true;
+        // The attempt that stands by would repeat this event.
+        this->cancelStandby();
         if (this->firstByteAt == TimePoint {}) {
             this->firstByteAt = now;
         }
@@ -493,17 +524,21 @@
         this->onStreamEnd();
         return;
     }
-    const bool isFailure = this->status >= StatusServerError;
+    const bool isFailure = this->active.status >= StatusServerError;
+    if (isFailure && this->standby.isUnderWay()) {
+        return this->attemptFailed(AttemptOutcome::Failed, "status " + std::to_string(this->active.status));
+    }
     if (isFailure && this->work.route->repeat != RepeatRule::Once
         && this->possibleRuns + 1 < this->work.route->maxAttempts) {
         const TimePoint now = this->task.parts.loop.now();
         if (this->mayRepeat(now)) {
-            const int failedStatus = this->status;
-            const HttpHeaders failedHeaders = this->headers;
-            const std::string failedBody = this->body;
+            const int failedStatus = this->active.status;
+            const HttpHeaders failedHeaders = this->active.headers;
+            const std::string failedBody = this->active.body;
             ++this->possibleRuns;
-            const std::string failedServer = this->server;
-            this->endAttempt(AttemptOutcome::Failed);
+            const std::string failedServer = this->active.server;
+            this->waitTimer.reset();
+            this->endAttempt(this->active, AttemptOutcome::Failed);
             this->task.parts.events.line("attempt_repeated")
                 .with("request", this->work.request.id)
                 .with("server", failedServer)
@@ -511,20 +546,21 @@
             if (this->tryPlace(now) || this->ended) {
                 return;
             }
-            this->status = failedStatus;
-            this->headers = failedHeaders;
-            this->body = failedBody;
+            this->active.status = failedStatus;
+            this->active.headers = failedHeaders;
+            this->active.body = failedBody;
         }
     }
-    if (!this->server.empty()) {
-        this->endAttempt(isFailure ? AttemptOutcome::Failed : AttemptOutcome::Answered);
+    if (this->active.isUnderWay()) {
+        this->endAttempt(this->active, isFailure ? AttemptOutcome::Failed : AttemptOutcome::Answered);
     }
-    if (isSuccess(this->status)) {
+    if (isSuccess(this->active.status)) {
         this->recordAnswer(this->task.parts.loop.now());
     }
     this->firstByteAt = this->task.parts.loop.now();
-    this->work.exchange->reply(this->status, this->task.parts.codec.callerHeaders(this->headers), this->body);
-    this->finish(this->status,
+    this->work.exchange->reply(
+        this->active.status, this->task.parts.codec.callerHeaders(this->active.headers), this->active.body);
+    this->finish(this->active.status,
                  isFailure ? outcome::ServerFailed : outcome::Answered,
                  "",
                  isFailure ? LogRank::Failure : LogRank::Routine);
@@ -533,8 +569,8 @@
 // Records that a server has run the request without a crash. The end of a connection does not show that.
 void ForwardRun::recordAnswer(TimePoint now)
 {
-    if (framingOf(this->headers) != FramedByClose) {
-        this->task.parts.suspicions.recordAnswer(this->work.service, this->work.keys, this->headAt, now);
+    if (framingOf(this->active.headers) != FramedByClose) {
+        this->task.parts.suspicions.recordAnswer(this->work.service, this->work.keys, this->active.headAt, now);
     }
 }
 
@@ -542,20 +578,22 @@
 {
     const TimePoint now = this->task.parts.loop.now();
     // The end of a connection says little: a server that crashes may close it in order.
-    const bool closed = framingOf(this->headers) == FramedByClose;
+    const bool closed = framingOf(this->active.headers) == FramedByClose;
     const bool isInside = this->events.isInsideEvent();
-    if (isInside || (closed && !this->eventReceived)) {
+    if (isInside || (closed && !this->active.eventReceived)) {
         this->bytesInsideEvent = this->events.heldBytes();
-        this->reportLostAttempt(now);
+        this->reportLostAttempt(this->active, now);
         this->attemptFailed(closed ? AttemptOutcome::Unreachable : AttemptOutcome::Failed,
                             isInside ? "the stream ended inside an event" : "the stream ended without an event");
         return;
     }
     this->work.exchange->sendChunk(this->events.takeRest());
     if (!this->work.request.model.empty()) {
-        this->task.engines.observeRun(now - this->attemptAt, now - this->headAt, this->work.request.answerTokens);
+        this->task.engines.observeRun(
+            now - this->active.startedAt, now - this->active.headAt, this->work.request.answerTokens);
     }
-    this->endAttempt(AttemptOutcome::Answered);
+    this->cancelStandby();
+    this->endAttempt(this->active, AttemptOutcome::Answered);
     this->recordAnswer(now);
     this->work.exchange->endStream();
     this->finish(StatusOk, outcome::Answered, "", LogRank::Routine);
@@ -566,13 +604,15 @@
 void ForwardRun::onNotRun(const ServerAnswer &answer)
 {
     const TimePoint now = this->task.parts.loop.now();
-    const std::string refusing = this->server;
-    this->endAttempt(answer.isFromOther(refusing) ? AttemptOutcome::Misdirected : AttemptOutcome::Refused);
+    this->logRefusedAttempt(this->active);
+    this->waitTimer.reset();
+    this->endAttempt(this->active,
+                     answer.isFromOther(this->active.life.server) ? AttemptOutcome::Misdirected
+                                                                  : AttemptOutcome::Refused);
     ++this->notRunAnswers;
-    this->task.parts.events.line("attempt_refused")
-        .with("request", this->work.request.id)
-        .with("server", refusing)
-        .with("status", static_cast<std::uint64_t>(this->status));
+    if (this->standby.isUnderWay()) {
+        return this->promoteStandby();
+    }
     const bool again = this->notRunAnswers < config::ForwardNotRunAttempts
         && this->task.retries.tryTake(this->work.service, this->task.hosts(), now);
     if (again && this->tryPlace(now)) {
@@ -596,19 +636,40 @@
         && this->task.retries.tryTake(this->work.service, this->task.hosts(), now);
 }
 
-void ForwardRun::onFailure(const HttpFailure &failure)
+void ForwardRun::logRefusedAttempt(const ForwardAttempt &attempt)
+{
+    this->task.parts.events.line("attempt_refused")
+        .with("request", this->work.request.id)
+        .with("server", attempt.server)
+        .with("status", static_cast<std::uint64_t>(attempt.status));
+}
+
+void ForwardRun::onFailure(std::uint32_t number, const HttpFailure &failure)
+{
+    if (this->standby.isUnderWay() && this->standby.number == number) {
+        this->onStandbyFailure(failure);
+    } else {
+        this->onActiveFailure(failure);
+    }
+}
+
+void ForwardRun::onActiveFailure(const HttpFailure &failure)
 {
     const TimePoint now = this->task.parts.loop.now();
     if (!failure.requestSent) {
-        const std::string unreachable = this->server;
-        this->requestSent = true;
+        const std::string unreachable = this->active.server;
+        this->active.requestSent = true;
         this->task.parts.servers.notSent(unreachable);
-        this->endAttempt(AttemptOutcome::Unreachable);
-        this->task.pool->closeIdle(this->address);
+        this->waitTimer.reset();
+        this->endAttempt(this->active, AttemptOutcome::Unreachable);
+        this->task.pool->closeIdle(this->active.address);
         this->task.parts.events.line("server_unreachable", LogRank::Failure)
             .with("request", this->work.request.id)
             .with("server", unreachable)
             .with("why", failure.error.detail);
+        if (this->standby.isUnderWay()) {
+            return this->promoteStandby();
+        }
         if (this->tryPlace(now) || this->ended) {
             return;
         }
@@ -620,72 +681,50 @@
         return;
     }
     const bool broken = failure.error.kind == ErrorKind::StreamCut;
-    this->reportLostAttempt(now);
+    this->reportLostAttempt(this->active, now);
     this->attemptFailed(broken ? AttemptOutcome::Unreachable : AttemptOutcome::Failed, failure.error.detail);
 }
 
-// Handles that the server has sent nothing for too long. The attempt is ended only when another server can take the
-// request now.
-void ForwardRun::onServerSilent()
+// Handles the failure of an attempt that may have run: only a route that allows repeats sends another one.
+void ForwardRun::attemptFailed(AttemptOutcome outcome, std::string_view why)
 {
     const TimePoint now = this->task.parts.loop.now();
-    this->task.pool->closeIdle(this->address);
-    if (!this->streaming && this->status != 0) {
-        return;
+    this->logFailedAttempt(this->active, why);
+    this->waitTimer.reset();
+    this->endAttempt(this->active, outcome);
+    ++this->possibleRuns;
+    this->events.takeRest();
+    if (this->standby.isUnderWay()) {
+        return this->promoteStandby();
     }
-    const PlacementChoice other = this->task.place(this->need(), now);
-    // When all servers are slow, a second attempt would only add load, so that another server must be expected to
-    // answer soon. This does not apply to a server that sends nothing for any request: it may never answer.
-    const auto soon = this->work.route->aim * config::HedgeShare;
-    const bool isSoon
-        = other.expected <= soon && (this->work.request.model.empty() || this->task.firstByteTime() <= soon);
-    const ServerView *asked = this->task.parts.servers.find(this->server);
-    const bool isGone = asked == nullptr || asked->isSilent(config::ForwardStreamSilence - config::SilenceMargin, now);
-    const bool hasOther = !other.server.empty() && (isSoon || isGone);
-    if (isGone) {
-        this->reportLostAttempt(now);
-    }
-    if (this->possibleRuns + 1 >= this->work.route->maxAttempts || !hasOther || !this->mayRepeat(now)) {
-        this->watchSilence();
-        return;
+    const bool allowed = this->streaming ? this->work.route->repeat == RepeatRule::Resumable
+                                         : this->work.route->repeat != RepeatRule::Once;
+    if (allowed && this->possibleRuns < this->work.route->maxAttempts && this->mayRepeat(now)) {
+        if (this->tryPlace(now) || this->ended) {
+            return;
+        }
     }
-    this->reportLostAttempt(now);
-    this->attemptFailed(AttemptOutcome::Failed, "the server sent nothing for too long", true);
+    this->cut(why);
 }
 
-// Handles the failure of an attempt that may have run: only a route that allows repeats sends another one.
-void ForwardRun::attemptFailed(AttemptOutcome outcome, std::string_view why, bool repeatGranted)
+void ForwardRun::logFailedAttempt(const ForwardAttempt &attempt, std::string_view why)
 {
-    const TimePoint now = this->task.parts.loop.now();
-    const std::string failedServer = this->server;
-    const Duration age = now - this->attemptAt;
-    this->endAttempt(outcome);
-    ++this->possibleRuns;
     this->task.parts.events.line("attempt_failed", LogRank::Failure)
         .with("request", this->work.request.id)
         .with("alike", fingerprintText(this->work.keys.request))
-        .with("server", failedServer)
-        .with("after_ms", age)
-        .with("status", static_cast<std::uint64_t>(std::max(this->status, 0)))
+        .with("server", attempt.server)
+        .with("after_ms", this->task.parts.loop.now() - attempt.startedAt)
+        .with("status", static_cast<std::uint64_t>(std::max(attempt.status, 0)))
         .with("why", why)
         .with("parts", sharedPartNames(this->work.request.parts))
         .with("last_event", this->lastEvent.value_or(0));
-    this->events.takeRest();
-    const bool allowed = this->streaming ? this->work.route->repeat == RepeatRule::Resumable
-                                         : this->work.route->repeat != RepeatRule::Once;
-    if (allowed && this->possibleRuns < this->work.route->maxAttempts && (repeatGranted || this->mayRepeat(now))) {
-        if (this->tryPlace(now) || this->ended) {
-            return;
-        }
-    }
-    this->cut(why);
 }
 
 void ForwardRun::onDeadline()
 {
-    const bool sent = !this->server.empty();
-    if (sent) {
-        this->abandonAttempt(AttemptOutcome::Failed);
+    this->cancelStandby();
+    if (this->active.isUnderWay()) {
+        this->abandonAttempt(this->active, AttemptOutcome::Failed);
         ++this->possibleRuns;
     }
     if (this->possibleRuns == 0) {
@@ -697,7 +736,7 @@
 
 void ForwardRun::stop()
 {
-    if (!this->server.empty() || this->possibleRuns > 0 || this->streaming) {
+    if (this->active.isUnderWay() || this->possibleRuns > 0 || this->streaming) {
         this->cut(ErrorKind::OutcomeUnknown, refusalAnswer(RefusalCause::HostStopping).why);
     } else {
         this->refuse(RefusalCause::HostStopping);
@@ -706,8 +745,9 @@
 
 void ForwardRun::onCallerGone()
 {
-    if (!this->server.empty()) {
-        this->abandonAttempt(AttemptOutcome::Cancelled);
+    this->cancelStandby();
+    if (this->active.isUnderWay()) {
+        this->abandonAttempt(this->active, AttemptOutcome::Cancelled);
     }
     this->finish(0, outcome::CallerGone, "", LogRank::Routine);
 }
@@ -749,8 +789,9 @@
     if (this->ended) {
         return;
     }
-    if (!this->server.empty()) {
-        this->endAttempt(AttemptOutcome::Cancelled);
+    this->cancelStandby();
+    if (this->active.isUnderWay()) {
+        this->endAttempt(this->active, AttemptOutcome::Cancelled);
     }
     if (this->streaming) {
         this->work.exchange->abort();
@@ -796,12 +837,12 @@
         .with("cold", this->lastChoice.cold)
         .with("expected_ms", this->lastChoice.expected)
         .with("attempts", this->attemptsSent)
-        .with("framing", this->status == 0 ? "none" : framingOf(this->headers))
+        .with("framing", this->active.status == 0 ? "none" : framingOf(this->active.headers))
         .with("incomplete_event_bytes", this->bytesInsideEvent)
         .with("parts_fetched", this->partsFetched)
         .with("parts_saved", this->partsSaved)
         .with("parts_sought", this->partsSought)
-        .with("weights", this->weights)
+        .with("weights", this->active.weights)
         .with("config", this->work.config->version)
         .with("confirmed_ms", age.value_or(Duration::zero()))
         .with("waited_ms", this->waited)
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -27,7 +27,35 @@
     TimePoint deadline; ///< The earlier one of the caller's and the route's.
 };
 
-/// Sends a request to one server after another until an attempt succeeds or no further one is allowed.
+/// One attempt of a run, at one server.
+struct ForwardAttempt {
+    std::uint32_t number = 0; ///< Counts the attempts of a run from 1.
+    std::unique_ptr<HttpPending> call;
+    std::string server; ///< Empty once the attempt has ended.
+    std::string address;
+    ServerIncarnation life; ///< Server and start time of the server; kept when the attempt has ended.
+    std::uint64_t tokens = 0; ///< Prompt tokens that the engine must process before the answer begins.
+    std::uint64_t weights = 0; ///< Version of the weights that the attempt requires; 0 for none.
+    std::string fetchedFrom; ///< Store that the last fetched part comes from; empty for none.
+    TimePoint startedAt;
+    TimePoint lastByteAt; ///< When the latest byte of the answer arrived; the start before.
+    TimePoint headAt; ///< When the header of the answer arrived; epoch before.
+    bool prefilled = false; ///< The prompt tokens no longer count as queued at the server.
+    bool requestSent = false; ///< The request was sent completely, or certainly never will be.
+    bool streamBegan = false; ///< The stream has begun.
+    bool eventReceived = false; ///< The stream had a complete event.
+    int status = 0;
+    HttpHeaders headers;
+    std::string body;
+
+    [[nodiscard]] bool isUnderWay() const
+    {
+        return !this->server.empty();
+    }
+};
+
+/// Sends a request to one server after another until an attempt succeeds or no further one is allowed. While a server
+/// sends nothing, a second attempt stands by at another one; the first goes on until the second has been accepted.
 class ForwardRun
 {
 public:
@@ -56,19 +84,27 @@
     /// @returns whether an attempt that is sent now is expected to be answered before a stop of this host ends it.
     /// @param firstByte Expected time to the first byte of the answer.
     [[nodiscard]] bool endsBeforeStop(Duration firstByte, TimePoint now) const;
-    void send(const PlacementChoice &choice, TimePoint now);
+    void send(const PlacementChoice &choice, ForwardAttempt &attempt, TimePoint now);
+    void sendActive(const PlacementChoice &choice, TimePoint now);
     [[nodiscard]] PlacementNeed need() const;
-    void
-    prepareEngine(ForwardDispatch &dispatch, const ServerView &view, const std::string &likelyHolder, TimePoint now);
+    void prepareEngine(ForwardDispatch &dispatch,
+                       ForwardAttempt &attempt,
+                       const ServerView &view,
+                       const std::string &likelyHolder,
+                       TimePoint now);
 
     void logColdSend(const ServerView &view, TimePoint now);
 
-    void onHead(int status, const HttpHeaders &headers);
+    void onHead(std::uint32_t number, int status, const HttpHeaders &headers);
+    void onActiveHead(const ServerAnswer &answer, TimePoint now);
+    /// Records what the header of an answer says of its server.
+    [[nodiscard]] ServerAnswer readHead(ForwardAttempt &attempt, int status, const HttpHeaders &headers, TimePoint now);
     void onBody(std::string_view bytes);
     void onDone();
     void onStreamEnd();
     void recordAnswer(TimePoint now);
-    void onFailure(const HttpFailure &failure);
+    void onFailure(std::uint32_t number, const HttpFailure &failure);
+    void onActiveFailure(const HttpFailure &failure);
     void onServerSilent();
     void onDeadline();
     void onCallerGone();
@@ -76,15 +112,34 @@
     void onNotRun(const ServerAnswer &answer);
     /// Ends an attempt that may have run, and sends another one or ends the request.
     /// @param repeatGranted Whether mayRepeat() has already allowed another attempt.
-    void attemptFailed(AttemptOutcome outcome, std::string_view why, bool repeatGranted = false);
+    void attemptFailed(AttemptOutcome outcome, std::string_view why);
     [[nodiscard]] bool mayRepeat(TimePoint now);
-    void endAttempt(AttemptOutcome outcome);
-    void reportLostAttempt(TimePoint now);
-    void abandonAttempt(AttemptOutcome outcome);
+    void endAttempt(ForwardAttempt &attempt, AttemptOutcome outcome);
+    void logFailedAttempt(const ForwardAttempt &attempt, std::string_view why);
+    void logRefusedAttempt(const ForwardAttempt &attempt);
+    void reportLostAttempt(const ForwardAttempt &attempt, TimePoint now);
+    void abandonAttempt(ForwardAttempt &attempt, AttemptOutcome outcome);
     [[nodiscard]] Duration hedgeDelay() const;
-    void markSent();
-    void markPrefilled();
+    void markSent(ForwardAttempt &attempt);
+    void markPrefilled(ForwardAttempt &attempt);
+    void watchAnswer();
     void watchSilence();
+    [[nodiscard]] ForwardAttempt &attemptOf(std::uint32_t number);
+
+    // In forward_standby.cpp.
+
+    /// @returns a server that is expected to answer an attempt standing by for the silent one.
+    [[nodiscard]] PlacementChoice placeStandby(TimePoint now);
+    /// Sends an attempt that stands by, if a server has room for it.
+    void startStandby(TimePoint now);
+    /// Ends the attempt that stands by, since the active one goes on or the run ends.
+    void cancelStandby();
+    void onStandbyHead(int status, const HttpHeaders &headers);
+    void onStandbyRefused(const ServerAnswer &answer, TimePoint now);
+    void onStandbyFailure(const HttpFailure &failure);
+    void onStandbyFailed(AttemptOutcome outcome, std::string_view why);
+    /// Makes the attempt that stands by the active one, which has ended.
+    void promoteStandby();
 
     void refuse(RefusalCause cause);
     void cut(std::string_view why);
@@ -93,23 +148,11 @@
 
     ForwardTask &task;
     ForwardJob work;
-    std::unique_ptr<HttpPending> call;
     std::unique_ptr<Timer> deadlineTimer;
     std::unique_ptr<Timer> waitTimer;
 
-    std::string server; ///< Of the current attempt; empty between attempts.
-    std::string address;
-    std::uint64_t attemptTokens = 0; ///< Prompt tokens that the engine must process before the answer begins.
-    std::string fetchedFrom; ///< Store that the last fetched part comes from; empty for none.
-    ServerIncarnation life; ///< Server and start time of the server of the latest attempt.
-    TimePoint attemptAt;
-    TimePoint lastByteAt; ///< When the latest byte of the attempt's answer arrived; its start before.
-    TimePoint headAt; ///< When the header of the attempt's answer arrived; epoch before.
-    bool prefilled = false; ///< The prompt tokens of the attempt no longer count as queued at the server.
-    bool requestSent = false; ///< The request was sent completely, or certainly never will be.
-    int status = 0;
-    HttpHeaders headers;
-    std::string body;
+    ForwardAttempt active; ///< The current attempt, whose answer the caller receives.
+    ForwardAttempt standby; ///< At another server, while the current one sends nothing.
 
     std::set<std::string> tried;
     std::uint32_t attemptsSent = 0; ///< All attempts of this run.
@@ -118,10 +161,7 @@
     std::uint32_t partsFetched = 0; ///< Parts that engines were told to fetch from stores, over all attempts.
     std::uint32_t partsSaved = 0; ///< Parts that engines were told to save to stores, over all attempts.
     std::uint64_t partsSought = 0; ///< Parts that engines were told to fetch from another engine, over all attempts.
-    std::uint64_t weights = 0; ///< Version of the weights that the last attempt required; 0 for none.
     PlacementChoice lastChoice; ///< Result of the latest search for a server.
-    bool streamBegan = false; ///< The stream of the current attempt has begun.
-    bool eventReceived = false; ///< The stream of the current attempt had a complete event.
     bool streaming = false; ///< The header of a streamed answer was sent to the caller.
     EventSplitter events;
     std::uint64_t bytesInsideEvent = 0; ///< Bytes after the last complete event of a stream that ended.
--- /dev/null
+++ b/packages/node/src/forward_standby.cpp
@@ -0,0 +1,158 @@
+#include "forward_run.h"
+
+#include <endivespan/config.h>
+
+#include <utility>
+
+// The part of ForwardRun that keeps a second attempt ready while a server is silent. A sound server may send nothing
+// for a second or so and go on, so that its attempt ends only once another server has begun to answer.
+namespace endivespan {
+
+namespace {
+
+constexpr std::string_view SilentServer = "the server sent nothing for too long";
+constexpr int StatusServerError = 500;
+
+} // namespace
+
+// When all servers are slow, a second attempt would only add load, so that another server must be expected to answer
+// soon. This does not apply to a server that sends nothing for any request: it may never answer.
+PlacementChoice ForwardRun::placeStandby(TimePoint now)
+{
+    PlacementChoice other = this->task.place(this->need(), now);
+    const auto soon = this->work.route->aim * config::HedgeShare;
+    const bool isSoon
+        = other.expected <= soon && (this->work.request.model.empty() || this->task.firstByteTime() <= soon);
+    const ServerView *asked = this->task.parts.servers.find(this->active.server);
+    const bool isGone = asked == nullptr || asked->isSilent(config::ForwardStreamSilence - config::SilenceMargin, now);
+    if (isGone) {
+        this->reportLostAttempt(this->active, now);
+    }
+    if (!isSoon && !isGone) {
+        other.server.clear();
+    }
+    return other;
+}
+
+// Handles that neither the server nor the one that stands by for it has sent anything for too long.
+void ForwardRun::onServerSilent()
+{
+    const TimePoint now = this->task.parts.loop.now();
+    this->task.pool->closeIdle(this->active.address);
+    if (!this->streaming && this->active.status != 0) {
+        return;
+    }
+    const std::uint32_t runs = this->possibleRuns + (this->standby.isUnderWay() ? 2 : 1);
+    if (runs < this->work.route->maxAttempts) {
+        if (this->standby.isUnderWay()) {
+            this->reportLostAttempt(this->standby, now);
+            this->logFailedAttempt(this->standby, SilentServer);
+            this->endAttempt(this->standby, AttemptOutcome::Failed);
+            ++this->possibleRuns;
+        }
+        this->startStandby(now);
+    }
+    if (this->standby.isUnderWay() && !this->streaming) {
+        this->waitTimer = this->task.parts.loop.after(this->hedgeDelay(), [this] { this->onServerSilent(); });
+    } else {
+        this->watchSilence();
+    }
+}
+
+void ForwardRun::startStandby(TimePoint now)
+{
+    const PlacementChoice other = this->placeStandby(now);
+    if (other.server.empty() || this->possibleRuns + 1 >= this->work.route->maxAttempts
+        || this->task.parts.suspicions.findRefusedPart(this->work.service, this->work.keys, now)
+        || !this->mayRepeat(now)) {
+        return;
+    }
+    this->reportLostAttempt(this->active, now);
+    this->task.parts.events.line("standby_started")
+        .with("request", this->work.request.id)
+        .with("silent", this->active.server)
+        .with("silent_ms", now - this->active.lastByteAt)
+        .with("server", other.server)
+        .with("last_event", this->lastEvent.value_or(0));
+    this->send(other, this->standby, now);
+}
+
+void ForwardRun::cancelStandby()
+{
+    if (!this->standby.isUnderWay()) {
+        return;
+    }
+    this->task.parts.events.line("standby_cancelled")
+        .with("request", this->work.request.id)
+        .with("server", this->standby.server);
+    this->possibleRuns += this->standby.requestSent ? 1 : 0;
+    this->endAttempt(this->standby, AttemptOutcome::Cancelled);
+}
+
+void ForwardRun::onStandbyHead(int status, const HttpHeaders &fields)
+{
+    const TimePoint now = this->task.parts.loop.now();
+    const ServerAnswer answer = this->readHead(this->standby, status, fields, now);
+    const bool isSuccess = status >= 200 && status < 300;
+    if (answer.notRun) {
+        return this->onStandbyRefused(answer, now);
+    }
+    if ((isSuccess && !answer.genuine) || (this->streaming && !isSuccess) || status >= StatusServerError) {
+        return this->onStandbyFailed(AttemptOutcome::Failed, "status " + std::to_string(status));
+    }
+    this->logFailedAttempt(this->active, SilentServer);
+    this->waitTimer.reset();
+    this->endAttempt(this->active, AttemptOutcome::Failed);
+    ++this->possibleRuns;
+    this->events.takeRest();
+    this->active = std::exchange(this->standby, {});
+    this->onActiveHead(answer, now);
+}
+
+void ForwardRun::onStandbyRefused(const ServerAnswer &answer, TimePoint now)
+{
+    this->logRefusedAttempt(this->standby);
+    this->endAttempt(this->standby,
+                     answer.isFromOther(this->standby.life.server) ? AttemptOutcome::Misdirected
+                                                                   : AttemptOutcome::Refused);
+    // It has room again later, when the silent server may still be silent.
+    if (!answer.isFromOther(this->standby.life.server)) {
+        this->tried.erase(this->standby.life.server);
+    }
+    if (++this->notRunAnswers < config::ForwardNotRunAttempts) {
+        this->startStandby(now);
+    }
+}
+
+void ForwardRun::onStandbyFailure(const HttpFailure &failure)
+{
+    const TimePoint now = this->task.parts.loop.now();
+    if (failure.requestSent) {
+        this->reportLostAttempt(this->standby, now);
+        const bool broken = failure.error.kind == ErrorKind::StreamCut;
+        return this->onStandbyFailed(broken ? AttemptOutcome::Unreachable : AttemptOutcome::Failed,
+                                     failure.error.detail);
+    }
+    this->standby.requestSent = true;
+    this->task.parts.servers.notSent(this->standby.server);
+    this->logFailedAttempt(this->standby, failure.error.detail);
+    this->task.pool->closeIdle(this->standby.address);
+    this->endAttempt(this->standby, AttemptOutcome::Unreachable);
+    this->startStandby(now);
+}
+
+void ForwardRun::onStandbyFailed(AttemptOutcome outcome, std::string_view why)
+{
+    this->logFailedAttempt(this->standby, why);
+    this->endAttempt(this->standby, outcome);
+    ++this->possibleRuns;
+    this->startStandby(this->task.parts.loop.now());
+}
+
+void ForwardRun::promoteStandby()
+{
+    this->active = std::exchange(this->standby, {});
+    this->watchAnswer();
+}
+
+} // namespace endivespan
--- /dev/null
+++ b/tests/platform/silent_servers.cpp
@@ -0,0 +1,174 @@
+#include "world.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace endivespan;
+using namespace endivespan::tests;
+using namespace std::chrono_literals;
+using Reply = RunnerStandin::Reply;
+using Then = Reply::Then;
+
+namespace {
+
+constexpr auto Silence = 1400ms;
+const HttpHeaders Patient {{"x-endivespan-deadline-ms", "2900"}};
+const std::string End = "0\r\n\r\n";
+
+bool isResumed(const ReceivedRequest &request)
+{
+    return !request.field("last-event-id").empty();
+}
+
+/// @returns a stream of three events that pauses after the first one.
+Reply silentStream(const ReceivedRequest &request, std::chrono::milliseconds silence = Silence)
+{
+    return {streamHead(request) + eventChunk(1, "a"),
+            Then::Hang,
+            {},
+            silence,
+            eventChunk(2, "b") + eventChunk(3, "c") + End};
+}
+
+Reply notExecuted(const ReceivedRequest &request)
+{
+    return {answerTo(request, 503, "full", "X-Endivespan-Not-Executed: 1\r\n")};
+}
+
+void scriptAll(World &world, const RunnerStandin::Script &script)
+{
+    for (const auto &runner : world.runners) {
+        runner->script = script;
+    }
+}
+
+std::vector<ReceivedRequest> received(const World &world)
+{
+    std::vector<ReceivedRequest> all;
+    for (const auto &runner : world.runners) {
+        all.insert(all.end(), runner->received.begin(), runner->received.end());
+    }
+    return all;
+}
+
+struct Case {
+    std::string what;
+    RunnerStandin::Script standby; ///< What a server does with the attempt that stands by.
+};
+
+const std::string WholeBody = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+
+} // namespace
+
+// Guards against streams that are cut because a sound server fell silent and another one did not take them over.
+TEST_CASE("a stream whose server falls silent goes on there when no other server takes it over")
+{
+    const std::vector<Case> cases {
+        {"refused", notExecuted},
+        {"failed", [](const ReceivedRequest &request) { return Reply {answerTo(request, 500, "failed")}; }},
+        {"broken off",
+         [](const ReceivedRequest &) {
+             return Reply {"", Then::Reset};
+         }},
+        {"silent",
+         [](const ReceivedRequest &) {
+             return Reply {"", Then::Hang};
+         }},
+        {"not genuine",
+         [](const ReceivedRequest &) {
+             return Reply {"HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\nid: 2\ndata: x\n\n"};
+         }},
+    };
+    for (const Case &tested : cases) {
+        CAPTURE(tested.what);
+        World world(4);
+        scriptAll(world, [&tested](const ReceivedRequest &request) {
+            return isResumed(request) ? tested.standby(request) : silentStream(request);
+        });
+        const CallerAnswer answer = world.answer(world.ask("/resume/", Patient));
+        CHECK(answer.whole);
+        CHECK(answer.body == WholeBody);
+        CHECK(received(world).size() > 1);
+    }
+}
+
+TEST_CASE("a stream whose server falls silent is taken over by another one without a gap")
+{
+    World world(2);
+    scriptAll(world, [](const ReceivedRequest &request) {
+        return isResumed(request) ? Reply {streamHead(request) + eventChunk(2, "b") + eventChunk(3, "c") + End}
+                                  : silentStream(request, 60s);
+    });
+    const CallerAnswer answer = world.answer(world.ask("/resume/", Patient));
+    CHECK(answer.whole);
+    CHECK(answer.body == WholeBody);
+    world.runFor(50ms);
+    for (const ReceivedRequest &request : received(world)) {
+        CHECK(request.callerGone != isResumed(request));
+    }
+}
+
+TEST_CASE("an attempt that stands by is cancelled at once when the silent server goes on")
+{
+    World world(2);
+    scriptAll(world, [](const ReceivedRequest &request) {
+        return isResumed(request)
+            ? Reply {streamHead(request) + eventChunk(2, "x") + eventChunk(3, "x") + End, Then::Keep, 1s}
+            : silentStream(request);
+    });
+    const CallerAnswer answer = world.answer(world.ask("/resume/", Patient));
+    CHECK(answer.whole);
+    CHECK(answer.body == WholeBody);
+    world.runFor(50ms);
+    const auto all = received(world);
+    REQUIRE(all.size() == 2);
+    for (const ReceivedRequest &request : all) {
+        CHECK(request.callerGone == isResumed(request));
+    }
+}
+
+TEST_CASE("an attempt that stands by goes on when the silent server breaks off")
+{
+    World world(2);
+    std::size_t silent = 0;
+    for (std::size_t i = 0; i < world.runners.size(); ++i) {
+        world.runners[i]->script = [&silent, i](const ReceivedRequest &request) {
+            silent = isResumed(request) ? silent : i;
+            return isResumed(request)
+                ? Reply {streamHead(request) + eventChunk(2, "b") + eventChunk(3, "c") + End, Then::Keep, 400ms}
+                : silentStream(request, 60s);
+        };
+    }
+    const auto call = world.ask("/resume/", Patient);
+    REQUIRE(world.until([&world] { return received(world).size() == 2; }));
+    world.runners[silent]->shutDown();
+    const CallerAnswer answer = world.answer(call);
+    CHECK(answer.whole);
+    CHECK(answer.body == WholeBody);
+}
+
+// Guards against a failure that the caller gets although its sound server would have answered in time.
+TEST_CASE("a request whose server is slow is answered by it when the other servers refuse the request")
+{
+    for (const char *path : {"/again/", "/resume/"}) {
+        CAPTURE(path);
+        World world(4);
+        bool isFirst = true;
+        scriptAll(world, [&isFirst, path = std::string(path)](const ReceivedRequest &request) {
+            if (!std::exchange(isFirst, false)) {
+                return notExecuted(request);
+            }
+            return Reply {path == "/again/" ? answerTo(request, 200, "done")
+                                            : streamHead(request) + eventChunk(1, "done") + End,
+                          Then::Keep,
+                          900ms};
+        });
+        const CallerAnswer answer = world.answer(world.ask(path, Patient));
+        CHECK(answer.whole);
+        CHECK(answer.status == 200);
+        CHECK(answer.body.find("done") != std::string::npos);
+        CHECK(received(world).size() > 1);
+    }
+}
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -378,7 +378,15 @@
         this->send(stream, reply);
         return;
     }
-    this->closing.push_back(this->loop.after(reply.delay, [this, stream, number = connection.number, reply] {
+    this->sendLater(stream, connection.number, reply.delay, reply);
+}
+
+void RunnerStandin::sendLater(bufferevent *stream,
+                              std::uint64_t number,
+                              std::chrono::milliseconds delay,
+                              const Reply &reply)
+{
+    this->closing.push_back(this->loop.after(delay, [this, stream, number, reply] {
         const auto found = this->connections.find(stream);
         if (found != this->connections.end() && found->second.number == number) {
             this->send(stream, reply);
@@ -396,6 +404,9 @@
         break;
     case Reply::Then::Hang:
         bufferevent_write(stream, reply.bytes.data(), reply.bytes.size());
+        if (!reply.rest.empty()) {
+            this->sendLater(stream, connection.number, reply.pause, {reply.rest});
+        }
         break;
     case Reply::Then::Close:
     case Reply::Then::Reset:
@@ -513,10 +524,11 @@
     const ForwardSettings &settings = host.settings;
     host.log = std::make_unique<platform::KeyedLogClient>(this->loop, settings.logAddress);
     host.engines = std::make_unique<platform::RunnerControl>(this->loop);
-    host.node = ForwardNode::create(this->loop,
-                                    settings,
-                                    {this->requests, this->records, *host.log, *host.engines, *host.engines},
-                                    [this] { this->stopped = true; });
+    host.node = ForwardNode::create(
+        this->loop, settings, {this->requests, this->records, *host.log, *host.engines, *host.engines}, [this] {
+            this->stopped = true;
+            this->loop.stop();
+        });
 }
 
 void World::replaceHost(std::size_t host)
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -109,6 +109,8 @@
         std::string bytes;
         enum class Then { Keep, Close, Reset, Hang } then = Then::Keep;
         std::chrono::milliseconds delay {}; ///< How long the runner works before it sends the bytes.
+        std::chrono::milliseconds pause {}; ///< Silence after the bytes, before the rest; with Hang only.
+        std::string rest {}; ///< Bytes that complete the answer.
     };
     using Script = std::function<Reply(const ReceivedRequest &request)>;
 
@@ -145,6 +147,8 @@
     void drop(bufferevent *stream);
     void serve(bufferevent *stream);
     void send(bufferevent *stream, const Reply &reply);
+    /// Sends on the connection with this @p number, if it is still open.
+    void sendLater(bufferevent *stream, std::uint64_t number, std::chrono::milliseconds delay, const Reply &reply);
     void listen(int wantedPort);
     void stopListening();
 
