Close a caller's connection only behind an answer that has said so

Callers saw: a whole request that got neither an answer nor a refusal, on a connection kept from a stream during which the host got SIGTERM. Cause: whether the connection is closed was decided at the end of the answer, while "Connection: close" can only be said in its header. A request that followed a stream of before the stop was read and dropped. Class: a close that the other side is not told of before it may send. Ruled out: answers that begin after SIGTERM; their headers say it. Change: the header decides (closeAnnounced). A connection whose stream began earlier stays open; its next answer says close. Cost to callers: none; one more request is answered or refused on that connection. Evidence: "a request that follows a stream in which the server began to stop is answered": status 0 before, 200 with "Connection: close" after. Conclusion: no request can arrive at a connection whose close was announced, unless its caller ignores that.

--- a/packages/net/include/endivespan/http_server.h
+++ b/packages/net/include/endivespan/http_server.h
@@ -52,7 +52,7 @@
     /// Closes the connection without completing the answer, so that the caller recognises it as truncated.
     virtual void abort() = 0;
 
-    /// Closes the connection after this answer.
+    /// Closes the connection after this answer, if its header is yet to be sent, otherwise after the next one.
     virtual void closeAfterAnswer() = 0;
 
     /// Sets the callback that is called once when the caller disconnects before the answer is complete.
@@ -92,7 +92,7 @@
     /// Replaces the limits; applies to requests that start from now on.
     virtual void setLimits(const HttpServerLimits &limits) = 0;
 
-    /// Closes each connection after its current answer or, when there is none, after its next one.
+    /// Closes each connection after the next answer whose header has yet to be sent and can say so.
     virtual void closeAfterAnswers() = 0;
 
     /// Closes the connections on which no request is being received or answered.
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -162,7 +162,8 @@
     void onAnswerComplete();
     void abort();
     void closeAfterAnswer();
-    [[nodiscard]] bool closesAfterAnswer() const;
+    /// Returns the last lines of an answer's header. A connection is closed only behind an answer that says so.
+    [[nodiscard]] std::string_view endOfHead();
     [[nodiscard]] bool isIdle() const;
     [[nodiscard]] bool isAnswering() const;
     [[nodiscard]] std::size_t backlogBytes() const;
@@ -199,6 +200,7 @@
     bool headComplete = false;
     bool readingRequest = false; ///< Bytes of the next request were received.
     bool keepOpen = true;
+    bool closeAnnounced = false; ///< The header of an answer has said that the connection is closed after it.
     bool parsing = false;
     TimePoint requestBegan;
     std::shared_ptr<Exchange> exchange;
@@ -361,7 +363,7 @@
     if (hasBody(status)) {
         out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     }
-    out += this->connection->closesAfterAnswer() ? "Connection: close\r\n\r\n" : "\r\n";
+    out += this->connection->endOfHead();
     if (hasBody(status) && this->received.method != "HEAD") {
         out += body;
     }
@@ -378,7 +380,7 @@
     std::string out;
     appendHead(out, status, headers);
     out += "Transfer-Encoding: chunked\r\n";
-    out += this->connection->closesAfterAnswer() ? "Connection: close\r\n\r\n" : "\r\n";
+    out += this->connection->endOfHead();
     this->connection->write(out);
 }
 
@@ -447,9 +449,10 @@
     bufferevent_write(this->stream, bytes.data(), bytes.size());
 }
 
-bool Connection::closesAfterAnswer() const
+std::string_view Connection::endOfHead()
 {
-    return !this->keepOpen || this->server.isClosing();
+    this->closeAnnounced = !this->keepOpen || this->server.isClosing();
+    return this->closeAnnounced ? "Connection: close\r\n\r\n" : "\r\n";
 }
 
 void Connection::closeAfterAnswer()
@@ -477,7 +480,7 @@
 {
     this->exchange.reset();
     this->readingRequest = false;
-    if (this->closesAfterAnswer()) {
+    if (this->closeAnnounced) {
         this->drain();
         return;
     }
--- /dev/null
+++ b/tests/net/kept_connections.cpp
@@ -0,0 +1,100 @@
+#include "raw_socket.h"
+
+#include <endivespan/http_server.h>
+#include <endivespan/loop.h>
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace endivespan;
+using namespace endivespan::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto ShortIdle = 400ms;
+constexpr auto LongIdle = 5000ms;
+const std::string Request = "GET /run HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/// A server and its callers on one thread; the server runs only inside runFor().
+class KeptServer
+{
+public:
+    explicit KeptServer(std::chrono::milliseconds idle)
+        : server(HttpServer::listen(this->loop, "127.0.0.1:0", this->limitsOf(idle), [this](const auto &exchange) {
+                     this->handle(exchange);
+                 }).value())
+    {
+    }
+
+    void runFor(std::chrono::milliseconds time)
+    {
+        const auto timer = this->loop.after(time, [this] { this->loop.stop(); });
+        this->loop.run();
+    }
+
+    void setIdleTimeout(std::chrono::milliseconds idle)
+    {
+        this->server->setLimits(this->limitsOf(idle));
+    }
+
+    /// Sends a request on a kept connection. @returns the status of its answer; 0 when it gets none.
+    int ask(RawSocket &caller)
+    {
+        caller.send(Request);
+        this->runFor(30ms);
+        return statusOf(caller.readAnswer());
+    }
+
+    Loop loop;
+    bool holds = false; ///< Requests are kept in held instead of being answered.
+    std::vector<std::shared_ptr<HttpExchange>> held;
+    std::unique_ptr<HttpServer> server;
+
+private:
+    [[nodiscard]] HttpServerLimits limitsOf(std::chrono::milliseconds idle) const
+    {
+        return {1000, 2000, 300ms, idle};
+    }
+
+    void handle(const std::shared_ptr<HttpExchange> &exchange)
+    {
+        if (this->holds) {
+            this->held.push_back(exchange);
+        } else {
+            exchange->reply(200, {}, "ok");
+        }
+    }
+};
+
+} // namespace
+
+// Guards against a connection that is closed behind an answer whose head did not say so.
+TEST_CASE("a request that follows a stream in which the server began to stop is answered")
+{
+    KeptServer world(LongIdle);
+    world.holds = true;
+    RawSocket caller(world.server->port());
+    caller.send(Request);
+    world.runFor(30ms);
+    REQUIRE(world.held.size() == 1);
+    world.held[0]->startStream(200, {});
+    world.held[0]->sendChunk("part");
+    world.runFor(30ms);
+    world.server->closeAfterAnswers();
+    world.holds = false;
+    world.held[0]->endStream();
+    world.runFor(30ms);
+    CHECK(caller.readUntil("0\r\n\r\n").ends_with("0\r\n\r\n"));
+    caller.send(Request);
+    world.runFor(30ms);
+    const std::string answer = caller.readAnswer();
+    CHECK(statusOf(answer) == 200);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    world.runFor(30ms);
+    CHECK(caller.isClosed(100ms));
+}
