Let a changed idle timeout hold for connections that are open

Callers saw: beside a change of the configuration, a whole request on a kept connection got neither an answer nor a refusal. Cause: a connection keeps the idle timer that it had when its last answer ended, so that after a raised limit it was closed while its caller counted on the new one; after a lowered limit, connections were closed by it although their callers could not know it yet. Class: two sides that act on two versions of a limit. Ruled out: requests under way; they have no idle timer. Change: a raised limit restarts the timers of idle connections; a lowered one applies once the time of the earlier one has passed. Cost: a connection may stay open for the earlier limit longer, once after each change. Conclusion: a connection is open for as long as any limit says that its caller may have read.

--- a/packages/net/include/endivespan/http_server.h
+++ b/packages/net/include/endivespan/http_server.h
@@ -89,7 +89,8 @@
     /// Stops accepting connections; open exchanges continue.
     virtual void stopAccepting() = 0;
 
-    /// Replaces the limits; applies to requests that start from now on.
+    /// Replaces the limits; applies to requests that start from now on. A longer idle timeout applies to open
+    /// connections too; a shorter one once callers can no longer count on the earlier one.
     virtual void setLimits(const HttpServerLimits &limits) = 0;
 
     /// Closes each connection after the next answer whose header has yet to be sent and can say so.
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -165,6 +165,7 @@
     /// Returns the last lines of an answer's header. A connection is closed only behind an answer that says so.
     [[nodiscard]] std::string_view endOfHead();
     [[nodiscard]] bool isIdle() const;
+    void restartIdleTimer();
     [[nodiscard]] bool isAnswering() const;
     [[nodiscard]] std::size_t backlogBytes() const;
 
@@ -265,7 +266,24 @@
 
     void setLimits(const HttpServerLimits &limits) override
     {
+        const std::chrono::milliseconds before = this->idleTimeout();
+        if (limits.idleTimeout < this->bounds.idleTimeout) {
+            this->earlierIdleTimeout = before;
+            this->earlierIdleUntil = this->loop.now() + before;
+        }
         this->bounds = limits;
+        if (this->idleTimeout() > before) {
+            for (const auto &[id, connection] : this->open) {
+                connection->restartIdleTimer();
+            }
+        }
+    }
+
+    /// Returns the idle timeout. After it was lowered the earlier one holds for as long as a caller may count on it.
+    [[nodiscard]] std::chrono::milliseconds idleTimeout() const
+    {
+        return this->loop.now() < this->earlierIdleUntil ? std::max(this->earlierIdleTimeout, this->bounds.idleTimeout)
+                                                         : this->bounds.idleTimeout;
     }
 
     void closeAfterAnswers() override
@@ -344,6 +362,8 @@
 
     HttpHandler handler;
     HttpServerLimits bounds;
+    std::chrono::milliseconds earlierIdleTimeout {};
+    TimePoint earlierIdleUntil;
     evconnlistener *listener = nullptr;
     std::unique_ptr<Timer> acceptTimer;
     int boundPort = 0;
@@ -466,6 +486,13 @@
         && evbuffer_get_length(bufferevent_get_input(this->stream)) == 0;
 }
 
+void Connection::restartIdleTimer()
+{
+    if (this->state == State::Reading && !this->readingRequest) {
+        this->updateTimeouts();
+    }
+}
+
 bool Connection::isAnswering() const
 {
     return this->state == State::Answering;
@@ -517,7 +544,7 @@
 void Connection::updateTimeouts()
 {
     const HttpServerLimits &limits = this->server.limits();
-    std::chrono::milliseconds read = limits.idleTimeout;
+    std::chrono::milliseconds read = this->server.idleTimeout();
     std::size_t most = config::PipelinedBytes;
     if (this->state == State::Draining) {
         read = config::CallerLingerTime;
--- a/tests/net/kept_connections.cpp
+++ b/tests/net/kept_connections.cpp
@@ -73,6 +73,49 @@
 
 } // namespace
 
+// Guards against open connections that keep the idle timeout of an earlier configuration.
+TEST_CASE("a request on a connection that was kept when the idle timeout was raised is answered")
+{
+    KeptServer world(ShortIdle);
+    RawSocket caller(world.server->port());
+    REQUIRE(world.ask(caller) == 200);
+    world.runFor(ShortIdle / 4);
+    world.setIdleTimeout(LongIdle);
+    world.runFor(ShortIdle * 2);
+    CHECK(world.ask(caller) == 200);
+}
+
+TEST_CASE("a request on a connection that was kept when the idle timeout was lowered is answered")
+{
+    KeptServer world(LongIdle);
+    RawSocket idle(world.server->port());
+    RawSocket answered(world.server->port());
+    REQUIRE(world.ask(idle) == 200);
+    world.holds = true;
+    answered.send(Request);
+    world.runFor(30ms);
+    REQUIRE(world.held.size() == 1);
+    world.setIdleTimeout(ShortIdle);
+    // Its caller may not know the new limit yet.
+    world.held.front()->reply(200, {}, "ok");
+    world.holds = false;
+    world.runFor(ShortIdle * 2);
+    REQUIRE(statusOf(answered.readAnswer()) == 200);
+    CHECK(world.ask(answered) == 200);
+    CHECK(world.ask(idle) == 200);
+}
+
+TEST_CASE("a lowered idle timeout holds once callers have had the time of the earlier one to know it")
+{
+    KeptServer world(ShortIdle);
+    world.setIdleTimeout(ShortIdle / 4);
+    world.runFor(ShortIdle + 50ms);
+    RawSocket caller(world.server->port());
+    REQUIRE(world.ask(caller) == 200);
+    world.runFor(ShortIdle / 2);
+    CHECK(caller.isClosed(50ms));
+}
+
 // Guards against a connection that is closed behind an answer whose head did not say so.
 TEST_CASE("a request that follows a stream in which the server began to stop is answered")
 {
