Read what has arrived before a kept connection is closed as idle

Callers saw: after a pause of the host, requests on kept connections that had arrived in it ended without an answer; likewise requests that arrived in the moment in which a stopping host closes idle connections. Cause: libevent takes an expired timer before ready bytes, and closeIdle() looked only at bytes that were read already. The close then resets the connection. Class: the absence of a message in one's own buffers is taken for its absence (as with silent servers). Ruled out: more than 32 ready sockets as a condition: all 200 connections of the test were closed. Change: both look at the receive buffer first (FIONREAD). Cost: one system call for each idle connection that is about to be closed. Conclusion: what remains is a request that is on the way when the host closes; it was not read.

--- a/packages/net/include/endivespan/http_server.h
+++ b/packages/net/include/endivespan/http_server.h
@@ -96,7 +96,7 @@
     /// Closes each connection after the next answer whose header has yet to be sent and can say so.
     virtual void closeAfterAnswers() = 0;
 
-    /// Closes the connections on which no request is being received or answered.
+    /// Closes the connections on which no request is being received or answered, and no bytes of one have arrived.
     virtual void closeIdle() = 0;
 
     /// @returns the number of open connections.
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -17,6 +17,7 @@
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -191,6 +192,7 @@
     void drain();
     void onReadTimeout();
     void remove();
+    [[nodiscard]] bool hasUnreadBytes() const;
 
     Server &server;
     std::uint64_t id;
@@ -483,7 +485,13 @@
 bool Connection::isIdle() const
 {
     return this->state == State::Reading && !this->readingRequest
-        && evbuffer_get_length(bufferevent_get_input(this->stream)) == 0;
+        && evbuffer_get_length(bufferevent_get_input(this->stream)) == 0 && !this->hasUnreadBytes();
+}
+
+bool Connection::hasUnreadBytes() const
+{
+    int bytes = 0;
+    return ioctl(bufferevent_getfd(this->stream), FIONREAD, &bytes) == 0 && bytes > 0;
 }
 
 void Connection::restartIdleTimer()
@@ -589,6 +597,11 @@
 
 void Connection::onReadTimeout()
 {
+    // The process may have been paused. What arrived meanwhile counts as received in time.
+    if (this->state == State::Reading && this->hasUnreadBytes()) {
+        bufferevent_enable(this->stream, EV_READ);
+        return;
+    }
     if (this->state == State::Reading && this->readingRequest) {
         this->reject(RequestTimeout, "request not received in time");
         bufferevent_enable(this->stream, EV_READ);
--- a/tests/net/kept_connections.cpp
+++ b/tests/net/kept_connections.cpp
@@ -141,3 +141,42 @@
     world.runFor(30ms);
     CHECK(caller.isClosed(100ms));
 }
+
+// Guards against idle timers that expire in a pause, before the requests that arrived in it are read.
+TEST_CASE("requests that arrive on many kept connections while the server is paused are answered")
+{
+    KeptServer world(ShortIdle);
+    std::vector<std::unique_ptr<RawSocket>> callers;
+    for (int i = 0; i < 200; ++i) {
+        callers.push_back(std::make_unique<RawSocket>(world.server->port()));
+        callers.back()->send(Request);
+    }
+    world.runFor(100ms);
+    for (const auto &caller : callers) {
+        REQUIRE(statusOf(caller->readAnswer()) == 200);
+        caller->send(Request);
+    }
+    std::this_thread::sleep_for(ShortIdle * 2);
+    world.runFor(100ms);
+    int answered = 0;
+    for (const auto &caller : callers) {
+        answered += statusOf(caller->readUntil("ok", 100ms)) == 200 ? 1 : 0;
+    }
+    CHECK(answered == 200);
+}
+
+// Guards against idle connections that are closed with a request in the receive buffer.
+TEST_CASE("a request that has arrived when idle connections are closed is answered")
+{
+    KeptServer world(LongIdle);
+    RawSocket caller(world.server->port());
+    RawSocket other(world.server->port());
+    REQUIRE(world.ask(caller) == 200);
+    REQUIRE(world.ask(other) == 200);
+    caller.send(Request);
+    world.server->closeAfterAnswers();
+    world.server->closeIdle();
+    world.runFor(30ms);
+    CHECK(statusOf(caller.readUntil("ok", 100ms)) == 200);
+    CHECK(other.isClosed(100ms));
+}
