Accept the connections that wait before the listening socket is closed

Callers saw: a connection reset after a whole request, when a stopping host stopped accepting. Cause: closing a listening socket resets what waits in its queue. Ruled out: connections that were accepted; they are answered. Cost: none to callers; at most one listen queue of connections is accepted. Conclusion: a caller whose connection was established gets an answer.

--- a/packages/net/include/endivespan/http_server.h
+++ b/packages/net/include/endivespan/http_server.h
@@ -86,7 +86,7 @@
     /// @returns the port that the server listens on.
     [[nodiscard]] virtual int port() const = 0;
 
-    /// Stops accepting connections; open exchanges continue.
+    /// Accepts the connections that wait, then stops accepting; open exchanges continue.
     virtual void stopAccepting() = 0;
 
     /// Replaces the limits; applies to requests that start from now on. A longer idle timeout applies to open
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -223,7 +223,7 @@
     {
         // Exchanges must not call back during destruction.
         this->silent = true;
-        this->stopAccepting();
+        this->closeListener();
         this->open.clear();
     }
 
@@ -262,7 +262,8 @@
     void stopAccepting() override
     {
         if (this->listener != nullptr) {
-            evconnlistener_free(std::exchange(this->listener, nullptr));
+            this->acceptQueued();
+            this->closeListener();
         }
     }
 
@@ -348,6 +349,31 @@
         server->open.emplace(id, std::make_unique<Connection>(*server, id, socket, text));
     }
 
+    // Closing the listening socket resets the connections that wait to be accepted, whose callers may have sent a
+    // request already.
+    void acceptQueued()
+    {
+        while (true) {
+            sockaddr_in place {};
+            socklen_t size = sizeof(place);
+            const int socket = accept4(evconnlistener_get_fd(this->listener),
+                                       reinterpret_cast<sockaddr *>(&place),
+                                       &size,
+                                       SOCK_NONBLOCK | SOCK_CLOEXEC);
+            if (socket < 0) {
+                return;
+            }
+            Server::accepted(this->listener, socket, reinterpret_cast<sockaddr *>(&place), sizeof(place), this);
+        }
+    }
+
+    void closeListener()
+    {
+        if (this->listener != nullptr) {
+            evconnlistener_free(std::exchange(this->listener, nullptr));
+        }
+    }
+
     // Pauses accepting. When the process is out of file descriptors, the listening socket stays readable and the event
     // loop would retry accept() in a busy loop.
     static void acceptFailed(evconnlistener *listener, void *context)
--- a/tests/net/kept_connections.cpp
+++ b/tests/net/kept_connections.cpp
@@ -180,3 +180,14 @@
     CHECK(statusOf(caller.readUntil("ok", 100ms)) == 200);
     CHECK(other.isClosed(100ms));
 }
+
+// Guards against connections that are reset in the listen queue.
+TEST_CASE("a request on a connection that waits to be accepted when the server stops accepting is answered")
+{
+    KeptServer world(LongIdle);
+    RawSocket caller(world.server->port());
+    caller.send(Request);
+    world.server->stopAccepting();
+    world.runFor(30ms);
+    CHECK(statusOf(caller.readUntil("ok", 100ms)) == 200);
+}
