--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -37,6 +37,8 @@
     app.add_option("settings", path, "Settings of this host, in YAML")->required();
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
+    // The settings are read at the start only. SIGHUP, which asks to read them again, must not end the process.
+    std::signal(SIGHUP, SIG_IGN);
     if (const auto opened = endivespan::openStandardStreams(); !opened) {
         return ExitCannotStart;
     }
