Give a silent link three seconds before a connection to a server is given up

Callers saw: nothing that was shown; found by looking for the same cause elsewhere. Cause: TCP_USER_TIMEOUT of 1 s ends a connection whose sent bytes or probes are not acknowledged for a second. Where the machine or link of a sound server is silent, and not only its process, this ends the attempt that forward_standby.cpp keeps, and a request that may not be repeated gets 502. Class: the absence of a message is taken for the end of the other side. Ruled out: silence of the process alone; the kernel goes on acknowledging. Change: 3 s, as long as the keep-alive probes of an otherwise idle connection take. Cost to callers: a server that died without a sign is found after 3 s instead of 1 s for requests that may not be repeated and, of those that may, only for the attempt that is kept; others take over after their own times. Evidence: none by a test: silence of a link cannot be made here without root.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -45,13 +45,13 @@
 constexpr std::uint32_t PromptAttempts = 6; ///< Of one prompt, at most.
 constexpr std::chrono::milliseconds AttemptPause = 20ms; ///< Before the next attempt, times the attempts made so far.
 constexpr std::chrono::milliseconds ConnectTimeout = 500ms;
-/// TCP_USER_TIMEOUT; covers several retransmissions on a lossy link.
-constexpr std::chrono::milliseconds UnacknowledgedTimeout = 1000ms;
+/// TCP_USER_TIMEOUT; longer than a sound server or its link may be silent, with a retransmission behind that.
+constexpr std::chrono::milliseconds UnacknowledgedTimeout = 3000ms;
 constexpr std::chrono::seconds UnreadTimeout
     = 5s; ///< The same for a request that may fill its server's receive window.
 constexpr std::size_t ShortRequestBytes = 4096; ///< Of a request that fits into any receive window.
 constexpr std::chrono::seconds KeepAliveProbeIdle = 1s; ///< The smallest value that the socket option takes.
-constexpr int KeepAliveProbes = 2; ///< Unanswered TCP keep-alive probes that end a connection.
+constexpr int KeepAliveProbes = 2; ///< Unanswered TCP keep-alive probes that end a connection, after 3 s of silence.
 /// Subtracted from the keep-alive time that a server grants, so that a request arrives before the server closes.
 constexpr std::chrono::milliseconds KeepAliveMargin = 300ms;
 constexpr std::chrono::milliseconds StreamSilenceTimeout = 3000ms; ///< Without a byte of an answer; then a call fails.
