Let a silent attempt go when the other one sends an event, and review findings

Cause, by reading: (1) the header of the second answer ended the first attempt, although the second server may fall silent, break off or repeat events behind it; (2) a second attempt that was silent was ended before a third one had a place; (3) the third inherited the rest of its timer; (4) idempotent calls lost their timer when no server had room; (5) refusals of attempts that stood by counted against a later resumption, and a cancelled one kept its server from it; (6) a silence that went on put off the tries of the server's address; (7) the accept queue was left at the first interrupted call. Ruled out by the review: use after free, answers joined from two runs, a second run of what may not be repeated, 503 for what may have run, counts of servers that drift. Change: whoever sends the next event first goes on; after the header the other is kept for 250 ms (StandbyEventWait), since two runs may not go on side by side for 400 ms. A standing attempt is replaced only when its successor has a place and a right to repeat. Each attempt splits its own events. Cost: the first run goes on for up to 250 ms more.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -470,6 +470,8 @@
 /// Part of a route's aim after which a repeatable request without an answer is sent to a second server, at the latest.
 constexpr double ForwardHedgeDelayShareMost = 0.75;
 constexpr std::chrono::milliseconds ForwardStreamSilence = 1000ms; ///< In a resumable stream, before it is resumed.
+/// From the header of a stream that takes over for a silent one until its first event, before the silent one is ended.
+constexpr std::chrono::milliseconds StandbyEventWait = 250ms;
 /// Time by which the last bytes of two streams of a dead server may differ.
 constexpr std::chrono::milliseconds SilenceMargin = 100ms;
 constexpr std::size_t ForwardAnswerBytes = 8 * 1024 * 1024; ///< Of an answer that is not streamed.
--- a/packages/core/src/crash_watch.cpp
+++ b/packages/core/src/crash_watch.cpp
@@ -24,7 +24,11 @@
         watch.losses.begin(), watch.losses.end(), [&request](const Loss &loss) { return loss.request == request; });
     if (same != watch.losses.end()) {
         same->at = now;
-        same->kind = kind == LossKind::Broken ? kind : same->kind;
+        // A silence that goes on does not put off the next try.
+        if (kind == LossKind::Silent) {
+            return;
+        }
+        same->kind = kind;
     } else if (watch.losses.size() < config::CrashWatchRequests) {
         watch.losses.push_back({request, now, kind});
     }
@@ -35,6 +39,7 @@
 void CrashWatch::onAnswerBytes(const ServerIncarnation &life, TimePoint now)
 {
     if (const auto found = this->watches.find(life); found != this->watches.end()) {
+        found->second.failedTries = 0;
         this->dropLosses(life, found->second, now - config::CrashLastBytes, false);
     }
 }
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -22,6 +22,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <cstring>
 #include <set>
 #include <utility>
@@ -368,6 +369,9 @@
                                        reinterpret_cast<sockaddr *>(&place),
                                        &size,
                                        SOCK_NONBLOCK | SOCK_CLOEXEC);
+            if (socket < 0 && (errno == EINTR || errno == ECONNABORTED)) {
+                continue;
+            }
             if (socket < 0) {
                 return;
             }
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -281,14 +281,13 @@
         this->logColdSend(view, now);
     }
     this->task.parts.servers.started(attempt.server, attempt.tokens, now);
-    // Only the active attempt receives a body or an end: one that stands by becomes active with its head.
     attempt.call = this->task.pool->start(
         std::move(call),
         {[this, number = attempt.number](int status, const HttpHeaders &fields) {
              this->onHead(number, status, fields);
          },
-         [this](std::string_view bytes) { this->onBody(bytes); },
-         [this] { this->onDone(); },
+         [this, number = attempt.number](std::string_view bytes) { this->onBody(number, bytes); },
+         [this, number = attempt.number] { this->onDone(number); },
          [this, number = attempt.number](const HttpFailure &failure) { this->onFailure(number, failure); },
          [this, number = attempt.number] { this->markSent(this->attemptOf(number)); }});
 }
@@ -465,17 +464,20 @@
     this->watchSilence();
 }
 
-// Restarts the silence timer of a resumable stream; other requests are no longer timed once the answer has begun.
+// Restarts the silence timer of a request that may be repeated.
 void ForwardRun::watchSilence()
 {
     this->waitTimer.reset();
-    if (this->work.route->repeat == RepeatRule::Resumable) {
+    if (this->work.route->repeat != RepeatRule::Once) {
         this->waitTimer = this->task.parts.loop.after(config::ForwardStreamSilence, [this] { this->onServerSilent(); });
     }
 }
 
-void ForwardRun::onBody(std::string_view bytes)
+void ForwardRun::onBody(std::uint32_t number, std::string_view bytes)
 {
+    if (this->standby.isUnderWay() && this->standby.number == number) {
+        return this->onStandbyBody(bytes);
+    }
     if (!this->streaming) {
         this->active.body += bytes;
         if (this->active.body.size() > config::ForwardAnswerBytes) {
@@ -487,7 +489,12 @@
     this->active.lastByteAt = now;
     this->task.crashes.onAnswerBytes(this->active.life, now);
     this->task.parts.servers.receivedBytes(this->active.server, now);
-    const std::string complete = this->events.feed(bytes);
+    this->onActiveEvents(this->active.events.feed(bytes), now);
+}
+
+// Passes on the events that are complete.
+void ForwardRun::onActiveEvents(const std::string &complete, TimePoint now)
+{
     if (!complete.empty()) {
         const auto first = firstEventId(complete);
         if (!this->active.eventReceived && first && this->lastEvent && *first <= *this->lastEvent) {
@@ -501,11 +508,11 @@
             this->firstByteAt = now;
         }
         this->work.exchange->sendChunk(complete);
-        if (const auto id = this->events.lastId()) {
+        if (const auto id = this->active.events.lastId()) {
             this->lastEvent = id;
         }
     }
-    if (this->events.heldBytes() > config::ForwardEventBytes) {
+    if (this->active.events.heldBytes() > config::ForwardEventBytes) {
         this->attemptFailed(AttemptOutcome::Failed, "an event of the stream exceeds the size limit");
         return;
     }
@@ -518,8 +525,14 @@
     }
 }
 
-void ForwardRun::onDone()
+void ForwardRun::onDone(std::uint32_t number)
 {
+    if (this->standby.isUnderWay() && this->standby.number == number) {
+        if (!this->standbyCompletes()) {
+            return this->onStandbyFailed(AttemptOutcome::Failed, "the stream ended without an event");
+        }
+        this->takeOver();
+    }
     if (this->streaming) {
         this->onStreamEnd();
         return;
@@ -579,15 +592,15 @@
     const TimePoint now = this->task.parts.loop.now();
     // The end of a connection says little: a server that crashes may close it in order.
     const bool closed = framingOf(this->active.headers) == FramedByClose;
-    const bool isInside = this->events.isInsideEvent();
+    const bool isInside = this->active.events.isInsideEvent();
     if (isInside || (closed && !this->active.eventReceived)) {
-        this->bytesInsideEvent = this->events.heldBytes();
+        this->bytesInsideEvent = this->active.events.heldBytes();
         this->reportLostAttempt(this->active, LossKind::Broken, now);
         this->attemptFailed(closed ? AttemptOutcome::Unreachable : AttemptOutcome::Failed,
                             isInside ? "the stream ended inside an event" : "the stream ended without an event");
         return;
     }
-    this->work.exchange->sendChunk(this->events.takeRest());
+    this->work.exchange->sendChunk(this->active.events.takeRest());
     if (!this->work.request.model.empty()) {
         this->task.engines.observeRun(
             now - this->active.startedAt, now - this->active.headAt, this->work.request.answerTokens);
@@ -693,7 +706,6 @@
     this->waitTimer.reset();
     this->endAttempt(this->active, outcome);
     ++this->possibleRuns;
-    this->events.takeRest();
     if (this->standby.isUnderWay()) {
         return this->promoteStandby();
     }
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -44,6 +44,7 @@
     bool requestSent = false; ///< The request was sent completely, or certainly never will be.
     bool streamBegan = false; ///< The stream has begun.
     bool eventReceived = false; ///< The stream had a complete event.
+    EventSplitter events;
     int status = 0;
     HttpHeaders headers;
     std::string body;
@@ -99,8 +100,9 @@
     void onActiveHead(const ServerAnswer &answer, TimePoint now);
     /// Records what the header of an answer says of its server.
     [[nodiscard]] ServerAnswer readHead(ForwardAttempt &attempt, int status, const HttpHeaders &headers, TimePoint now);
-    void onBody(std::string_view bytes);
-    void onDone();
+    void onBody(std::uint32_t number, std::string_view bytes);
+    void onActiveEvents(const std::string &complete, TimePoint now);
+    void onDone(std::uint32_t number);
     void onStreamEnd();
     void recordAnswer(TimePoint now);
     void onFailure(std::uint32_t number, const HttpFailure &failure);
@@ -130,11 +132,16 @@
 
     /// @returns a server that is expected to answer an attempt standing by for the silent one.
     [[nodiscard]] PlacementChoice placeStandby(TimePoint now);
-    /// Sends an attempt that stands by, if a server has room for it.
+    /// Sends an attempt that stands by, if a server has room for it, in the place of an earlier one that is silent too.
     void startStandby(TimePoint now);
     /// Ends the attempt that stands by, since the active one goes on or the run ends.
     void cancelStandby();
     void onStandbyHead(int status, const HttpHeaders &headers);
+    void onStandbyBody(std::string_view bytes);
+    /// @returns whether the end of its stream completes the answer.
+    [[nodiscard]] bool standbyCompletes() const;
+    /// Ends the silent attempt, and makes the one that stands by the active one.
+    void takeOver();
     void onStandbyRefused(const ServerAnswer &answer, TimePoint now);
     void onStandbyFailure(const HttpFailure &failure);
     void onStandbyFailed(AttemptOutcome outcome, std::string_view why);
@@ -158,12 +165,12 @@
     std::uint32_t attemptsSent = 0; ///< All attempts of this run.
     std::uint32_t possibleRuns = 0; ///< Attempts that may have run.
     std::uint32_t notRunAnswers = 0; ///< Attempts that servers refused as not run.
+    std::uint32_t standbyRefusals = 0; ///< Of these the ones that stood by, in the current silence.
     std::uint32_t partsFetched = 0; ///< Parts that engines were told to fetch from stores, over all attempts.
     std::uint32_t partsSaved = 0; ///< Parts that engines were told to save to stores, over all attempts.
     std::uint64_t partsSought = 0; ///< Parts that engines were told to fetch from another engine, over all attempts.
     PlacementChoice lastChoice; ///< Result of the latest search for a server.
     bool streaming = false; ///< The header of a streamed answer was sent to the caller.
-    EventSplitter events;
     std::uint64_t bytesInsideEvent = 0; ///< Bytes after the last complete event of a stream that ended.
     std::optional<std::uint64_t> lastEvent; ///< Last event that was sent to the caller completely.
     TimePoint firstByteAt;
--- a/packages/node/src/forward_standby.cpp
+++ b/packages/node/src/forward_standby.cpp
@@ -42,31 +42,29 @@
     if (!this->streaming && this->active.status != 0) {
         return;
     }
-    const std::uint32_t runs = this->possibleRuns + (this->standby.isUnderWay() ? 2 : 1);
-    if (runs < this->work.route->maxAttempts) {
-        if (this->standby.isUnderWay()) {
-            this->reportLostAttempt(this->standby, LossKind::Silent, now);
-            this->logFailedAttempt(this->standby, SilentServer);
-            this->endAttempt(this->standby, AttemptOutcome::Failed);
-            ++this->possibleRuns;
-        }
-        this->startStandby(now);
-    }
-    if (this->standby.isUnderWay() && !this->streaming) {
-        this->waitTimer = this->task.parts.loop.after(this->hedgeDelay(), [this] { this->onServerSilent(); });
-    } else {
-        this->watchSilence();
+    if (this->standby.headAt != TimePoint {} && this->standby.isUnderWay()) {
+        return this->takeOver();
     }
+    this->standbyRefusals = 0;
+    this->watchSilence();
+    this->startStandby(now);
 }
 
 void ForwardRun::startStandby(TimePoint now)
 {
     const PlacementChoice other = this->placeStandby(now);
-    if (other.server.empty() || this->possibleRuns + 1 >= this->work.route->maxAttempts
+    const std::uint32_t runs = this->possibleRuns + (this->standby.isUnderWay() ? 2 : 1);
+    if (other.server.empty() || runs >= this->work.route->maxAttempts
         || this->task.parts.suspicions.findRefusedPart(this->work.service, this->work.keys, now)
         || !this->mayRepeat(now)) {
         return;
     }
+    if (this->standby.isUnderWay()) {
+        this->reportLostAttempt(this->standby, LossKind::Silent, now);
+        this->logFailedAttempt(this->standby, SilentServer);
+        this->endAttempt(this->standby, AttemptOutcome::Failed);
+        ++this->possibleRuns;
+    }
     this->reportLostAttempt(this->active, LossKind::Silent, now);
     this->task.parts.events.line("standby_started")
         .with("request", this->work.request.id)
@@ -75,6 +73,8 @@
         .with("server", other.server)
         .with("last_event", this->lastEvent.value_or(0));
     this->send(other, this->standby, now);
+    const Duration patience = this->streaming ? Duration(config::ForwardStreamSilence) : this->hedgeDelay();
+    this->waitTimer = this->task.parts.loop.after(patience, [this] { this->onServerSilent(); });
 }
 
 void ForwardRun::cancelStandby()
@@ -86,6 +86,7 @@
         .with("request", this->work.request.id)
         .with("server", this->standby.server);
     this->possibleRuns += this->standby.requestSent ? 1 : 0;
+    this->tried.erase(this->standby.server);
     this->endAttempt(this->standby, AttemptOutcome::Cancelled);
 }
 
@@ -100,13 +101,46 @@
     if ((isSuccess && !answer.genuine) || (this->streaming && !isSuccess) || status >= StatusServerError) {
         return this->onStandbyFailed(AttemptOutcome::Failed, "status " + std::to_string(status));
     }
+    // A stream has been taken over once it goes on. Its server works already, so that the one before may not be kept
+    // for long.
+    if (this->work.route->isStream && isSuccess) {
+        this->waitTimer = this->task.parts.loop.after(config::StandbyEventWait, [this] { this->onServerSilent(); });
+        return;
+    }
+    this->takeOver();
+}
+
+void ForwardRun::onStandbyBody(std::string_view bytes)
+{
+    const TimePoint now = this->task.parts.loop.now();
+    this->standby.lastByteAt = now;
+    const std::string complete = this->standby.events.feed(bytes);
+    const auto first = firstEventId(complete);
+    if (first && this->lastEvent && *first <= *this->lastEvent) {
+        return this->onStandbyFailed(AttemptOutcome::Failed, "the resumed stream repeats events");
+    }
+    if (!complete.empty() || this->standby.events.heldBytes() > config::ForwardEventBytes) {
+        this->takeOver();
+        this->onActiveEvents(complete, now);
+    }
+}
+
+bool ForwardRun::standbyCompletes() const
+{
+    const HttpHeaders &fields = this->standby.headers;
+    const bool framed = fields.contains("transfer-encoding") || fields.contains("content-length");
+    return framed && !this->standby.events.isInsideEvent();
+}
+
+void ForwardRun::takeOver()
+{
+    const TimePoint now = this->task.parts.loop.now();
     this->logFailedAttempt(this->active, SilentServer);
     this->waitTimer.reset();
     this->endAttempt(this->active, AttemptOutcome::Failed);
     ++this->possibleRuns;
-    this->events.takeRest();
     this->active = std::exchange(this->standby, {});
-    this->onActiveHead(answer, now);
+    this->onActiveHead(this->task.parts.codec.decodeAnswer(this->active.status, this->active.headers), now);
 }
 
 void ForwardRun::onStandbyRefused(const ServerAnswer &answer, TimePoint now)
@@ -119,7 +153,7 @@
     if (!answer.isFromOther(this->standby.life.server)) {
         this->tried.erase(this->standby.life.server);
     }
-    if (++this->notRunAnswers < config::ForwardNotRunAttempts) {
+    if (++this->standbyRefusals < config::ForwardNotRunAttempts) {
         this->startStandby(now);
     }
 }
@@ -152,6 +186,10 @@
 void ForwardRun::promoteStandby()
 {
     this->active = std::exchange(this->standby, {});
+    if (this->active.headAt != TimePoint {}) {
+        const ServerAnswer answer = this->task.parts.codec.decodeAnswer(this->active.status, this->active.headers);
+        return this->onActiveHead(answer, this->task.parts.loop.now());
+    }
     this->watchAnswer();
 }
 
--- a/tests/platform/silent_servers.cpp
+++ b/tests/platform/silent_servers.cpp
@@ -76,6 +76,18 @@
          [](const ReceivedRequest &) {
              return Reply {"", Then::Hang};
          }},
+        {"silent after the header",
+         [](const ReceivedRequest &request) {
+             return Reply {streamHead(request), Then::Hang, 200ms};
+         }},
+        {"broken off after the header",
+         [](const ReceivedRequest &request) {
+             return Reply {streamHead(request), Then::Reset};
+         }},
+        {"repeated",
+         [](const ReceivedRequest &request) {
+             return Reply {streamHead(request) + eventChunk(1, "x"), Then::Hang};
+         }},
         {"not genuine",
          [](const ReceivedRequest &) {
              return Reply {"HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\nid: 2\ndata: x\n\n"};
@@ -129,6 +141,37 @@
     }
 }
 
+// Guards against refusals of attempts that stood by, which used up those of a later resumption.
+TEST_CASE("a stream that went on after a silence is resumed elsewhere when its server breaks off")
+{
+    World world(5);
+    world.configure([](nlohmann::json &config) {
+        for (auto &route : config["routes"]) {
+            route["max_attempts"] = 3;
+        }
+    });
+    world.runFor(1500ms);
+    bool full = true;
+    std::size_t first = 0;
+    for (std::size_t i = 0; i < world.runners.size(); ++i) {
+        world.runners[i]->script = [&first, &full, i](const ReceivedRequest &request) {
+            if (!isResumed(request)) {
+                first = i;
+                return Reply {streamHead(request) + eventChunk(1, "a"), Then::Hang, {}, 1100ms, eventChunk(2, "b")};
+            }
+            return full ? notExecuted(request) : Reply {streamHead(request) + eventChunk(3, "c") + End};
+        };
+    }
+    const auto call = world.ask("/resume/", Patient);
+    REQUIRE(world.until([&] { return world.answers[call].body.find("id: 2") != std::string::npos; }));
+    full = false;
+    world.runFor(400ms);
+    world.runners[first]->shutDown();
+    const CallerAnswer answer = world.answer(call);
+    CHECK(answer.whole);
+    CHECK(answer.body == WholeBody);
+}
+
 TEST_CASE("an attempt that stands by goes on when the silent server breaks off")
 {
     World world(2);
@@ -182,6 +225,7 @@
         return silent ? silentStream(request) : Reply {streamHead(request) + eventChunk(1, "a") + End};
     });
     std::vector<std::size_t> calls;
+    calls.reserve(100);
     for (int i = 0; i < 24; ++i) {
         calls.push_back(world.ask("/resume/", Patient, "POST", "same"));
     }
