Destroy a host of the test world with the calls that it has under way

Seen: crashes of the new soak (map::at, SIGSEGV). A host's pending read of the store outlived its node and called its tasks. Cause: World destroyed only the node, also at the end of the cases of stopping.cpp; a process takes both with it. A fault of the tests, not of the product. Change: World::endHost.

--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -234,6 +234,9 @@
 
     [[nodiscard]] bool isReady(std::size_t host = 0);
 
+    /// Destroys a host, with the calls that it has under way, as the end of its process does.
+    void endHost(std::size_t host);
+
     /// Destroys a host and starts it again under the same name.
     void restartHost(std::size_t host);
 
