--- a/tests/platform/planned_work_soak.cpp
+++ b/tests/platform/planned_work_soak.cpp
@@ -323,7 +323,7 @@
 
 } // namespace
 
-// Guards against requests that end without an answer, or streams that are cut, around planned work (rules LOST, ORDER).
+// Guards against requests that end without an answer, or streams that are cut, around planned work.
 TEST_CASE("planned work beside servers that fall silent costs no request its answer")
 {
     const char *wanted = std::getenv("ENDIVESPAN_SOAK_SEEDS");
