Answer callers that close their sending direction behind a request

Cause: Connection::onEvent took the end of the input for the loss of the caller and destroyed the connection, also with an answer that was written and not yet sent, or with further requests that had been received. Class: the absence of a message is taken for a fact.

Ruled out: to take every end of the input for waiting. A caller that closes its connection looks the same until something is sent to it, and servers would work for callers that have left. libevent reads no more after the end of the input, and recv() goes on returning 0 after a reset, so that poll() is asked for the error.

Change: HttpServer reports the end of the input (onInputEnded) and keeps the connection; what was received is answered. ForwardRun decides by kind: a request that must not be repeated is finished; one that waits for a server is refused as not run; a stream or a repeatable request goes on for 300 ms, in which any part of its answer shows whether its caller reads, and then ends with 504. The log says which, and whether a lost caller had disconnected or read nothing. Without a callback for the end of the input (operators' calls, prompts and services of endivespand) it counts as the loss, as before.

Cost: an order whose caller has left is no longer cancelled but runs to its end. Servers work for up to 300 ms, or until the next event, for other callers that have left; before, they stopped at once.

Conclusion: fixed for forwarded requests; endivespand's prompts and services are open.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -23,6 +23,8 @@
 constexpr std::chrono::seconds CallerReadTimeout = 10s; ///< Without progress while a request is read or answered.
 constexpr std::chrono::seconds CallerIdleTimeout = 75s; ///< Longer than load balancers usually keep idle connections.
 constexpr std::chrono::milliseconds CallerLingerTime = 1000ms; ///< For a caller to read the last answer before a close.
+/// Between checks whether a caller that has closed its sending direction has reset its connection.
+constexpr std::chrono::milliseconds CallerResetCheckPeriod = 100ms;
 constexpr std::size_t PipelinedBytes = 64 * 1024; ///< Input buffered from a connection while its request is answered.
 constexpr std::chrono::milliseconds AcceptPause = 100ms; ///< After accept() failed for lack of file descriptors.
 constexpr int CallerBacklog = 1024; ///< listen() backlog: connections that wait to be accepted.
@@ -462,6 +464,9 @@
 // Forwarded requests: serving
 constexpr std::chrono::milliseconds ForwardTickPeriod = 100ms;
 constexpr std::chrono::milliseconds ForwardConnectTimeout = 150ms; ///< Several round trips within a region.
+/// For which a stream, or a request that may be repeated, goes on after its caller has closed its sending direction and
+/// before a part of the answer shows whether the caller still reads.
+constexpr std::chrono::milliseconds ForwardInputEndedGrace = 300ms;
 constexpr std::chrono::seconds ForwardIdleTime = 20s; ///< For which an idle connection to a server is kept.
 constexpr std::chrono::milliseconds ForwardDefaultDeadline = 30000ms; ///< When the request names none.
 constexpr std::chrono::milliseconds ForwardLeastTime = 10ms; ///< With less time left no attempt is sent.
--- a/packages/core/include/endivespan/log_cause.h
+++ b/packages/core/include/endivespan/log_cause.h
@@ -27,6 +27,7 @@
     StopBeforeAnswer,
     NotRunAnswers,
     NoServer,
+    InputEnded, ///< The caller closed its sending direction while the request waited for a server.
     Count,
 };
 
--- a/packages/core/src/log_cause.cpp
+++ b/packages/core/src/log_cause.cpp
@@ -48,6 +48,10 @@
      ErrorKind::Overloaded,
      "servers refused the request without running it"},
     {RefusalCause::NoServer, "no_server", ErrorKind::NoServer, "no server is reachable"},
+    {RefusalCause::InputEnded,
+     "input_ended",
+     ErrorKind::Overloaded,
+     "no place was free when the caller closed its sending direction"},
 }};
 
 constexpr bool tableFollowsEnumeration()
@@ -292,6 +296,8 @@
     case RefusalCause::HostStopping:
     case RefusalCause::StopBeforeAnswer:
         return "host " + last.host + " was stopping";
+    case RefusalCause::InputEnded:
+        return "its caller closed its sending direction while the request waited for a server";
     case RefusalCause::NoPlaceInTime:
     case RefusalCause::QueueFull:
     case RefusalCause::TooLittleTime:
--- a/packages/net/include/endivespan/http_server.h
+++ b/packages/net/include/endivespan/http_server.h
@@ -29,6 +29,12 @@
     std::string peer; ///< IP address of the caller.
 };
 
+/// How a caller's connection was lost.
+enum class CallerLoss {
+    Disconnected, ///< The caller closed or reset it.
+    Stalled, ///< The caller read nothing of its answer for too long.
+};
+
 /// One request and its answer. The handler must keep the shared pointer until the answer is complete.
 class HttpExchange
 {
@@ -55,8 +61,13 @@
     /// Closes the connection after this answer, if its header is yet to be sent, otherwise after the next one.
     virtual void closeAfterAnswer() = 0;
 
-    /// Sets the callback that is called once when the caller disconnects before the answer is complete.
-    virtual void onClosed(std::function<void()> callback) = 0;
+    /// Sets the callback that is called once when the caller's connection is lost before the answer is complete.
+    virtual void onClosed(std::function<void(CallerLoss)> callback) = 0;
+
+    /// Sets the callback that is called once when the caller closes its sending direction before the answer is
+    /// complete. Whether it still reads shows only after the next bytes of the answer are sent; onClosed is called if
+    /// it does not. Without this callback the end of the input counts as the loss of the connection.
+    virtual void onInputEnded(std::function<void()> callback) = 0;
 
     /// @returns false once the answer is complete or the caller has disconnected.
     [[nodiscard]] virtual bool isOpen() const = 0;
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -24,6 +24,7 @@
 #include <cctype>
 #include <cerrno>
 #include <cstring>
+#include <poll.h>
 #include <set>
 #include <utility>
 #include <vector>
@@ -118,11 +119,16 @@
     void abort() override;
     void closeAfterAnswer() override;
 
-    void onClosed(std::function<void()> callback) override
+    void onClosed(std::function<void(CallerLoss)> callback) override
     {
         this->closed = std::move(callback);
     }
 
+    void onInputEnded(std::function<void()> callback) override
+    {
+        this->inputEnded = std::move(callback);
+    }
+
     bool isOpen() const override
     {
         return this->connection != nullptr;
@@ -131,24 +137,39 @@
     std::size_t backlogBytes() const override;
 
     /// Handles the loss of the caller's connection; calls the closed callback unless @p silent.
-    void onConnectionLost(bool silent)
+    void onConnectionLost(CallerLoss loss, bool silent)
     {
         this->connection = nullptr;
+        this->inputEnded = nullptr;
         if (const auto callback = std::exchange(this->closed, nullptr); callback && !silent) {
-            callback();
+            callback(loss);
         }
     }
 
+    /// @returns whether the exchange goes on after the end of the caller's input.
+    bool reportInputEnd()
+    {
+        const auto callback = std::exchange(this->inputEnded, nullptr);
+        if (!callback) {
+            this->onConnectionLost(CallerLoss::Disconnected, false);
+            return false;
+        }
+        callback();
+        return true;
+    }
+
 private:
     Connection *finish()
     {
         this->closed = nullptr;
+        this->inputEnded = nullptr;
         return std::exchange(this->connection, nullptr);
     }
 
     Connection *connection;
     HttpRequest received;
-    std::function<void()> closed;
+    std::function<void(CallerLoss)> closed;
+    std::function<void()> inputEnded;
 };
 
 /// One caller's connection; processes its requests one at a time.
@@ -194,8 +215,11 @@
     void updateTimeouts();
     void drain();
     void onReadTimeout();
+    void onInputEnd();
+    void watchForReset();
     void remove();
     [[nodiscard]] bool hasUnreadBytes() const;
+    [[nodiscard]] bool isReset() const;
 
     Server &server;
     std::uint64_t id;
@@ -208,6 +232,8 @@
     bool keepOpen = true;
     bool closeAnnounced = false; ///< The header of an answer has said that the connection is closed after it.
     bool parsing = false;
+    bool inputEnded = false; ///< The caller has closed its sending direction.
+    std::unique_ptr<Timer> resetCheck; ///< While a caller whose input has ended is answered.
     TimePoint requestBegan;
     std::shared_ptr<Exchange> exchange;
 };
@@ -500,7 +526,7 @@
 {
     bufferevent_free(this->stream);
     if (this->exchange) {
-        this->exchange->onConnectionLost(this->server.isSilent());
+        this->exchange->onConnectionLost(CallerLoss::Disconnected, this->server.isSilent());
     }
 }
 
@@ -532,6 +558,12 @@
     return ioctl(bufferevent_getfd(this->stream), FIONREAD, &bytes) == 0 && bytes > 0;
 }
 
+bool Connection::isReset() const
+{
+    pollfd state {bufferevent_getfd(this->stream), 0, 0};
+    return poll(&state, 1, 0) > 0 && (state.revents & (POLLERR | POLLHUP)) != 0;
+}
+
 bool Connection::hasQueuedBytes() const
 {
     return this->backlogBytes() > 0 || (this->state == State::Reading && this->hasUnreadBytes());
@@ -557,6 +589,7 @@
 void Connection::onAnswerComplete()
 {
     this->exchange.reset();
+    this->resetCheck.reset();
     this->readingRequest = false;
     if (this->closeAnnounced) {
         this->drain();
@@ -564,8 +597,8 @@
     }
     this->setState(State::Reading);
     // A pipelined request is parsed once the current callbacks have returned.
-    if (!this->parsing && evbuffer_get_length(bufferevent_get_input(this->stream)) > 0) {
-        bufferevent_trigger(this->stream, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+    if (!this->parsing && (this->inputEnded || evbuffer_get_length(bufferevent_get_input(this->stream)) > 0)) {
+        bufferevent_trigger(this->stream, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
     }
 }
 
@@ -573,6 +606,7 @@
 void Connection::abort()
 {
     this->exchange.reset();
+    this->resetCheck.reset();
     this->drain();
 }
 
@@ -582,7 +616,7 @@
 {
     this->setState(State::Draining);
     if (this->backlogBytes() == 0) {
-        shutdown(bufferevent_getfd(this->stream), SHUT_WR);
+        bufferevent_trigger(this->stream, EV_WRITE, BEV_TRIG_DEFER_CALLBACKS);
     }
 }
 
@@ -623,7 +657,12 @@
 void Connection::onWritten(bufferevent *, void *context)
 {
     auto *self = static_cast<Connection *>(context);
-    if (self->state == State::Draining) {
+    if (self->state != State::Draining) {
+        return;
+    }
+    if (self->inputEnded) {
+        self->remove();
+    } else {
         shutdown(bufferevent_getfd(self->stream), SHUT_WR);
     }
 }
@@ -633,11 +672,41 @@
     auto *self = static_cast<Connection *>(context);
     if ((what & BEV_EVENT_TIMEOUT) != 0 && (what & BEV_EVENT_READING) != 0) {
         self->onReadTimeout();
+    } else if ((what & BEV_EVENT_EOF) != 0) {
+        self->onInputEnd();
     } else {
         self->remove();
     }
 }
 
+// The end of the input does not tell whether the caller has left or only has nothing more to send. What was read is
+// answered.
+void Connection::onInputEnd()
+{
+    const bool isNew = !std::exchange(this->inputEnded, true);
+    if (this->state == State::Reading) {
+        this->parse();
+    } else if (this->state == State::Draining && this->backlogBytes() == 0) {
+        this->remove();
+    } else if (this->state == State::Answering && isNew) {
+        this->watchForReset();
+    }
+}
+
+// libevent reads no more after the end of the input, so that it would not notice a reset before the next write.
+void Connection::watchForReset()
+{
+    this->resetCheck = this->server.loop.every(config::CallerResetCheckPeriod, [this] {
+        if (this->isReset()) {
+            this->remove();
+        }
+    });
+    const std::shared_ptr<Exchange> held = this->exchange;
+    if (!held->reportInputEnd()) {
+        this->abort();
+    }
+}
+
 void Connection::onReadTimeout()
 {
     // The process may have been paused. What arrived meanwhile counts as received in time.
@@ -683,6 +752,9 @@
         }
     }
     this->parsing = false;
+    if (this->inputEnded && this->state == State::Reading) {
+        this->drain();
+    }
 }
 
 // Parses the head of a request. Returns false when more input is needed or the request was rejected.
@@ -836,6 +908,9 @@
     this->setState(State::Answering);
     const std::shared_ptr<Exchange> held = this->exchange;
     this->server.handle(held);
+    if (this->inputEnded && this->state == State::Answering) {
+        this->watchForReset();
+    }
 }
 
 // Rejects a request and closes the connection. The request was not passed to a handler, so that it certainly was not
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -70,7 +70,8 @@
 
 void ForwardRun::start()
 {
-    this->work.exchange->onClosed([this] { this->onCallerGone(); });
+    this->work.exchange->onClosed([this](CallerLoss loss) { this->onCallerGone(loss); });
+    this->work.exchange->onInputEnded([this] { this->onInputEnded(); });
     this->deadlineTimer
         = this->task.parts.loop.after(this->work.deadline - this->work.arrivedAt, [this] { this->onDeadline(); });
     this->attempt();
@@ -459,6 +460,7 @@
     }
     if (!this->streaming) {
         this->streaming = true;
+        this->callerTimer.reset();
         this->work.exchange->startStream(answerStatus, this->task.parts.codec.callerHeaders(this->active.headers));
     }
     this->watchSilence();
@@ -507,6 +509,7 @@
         if (this->firstByteAt == TimePoint {}) {
             this->firstByteAt = now;
         }
+        this->callerTimer.reset();
         this->work.exchange->sendChunk(complete);
         if (const auto id = this->active.events.lastId()) {
             this->lastEvent = id;
@@ -643,8 +646,8 @@
 
 bool ForwardRun::mayRepeat(TimePoint now)
 {
-    return this->work.deadline - now > config::ForwardLeastTime && this->task.isInForce(now)
-        && this->endsBeforeStop(Duration::zero(), now)
+    return this->callerTimer == nullptr && this->work.deadline - now > config::ForwardLeastTime
+        && this->task.isInForce(now) && this->endsBeforeStop(Duration::zero(), now)
         && this->task.crashesDuring(this->work.keys.request, now) < config::ForwardCrashesUntilNotRepeated
         && this->task.retries.tryTake(this->work.service, this->task.hosts(), now);
 }
@@ -755,13 +758,46 @@
     }
 }
 
-void ForwardRun::onCallerGone()
+void ForwardRun::onCallerGone(CallerLoss loss)
 {
     this->cancelStandby();
     if (this->active.isUnderWay()) {
         this->abandonAttempt(this->active, AttemptOutcome::Cancelled);
     }
-    this->finish(0, outcome::CallerGone, "", LogRank::Routine);
+    this->finish(0,
+                 outcome::CallerGone,
+                 loss == CallerLoss::Stalled ? "the caller read nothing for too long" : "the caller disconnected",
+                 LogRank::Routine);
+}
+
+// The end of a caller's input does not tell whether it has left. A request that must not be repeated is finished.
+// Others would occupy servers for callers that have left, so that they go on only until a part of the answer is sent,
+// which a caller that has left resets, or until it is late.
+void ForwardRun::onInputEnded()
+{
+    if (!this->active.isUnderWay()) {
+        return this->refuse(RefusalCause::InputEnded);
+    }
+    if (this->work.route->isStream || this->work.route->repeat != RepeatRule::Once) {
+        this->callerTimer
+            = this->task.parts.loop.after(config::ForwardInputEndedGrace, [this] { this->giveUpCaller(); });
+    }
+}
+
+void ForwardRun::giveUpCaller()
+{
+    constexpr std::string_view Why = "the caller closed its sending direction, and no part of the answer came in time";
+    this->cancelStandby();
+    if (this->active.isUnderWay()) {
+        this->abandonAttempt(this->active, AttemptOutcome::Cancelled);
+    }
+    if (this->streaming) {
+        this->work.exchange->abort();
+        return this->finish(0, outcome::CallerGone, Why, LogRank::Routine);
+    }
+    const ErrorContext context {this->task.parts.settings.host, this->work.request.id, {}};
+    replyError(*this->work.exchange, {ErrorKind::Timeout, std::string(Why)}, context);
+    this->finish(errorAnswer(ErrorKind::Timeout).httpStatus, outcome::CallerGone, Why, LogRank::Routine);
 }
 
 // Refuses a request that has certainly not run. If an attempt may have run after all, cut() answers the caller.
@@ -823,7 +859,9 @@
     this->ended = true;
     this->deadlineTimer.reset();
     this->waitTimer.reset();
+    this->callerTimer.reset();
     this->work.exchange->onClosed({});
+    this->work.exchange->onInputEnded({});
     const TimePoint now = this->task.parts.loop.now();
     std::string servers;
     for (const std::string &id : this->tried) {
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -109,7 +109,10 @@
     void onActiveFailure(const HttpFailure &failure);
     void onServerSilent();
     void onDeadline();
-    void onCallerGone();
+    void onCallerGone(CallerLoss loss);
+    void onInputEnded();
+    /// Ends a run whose caller has closed its sending direction and may have left.
+    void giveUpCaller();
 
     void onNotRun(const ServerAnswer &answer);
     /// Ends an attempt that may have run, and sends another one or ends the request.
@@ -157,6 +160,7 @@
     ForwardJob work;
     std::unique_ptr<Timer> deadlineTimer;
     std::unique_ptr<Timer> waitTimer;
+    std::unique_ptr<Timer> callerTimer; ///< Runs while a caller whose input has ended may have left.
 
     ForwardAttempt active; ///< The current attempt, whose answer the caller receives.
     ForwardAttempt standby; ///< At another server, while the current one sends nothing.
--- a/packages/node/src/prompt_run.cpp
+++ b/packages/node/src/prompt_run.cpp
@@ -54,7 +54,7 @@
     const PieceScope scope {
         this->job.caller.organisation, this->job.model.name, this->job.model.version, this->job.request.adapter};
     this->pieces = pieceChain(scope, this->job.request.prompt);
-    this->job.exchange->onClosed([this] { this->end(PromptEnd::CallerGone); });
+    this->job.exchange->onClosed([this](CallerLoss) { this->end(PromptEnd::CallerGone); });
     this->deadlineTimer = this->context.loop.after(this->job.request.deadline, [this] {
         this->fail({ErrorKind::DeadlineExceeded, "the deadline of the request passed before its answer was complete"});
     });
--- a/packages/node/src/service_run.cpp
+++ b/packages/node/src/service_run.cpp
@@ -65,7 +65,7 @@
 
 void ServiceRun::start()
 {
-    this->job.exchange->onClosed([this] { this->onCallerGone(); });
+    this->job.exchange->onClosed([this](CallerLoss) { this->onCallerGone(); });
     this->deadlineTimer = this->context.loop.after(this->job.request.deadline, [this] { this->onDeadline(); });
     if (this->job.idempotent) {
         this->startTimer = this->context.loop.after(Duration::zero(), [this] { this->attempt(); });
--- a/tests/net/raw_socket.cpp
+++ b/tests/net/raw_socket.cpp
@@ -47,6 +47,11 @@
     }
 }
 
+void RawSocket::endSending() const
+{
+    shutdown(this->socket, SHUT_WR);
+}
+
 bool RawSocket::receive(std::chrono::milliseconds patience)
 {
     pollfd waiting {this->socket, POLLIN, 0};
--- a/tests/net/raw_socket.h
+++ b/tests/net/raw_socket.h
@@ -21,6 +21,9 @@
     /// Sends the bytes one at a time, each in a packet of its own.
     void sendSlowly(std::string_view bytes) const;
 
+    /// Closes the sending direction; answers can still be read.
+    void endSending() const;
+
     /// @returns the bytes up to and including @p end; if the connection ends or nothing arrives for @p patience, the
     /// bytes received so far.
     std::string readUntil(std::string_view end, std::chrono::milliseconds patience = std::chrono::seconds(5));
--- a/tests/standins/engine_runs.cpp
+++ b/tests/standins/engine_runs.cpp
@@ -27,7 +27,7 @@
     ++this->counted.accepted;
     exchange->startStream(200, {{"Content-Type", "text/event-stream"}});
     // The number instead of the run: a run holds its exchange.
-    exchange->onClosed([this, number = run->number] {
+    exchange->onClosed([this, number = run->number](CallerLoss) {
         if (const RunPtr gone = this->find(number); gone != nullptr) {
             this->forget(gone);
             ++this->counted.disconnected;
--- a/tests/standins/log_standin.cpp
+++ b/tests/standins/log_standin.cpp
@@ -169,7 +169,7 @@
     }
     const std::uint64_t id = this->nextReader++;
     this->readers[id] = reader;
-    exchange->onClosed([this, id] { this->readers.erase(id); });
+    exchange->onClosed([this, id](CallerLoss) { this->readers.erase(id); });
     this->later(std::chrono::milliseconds(wait), [this, id] {
         if (const auto waiting = this->readers.extract(id); !waiting.empty()) {
             this->answerRead(waiting.mapped());
