Let a write timeout count only when the caller's socket is full

Callers saw: an answer that broke off, although its caller had read all along, when the host was paused for the write timeout (10 s).

Cause: after a pause a poll returns a limited number of ready sockets, and the write timers of the other bufferevents expire before their sockets are served.

Change: a write timeout asks the kernel whether the socket takes bytes again, and goes on then. The write timeout is one of HttpServerLimits. A loss of an answer that was complete but not sent whole is logged, which a line "answered" hid before.

Ruled out: a caller that read nothing for the whole time; its socket stays full, and it is given up as before.

--- a/packages/net/include/endivespan/http_server.h
+++ b/packages/net/include/endivespan/http_server.h
@@ -86,6 +86,7 @@
     std::chrono::milliseconds idleTimeout = config::CallerIdleTimeout; ///< Between two requests on a connection.
     std::set<std::string> singleFields {}; ///< Lower-case names of header fields that must not repeat,
                                            ///< besides those that HTTP itself restricts.
+    std::chrono::milliseconds writeTimeout = config::CallerReadTimeout; ///< For which a caller may read nothing.
 };
 
 /// Listens on one address and passes each complete request to a handler.
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -215,9 +215,10 @@
     void updateTimeouts();
     void drain();
     void onReadTimeout();
+    void onWriteTimeout();
     void onInputEnd();
     void watchForReset();
-    void remove();
+    void remove(CallerLoss how = CallerLoss::Disconnected);
     [[nodiscard]] bool hasUnreadBytes() const;
     [[nodiscard]] bool isReset() const;
 
@@ -234,6 +235,7 @@
     bool parsing = false;
     bool inputEnded = false; ///< The caller has closed its sending direction.
     std::unique_ptr<Timer> resetCheck; ///< While a caller whose input has ended is answered.
+    CallerLoss loss = CallerLoss::Disconnected; ///< Reported to the exchange when the connection is destroyed.
     TimePoint requestBegan;
     std::shared_ptr<Exchange> exchange;
 };
@@ -526,7 +528,7 @@
 {
     bufferevent_free(this->stream);
     if (this->exchange) {
-        this->exchange->onConnectionLost(CallerLoss::Disconnected, this->server.isSilent());
+        this->exchange->onConnectionLost(this->loss, this->server.isSilent());
     }
 }
 
@@ -638,7 +640,7 @@
         most = limits.maxHeaderBytes + config::PipelinedBytes;
     }
     const timeval readWait = toTimeval(read);
-    const timeval writeWait = toTimeval(config::CallerReadTimeout);
+    const timeval writeWait = toTimeval(limits.writeTimeout);
     bufferevent_set_timeouts(this->stream, this->state == State::Answering ? nullptr : &readWait, &writeWait);
     bufferevent_setwatermark(this->stream, EV_READ, 0, most);
 }
@@ -670,8 +672,8 @@
 void Connection::onEvent(bufferevent *, short what, void *context)
 {
     auto *self = static_cast<Connection *>(context);
-    if ((what & BEV_EVENT_TIMEOUT) != 0 && (what & BEV_EVENT_READING) != 0) {
-        self->onReadTimeout();
+    if ((what & BEV_EVENT_TIMEOUT) != 0) {
+        (what & BEV_EVENT_READING) != 0 ? self->onReadTimeout() : self->onWriteTimeout();
     } else if ((what & BEV_EVENT_EOF) != 0) {
         self->onInputEnd();
     } else {
@@ -727,8 +729,27 @@
     this->remove();
 }
 
-void Connection::remove()
+void Connection::onWriteTimeout()
 {
+    // The process may have been paused. What the caller read meanwhile counts as read in time.
+    pollfd state {bufferevent_getfd(this->stream), POLLOUT, 0};
+    if (poll(&state, 1, 0) > 0 && (state.revents & POLLOUT) != 0) {
+        bufferevent_enable(this->stream, EV_WRITE);
+        return;
+    }
+    this->remove(CallerLoss::Stalled);
+}
+
+void Connection::remove(CallerLoss how)
+{
+    this->loss = how;
+    if (const std::size_t unsent = this->backlogBytes(); unsent > 0 && this->state != State::Answering) {
+        logLine("http",
+                "{} bytes of an answer to {} were not sent: {}",
+                unsent,
+                this->peer,
+                how == CallerLoss::Stalled ? "the caller read nothing for too long" : "the caller disconnected");
+    }
     this->server.remove(this->id);
 }
 
--- a/tests/net/kept_connections.cpp
+++ b/tests/net/kept_connections.cpp
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <thread>
@@ -191,3 +192,46 @@
     world.runFor(30ms);
     CHECK(statusOf(caller.readUntil("ok", 100ms)) == 200);
 }
+
+// Guards against write timers that expire in a pause, in which the callers have read.
+TEST_CASE("callers that read their answers while the server is paused get the rest")
+{
+    constexpr auto Unread = 300ms;
+    constexpr std::size_t AnswerBytes = 3'000'000;
+    const std::string body(AnswerBytes, 'x');
+    Loop loop;
+    HttpServerLimits limits = defaultHttpServerLimits();
+    limits.writeTimeout = Unread;
+    const auto server = HttpServer::listen(loop, "127.0.0.1:0", limits, [&body](const auto &exchange) {
+                            exchange->reply(200, {}, body);
+                        }).value();
+    const auto runFor = [&loop](std::chrono::milliseconds time) {
+        const auto timer = loop.after(time, [&loop] { loop.stop(); });
+        loop.run();
+    };
+    constexpr std::size_t Callers = 100;
+    std::vector<std::unique_ptr<RawSocket>> callers;
+    std::vector<std::size_t> got(Callers, 0);
+    for (std::size_t i = 0; i < Callers; ++i) {
+        callers.push_back(std::make_unique<RawSocket>(server->port()));
+        callers.back()->send(Request);
+    }
+    const auto readSome = [&callers, &got] {
+        for (std::size_t i = 0; i < Callers; ++i) {
+            got[i] += callers[i]->readUntil("never", 0ms).size();
+        }
+    };
+    runFor(Unread / 2);
+    const auto paused = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() - paused < Unread * 2) {
+        readSome();
+    }
+    const auto resumed = std::chrono::steady_clock::now();
+    const auto isWhole = [](std::size_t bytes) { return bytes > AnswerBytes; };
+    while (std::count_if(got.begin(), got.end(), isWhole) < static_cast<std::ptrdiff_t>(Callers)
+           && std::chrono::steady_clock::now() - resumed < 10s) {
+        runFor(5ms);
+        readSome();
+    }
+    CHECK(std::count_if(got.begin(), got.end(), isWhole) == static_cast<std::ptrdiff_t>(Callers));
+}
