Tell callers for how long an idle connection is kept

Callers saw: a request on its way when the host closes its idle connection is neither read nor answered.

Cause: the idle timeout comes from the configuration, and no answer named it.

Change: each answer that keeps its connection says Keep-Alive: timeout=N, in whole seconds, 300 ms before the idle timeout at the least. Below one second nothing is said.

Ruled out: to shut down only the sending direction first: a request that crosses it cannot be answered either. A stop closes idle connections earlier than said; its callers see the close before an answer, as before.

Cost: about 25 bytes an answer, and new connections of callers that would have used one in its last second.

Figures: two new cases in tests/net/kept_connections.cpp; the first fails before, without the header field.

Conclusion: fixed for callers that respect Keep-Alive.

--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -185,8 +185,9 @@
     void onAnswerComplete();
     void abort();
     void closeAfterAnswer();
-    /// Returns the last lines of an answer's header. A connection is closed only behind an answer that says so.
-    [[nodiscard]] std::string_view endOfHead();
+    /// Returns the last lines of an answer's header, which say for how long the connection is kept. It is closed only
+    /// behind an answer that says so.
+    [[nodiscard]] std::string endOfHead();
     [[nodiscard]] bool isIdle() const;
     /// Returns whether bytes from the caller wait to be read, or bytes to the caller to be written.
     [[nodiscard]] bool hasQueuedBytes() const;
@@ -537,10 +538,15 @@
     bufferevent_write(this->stream, bytes.data(), bytes.size());
 }
 
-std::string_view Connection::endOfHead()
+std::string Connection::endOfHead()
 {
     this->closeAnnounced = !this->keepOpen || this->server.isClosing();
-    return this->closeAnnounced ? "Connection: close\r\n\r\n" : "\r\n";
+    if (this->closeAnnounced) {
+        return "Connection: close\r\n\r\n";
+    }
+    // A request that is sent as late as a caller is told arrives before the idle timeout.
+    const auto kept = std::chrono::floor<std::chrono::seconds>(this->server.idleTimeout() - config::KeepAliveMargin);
+    return kept.count() > 0 ? "Keep-Alive: timeout=" + std::to_string(kept.count()) + "\r\n\r\n" : "\r\n";
 }
 
 void Connection::closeAfterAnswer()
--- a/tests/net/kept_connections.cpp
+++ b/tests/net/kept_connections.cpp
@@ -193,6 +193,32 @@
     CHECK(statusOf(caller.readUntil("ok", 100ms)) == 200);
 }
 
+// Guards against requests that cross the close of an idle connection, which their callers could not foresee.
+TEST_CASE("a request that is sent within the time that Keep-Alive grants is answered")
+{
+    KeptServer world(1800ms);
+    RawSocket caller(world.server->port());
+    caller.send(Request);
+    world.runFor(30ms);
+    const std::string answer = caller.readAnswer();
+    REQUIRE(answer.find("Keep-Alive: timeout=1\r\n") != std::string::npos);
+    world.runFor(970ms);
+    CHECK(world.ask(caller) == 200);
+    world.runFor(1900ms);
+    CHECK(caller.isClosed(50ms));
+}
+
+TEST_CASE("no keep-alive time is granted when the idle timeout is shorter than a second")
+{
+    KeptServer world(ShortIdle);
+    RawSocket caller(world.server->port());
+    caller.send(Request);
+    world.runFor(30ms);
+    const std::string answer = caller.readAnswer();
+    CHECK(statusOf(answer) == 200);
+    CHECK(answer.find("Keep-Alive") == std::string::npos);
+}
+
 // Guards against write timers that expire in a pause, in which the callers have read.
 TEST_CASE("callers that read their answers while the server is paused get the rest")
 {
