Tell a silent link from a broken connection to a server

Cause: HttpPool reported a connection that the kernel timed out like one that the server reset, and a reset counts as the crash of what the server ran. Class: the absence of a message is taken for a fact.

Change: such a call fails with Timeout. Its attempt counts as lost in a silence, which becomes a crash only with what a crash leaves behind. For the choice of servers it stays unreachable.

Cost: a server that dies without a reset, with its machine, is suspected only when it leaves the list or cannot be reached.

The case before it uses the same set-up, moved into a struct, with the same checks.

Conclusion: fixed in the pool; a silent link itself cannot be made here, a server that reads nothing stands for it.

--- a/packages/net/include/endivespan/http_pool.h
+++ b/packages/net/include/endivespan/http_pool.h
@@ -24,7 +24,9 @@
     std::function<bool(int status, const HttpHeaders &headers)> belongs;
 };
 
-/// Callbacks of one call. onDone or onFailure is called exactly once, unless the call is cancelled first.
+/// Callbacks of one call. onDone or onFailure is called exactly once, unless the call is cancelled first. The kind of a
+/// failure is ConnectionFailed, StreamCut when the server closed or reset the connection, Timeout when the link or the
+/// server acknowledged nothing, or ProtocolError.
 struct PooledCallbacks {
     std::function<void(int status, const HttpHeaders &headers)> onHead;
     std::function<void(std::string_view bytes)> onBody;
--- a/packages/net/src/http_pool.cpp
+++ b/packages/net/src/http_pool.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <charconv>
 #include <limits>
 #include <map>
@@ -162,7 +163,8 @@
     bool handleHead();
     void complete();
     void fail(ErrorKind kind, std::string detail);
-    void onDisconnected(bool byError);
+    /// @param error Error of the socket; 0 when the server closed the connection in order.
+    void onDisconnected(int error);
     void reportReached(bool isReached);
 
     Pool &pool;
@@ -348,7 +350,7 @@
         self->connectTimer.reset();
         self->reportReached(true);
     } else if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
-        self->onDisconnected((what & BEV_EVENT_ERROR) != 0);
+        self->onDisconnected((what & BEV_EVENT_ERROR) != 0 ? EVUTIL_SOCKET_ERROR() : 0);
     }
 }
 
@@ -488,7 +490,7 @@
     }
 }
 
-void Connection::onDisconnected(bool byError)
+void Connection::onDisconnected(int error)
 {
     if (this->call == nullptr) {
         this->close();
@@ -501,15 +503,19 @@
     }
     // An answer without a length is complete when the server closes its connection, but not when the connection is
     // reset.
-    if (!byError && this->headHandled && !this->stray && this->parser != nullptr && this->parser->need_eof()) {
-        boost::beast::error_code error;
-        this->parser->put_eof(error);
-        if (!error && this->parser->is_done()) {
+    if (error == 0 && this->headHandled && !this->stray && this->parser != nullptr && this->parser->need_eof()) {
+        boost::beast::error_code problem;
+        this->parser->put_eof(problem);
+        if (!problem && this->parser->is_done()) {
             this->complete();
             return;
         }
     }
-    this->fail(ErrorKind::StreamCut, byError ? "connection reset" : "connection closed");
+    if (error == ETIMEDOUT) {
+        this->fail(ErrorKind::Timeout, "nothing was acknowledged in time");
+        return;
+    }
+    this->fail(ErrorKind::StreamCut, error != 0 ? "connection reset" : "connection closed");
 }
 
 Connection *Pool::takeIdle(const std::string &address)
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -1,6 +1,7 @@
 #include "forward_run.h"
 
 #include "answer.h"
+#include "forward_answer_p.h"
 #include "store_task.h"
 
 #include <endivespan/config.h>
@@ -12,16 +13,6 @@
 
 namespace {
 
-constexpr int StatusOk = 200;
-constexpr int StatusMultiple = 300;
-constexpr int StatusServerError = 500;
-constexpr std::string_view FramedByClose = "close";
-
-bool isSuccess(int status)
-{
-    return status >= StatusOk && status < StatusMultiple;
-}
-
 std::chrono::milliseconds toMilliseconds(Duration time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time);
@@ -38,15 +29,6 @@
     return names;
 }
 
-/// Returns what marks the end of an answer's body: its length, its last chunk or the end of its connection.
-std::string_view framingOf(const HttpHeaders &fields)
-{
-    if (fields.contains("transfer-encoding")) {
-        return "chunked";
-    }
-    return fields.contains("content-length") ? "length" : FramedByClose;
-}
-
 } // namespace
 
 ForwardRun::ForwardRun(ForwardTask &task, ForwardJob job)
@@ -696,9 +678,8 @@
         }
         return;
     }
-    const bool broken = failure.error.kind == ErrorKind::StreamCut;
-    this->reportLostAttempt(this->active, LossKind::Broken, now);
-    this->attemptFailed(broken ? AttemptOutcome::Unreachable : AttemptOutcome::Failed, failure.error.detail);
+    this->reportLostAttempt(this->active, lossOf(failure), now);
+    this->attemptFailed(attemptOutcomeOf(failure), failure.error.detail);
 }
 
 // Handles the failure of an attempt that may have run: only a route that allows repeats sends another one.
--- a/packages/node/src/forward_standby.cpp
+++ b/packages/node/src/forward_standby.cpp
@@ -1,3 +1,4 @@
+#include "forward_answer_p.h"
 #include "forward_run.h"
 
 #include <endivespan/config.h>
@@ -11,7 +12,6 @@
 namespace {
 
 constexpr std::string_view SilentServer = "the server sent nothing for too long";
-constexpr int StatusServerError = 500;
 
 } // namespace
 
@@ -94,16 +94,16 @@
 {
     const TimePoint now = this->task.parts.loop.now();
     const ServerAnswer answer = this->readHead(this->standby, status, fields, now);
-    const bool isSuccess = status >= 200 && status < 300;
     if (answer.notRun) {
         return this->onStandbyRefused(answer, now);
     }
-    if ((isSuccess && !answer.genuine) || (this->streaming && !isSuccess) || status >= StatusServerError) {
+    if ((isSuccess(status) && !answer.genuine) || (this->streaming && !isSuccess(status))
+        || status >= StatusServerError) {
         return this->onStandbyFailed(AttemptOutcome::Failed, "status " + std::to_string(status));
     }
     // A stream has been taken over once it goes on. Its server works already, so that the one before may not be kept
     // for long.
-    if (this->work.route->isStream && isSuccess) {
+    if (this->work.route->isStream && isSuccess(status)) {
         this->waitTimer = this->task.parts.loop.after(config::StandbyEventWait, [this] { this->onServerSilent(); });
         return;
     }
@@ -127,9 +127,7 @@
 
 bool ForwardRun::standbyCompletes() const
 {
-    const HttpHeaders &fields = this->standby.headers;
-    const bool framed = fields.contains("transfer-encoding") || fields.contains("content-length");
-    return framed && !this->standby.events.isInsideEvent();
+    return framingOf(this->standby.headers) != FramedByClose && !this->standby.events.isInsideEvent();
 }
 
 void ForwardRun::takeOver()
@@ -162,10 +160,8 @@
 {
     const TimePoint now = this->task.parts.loop.now();
     if (failure.requestSent) {
-        this->reportLostAttempt(this->standby, LossKind::Broken, now);
-        const bool broken = failure.error.kind == ErrorKind::StreamCut;
-        return this->onStandbyFailed(broken ? AttemptOutcome::Unreachable : AttemptOutcome::Failed,
-                                     failure.error.detail);
+        this->reportLostAttempt(this->standby, lossOf(failure), now);
+        return this->onStandbyFailed(attemptOutcomeOf(failure), failure.error.detail);
     }
     this->standby.requestSent = true;
     this->task.parts.servers.notSent(this->standby.server);
--- a/tests/net/silent_server.cpp
+++ b/tests/net/silent_server.cpp
@@ -71,31 +71,48 @@
     std::thread thread;
 };
 
+/// What became of a call with a body that fills its server's receive window.
+struct LongCall {
+    std::optional<Error> failure;
+    std::string body;
+
+    explicit LongCall(std::chrono::milliseconds silence)
+    {
+        Loop loop;
+        const auto pool = HttpPool::create(loop, 5s);
+        PooledCall call;
+        call.method = "POST";
+        call.target = "/";
+        call.body = std::string(4'000'000, 'x');
+        SilentServer server(silence, call.body.size());
+        call.address = server.address;
+        const auto pending = pool->start(std::move(call),
+                                         {{},
+                                          [this](std::string_view bytes) { this->body += bytes; },
+                                          [&loop] { loop.stop(); },
+                                          [this, &loop](const HttpFailure &failed) {
+                                              this->failure = failed.error;
+                                              loop.stop();
+                                          }});
+        const auto limit = loop.after(8s, [&loop] { loop.stop(); });
+        loop.run();
+    }
+};
+
 } // namespace
 
 // Guards against a request that is ended since its server reads nothing of a long body for a second or so.
 TEST_CASE("a call with a long body is answered by a server that falls silent for two seconds")
 {
-    Loop loop;
-    const auto pool = HttpPool::create(loop, 5s);
-    PooledCall call;
-    call.method = "POST";
-    call.target = "/";
-    call.body = std::string(4'000'000, 'x');
-    SilentServer server(2s, call.body.size());
-    call.address = server.address;
-    std::optional<std::string> failure;
-    std::string body;
-    const auto pending = pool->start(std::move(call),
-                                     {{},
-                                      [&body](std::string_view bytes) { body += bytes; },
-                                      [&loop] { loop.stop(); },
-                                      [&](const HttpFailure &failed) {
-                                          failure = failed.error.detail;
-                                          loop.stop();
-                                      }});
-    const auto limit = loop.after(8s, [&loop] { loop.stop(); });
-    loop.run();
-    CHECK(failure.value_or("") == "");
-    CHECK(body == "done");
+    const LongCall call(2s);
+    CHECK_FALSE(call.failure);
+    CHECK(call.body == "done");
+}
+
+// Guards against a silent link, or a server that reads nothing, that counts as a broken connection and thus as a crash.
+TEST_CASE("a call whose server acknowledges nothing for too long fails with a time-out and not as broken off")
+{
+    const LongCall call(7s);
+    REQUIRE(call.failure);
+    CHECK(call.failure->kind == ErrorKind::Timeout);
 }
