Let the server that stood by stand by again

Cause: ForwardRun counted attempts that may have run, while max_attempts limits servers ("the maximum number of runners to which one client attempt may be sent").

Change: it keeps the servers that may have run the request. When no further one is allowed, an attempt may still go to one whose attempt stood by and was cancelled (PlacementNeed::only).

Ruled out: not to count a standby that was cancelled before its header. Its server may have begun to run it, and the rule on retries counts the servers that ran.

Cost: further attempts draw on the same shared retry budget. No request reaches more servers than before.

--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -33,7 +34,8 @@
     EngineRates rates; ///< Estimates for the engines of the pool.
     std::size_t hosts = 1; ///< Number of hosts that send to the same servers.
     double meanRequests = 0; ///< Mean number of requests at a server of the pool, by recent load reports.
-    std::set<std::string> tried; ///< Servers that have already been sent the request.
+    std::set<std::string> tried; ///< Servers that must not be sent the request again.
+    std::optional<std::set<std::string>> only; ///< When set, no other servers may be sent the request.
 };
 
 /// The chosen server, and figures that explain the choice in the log.
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -102,7 +102,7 @@
         ++choice.known;
         choice.leaving += view.isLeaving() ? 1 : 0;
         choice.resting += view.isResting(now) ? 1 : 0;
-        if (!table.isOpen(view, now) || need.tried.contains(id)) {
+        if (!table.isOpen(view, now) || need.tried.contains(id) || (need.only && !need.only->contains(id))) {
             continue;
         }
         const auto weights = view.entry.weights.find(need.model);
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -65,6 +65,7 @@
     need.service = this->work.service;
     need.model = this->work.request.model;
     need.tried = this->tried;
+    need.only = this->allowedServers();
     need.answerTokens = this->work.request.answerTokens;
     need.urgency = static_cast<std::size_t>(std::max(this->work.route->priority, 0));
     const auto &parts = this->work.request.parts;
@@ -80,6 +81,29 @@
     return need;
 }
 
+// A route limits the number of servers. One whose attempt stood by and was cancelled counts as one of them, and may be
+// sent the request again.
+std::optional<std::set<std::string>> ForwardRun::allowedServers() const
+{
+    std::set<std::string> used = this->ranAt;
+    for (const ForwardAttempt *attempt : {&this->active, &this->standby}) {
+        if (attempt->isUnderWay()) {
+            used.insert(attempt->server);
+        }
+    }
+    if (used.size() < this->work.route->maxAttempts) {
+        return std::nullopt;
+    }
+    std::erase_if(used, [this](const std::string &server) { return this->tried.contains(server); });
+    return used;
+}
+
+bool ForwardRun::isFurtherAttemptAllowed() const
+{
+    const auto allowed = this->allowedServers();
+    return !allowed || !allowed->empty();
+}
+
 // Sends the first attempt, or queues the run until a server has room. Repeats are never queued: they are sent at once
 // or not at all.
 void ForwardRun::attempt()
@@ -283,7 +307,7 @@
 // Times the answer of an attempt that may be repeated.
 void ForwardRun::watchAnswer()
 {
-    if (this->work.route->repeat != RepeatRule::Once && this->possibleRuns + 1 < this->work.route->maxAttempts) {
+    if (this->work.route->repeat != RepeatRule::Once && this->isFurtherAttemptAllowed()) {
         this->waitTimer = this->task.parts.loop.after(this->hedgeDelay(), [this] { this->onServerSilent(); });
     }
 }
@@ -526,15 +550,14 @@
     if (isFailure && this->standby.isUnderWay()) {
         return this->attemptFailed(AttemptOutcome::Failed, "status " + std::to_string(this->active.status));
     }
-    if (isFailure && this->work.route->repeat != RepeatRule::Once
-        && this->possibleRuns + 1 < this->work.route->maxAttempts) {
+    if (isFailure && this->work.route->repeat != RepeatRule::Once && this->isFurtherAttemptAllowed()) {
         const TimePoint now = this->task.parts.loop.now();
         if (this->mayRepeat(now)) {
             const int failedStatus = this->active.status;
             const HttpHeaders failedHeaders = this->active.headers;
             const std::string failedBody = this->active.body;
-            ++this->possibleRuns;
             const std::string failedServer = this->active.server;
+            this->ranAt.insert(failedServer);
             this->waitTimer.reset();
             this->endAttempt(this->active, AttemptOutcome::Failed);
             this->task.parts.events.line("attempt_repeated")
@@ -619,7 +642,7 @@
     if (this->ended) {
         return;
     }
-    if (this->possibleRuns > 0 || this->streaming) {
+    if (!this->ranAt.empty() || this->streaming) {
         this->cut("no server for another attempt");
         return;
     }
@@ -671,7 +694,7 @@
         if (this->tryPlace(now) || this->ended) {
             return;
         }
-        if (this->possibleRuns > 0 || this->streaming) {
+        if (!this->ranAt.empty() || this->streaming) {
             this->cut("no server for another attempt");
         } else {
             this->refuse(RefusalCause::NoServer);
@@ -689,13 +712,13 @@
     this->logFailedAttempt(this->active, why);
     this->waitTimer.reset();
     this->endAttempt(this->active, outcome);
-    ++this->possibleRuns;
+    this->ranAt.insert(this->active.life.server);
     if (this->standby.isUnderWay()) {
         return this->promoteStandby();
     }
     const bool allowed = this->streaming ? this->work.route->repeat == RepeatRule::Resumable
                                          : this->work.route->repeat != RepeatRule::Once;
-    if (allowed && this->possibleRuns < this->work.route->maxAttempts && this->mayRepeat(now)) {
+    if (allowed && this->isFurtherAttemptAllowed() && this->mayRepeat(now)) {
         if (this->tryPlace(now) || this->ended) {
             return;
         }
@@ -721,9 +744,9 @@
     this->cancelStandby();
     if (this->active.isUnderWay()) {
         this->abandonAttempt(this->active, AttemptOutcome::Failed);
-        ++this->possibleRuns;
+        this->ranAt.insert(this->active.life.server);
     }
-    if (this->possibleRuns == 0) {
+    if (this->ranAt.empty()) {
         this->refuse(RefusalCause::NoPlaceInTime);
     } else {
         this->cut("the deadline expired");
@@ -732,7 +755,7 @@
 
 void ForwardRun::stop()
 {
-    if (this->active.isUnderWay() || this->possibleRuns > 0 || this->streaming) {
+    if (this->active.isUnderWay() || !this->ranAt.empty() || this->streaming) {
         this->cut(ErrorKind::OutcomeUnknown, refusalAnswer(RefusalCause::HostStopping).why);
     } else {
         this->refuse(RefusalCause::HostStopping);
@@ -790,7 +813,7 @@
     const ErrorKind kind = refusalAnswer(cause).kind;
     const std::string_view why = refusalAnswer(cause).why;
     this->refusal = cause;
-    if (this->possibleRuns > 0 || this->streaming) {
+    if (!this->ranAt.empty() || this->streaming) {
         this->cut(why);
         return;
     }
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -88,6 +88,10 @@
     void send(const PlacementChoice &choice, ForwardAttempt &attempt, TimePoint now);
     void sendActive(const PlacementChoice &choice, TimePoint now);
     [[nodiscard]] PlacementNeed need() const;
+    /// @returns the servers that a further attempt may be sent to when the route allows no other ones; nothing while it
+    ///     does.
+    [[nodiscard]] std::optional<std::set<std::string>> allowedServers() const;
+    [[nodiscard]] bool isFurtherAttemptAllowed() const;
     void prepareEngine(ForwardDispatch &dispatch,
                        ForwardAttempt &attempt,
                        const ServerView &view,
@@ -167,7 +171,7 @@
 
     std::set<std::string> tried;
     std::uint32_t attemptsSent = 0; ///< All attempts of this run.
-    std::uint32_t possibleRuns = 0; ///< Attempts that may have run.
+    std::set<std::string> ranAt; ///< Servers whose ended attempts may have run.
     std::uint32_t notRunAnswers = 0; ///< Attempts that servers refused as not run.
     std::uint32_t standbyRefusals = 0; ///< Of these the ones that stood by, in the current silence.
     std::uint32_t partsFetched = 0; ///< Parts that engines were told to fetch from stores, over all attempts.
--- a/packages/node/src/forward_standby.cpp
+++ b/packages/node/src/forward_standby.cpp
@@ -53,9 +53,7 @@
 void ForwardRun::startStandby(TimePoint now)
 {
     const PlacementChoice other = this->placeStandby(now);
-    const std::uint32_t runs = this->possibleRuns + (this->standby.isUnderWay() ? 2 : 1);
-    if (other.server.empty() || runs >= this->work.route->maxAttempts
-        || this->task.parts.suspicions.findRefusedPart(this->work.service, this->work.keys, now)
+    if (other.server.empty() || this->task.parts.suspicions.findRefusedPart(this->work.service, this->work.keys, now)
         || !this->mayRepeat(now)) {
         return;
     }
@@ -63,7 +61,7 @@
         this->reportLostAttempt(this->standby, LossKind::Silent, now);
         this->logFailedAttempt(this->standby, SilentServer);
         this->endAttempt(this->standby, AttemptOutcome::Failed);
-        ++this->possibleRuns;
+        this->ranAt.insert(this->standby.life.server);
     }
     this->reportLostAttempt(this->active, LossKind::Silent, now);
     this->task.parts.events.line("standby_started")
@@ -85,7 +83,9 @@
     this->task.parts.events.line("standby_cancelled")
         .with("request", this->work.request.id)
         .with("server", this->standby.server);
-    this->possibleRuns += this->standby.requestSent ? 1 : 0;
+    if (this->standby.requestSent) {
+        this->ranAt.insert(this->standby.server);
+    }
     this->tried.erase(this->standby.server);
     this->endAttempt(this->standby, AttemptOutcome::Cancelled);
 }
@@ -136,7 +136,7 @@
     this->logFailedAttempt(this->active, SilentServer);
     this->waitTimer.reset();
     this->endAttempt(this->active, AttemptOutcome::Failed);
-    ++this->possibleRuns;
+    this->ranAt.insert(this->active.life.server);
     this->active = std::exchange(this->standby, {});
     this->onActiveHead(this->task.parts.codec.decodeAnswer(this->active.status, this->active.headers), now);
 }
@@ -175,7 +175,7 @@
 {
     this->logFailedAttempt(this->standby, why);
     this->endAttempt(this->standby, outcome);
-    ++this->possibleRuns;
+    this->ranAt.insert(this->standby.life.server);
     this->startStandby(this->task.parts.loop.now());
 }
 
--- a/tests/platform/silent_servers.cpp
+++ b/tests/platform/silent_servers.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -192,6 +193,52 @@
     CHECK(answer.body == WholeBody);
 }
 
+// Guards against a silence that uses up the only repeat of a route, so that nobody stands by at the next one.
+TEST_CASE("a stream of two attempts is taken over in its second silence, by the server that stood by in the first one")
+{
+    World world(4);
+    scriptAll(world, [](const ReceivedRequest &request) {
+        if (!isResumed(request)) {
+            return Reply {streamHead(request) + eventChunk(1, "a"), Then::Hang, {}, Silence, eventChunk(2, "b")};
+        }
+        const bool isFirstSilence = request.field("last-event-id") == "1";
+        return isFirstSilence ? Reply {streamHead(request) + eventChunk(2, "x"), Then::Keep, 1s}
+                              : Reply {streamHead(request) + eventChunk(3, "c") + End};
+    });
+    const CallerAnswer answer = world.answer(world.ask("/resume/", Patient));
+    CHECK(answer.whole);
+    CHECK(answer.body == WholeBody);
+    const auto asked = std::count_if(
+        world.runners.begin(), world.runners.end(), [](const auto &runner) { return !runner->received.empty(); });
+    CHECK(asked == 2);
+}
+
+TEST_CASE("a stream of two attempts whose server breaks off goes on at the one that stood by in a silence before")
+{
+    World world(4);
+    std::size_t first = 0;
+    for (std::size_t i = 0; i < world.runners.size(); ++i) {
+        world.runners[i]->script = [&first, i](const ReceivedRequest &request) {
+            if (!isResumed(request)) {
+                first = i;
+                return Reply {streamHead(request) + eventChunk(1, "a"), Then::Hang, {}, Silence, eventChunk(2, "b")};
+            }
+            const bool isFirstSilence = request.field("last-event-id") == "1";
+            return isFirstSilence ? Reply {streamHead(request) + eventChunk(2, "x"), Then::Keep, 1s}
+                                  : Reply {streamHead(request) + eventChunk(3, "c") + End};
+        };
+    }
+    const auto call = world.ask("/resume/", Patient);
+    REQUIRE(world.until([&] { return world.answers[call].body.find("id: 2") != std::string::npos; }));
+    world.runners[first]->shutDown();
+    const CallerAnswer answer = world.answer(call);
+    CHECK(answer.whole);
+    CHECK(answer.body == WholeBody);
+    const auto asked = std::count_if(
+        world.runners.begin(), world.runners.end(), [](const auto &runner) { return !runner->received.empty(); });
+    CHECK(asked == 2);
+}
+
 // Guards against a failure that the caller gets although its sound server would have answered in time.
 TEST_CASE("a request whose server is slow is answered by it when the other servers refuse the request")
 {
