Keep a server's complete failure for its caller

Callers saw: 502 of the host in the place of a complete 500 of the server, when the request also stood by, or was repeated, elsewhere and that attempt was refused, broke off or stayed silent until the deadline.

Cause: ForwardRun dropped the answer when it went on to another attempt, and what ended that one decided about the request. Class: what works is given up before its replacement is secured.

Change: the latest complete failure is kept, and answers the caller unless another attempt succeeds. Its parts of onDone are functions of their own.

Ruled out: to answer with the failure at once. The other attempt may succeed.

It was no request without an answer.

--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -546,42 +546,51 @@
         this->onStreamEnd();
         return;
     }
-    const bool isFailure = this->active.status >= StatusServerError;
-    if (isFailure && this->standby.isUnderWay()) {
-        return this->attemptFailed(AttemptOutcome::Failed, "status " + std::to_string(this->active.status));
-    }
-    if (isFailure && this->work.route->repeat != RepeatRule::Once && this->isFurtherAttemptAllowed()) {
-        const TimePoint now = this->task.parts.loop.now();
-        if (this->mayRepeat(now)) {
-            const int failedStatus = this->active.status;
-            const HttpHeaders failedHeaders = this->active.headers;
-            const std::string failedBody = this->active.body;
-            const std::string failedServer = this->active.server;
-            this->ranAt.insert(failedServer);
-            this->waitTimer.reset();
-            this->endAttempt(this->active, AttemptOutcome::Failed);
-            this->task.parts.events.line("attempt_repeated")
-                .with("request", this->work.request.id)
-                .with("server", failedServer)
-                .with("why", "status " + std::to_string(failedStatus));
-            if (this->tryPlace(now) || this->ended) {
-                return;
-            }
-            this->active.status = failedStatus;
-            this->active.headers = failedHeaders;
-            this->active.body = failedBody;
+    const ForwardAnswer answer {this->active.status, this->active.headers, std::move(this->active.body)};
+    const bool isFailure = answer.status >= StatusServerError;
+    if (isFailure) {
+        const std::string why = "status " + std::to_string(answer.status);
+        this->failedAnswer = answer;
+        if (this->standby.isUnderWay()) {
+            return this->attemptFailed(AttemptOutcome::Failed, why);
+        }
+        if (this->repeatFailed(why)) {
+            return;
         }
     }
     if (this->active.isUnderWay()) {
         this->endAttempt(this->active, isFailure ? AttemptOutcome::Failed : AttemptOutcome::Answered);
     }
-    if (isSuccess(this->active.status)) {
+    if (isSuccess(answer.status)) {
         this->recordAnswer(this->task.parts.loop.now());
     }
+    this->replyAnswer(answer);
+}
+
+// Returns whether the run goes on, or has ended, after a complete failure of its server.
+bool ForwardRun::repeatFailed(std::string_view why)
+{
+    const TimePoint now = this->task.parts.loop.now();
+    if (this->work.route->repeat == RepeatRule::Once || !this->isFurtherAttemptAllowed() || !this->mayRepeat(now)) {
+        return false;
+    }
+    const std::string failedServer = this->active.server;
+    this->ranAt.insert(failedServer);
+    this->waitTimer.reset();
+    this->endAttempt(this->active, AttemptOutcome::Failed);
+    this->task.parts.events.line("attempt_repeated")
+        .with("request", this->work.request.id)
+        .with("server", failedServer)
+        .with("why", why);
+    return this->tryPlace(now) || this->ended;
+}
+
+void ForwardRun::replyAnswer(const ForwardAnswer &answer)
+{
+    const bool isFailure = answer.status >= StatusServerError;
     this->firstByteAt = this->task.parts.loop.now();
-    this->work.exchange->reply(
-        this->active.status, this->task.parts.codec.callerHeaders(this->active.headers), this->active.body);
-    this->finish(this->active.status,
+    this->work.exchange->reply(answer.status, this->task.parts.codec.callerHeaders(answer.headers), answer.body);
+    this->finish(answer.status,
                  isFailure ? outcome::ServerFailed : outcome::Answered,
                  "",
                  isFailure ? LogRank::Failure : LogRank::Routine);
@@ -799,6 +808,9 @@
         this->work.exchange->abort();
         return this->finish(0, outcome::CallerGone, Why, LogRank::Routine);
     }
+    if (this->failedAnswer) {
+        return this->replyAnswer(*this->failedAnswer);
+    }
     const ErrorContext context {this->task.parts.settings.host, this->work.request.id, {}};
     replyError(*this->work.exchange, {ErrorKind::Timeout, std::string(Why)}, context);
     this->finish(errorAnswer(ErrorKind::Timeout).httpStatus, outcome::CallerGone, Why, LogRank::Routine);
@@ -850,6 +862,9 @@
         this->finish(0, outcome::StreamCut, why, LogRank::Failure);
         return;
     }
+    if (this->failedAnswer) {
+        return this->replyAnswer(*this->failedAnswer);
+    }
     const ErrorContext context {this->task.parts.settings.host, this->work.request.id, {}};
     replyError(*this->work.exchange, {kind, std::string(why)}, context);
     this->finish(errorAnswer(kind).httpStatus, errorAnswer(kind).name, why, LogRank::Failure);
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -47,7 +47,7 @@
     EventSplitter events;
     int status = 0;
     HttpHeaders headers;
-    std::string body;
+    std::string body; ///< Of an answer that is not streamed.
 
     [[nodiscard]] bool isUnderWay() const
     {
@@ -55,6 +55,13 @@
     }
 };
 
+/// A complete answer of a server.
+struct ForwardAnswer {
+    int status = 0;
+    HttpHeaders headers;
+    std::string body;
+};
+
 /// Sends a request to one server after another until an attempt succeeds or no further one is allowed. While a server
 /// sends nothing, a second attempt stands by at another one; the first goes on until the second has been accepted.
 class ForwardRun
@@ -108,6 +115,8 @@
     void onActiveEvents(const std::string &complete, TimePoint now);
     void onDone(std::uint32_t number);
     void onStreamEnd();
+    [[nodiscard]] bool repeatFailed(std::string_view why);
+    void replyAnswer(const ForwardAnswer &answer);
     void recordAnswer(TimePoint now);
     void onFailure(std::uint32_t number, const HttpFailure &failure);
     void onActiveFailure(const HttpFailure &failure);
@@ -156,6 +165,7 @@
     void promoteStandby();
 
     void refuse(RefusalCause cause);
+    /// Ends the answer to the caller with what is known, in the place of an answer of a server.
     void cut(std::string_view why);
     void cut(ErrorKind kind, std::string_view why);
     void finish(int status, std::string_view result, std::string_view why, LogRank rank);
@@ -177,6 +187,7 @@
     std::uint32_t partsFetched = 0; ///< Parts that engines were told to fetch from stores, over all attempts.
     std::uint32_t partsSaved = 0; ///< Parts that engines were told to save to stores, over all attempts.
     std::uint64_t partsSought = 0; ///< Parts that engines were told to fetch from another engine, over all attempts.
+    std::optional<ForwardAnswer> failedAnswer; ///< The latest complete failure of a server, unless a success follows.
     PlacementChoice lastChoice; ///< Result of the latest search for a server.
     bool streaming = false; ///< The header of a streamed answer was sent to the caller.
     std::uint64_t bytesInsideEvent = 0; ///< Bytes after the last complete event of a stream that ended.
--- a/tests/platform/silent_servers.cpp
+++ b/tests/platform/silent_servers.cpp
@@ -263,6 +263,44 @@
     }
 }
 
+// Guards against a server's complete failure that is lost because its request also stood by, or was repeated,
+// elsewhere.
+TEST_CASE("a complete failure of a server reaches the caller when no other attempt succeeds")
+{
+    const std::vector<Case> cases {
+        {"refused",
+         [](const ReceivedRequest &request) {
+             return Reply {notExecuted(request).bytes, Then::Keep, 600ms};
+         }},
+        {"broken off",
+         [](const ReceivedRequest &) {
+             return Reply {"", Then::Reset, 600ms};
+         }},
+        {"silent",
+         [](const ReceivedRequest &) {
+             return Reply {"", Then::Hang};
+         }},
+    };
+    for (const auto failsAfter : {0ms, 600ms}) {
+        for (const Case &tested : cases) {
+            CAPTURE(failsAfter.count());
+            CAPTURE(tested.what);
+            World world(4);
+            bool isFirst = true;
+            scriptAll(world, [&](const ReceivedRequest &request) {
+                return std::exchange(isFirst, false)
+                    ? Reply {answerTo(request, 500, "failed at its server"), Then::Keep, failsAfter}
+                    : tested.standby(request);
+            });
+            const CallerAnswer answer = world.answer(world.ask("/again/", Patient));
+            CHECK(answer.whole);
+            CHECK(answer.status == 500);
+            CHECK(answer.body == "failed at its server");
+            CHECK(received(world).size() > 1);
+        }
+    }
+}
+
 // Guards against requests that are refused as crashing because sound servers fell silent for a second.
 TEST_CASE("requests with the same bytes are served while all servers are silent for a second")
 {
