--- a/tests/net/raw_socket.cpp
+++ b/tests/net/raw_socket.cpp
@@ -29,6 +29,11 @@
     close(this->socket);
 }
 
+bool RawSocket::isConnected() const
+{
+    return !this->ended;
+}
+
 void RawSocket::send(std::string_view bytes) const
 {
     while (!bytes.empty()) {
--- a/tests/net/raw_socket.h
+++ b/tests/net/raw_socket.h
@@ -16,6 +16,8 @@
     RawSocket(const RawSocket &) = delete;
     RawSocket &operator=(const RawSocket &) = delete;
 
+    [[nodiscard]] bool isConnected() const;
+
     void send(std::string_view bytes) const;
 
     /// Sends the bytes one at a time, each in a packet of its own.
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -32,6 +32,18 @@
     return bytes;
 }
 
+std::string loopback(int port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+Duration cpuTime()
+{
+    return std::chrono::microseconds(std::clock() * (1'000'000 / CLOCKS_PER_SEC));
+}
+
+} // namespace
+
 int freePort()
 {
     const int probe = socket(AF_INET, SOCK_STREAM, 0);
@@ -47,18 +59,6 @@
     return ntohs(place.sin_port);
 }
 
-std::string loopback(int port)
-{
-    return "127.0.0.1:" + std::to_string(port);
-}
-
-Duration cpuTime()
-{
-    return std::chrono::microseconds(std::clock() * (1'000'000 / CLOCKS_PER_SEC));
-}
-
-} // namespace
-
 StoreStandin::StoreStandin(Loop &loop)
     : loop(loop)
 {
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -172,6 +172,9 @@
 /// @returns one server-sent event, framed as one chunk.
 std::string eventChunk(int id, const std::string &data);
 
+/// @returns a loopback port that nothing listens on.
+int freePort();
+
 /// What a caller has received.
 struct CallerAnswer {
     int status = 0;
