--- a/packages/node/src/forward_answer_p.h
+++ b/packages/node/src/forward_answer_p.h
@@ -5,9 +5,10 @@
 #include <endivespan/http_server.h>
 #include <endivespan/server_table.h>
 
+#include <chrono>
 #include <string_view>
 
-/// What the answer or the failure of an attempt says, for the sources of ForwardRun.
+/// Helpers of the sources of ForwardRun, mostly on what the answer or the failure of an attempt says.
 namespace endivespan {
 
 constexpr int StatusOk = 200;
@@ -20,6 +21,11 @@
     return status >= StatusOk && status < StatusMultiple;
 }
 
+inline std::chrono::milliseconds toMilliseconds(Duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time);
+}
+
 /// @returns what marks the end of an answer's body: its length, its last chunk or the end of its connection.
 inline std::string_view framingOf(const HttpHeaders &fields)
 {
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -89,23 +89,6 @@
 private:
     void attempt();
     bool tryPlace(TimePoint now);
-    /// @returns whether an attempt that is sent now is expected to be answered before a stop of this host ends it.
-    /// @param firstByte Expected time to the first byte of the answer.
-    [[nodiscard]] bool endsBeforeStop(Duration firstByte, TimePoint now) const;
-    void send(const PlacementChoice &choice, ForwardAttempt &attempt, TimePoint now);
-    void sendActive(const PlacementChoice &choice, TimePoint now);
-    [[nodiscard]] PlacementNeed need() const;
-    /// @returns the servers that a further attempt may be sent to when the route allows no other ones; nothing while it
-    ///     does.
-    [[nodiscard]] std::optional<std::set<std::string>> allowedServers() const;
-    [[nodiscard]] bool isFurtherAttemptAllowed() const;
-    void prepareEngine(ForwardDispatch &dispatch,
-                       ForwardAttempt &attempt,
-                       const ServerView &view,
-                       const std::string &likelyHolder,
-                       TimePoint now);
-
-    void logColdSend(const ServerView &view, TimePoint now);
 
     void onHead(std::uint32_t number, int status, const HttpHeaders &headers);
     void onActiveHead(const ServerAnswer &answer, TimePoint now);
@@ -115,6 +98,8 @@
     void onActiveEvents(const std::string &complete, TimePoint now);
     void onDone(std::uint32_t number);
     void onStreamEnd();
+    /// Sends another attempt after a complete failure of the server, if one is allowed.
+    /// @returns whether one was sent, or the run has ended.
     [[nodiscard]] bool repeatFailed(std::string_view why);
     void replyAnswer(const ForwardAnswer &answer);
     void recordAnswer(TimePoint now);
@@ -129,7 +114,6 @@
 
     void onNotRun(const ServerAnswer &answer);
     /// Ends an attempt that may have run, and sends another one or ends the request.
-    /// @param repeatGranted Whether mayRepeat() has already allowed another attempt.
     void attemptFailed(AttemptOutcome outcome, std::string_view why);
     [[nodiscard]] bool mayRepeat(TimePoint now);
     void endAttempt(ForwardAttempt &attempt, AttemptOutcome outcome);
@@ -144,6 +128,26 @@
     void watchSilence();
     [[nodiscard]] ForwardAttempt &attemptOf(std::uint32_t number);
 
+    // In forward_send.cpp.
+
+    /// @returns whether an attempt that is sent now is expected to be answered before a stop of this host ends it.
+    /// @param firstByte Expected time to the first byte of the answer.
+    [[nodiscard]] bool endsBeforeStop(Duration firstByte, TimePoint now) const;
+    void send(const PlacementChoice &choice, ForwardAttempt &attempt, TimePoint now);
+    void sendActive(const PlacementChoice &choice, TimePoint now);
+    [[nodiscard]] PlacementNeed need() const;
+    /// @returns the servers that a further attempt may be sent to when the route allows no other ones; nothing while it
+    ///     does.
+    [[nodiscard]] std::optional<std::set<std::string>> allowedServers() const;
+    [[nodiscard]] bool isFurtherAttemptAllowed() const;
+    void prepareEngine(ForwardDispatch &dispatch,
+                       ForwardAttempt &attempt,
+                       const ServerView &view,
+                       const std::string &likelyHolder,
+                       TimePoint now);
+
+    void logColdSend(const ServerView &view, TimePoint now);
+
     // In forward_standby.cpp.
 
     /// @returns a server that is expected to answer an attempt standing by for the silent one.
