Never call a prompt or a call that may have run not run

Callers saw: 503 no_server, run: not-run, for a prompt that an engine had accepted before it fell silent for 3 s while the other engines refused; 504 deadline_exceeded, run: not-run, for a prompt whose deadline passed while an engine ran it; 503 backend_unreachable, run: not-run, for a repeatable call that one server had run before it crashed while the others refused.

Cause: the error of the last attempt decided about the whole request; PromptRun and ServiceRun forgot that an earlier attempt had been sent. Class: the end of the last attempt is taken for the end of all.

Change: PromptRun remembers that an attempt failed after it was sent, and counts one that is under way. ServiceRun had that for repeatable calls (failedOnce) and now uses it in its answers. An error kind that says not run is then replaced: deadline_exceeded by timeout (504), all others by backend_failed (502). Both say unknown and may be retried.

Ruled out: claimed calls. They are never sent again after bytes were sent, and end as outcome_unknown. A prompt that all engines refuse is still called not run (new case, passes before and after).

Conclusion: the false refusal is fixed. The attempt at a silent engine is still ended before another engine has accepted.

--- a/packages/node/src/prompt_run.cpp
+++ b/packages/node/src/prompt_run.cpp
@@ -32,6 +32,15 @@
     return names.empty() ? "-" : names;
 }
 
+// The kind for an error of a prompt that may have run, which must not be called not run.
+ErrorKind kindAfterRun(ErrorKind kind)
+{
+    if (errorAnswer(kind).run != RunState::NotRun) {
+        return kind;
+    }
+    return kind == ErrorKind::DeadlineExceeded ? ErrorKind::Timeout : ErrorKind::BackendFailed;
+}
+
 } // namespace
 
 PromptRun::PromptRun(NodeContext &context,
@@ -375,6 +384,7 @@
     this->context.explain.add(this->job.caller.requestId,
                               this->context.backends.server(this->server).name + " failed: " + error.detail);
     if (requestSent) {
+        this->mayHaveRun = true;
         // The engine may still be running the attempt, whose output is no longer needed.
         this->context.engines.cancel(this->context.backends.server(this->server).address, this->attemptId);
     }
@@ -411,8 +421,11 @@
     this->retryTimer = this->context.loop.after(config::AttemptPause * this->attempts, [this] { this->attempt(); });
 }
 
-void PromptRun::fail(const Error &error)
+void PromptRun::fail(const Error &cause)
 {
+    // An attempt under way may have been sent.
+    const bool mayHaveRun = this->mayHaveRun || this->run;
+    const Error error {mayHaveRun ? kindAfterRun(cause.kind) : cause.kind, cause.detail};
     this->failWith(error, retryHint(error.kind, this->context.random()));
 }
 
--- a/packages/node/src/prompt_run.h
+++ b/packages/node/src/prompt_run.h
@@ -98,7 +98,7 @@
     void recordSummary(const EngineSummary &summary);
     void endAttempt(bool completed);
     void retry(const Error &error);
-    void fail(const Error &error);
+    void fail(const Error &cause);
     void failWith(const Error &error, std::chrono::milliseconds retryAfter);
     void end(PromptEnd how);
 
@@ -118,6 +118,7 @@
     std::uint32_t attempts = 0;
     std::uint32_t nextIndex;
     bool firstTokenSeen = false;
+    bool mayHaveRun = false; ///< Whether an attempt failed after it was sent and was not refused as not run.
     bool started = false;
     bool waitedForCredit = false;
     bool ended = false;
--- a/packages/node/src/service_run.cpp
+++ b/packages/node/src/service_run.cpp
@@ -35,6 +35,15 @@
     }
 }
 
+// The kind for an error of a call that may have run, which must not be called not run.
+ErrorKind kindAfterRun(ErrorKind kind)
+{
+    if (errorAnswer(kind).run != RunState::NotRun) {
+        return kind;
+    }
+    return kind == ErrorKind::DeadlineExceeded ? ErrorKind::Timeout : ErrorKind::BackendFailed;
+}
+
 } // namespace
 
 ServiceRun::ServiceRun(NodeContext &context,
@@ -314,11 +323,12 @@
     this->end(true);
 }
 
-void ServiceRun::refuse(const Error &error, Duration retryAfter)
+void ServiceRun::refuse(const Error &cause, Duration retryAfter)
 {
     if (this->ended) {
         return;
     }
+    const Error error {this->failedOnce ? kindAfterRun(cause.kind) : cause.kind, cause.detail};
     const auto hint = std::max(retryHint(error.kind, this->context.random()), inMilliseconds(retryAfter));
     const ErrorContext place {this->context.settings.host, this->job.caller.requestId, hint};
     HttpHeaders headers = errorHeaders(error, place);
--- a/packages/node/src/service_run.h
+++ b/packages/node/src/service_run.h
@@ -71,7 +71,7 @@
     void settleClaim(OutcomeKind kind, const ClaimAnswer &answer);
     void releaseClaim();
     void reply(const ClaimAnswer &answer, bool replayed);
-    void refuse(const Error &error, Duration retryAfter = Duration::zero());
+    void refuse(const Error &cause, Duration retryAfter = Duration::zero());
     void end(bool answered);
     void note(const std::string &decision);
     [[nodiscard]] Duration timeLeft() const;
--- a/tests/process/claims.cpp
+++ b/tests/process/claims.cpp
@@ -215,3 +215,24 @@
     CHECK(again.body == first.body);
     CHECK_FALSE(cluster.ranTwice());
 }
+
+TEST_CASE("a repeatable call that one server ran is not called not run when the others refuse it")
+{
+    ServiceCluster cluster(1);
+    const std::uint64_t before = cluster.runs();
+    cluster.standins.control("verstas-1", {{"crash_after", 1}});
+    for (const std::string server : {"verstas-2", "verstas-3"}) {
+        cluster.standins.control(server, {{"refuse_next", 1000}});
+    }
+    std::size_t calls = 0;
+    CallResult result;
+    REQUIRE(eventually([&] {
+        result = call(cluster.serviceCall(0, "POST", "/quote", "{}"));
+        ++calls;
+        return cluster.runs() > before;
+    }));
+    CAPTURE(calls);
+    CHECK_MESSAGE(errorKind(result) == "backend_failed", result.body);
+    CHECK(runHeader(result) == "unknown");
+    CHECK(result.status == 502);
+}
--- a/tests/process/prompt_path.cpp
+++ b/tests/process/prompt_path.cpp
@@ -1,5 +1,6 @@
 #include "../standins/answer_text.h"
 #include "host_process.h"
+#include "service_cluster.h"
 
 #include <endivespan/config.h>
 
@@ -226,3 +227,53 @@
     CHECK_MESSAGE(streamedText(result) == answerTo("quiet", 200), result.body);
     fixture.hosts.checkInvariants();
 }
+
+TEST_CASE("a prompt that an engine accepted before it fell silent is not called not run when the others refuse it")
+{
+    for (const bool stream : {false, true}) {
+        CAPTURE(stream);
+        // A prefill of more than three seconds: a stream has not begun when its engine falls silent.
+        Fixture fixture(R"(engine={"prefill_tokens_per_s":1,"decode_ms":20})");
+        json body = prompt("accepted by one engine, refused by all others", 200);
+        body["stream"] = stream;
+        CallGroup group;
+        group.start(promptCall(fixture.hosts.at(0), body));
+        REQUIRE(eventually([&] {
+            group.runFor(std::chrono::milliseconds(5));
+            return fixture.standins.sum("accepted") == 1;
+        }));
+        for (int i = 1; i <= 6; ++i) {
+            fixture.standins.control("puhuja-" + std::to_string(i), {{"silent_streams", true}, {"stopping", true}});
+        }
+        const CallResult &result = group.finish()[0];
+        CHECK_MESSAGE(errorKind(result) == "backend_failed", result.body);
+        CHECK(runHeader(result) == "unknown");
+        CHECK(result.status == 502);
+        CHECK(fixture.standins.sum("accepted") == 1);
+        fixture.hosts.checkInvariants();
+    }
+}
+
+TEST_CASE("a prompt whose deadline passes while an engine runs it is not called not run")
+{
+    Fixture fixture(R"(engine={"decode_ms":50})");
+    json body = prompt("longer than its deadline", 4000);
+    body["deadline_ms"] = 600;
+    const CallResult result = call(promptCall(fixture.hosts.at(0), body));
+    CHECK(fixture.standins.sum("accepted") >= 1);
+    CHECK_MESSAGE(runHeader(result) == "unknown", result.body);
+    CHECK(result.status >= 500);
+    fixture.hosts.checkInvariants();
+}
+
+TEST_CASE("a prompt that every engine refuses is still called not run")
+{
+    Fixture fixture;
+    for (int i = 1; i <= 6; ++i) {
+        fixture.standins.control("puhuja-" + std::to_string(i), {{"stopping", true}});
+    }
+    const CallResult result = call(promptCall(fixture.hosts.at(0), prompt("refused by all", 5)));
+    CHECK(errorKind(result) == "no_server");
+    CHECK(runHeader(result) == "not-run");
+    CHECK(fixture.standins.sum("accepted") == 0);
+}
