Answer callers of prompts and calls that close their sending direction

Callers saw: a caller of endivespand that sent a whole request and closed its sending direction (half-closed) got no answer and no refusal; a stream under way was cut, an order that had been sent ran without an answer for its caller.

Cause: PromptRun and ServiceRun did not use HttpExchange::onInputEnded, so that the end of the input counted as the loss of the caller. Class: the absence of a message is taken for a fact.

Change: a stream goes on; its next token or heartbeat shows by a reset whether the caller reads. A prompt that is not streamed, and an idempotent call, go on for ForwardInputEndedGrace and then end as timeout (504, unknown). A claimed call that was sent goes on and its answer is written. What waits (for admission, a credit or a claim) is refused as overloaded, not run. The time between the start of a run and its first attempt, in the next turn of the loop, is no waiting: else a request whose end of input arrives with it would always be refused.

Ruled out: an end of streams that have sent no token after the same time. A half-closed caller with a long prefill would lose its answer. The price is that an engine works on such a stream until its first token when the caller has left.

Conclusion: each such request is answered, refused or runs to its end.

--- a/packages/node/src/prompt_run.cpp
+++ b/packages/node/src/prompt_run.cpp
@@ -64,6 +64,7 @@
         this->job.caller.organisation, this->job.model.name, this->job.model.version, this->job.request.adapter};
     this->pieces = pieceChain(scope, this->job.request.prompt);
     this->job.exchange->onClosed([this](CallerLoss) { this->end(PromptEnd::CallerGone); });
+    this->job.exchange->onInputEnded([this] { this->onInputEnded(); });
     this->deadlineTimer = this->context.loop.after(this->job.request.deadline, [this] {
         this->fail({ErrorKind::DeadlineExceeded, "the deadline of the request passed before its answer was complete"});
     });
@@ -126,6 +127,22 @@
     this->failWith({kind, "this host cannot serve the prompt in time; retry later"}, retryAfter);
 }
 
+void PromptRun::onInputEnded()
+{
+    const bool waitsForCredit = this->waitedForCredit && this->attempts == 0;
+    if (!this->started || waitsForCredit) {
+        this->fail({ErrorKind::Overloaded, "the caller closed its sending direction while the prompt waited"});
+        return;
+    }
+    // The next token or heartbeat of a stream shows by a reset whether the caller still reads.
+    if (!this->job.request.stream) {
+        this->callerTimer = this->context.loop.after(config::ForwardInputEndedGrace, [this] {
+            this->fail({ErrorKind::Timeout,
+                        "the caller closed its sending direction, and the answer was not complete in time"});
+        });
+    }
+}
+
 void PromptRun::attempt()
 {
     ++this->attempts;
@@ -452,6 +469,7 @@
     }
     this->ended = true;
     this->deadlineTimer.reset();
+    this->callerTimer.reset();
     this->heartbeatTimer.reset();
     this->retryTimer.reset();
     this->context.metrics.observe("prompt_seconds", this->context.loop.now() - this->arrivedAt);
--- a/packages/node/src/prompt_run.h
+++ b/packages/node/src/prompt_run.h
@@ -85,6 +85,7 @@
     [[nodiscard]] std::uint32_t expectedPrefillTokens() const;
 
 private:
+    void onInputEnded();
     void attempt();
     bool takeCredit(const RouteDecision &choice);
     bool waitForCredit();
@@ -130,6 +131,7 @@
     std::optional<CreditUse> credit; ///< Credit that the attempt under way uses.
     std::unique_ptr<EngineRun> run;
     std::unique_ptr<Timer> deadlineTimer;
+    std::unique_ptr<Timer> callerTimer; ///< Set once the caller of an answer that is not streamed has ended its input.
     std::unique_ptr<Timer> heartbeatTimer;
     std::unique_ptr<Timer> retryTimer;
 };
--- a/packages/node/src/service_run.cpp
+++ b/packages/node/src/service_run.cpp
@@ -75,6 +75,7 @@
 void ServiceRun::start()
 {
     this->job.exchange->onClosed([this](CallerLoss) { this->onCallerGone(); });
+    this->job.exchange->onInputEnded([this] { this->onInputEnded(); });
     this->deadlineTimer = this->context.loop.after(this->job.request.deadline, [this] { this->onDeadline(); });
     if (this->job.idempotent) {
         this->startTimer = this->context.loop.after(Duration::zero(), [this] { this->attempt(); });
@@ -194,6 +195,25 @@
     this->context.metrics.count("service_attempts");
 }
 
+void ServiceRun::onInputEnded()
+{
+    // The answer of a claimed call that was sent is written, since nobody may run the call again.
+    if (this->runStarted && this->ticket) {
+        return;
+    }
+    const bool waits = this->ticket || (this->creditWaits > 0 && !this->call && !this->failedOnce);
+    if (waits) {
+        this->releaseClaim();
+        this->refuse({ErrorKind::Overloaded, "the caller closed its sending direction while the request waited"});
+        return;
+    }
+    this->callerTimer = this->context.loop.after(config::ForwardInputEndedGrace, [this] {
+        this->stopCall();
+        this->refuse(
+            {ErrorKind::Timeout, "the caller closed its sending direction, and the service did not answer in time"});
+    });
+}
+
 void ServiceRun::stopCall()
 {
     if (this->call) {
@@ -347,8 +367,10 @@
         return;
     }
     this->deadlineTimer.reset();
+    this->callerTimer.reset();
     this->startTimer.reset();
     this->job.exchange->onClosed({});
+    this->job.exchange->onInputEnded({});
     this->observer.onEnd(this->id, answered);
 }
 
--- a/packages/node/src/service_run.h
+++ b/packages/node/src/service_run.h
@@ -67,6 +67,7 @@
     void onFailure(const HttpFailure &failure);
     void onDeadline();
     void onCallerGone();
+    void onInputEnded();
     void stopCall();
     void settleClaim(OutcomeKind kind, const ClaimAnswer &answer);
     void releaseClaim();
@@ -95,6 +96,7 @@
     std::unique_ptr<HttpPending> call;
     std::unique_ptr<Timer> startTimer;
     std::unique_ptr<Timer> deadlineTimer;
+    std::unique_ptr<Timer> callerTimer; ///< Set once the caller of an idempotent call has ended its input.
     bool ended = false;
 };
 
