--- a/packages/node/src/prompt_run.cpp
+++ b/packages/node/src/prompt_run.cpp
@@ -32,6 +32,15 @@
     return names.empty() ? "-" : names;
 }
 
+// The kind for an error of a prompt that may have run, which must not be called not run.
+ErrorKind kindAfterRun(ErrorKind kind)
+{
+    if (errorAnswer(kind).run != RunState::NotRun) {
+        return kind;
+    }
+    return kind == ErrorKind::DeadlineExceeded ? ErrorKind::Timeout : ErrorKind::BackendFailed;
+}
+
 } // namespace
 
 PromptRun::PromptRun(NodeContext &context,
@@ -55,6 +64,7 @@
         this->job.caller.organisation, this->job.model.name, this->job.model.version, this->job.request.adapter};
     this->pieces = pieceChain(scope, this->job.request.prompt);
     this->job.exchange->onClosed([this](CallerLoss) { this->end(PromptEnd::CallerGone); });
+    this->job.exchange->onInputEnded([this] { this->onInputEnded(); });
     this->deadlineTimer = this->context.loop.after(this->job.request.deadline, [this] {
         this->fail({ErrorKind::DeadlineExceeded, "the deadline of the request passed before its answer was complete"});
     });
@@ -117,6 +127,22 @@
     this->failWith({kind, "this host cannot serve the prompt in time; retry later"}, retryAfter);
 }
 
+void PromptRun::onInputEnded()
+{
+    const bool waitsForCredit = this->waitedForCredit && this->attempts == 0;
+    if (!this->started || waitsForCredit) {
+        this->fail({ErrorKind::Overloaded, "the caller closed its sending direction while the prompt waited"});
+        return;
+    }
+    // The next token or heartbeat of a stream shows by a reset whether the caller still reads.
+    if (!this->job.request.stream) {
+        this->callerTimer = this->context.loop.after(config::ForwardInputEndedGrace, [this] {
+            this->fail({ErrorKind::Timeout,
+                        "the caller closed its sending direction, and the answer was not complete in time"});
+        });
+    }
+}
+
 void PromptRun::attempt()
 {
     ++this->attempts;
@@ -375,6 +401,7 @@
     this->context.explain.add(this->job.caller.requestId,
                               this->context.backends.server(this->server).name + " failed: " + error.detail);
     if (requestSent) {
+        this->mayHaveRun = true;
         // The engine may still be running the attempt, whose output is no longer needed.
         this->context.engines.cancel(this->context.backends.server(this->server).address, this->attemptId);
     }
@@ -411,8 +438,11 @@
     this->retryTimer = this->context.loop.after(config::AttemptPause * this->attempts, [this] { this->attempt(); });
 }
 
-void PromptRun::fail(const Error &error)
+void PromptRun::fail(const Error &cause)
 {
+    // An attempt under way may have been sent.
+    const bool mayHaveRun = this->mayHaveRun || this->run;
+    const Error error {mayHaveRun ? kindAfterRun(cause.kind) : cause.kind, cause.detail};
     this->failWith(error, retryHint(error.kind, this->context.random()));
 }
 
@@ -439,6 +469,7 @@
     }
     this->ended = true;
     this->deadlineTimer.reset();
+    this->callerTimer.reset();
     this->heartbeatTimer.reset();
     this->retryTimer.reset();
     this->context.metrics.observe("prompt_seconds", this->context.loop.now() - this->arrivedAt);
--- a/packages/node/src/prompt_run.h
+++ b/packages/node/src/prompt_run.h
@@ -85,6 +85,7 @@
     [[nodiscard]] std::uint32_t expectedPrefillTokens() const;
 
 private:
+    void onInputEnded();
     void attempt();
     bool takeCredit(const RouteDecision &choice);
     bool waitForCredit();
@@ -98,7 +99,7 @@
     void recordSummary(const EngineSummary &summary);
     void endAttempt(bool completed);
     void retry(const Error &error);
-    void fail(const Error &error);
+    void fail(const Error &cause);
     void failWith(const Error &error, std::chrono::milliseconds retryAfter);
     void end(PromptEnd how);
 
@@ -118,6 +119,7 @@
     std::uint32_t attempts = 0;
     std::uint32_t nextIndex;
     bool firstTokenSeen = false;
+    bool mayHaveRun = false; ///< Whether an attempt failed after it was sent and was not refused as not run.
     bool started = false;
     bool waitedForCredit = false;
     bool ended = false;
@@ -129,6 +131,7 @@
     std::optional<CreditUse> credit; ///< Credit that the attempt under way uses.
     std::unique_ptr<EngineRun> run;
     std::unique_ptr<Timer> deadlineTimer;
+    std::unique_ptr<Timer> callerTimer; ///< Set once the caller of an answer that is not streamed has ended its input.
     std::unique_ptr<Timer> heartbeatTimer;
     std::unique_ptr<Timer> retryTimer;
 };
--- a/packages/node/src/service_run.cpp
+++ b/packages/node/src/service_run.cpp
@@ -35,6 +35,15 @@
     }
 }
 
+// The kind for an error of a call that may have run, which must not be called not run.
+ErrorKind kindAfterRun(ErrorKind kind)
+{
+    if (errorAnswer(kind).run != RunState::NotRun) {
+        return kind;
+    }
+    return kind == ErrorKind::DeadlineExceeded ? ErrorKind::Timeout : ErrorKind::BackendFailed;
+}
+
 } // namespace
 
 ServiceRun::ServiceRun(NodeContext &context,
@@ -66,6 +75,7 @@
 void ServiceRun::start()
 {
     this->job.exchange->onClosed([this](CallerLoss) { this->onCallerGone(); });
+    this->job.exchange->onInputEnded([this] { this->onInputEnded(); });
     this->deadlineTimer = this->context.loop.after(this->job.request.deadline, [this] { this->onDeadline(); });
     if (this->job.idempotent) {
         this->startTimer = this->context.loop.after(Duration::zero(), [this] { this->attempt(); });
@@ -185,6 +195,25 @@
     this->context.metrics.count("service_attempts");
 }
 
+void ServiceRun::onInputEnded()
+{
+    // The answer of a claimed call that was sent is written, since nobody may run the call again.
+    if (this->runStarted && this->ticket) {
+        return;
+    }
+    const bool waits = this->ticket || (this->creditWaits > 0 && !this->call && !this->failedOnce);
+    if (waits) {
+        this->releaseClaim();
+        this->refuse({ErrorKind::Overloaded, "the caller closed its sending direction while the request waited"});
+        return;
+    }
+    this->callerTimer = this->context.loop.after(config::ForwardInputEndedGrace, [this] {
+        this->stopCall();
+        this->refuse(
+            {ErrorKind::Timeout, "the caller closed its sending direction, and the service did not answer in time"});
+    });
+}
+
 void ServiceRun::stopCall()
 {
     if (this->call) {
@@ -314,11 +343,12 @@
     this->end(true);
 }
 
-void ServiceRun::refuse(const Error &error, Duration retryAfter)
+void ServiceRun::refuse(const Error &cause, Duration retryAfter)
 {
     if (this->ended) {
         return;
     }
+    const Error error {this->failedOnce ? kindAfterRun(cause.kind) : cause.kind, cause.detail};
     const auto hint = std::max(retryHint(error.kind, this->context.random()), inMilliseconds(retryAfter));
     const ErrorContext place {this->context.settings.host, this->job.caller.requestId, hint};
     HttpHeaders headers = errorHeaders(error, place);
@@ -337,8 +367,10 @@
         return;
     }
     this->deadlineTimer.reset();
+    this->callerTimer.reset();
     this->startTimer.reset();
     this->job.exchange->onClosed({});
+    this->job.exchange->onInputEnded({});
     this->observer.onEnd(this->id, answered);
 }
 
--- a/packages/node/src/service_run.h
+++ b/packages/node/src/service_run.h
@@ -67,11 +67,12 @@
     void onFailure(const HttpFailure &failure);
     void onDeadline();
     void onCallerGone();
+    void onInputEnded();
     void stopCall();
     void settleClaim(OutcomeKind kind, const ClaimAnswer &answer);
     void releaseClaim();
     void reply(const ClaimAnswer &answer, bool replayed);
-    void refuse(const Error &error, Duration retryAfter = Duration::zero());
+    void refuse(const Error &cause, Duration retryAfter = Duration::zero());
     void end(bool answered);
     void note(const std::string &decision);
     [[nodiscard]] Duration timeLeft() const;
@@ -95,6 +96,7 @@
     std::unique_ptr<HttpPending> call;
     std::unique_ptr<Timer> startTimer;
     std::unique_ptr<Timer> deadlineTimer;
+    std::unique_ptr<Timer> callerTimer; ///< Set once the caller of an idempotent call has ended its input.
     bool ended = false;
 };
 
