Let orders of half-closed callers go on while their claim is under way, and share kindAfterRun

Callers would have seen: an order whose caller closes its sending direction together with the request was always refused, since the end of the input is read while the claim is under way.

Change: such an order goes on; its answer is recorded under its key, also for a caller that has left. kindAfterRun() stands once, beside the table of error kinds.

--- a/packages/core/include/endivespan/error.h
+++ b/packages/core/include/endivespan/error.h
@@ -75,6 +75,9 @@
 /// @returns the answer for @p kind.
 const ErrorAnswer &errorAnswer(ErrorKind kind);
 
+/// @returns @p kind, or in its place a kind that does not say "not run", for an error of a request that may have run.
+ErrorKind kindAfterRun(ErrorKind kind);
+
 /// @returns the whole table, one entry for each kind in the order of the enumeration.
 std::span<const ErrorAnswer> errorTable();
 
--- a/packages/core/src/error.cpp
+++ b/packages/core/src/error.cpp
@@ -65,6 +65,14 @@
     return Table.at(static_cast<std::size_t>(kind));
 }
 
+ErrorKind kindAfterRun(ErrorKind kind)
+{
+    if (errorAnswer(kind).run != RunState::NotRun) {
+        return kind;
+    }
+    return kind == ErrorKind::DeadlineExceeded ? ErrorKind::Timeout : ErrorKind::BackendFailed;
+}
+
 std::span<const ErrorAnswer> errorTable()
 {
     return Table;
--- a/packages/node/src/prompt_run.cpp
+++ b/packages/node/src/prompt_run.cpp
@@ -32,15 +32,6 @@
     return names.empty() ? "-" : names;
 }
 
-// The kind for an error of a prompt that may have run, which must not be called not run.
-ErrorKind kindAfterRun(ErrorKind kind)
-{
-    if (errorAnswer(kind).run != RunState::NotRun) {
-        return kind;
-    }
-    return kind == ErrorKind::DeadlineExceeded ? ErrorKind::Timeout : ErrorKind::BackendFailed;
-}
-
 } // namespace
 
 PromptRun::PromptRun(NodeContext &context,
--- a/packages/node/src/service_run.cpp
+++ b/packages/node/src/service_run.cpp
@@ -35,15 +35,6 @@
     }
 }
 
-// The kind for an error of a call that may have run, which must not be called not run.
-ErrorKind kindAfterRun(ErrorKind kind)
-{
-    if (errorAnswer(kind).run != RunState::NotRun) {
-        return kind;
-    }
-    return kind == ErrorKind::DeadlineExceeded ? ErrorKind::Timeout : ErrorKind::BackendFailed;
-}
-
 } // namespace
 
 ServiceRun::ServiceRun(NodeContext &context,
@@ -197,13 +188,12 @@
 
 void ServiceRun::onInputEnded()
 {
-    // The answer of a claimed call that was sent is written, since nobody may run the call again.
-    if (this->runStarted && this->ticket) {
+    // The end of the input often comes with the request, while its claim is under way. Its answer is recorded, also for
+    // a caller that has left and asks again.
+    if (this->ticket) {
         return;
     }
-    const bool waits = this->ticket || (this->creditWaits > 0 && !this->call && !this->failedOnce);
-    if (waits) {
-        this->releaseClaim();
+    if (this->creditWaits > 0 && !this->call && !this->failedOnce) {
         this->refuse({ErrorKind::Overloaded, "the caller closed its sending direction while the request waited"});
         return;
     }
