--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -540,7 +540,9 @@
 
 std::string Connection::endOfHead()
 {
-    this->closeAnnounced = !this->keepOpen || this->server.isClosing();
+    // Requests that were sent ahead are answered before the connection is closed.
+    const bool isLast = evbuffer_get_length(bufferevent_get_input(this->stream)) == 0 && !this->hasUnreadBytes();
+    this->closeAnnounced = !this->keepOpen || (this->server.isClosing() && isLast);
     if (this->closeAnnounced) {
         return "Connection: close\r\n\r\n";
     }
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -247,6 +247,7 @@
         return;
     }
     if (answerStatus < StatusServerError) {
+        this->callerTimer.reset();
         this->cancelStandby();
     }
     if (!this->work.route->isStream || !isSuccess(answerStatus)) {
@@ -273,7 +274,6 @@
     }
     if (!this->streaming) {
         this->streaming = true;
-        this->callerTimer.reset();
         this->work.exchange->startStream(answerStatus, this->task.parts.codec.callerHeaders(this->active.headers));
     }
     this->watchSilence();
@@ -322,7 +322,6 @@
         if (this->firstByteAt == TimePoint {}) {
             this->firstByteAt = now;
         }
-        this->callerTimer.reset();
         this->work.exchange->sendChunk(complete);
         if (const auto id = this->active.events.lastId()) {
             this->lastEvent = id;
@@ -466,8 +465,8 @@
 
 bool ForwardRun::mayRepeat(TimePoint now)
 {
-    return this->callerTimer == nullptr && this->work.deadline - now > config::ForwardLeastTime
-        && this->task.isInForce(now) && this->endsBeforeStop(Duration::zero(), now)
+    return this->work.deadline - now > config::ForwardLeastTime && this->task.isInForce(now)
+        && this->endsBeforeStop(Duration::zero(), now)
         && this->task.crashesDuring(this->work.keys.request, now) < config::ForwardCrashesUntilNotRepeated
         && this->task.retries.tryTake(this->work.service, this->task.hosts(), now);
 }
@@ -564,7 +563,7 @@
     if (this->ranAt.empty()) {
         this->refuse(RefusalCause::NoPlaceInTime);
     } else {
-        this->cut("the deadline expired");
+        this->cut(ErrorKind::OutcomeUnknown, "the deadline expired");
     }
 }
 
@@ -590,14 +589,15 @@
 }
 
 // The end of a caller's input does not tell whether it has left. A request that must not be repeated is finished.
-// Others would occupy servers for callers that have left, so that they go on only until a part of the answer is sent,
-// which a caller that has left resets, or until it is late.
+// Others would occupy servers for callers that have left, so that their answer has to begin soon. A part of a stream is
+// passed on at once, and a caller that has left resets the connection then.
 void ForwardRun::onInputEnded()
 {
     if (!this->active.isUnderWay()) {
         return this->refuse(RefusalCause::InputEnded);
     }
-    if (this->work.route->isStream || this->work.route->repeat != RepeatRule::Once) {
+    const bool hasBegun = this->streaming || (this->active.status != 0 && this->active.status < StatusServerError);
+    if (!hasBegun && (this->work.route->isStream || this->work.route->repeat != RepeatRule::Once)) {
         this->callerTimer
             = this->task.parts.loop.after(config::ForwardInputEndedGrace, [this] { this->giveUpCaller(); });
     }
@@ -610,10 +610,6 @@
     if (this->active.isUnderWay()) {
         this->abandonAttempt(this->active, AttemptOutcome::Cancelled);
     }
-    if (this->streaming) {
-        this->work.exchange->abort();
-        return this->finish(0, outcome::CallerGone, Why, LogRank::Routine);
-    }
     if (this->failedAnswer) {
         return this->replyAnswer(*this->failedAnswer);
     }
--- a/packages/node/src/forward_standby.cpp
+++ b/packages/node/src/forward_standby.cpp
@@ -53,7 +53,8 @@
 void ForwardRun::startStandby(TimePoint now)
 {
     const PlacementChoice other = this->placeStandby(now);
-    if (other.server.empty() || this->task.parts.suspicions.findRefusedPart(this->work.service, this->work.keys, now)
+    if (other.server.empty() || this->callerTimer != nullptr
+        || this->task.parts.suspicions.findRefusedPart(this->work.service, this->work.keys, now)
         || !this->mayRepeat(now)) {
         return;
     }
--- a/tests/platform/review_attempts.cpp
+++ b/tests/platform/attempt_ends.cpp
@@ -215,9 +215,7 @@
 TEST_CASE("a request that ends at its deadline is answered with the same kind of error each time")
 {
     World world(1);
-    world.runners[0]->script = [](const ReceivedRequest &) {
-        return Reply {"", Then::Hang};
-    };
+    world.runners[0]->script = [](const ReceivedRequest &) { return Reply {"", Then::Hang}; };
     int unknown = 0;
     constexpr int Requests = 30;
     for (int i = 0; i < Requests; ++i) {
--- a/tests/process/half_closed_callers.cpp
+++ b/tests/process/half_closed_callers.cpp
@@ -177,7 +177,7 @@
 {
     ServiceCluster cluster(1);
     const std::uint64_t before = cluster.runs();
-    const HalfClosedCaller caller(cluster.order(0, "at once"));
+    const HalfClosedCaller caller(cluster.order(0, "at-once"));
     caller.endSending();
     const std::string answer = caller.readAll();
     CHECK_MESSAGE(answer.starts_with("HTTP/1.1 200"), answer);
