--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -466,7 +466,7 @@
 constexpr std::chrono::milliseconds ForwardConnectTimeout = 150ms; ///< Several round trips within a region.
 /// For which a stream, or a request that may be repeated, goes on after its caller has closed its sending direction and
 /// before a part of the answer shows whether the caller still reads.
-constexpr std::chrono::milliseconds ForwardInputEndedGrace = 300ms;
+constexpr std::chrono::milliseconds ForwardInputEndedGrace = 200ms;
 constexpr std::chrono::seconds ForwardIdleTime = 20s; ///< For which an idle connection to a server is kept.
 constexpr std::chrono::milliseconds ForwardDefaultDeadline = 30000ms; ///< When the request names none.
 constexpr std::chrono::milliseconds ForwardLeastTime = 10ms; ///< With less time left no attempt is sent.
