Ask for the end of an order's run only where its caller may be given up

"when a caller disconnects, the connection to its runner is closed at once" asked this for a request that must not be repeated. Since the close of a connection looks like the end of what a caller has to send, such a request is finished, so that the check was wrong. It now asks the same, within the same 300 ms, for calls that may be repeated and both kinds of streams, and a new case asks that a request that must not be repeated is finished, and ended at its deadline at the latest.

--- a/tests/platform/serving.cpp
+++ b/tests/platform/serving.cpp
@@ -377,13 +377,30 @@
 }
 
 TEST_CASE("when a caller disconnects, the connection to its runner is closed at once")
+{
+    for (const char *path : {"/again/", "/stream/", "/resume/"}) {
+        CAPTURE(path);
+        World world(1);
+        scriptAll(world, [](const ReceivedRequest &) { return RunnerStandin::Reply {"", Then::Hang}; });
+        const auto call = world.ask(path);
+        REQUIRE(world.until([&world] { return received(world) == 1; }));
+        world.disconnect(call);
+        CHECK(world.until([&world] { return world.runners[0]->received[0].callerGone; }, 300ms));
+    }
+}
+
+// Nobody may run it again, and the close of a connection looks like the end of what its caller has to send.
+TEST_CASE("when the caller of a request that must not be repeated disconnects, its runner finishes it")
 {
     World world(1);
     scriptAll(world, [](const ReceivedRequest &) { return RunnerStandin::Reply {"", Then::Hang}; });
     const auto call = world.ask("/once/");
     REQUIRE(world.until([&world] { return received(world) == 1; }));
     world.disconnect(call);
-    CHECK(world.until([&world] { return world.runners[0]->received[0].callerGone; }, 300ms));
+    world.runFor(600ms);
+    CHECK_FALSE(world.runners[0]->received[0].callerGone);
+    // Until the deadline of the request.
+    CHECK(world.until([&world] { return world.runners[0]->received[0].callerGone; }, 2s));
 }
 
 TEST_CASE("the timeout of a route ends a request with 502, since it may have run")
