Look for further input only while a host stops, and end a failed run in one place

Read again: Connection::endOfHead asked the kernel for unread bytes at every answer, though only a stopping host needs to know; isIdle had the same question written out. ForwardRun::onDone copied the header fields of every answer that is not a stream, and giveUpCaller ended as cut does, with the same four lines.

Change: hasInput() answers for both and is asked only while the server closes. replyAnswer takes what it sends, so that only failures are copied. replyFailure() is the end of giveUpCaller and cut. No behaviour changes.

--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -220,6 +220,8 @@
     void onInputEnd();
     void watchForReset();
     void remove(CallerLoss how = CallerLoss::Disconnected);
+    /// Returns whether bytes from the caller wait to be parsed, here or in the kernel.
+    [[nodiscard]] bool hasInput() const;
     [[nodiscard]] bool hasUnreadBytes() const;
     [[nodiscard]] bool isReset() const;
 
@@ -541,8 +543,7 @@
 std::string Connection::endOfHead()
 {
     // Requests that were sent ahead are answered before the connection is closed.
-    const bool isLast = evbuffer_get_length(bufferevent_get_input(this->stream)) == 0 && !this->hasUnreadBytes();
-    this->closeAnnounced = !this->keepOpen || (this->server.isClosing() && isLast);
+    this->closeAnnounced = !this->keepOpen || (this->server.isClosing() && !this->hasInput());
     if (this->closeAnnounced) {
         return "Connection: close\r\n\r\n";
     }
@@ -558,8 +559,12 @@
 
 bool Connection::isIdle() const
 {
-    return this->state == State::Reading && !this->readingRequest
-        && evbuffer_get_length(bufferevent_get_input(this->stream)) == 0 && !this->hasUnreadBytes();
+    return this->state == State::Reading && !this->readingRequest && !this->hasInput();
+}
+
+bool Connection::hasInput() const
+{
+    return evbuffer_get_length(bufferevent_get_input(this->stream)) > 0 || this->hasUnreadBytes();
 }
 
 bool Connection::hasUnreadBytes() const
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -352,11 +352,10 @@
         this->onStreamEnd();
         return;
     }
-    const ForwardAnswer answer {this->active.status, this->active.headers, std::move(this->active.body)};
-    const bool isFailure = answer.status >= StatusServerError;
+    const bool isFailure = this->active.status >= StatusServerError;
     if (isFailure) {
-        const std::string why = "status " + std::to_string(answer.status);
-        this->failedAnswer = answer;
+        const std::string why = "status " + std::to_string(this->active.status);
+        this->failedAnswer = {this->active.status, this->active.headers, this->active.body};
         if (this->standby.isUnderWay()) {
             return this->attemptFailed(AttemptOutcome::Failed, why);
         }
@@ -367,10 +366,10 @@
     if (this->active.isUnderWay()) {
         this->endAttempt(this->active, isFailure ? AttemptOutcome::Failed : AttemptOutcome::Answered);
     }
-    if (isSuccess(answer.status)) {
+    if (isSuccess(this->active.status)) {
         this->recordAnswer(this->task.parts.loop.now());
     }
-    this->replyAnswer(answer);
+    this->replyAnswer(this->active.status, this->active.headers, this->active.body);
 }
 
 bool ForwardRun::repeatFailed(std::string_view why)
@@ -390,12 +389,12 @@
     return this->tryPlace(now) || this->ended;
 }
 
-void ForwardRun::replyAnswer(const ForwardAnswer &answer)
+void ForwardRun::replyAnswer(int status, const HttpHeaders &headers, std::string_view body)
 {
-    const bool isFailure = answer.status >= StatusServerError;
+    const bool isFailure = status >= StatusServerError;
     this->firstByteAt = this->task.parts.loop.now();
-    this->work.exchange->reply(answer.status, this->task.parts.codec.callerHeaders(answer.headers), answer.body);
-    this->finish(answer.status,
+    this->work.exchange->reply(status, this->task.parts.codec.callerHeaders(headers), body);
+    this->finish(status,
                  isFailure ? outcome::ServerFailed : outcome::Answered,
                  "",
                  isFailure ? LogRank::Failure : LogRank::Routine);
@@ -610,12 +609,7 @@
     if (this->active.isUnderWay()) {
         this->abandonAttempt(this->active, AttemptOutcome::Cancelled);
     }
-    if (this->failedAnswer) {
-        return this->replyAnswer(*this->failedAnswer);
-    }
-    const ErrorContext context {this->task.parts.settings.host, this->work.request.id, {}};
-    replyError(*this->work.exchange, {ErrorKind::Timeout, std::string(Why)}, context);
-    this->finish(errorAnswer(ErrorKind::Timeout).httpStatus, outcome::CallerGone, Why, LogRank::Routine);
+    this->replyFailure(ErrorKind::Timeout, outcome::CallerGone, Why, LogRank::Routine);
 }
 
 // Refuses a request that has certainly not run. If an attempt may have run after all, cut() answers the caller.
@@ -664,12 +658,18 @@
         this->finish(0, outcome::StreamCut, why, LogRank::Failure);
         return;
     }
+    this->replyFailure(kind, errorAnswer(kind).name, why, LogRank::Failure);
+}
+
+void ForwardRun::replyFailure(ErrorKind kind, std::string_view result, std::string_view why, LogRank rank)
+{
     if (this->failedAnswer) {
-        return this->replyAnswer(*this->failedAnswer);
+        const auto &[status, headers, body] = *this->failedAnswer;
+        return this->replyAnswer(status, headers, body);
     }
     const ErrorContext context {this->task.parts.settings.host, this->work.request.id, {}};
     replyError(*this->work.exchange, {kind, std::string(why)}, context);
-    this->finish(errorAnswer(kind).httpStatus, errorAnswer(kind).name, why, LogRank::Failure);
+    this->finish(errorAnswer(kind).httpStatus, result, why, rank);
 }
 
 void ForwardRun::finish(int finalStatus, std::string_view result, std::string_view why, LogRank rank)
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -101,7 +101,7 @@
     /// Sends another attempt after a complete failure of the server, if one is allowed.
     /// @returns whether one was sent, or the run has ended.
     [[nodiscard]] bool repeatFailed(std::string_view why);
-    void replyAnswer(const ForwardAnswer &answer);
+    void replyAnswer(int status, const HttpHeaders &headers, std::string_view body);
     void recordAnswer(TimePoint now);
     void onFailure(std::uint32_t number, const HttpFailure &failure);
     void onActiveFailure(const HttpFailure &failure);
@@ -172,6 +172,8 @@
     /// Ends the answer to the caller with what is known, in the place of an answer of a server.
     void cut(std::string_view why);
     void cut(ErrorKind kind, std::string_view why);
+    /// Answers with the complete failure of a server, if there was one, otherwise with an error of this host.
+    void replyFailure(ErrorKind kind, std::string_view result, std::string_view why, LogRank rank);
     void finish(int status, std::string_view result, std::string_view why, LogRank rank);
 
     ForwardTask &task;
