Share what the tests of half-closed callers had twice

Read again: attempt_ends.cpp and half_closed.cpp each had the same bytes of a request and the same loop that reads an answer; planned_work.cpp wrote the request a third time. connection_ends.cpp had a server like the one of half_closed.cpp, and half_closed_callers.cpp a socket class like RawSocket. Seven places set a field in all routes with a loop of their own.

Change: tests/platform/raw_caller.h (rawRequest, readAll), tests/net/holding_server.h, RawSocket in the process tests (which can now tell a reset from an end in order, so that the check stays as strict), and updateRoutes() beside World. One case of attempt_ends.cpp is named for what it checks; its checks are the same.

--- a/tests/net/connection_ends.cpp
+++ b/tests/net/connection_ends.cpp
@@ -1,8 +1,6 @@
+#include "holding_server.h"
 #include "raw_socket.h"
 
-#include <endivespan/http_server.h>
-#include <endivespan/loop.h>
-
 #include <doctest/doctest.h>
 
 #include <memory>
@@ -16,48 +14,22 @@
 
 namespace {
 
-const std::string Request = "GET /run HTTP/1.1\r\nHost: a\r\n\r\n";
-
-class ReviewedServer
+HttpServerLimits limitsOf(std::chrono::milliseconds idle)
 {
-public:
-    explicit ReviewedServer(std::chrono::milliseconds idle)
-        : server(HttpServer::listen(this->loop, "127.0.0.1:0", this->limitsOf(idle), [this](const auto &exchange) {
-                     exchange->onInputEnded([] {});
-                     exchange->onClosed([this](CallerLoss) { ++this->closed; });
-                     this->held.push_back(exchange);
-                 }).value())
-    {
-    }
-
-    void runFor(std::chrono::milliseconds time)
-    {
-        const auto timer = this->loop.after(time, [this] { this->loop.stop(); });
-        this->loop.run();
-    }
-
-    [[nodiscard]] HttpServerLimits limitsOf(std::chrono::milliseconds idle) const
-    {
-        return {1000, 2000, 300ms, idle};
-    }
-
-    Loop loop;
-    std::vector<std::shared_ptr<HttpExchange>> held;
-    int closed = 0;
-    std::unique_ptr<HttpServer> server;
-};
+    return {1000, 2000, 300ms, idle};
+}
 
 } // namespace
 
 TEST_CASE("a stream's header that says for how long its connection is kept holds when the limit is lowered meanwhile")
 {
-    ReviewedServer world(1500ms);
+    HoldingServer world(limitsOf(1500ms));
     RawSocket caller(world.server->port());
     caller.send(Request);
     world.runFor(50ms);
     REQUIRE(world.held.size() == 1);
     world.held[0]->startStream(200, {});
-    world.server->setLimits(world.limitsOf(100ms));
+    world.server->setLimits(limitsOf(100ms));
     world.runFor(1600ms);
     world.held[0]->endStream();
     world.runFor(700ms);
@@ -71,7 +43,7 @@
 {
     for (const bool aborts : {false, true}) {
         CAPTURE(aborts);
-        ReviewedServer world(5s);
+        HoldingServer world(limitsOf(5s));
         auto caller = std::make_optional<RawSocket>(world.server->port());
         caller->send(Request + std::string(200'000, 'x'));
         world.runFor(100ms);
@@ -92,7 +64,7 @@
 
 TEST_CASE("the loss of a caller with much input behind its request is noticed")
 {
-    ReviewedServer world(5s);
+    HoldingServer world(limitsOf(5s));
     auto caller = std::make_optional<RawSocket>(world.server->port());
     caller->send(Request + std::string(200'000, 'x'));
     world.runFor(100ms);
@@ -107,7 +79,7 @@
 
 TEST_CASE("a reset behind the end of a caller's input ends its exchange soon")
 {
-    ReviewedServer world(5s);
+    HoldingServer world(limitsOf(5s));
     auto caller = std::make_optional<RawSocket>(world.server->port());
     caller->send(Request);
     caller->endSending();
@@ -123,7 +95,7 @@
 
 TEST_CASE("a server with callers that have ended their input can be destroyed, and held exchanges are closed silently")
 {
-    auto world = std::make_unique<ReviewedServer>(5s);
+    auto world = std::make_unique<HoldingServer>(limitsOf(5s));
     std::vector<std::unique_ptr<RawSocket>> callers;
     for (int i = 0; i < 20; ++i) {
         callers.push_back(std::make_unique<RawSocket>(world->server->port()));
--- a/tests/net/raw_socket.cpp
+++ b/tests/net/raw_socket.cpp
@@ -34,6 +34,11 @@
     return !this->ended;
 }
 
+bool RawSocket::isReset() const
+{
+    return this->failed;
+}
+
 void RawSocket::send(std::string_view bytes) const
 {
     while (!bytes.empty()) {
@@ -67,6 +72,7 @@
     const ssize_t got = recv(this->socket, buffer, sizeof(buffer), 0);
     if (got <= 0) {
         this->ended = true;
+        this->failed = got < 0;
         return false;
     }
     this->unread.append(buffer, static_cast<std::size_t>(got));
--- a/tests/net/raw_socket.h
+++ b/tests/net/raw_socket.h
@@ -18,6 +18,9 @@
 
     [[nodiscard]] bool isConnected() const;
 
+    /// @returns whether the other side has reset the connection, as far as reading has shown.
+    [[nodiscard]] bool isReset() const;
+
     void send(std::string_view bytes) const;
 
     /// Sends the bytes one at a time, each in a packet of its own.
@@ -42,6 +45,7 @@
 
     int socket;
     bool ended = false;
+    bool failed = false; ///< It ended with an error instead of in order.
     std::string unread;
 };
 
--- a/tests/platform/attempt_ends.cpp
+++ b/tests/platform/attempt_ends.cpp
@@ -1,5 +1,4 @@
-#include "raw_socket.h"
-#include "world.h"
+#include "raw_caller.h"
 
 #include <doctest/doctest.h>
 
@@ -18,26 +17,11 @@
 
 namespace {
 
-const std::string End = "0\r\n\r\n";
 const HttpHeaders Patient {{"x-endivespan-deadline-ms", "2900"}};
 
 std::string requestTo(const std::string &path)
 {
-    return "POST " + path
-        + " HTTP/1.1\r\nHost: h.example\r\nX-Endivespan-Request-Id: a\r\nX-Endivespan-Deadline-Ms: 2900\r\n"
-          "Api-Key: key\r\nContent-Length: 0\r\n\r\n";
-}
-
-std::string readAll(World &world, RawSocket &caller, const std::string &end, std::chrono::milliseconds time)
-{
-    std::string got;
-    world.until(
-        [&] {
-            got += caller.readUntil(end, 1ms);
-            return got.ends_with(end) || caller.isClosed(1ms);
-        },
-        time);
-    return got;
+    return rawRequest(path, "a", 2900ms);
 }
 
 /// Lets the first server that is asked do @p first, and all others @p other.
@@ -59,7 +43,8 @@
         CAPTURE(path);
         World world(1);
         world.runners[0]->script = [](const ReceivedRequest &request) {
-            return Reply {streamHead(request) + eventChunk(1, "a"), Then::Hang, {}, 600ms, eventChunk(2, "b") + End};
+            return Reply {
+                streamHead(request) + eventChunk(1, "a"), Then::Hang, {}, 600ms, eventChunk(2, "b") + StreamEnd};
         };
         RawSocket caller(world.callerPort());
         caller.send(requestTo(path));
@@ -69,10 +54,10 @@
             return got.find("data: a\n\n") != std::string::npos;
         }));
         caller.endSending();
-        got += readAll(world, caller, End, 2s);
+        got += readAll(world, caller, StreamEnd, 2s);
         CAPTURE(got);
         CHECK(got.find("data: b") != std::string::npos);
-        CHECK(got.ends_with(End));
+        CHECK(got.ends_with(StreamEnd));
     }
 }
 
@@ -142,7 +127,7 @@
             },
             [path = std::string(path)](const ReceivedRequest &request) {
                 return Reply {path == "/again/" ? answerTo(request, 200, "done")
-                                                : streamHead(request) + eventChunk(1, "done") + End};
+                                                : streamHead(request) + eventChunk(1, "done") + StreamEnd};
             });
         RawSocket caller(world.callerPort());
         caller.send(requestTo(path));
@@ -152,7 +137,7 @@
     }
 }
 
-TEST_CASE("a request that waits for a server for a moment is served though its caller has closed its sending direction")
+TEST_CASE("a request whose only server cannot be reached is called not run, also after its caller's input has ended")
 {
     World world(1);
     world.runners[0]->script = [](const ReceivedRequest &request) { return Reply {answerTo(request, 200, "done")}; };
@@ -311,11 +296,7 @@
 TEST_CASE("a stream that began after a complete failure is not completed by that failure")
 {
     World world(2);
-    world.configure([](nlohmann::json &config) {
-        for (auto &route : config["routes"]) {
-            route["max_attempts"] = 2;
-        }
-    });
+    world.configure([](nlohmann::json &config) { updateRoutes(config, {{"max_attempts", 2}}); });
     world.runFor(300ms);
     script(
         world,
--- a/tests/platform/half_closed.cpp
+++ b/tests/platform/half_closed.cpp
@@ -1,5 +1,4 @@
-#include "raw_socket.h"
-#include "world.h"
+#include "raw_caller.h"
 
 #include <doctest/doctest.h>
 
@@ -14,16 +13,12 @@
 
 namespace {
 
-const std::string End = "0\r\n\r\n";
-
 /// By when work for a caller that has left must have ended.
 constexpr auto LeftBound = 500ms;
 
 std::string requestTo(const std::string &path)
 {
-    return "POST " + path
-        + " HTTP/1.1\r\nHost: h.example\r\nX-Endivespan-Request-Id: a\r\nX-Endivespan-Deadline-Ms: 2900\r\n"
-          "Api-Key: key\r\nContent-Length: 0\r\n\r\n";
+    return rawRequest(path, "a", 2900ms);
 }
 
 Reply answerAfter(const ReceivedRequest &request, std::chrono::milliseconds time)
@@ -31,18 +26,6 @@
     return {answerTo(request, 200, "done"), Then::Keep, time};
 }
 
-std::string readAll(World &world, RawSocket &caller, const std::string &end, std::chrono::milliseconds time)
-{
-    std::string got;
-    world.until(
-        [&] {
-            got += caller.readUntil(end, 1ms);
-            return got.ends_with(end) || caller.isClosed(1ms);
-        },
-        time);
-    return got;
-}
-
 } // namespace
 
 // Guards against a whole request that gets neither an answer nor a refusal because its caller has nothing more to send.
@@ -77,15 +60,16 @@
         CAPTURE(path);
         World world(1);
         world.runners[0]->script = [](const ReceivedRequest &request) {
-            return Reply {streamHead(request) + eventChunk(1, "a"), Then::Hang, 100ms, 900ms, eventChunk(2, "b") + End};
+            return Reply {
+                streamHead(request) + eventChunk(1, "a"), Then::Hang, 100ms, 900ms, eventChunk(2, "b") + StreamEnd};
         };
         RawSocket caller(world.callerPort());
         caller.send(requestTo(path));
         caller.endSending();
-        const std::string answer = readAll(world, caller, End, 2s);
+        const std::string answer = readAll(world, caller, StreamEnd, 2s);
         CHECK(statusOf(answer) == 200);
         CHECK(answer.find("data: b") != std::string::npos);
-        CHECK(answer.ends_with(End));
+        CHECK(answer.ends_with(StreamEnd));
         CHECK(world.runners[0]->received.size() == 1);
     }
 }
@@ -114,11 +98,7 @@
 TEST_CASE("a request that waits for a server is refused when its caller closes its sending direction")
 {
     World world(0);
-    world.configure([](nlohmann::json &config) {
-        for (auto &route : config["routes"]) {
-            route["aim_ms"] = 20000;
-        }
-    });
+    world.configure([](nlohmann::json &config) { updateRoutes(config, {{"aim_ms", 20000}}); });
     world.runFor(300ms);
     RawSocket caller(world.callerPort());
     caller.send(requestTo("/once/"));
--- a/tests/platform/planned_work.cpp
+++ b/tests/platform/planned_work.cpp
@@ -25,7 +25,6 @@
 constexpr TimePoint Never = TimePoint::max();
 const std::string Cut = "CUT";
 const std::string NoAnswer = "NO ANSWER";
-const std::string StreamEnd = "0\r\n\r\n";
 const std::string Resume = "/resume/";
 
 std::string eventsFrom(int first, int last)
@@ -50,12 +49,6 @@
         : answer.ends_with(StreamEnd);
 }
 
-std::string rawRequest(const RawCall &call)
-{
-    return "POST " + call.path + " HTTP/1.1\r\nHost: h.example\r\nX-Endivespan-Request-Id: " + call.id
-        + "\r\nX-Endivespan-Deadline-Ms: 11000\r\nApi-Key: key\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
-}
-
 } // namespace
 
 std::size_t Draws::index(std::size_t count)
@@ -168,9 +161,7 @@
     }
     this->world.configure([this](nlohmann::json &config) {
         const auto aim = this->draws.time(100ms, 800ms).count();
-        for (auto &route : config["routes"]) {
-            route.update({{"timeout_ms", 12000}, {"aim_ms", aim}});
-        }
+        updateRoutes(config, {{"timeout_ms", 12000}, {"aim_ms", aim}});
         config["limits"] = {{"idle_timeout_ms", this->draws.time(5s, 20s).count()}};
         auto more = config["routes"][0];
         more["name"] = more["path_prefix"] = "/more" + std::to_string(this->draws.index(10)) + "/";
@@ -315,7 +306,7 @@
     call->endsSending = this->draws.index(2) == 0;
     call->sent = now;
     call->readsFrom = call->endsSending ? now : now + this->draws.time(1s, 3s);
-    call->socket->send(rawRequest(*call));
+    call->socket->send(rawRequest(call->path, call->id, 11s, "Connection: close\r\n"));
     if (call->endsSending) {
         call->socket->endSending();
     }
--- a/tests/platform/planned_work.h
+++ b/tests/platform/planned_work.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "raw_socket.h"
-#include "world.h"
+#include "raw_caller.h"
 
 #include <chrono>
 #include <cstddef>
--- a/tests/platform/silent_servers.cpp
+++ b/tests/platform/silent_servers.cpp
@@ -146,11 +146,7 @@
 TEST_CASE("a stream that went on after a silence is resumed elsewhere when its server breaks off")
 {
     World world(5);
-    world.configure([](nlohmann::json &config) {
-        for (auto &route : config["routes"]) {
-            route["max_attempts"] = 3;
-        }
-    });
+    world.configure([](nlohmann::json &config) { updateRoutes(config, {{"max_attempts", 3}}); });
     world.runFor(1500ms);
     bool full = true;
     std::size_t first = 0;
--- a/tests/platform/stopping.cpp
+++ b/tests/platform/stopping.cpp
@@ -29,10 +29,7 @@
 void configureTimes(World &world, std::chrono::milliseconds timeout, std::chrono::milliseconds aim, int slots = 64)
 {
     world.configure([&](nlohmann::json &config) {
-        for (auto &route : config["routes"]) {
-            route["timeout_ms"] = timeout.count();
-            route["aim_ms"] = aim.count();
-        }
+        updateRoutes(config, {{"timeout_ms", timeout.count()}, {"aim_ms", aim.count()}});
         config["services"][0]["engine"]["slots"] = slots;
     });
     world.runFor(1500ms);
--- a/tests/platform/takeover_turn.cpp
+++ b/tests/platform/takeover_turn.cpp
@@ -1,7 +1,5 @@
 #include "takeover_turn.h"
 
-#include "raw_socket.h"
-
 using namespace endivespan;
 using namespace endivespan::tests;
 using namespace endivespan::tests::takeover;
@@ -14,18 +12,6 @@
     std::function<void(Streams &)> make;
 };
 
-/// @returns what changes a field of all routes.
-std::function<void(Streams &)> routeChange(const std::string &field, const nlohmann::json &value)
-{
-    return [field, value](Streams &streams) {
-        streams.configure([&](nlohmann::json &config) {
-            for (auto &route : config["routes"]) {
-                route[field] = value;
-            }
-        });
-    };
-}
-
 /// A part of an event, and then what is no chunk.
 const std::string HalfEvent = "6\r\nid: 2\n\r\nzz\r\n";
 
@@ -97,19 +83,18 @@
          [](Streams &s) {
              s.configure([](auto &config) {
                  config["services"][0]["name"] = "other";
-                 for (auto &route : config["routes"]) {
-                     route["service"] = "other";
-                 }
+                 updateRoutes(config, {{"service", "other"}});
              });
          }},
-        {"one attempt", routeChange("max_attempts", 1)},
+        {"one attempt",
+         [](Streams &s) { s.configure([](auto &config) {
+                              updateRoutes(config, {{"max_attempts", 1}});
+                          }); }},
         {"time-outs",
          [](Streams &s) {
              s.configure([](auto &config) {
                  config["limits"]["idle_timeout_ms"] = 1000;
-                 for (auto &route : config["routes"]) {
-                     route["timeout_ms"] = 200;
-                 }
+                 updateRoutes(config, {{"timeout_ms", 200}});
              });
          }},
         {"reload",
@@ -148,7 +133,7 @@
         streams.later = [&](std::size_t stream) {
             // By turns it goes on and breaks off, 1 ms later at every second stream.
             return std::pair(1000ms + StandbyWork + std::chrono::milliseconds(offset + static_cast<int>(stream) / 2),
-                             stream % 2 == 0 ? streams.eventsFrom(2) + End : HalfEvent);
+                             stream % 2 == 0 ? streams.eventsFrom(2) + StreamEnd : HalfEvent);
         };
         streams.run();
         streams.check();
@@ -214,8 +199,8 @@
         [&] {
             std::size_t ended = 0;
             for (std::size_t i = 0; i < callers.size(); ++i) {
-                answers[i] += callers[i]->readUntil("\r\n" + End, 0ms);
-                ended += answers[i].ends_with("\r\n" + End) ? 1 : 0;
+                answers[i] += callers[i]->readUntil("\r\n" + StreamEnd, 0ms);
+                ended += answers[i].ends_with("\r\n" + StreamEnd) ? 1 : 0;
             }
             return ended == callers.size();
         },
@@ -223,6 +208,6 @@
     for (std::size_t i = 0; i < callers.size(); ++i) {
         CAPTURE(i);
         CAPTURE(answers[i].size());
-        streams.checkOne(i, bodyOf(answers[i]), answers[i].ends_with("\r\n" + End), statusOf(answers[i]));
+        streams.checkOne(i, bodyOf(answers[i]), answers[i].ends_with("\r\n" + StreamEnd), statusOf(answers[i]));
     }
 }
--- a/tests/platform/takeover_turn.h
+++ b/tests/platform/takeover_turn.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "world.h"
+#include "raw_caller.h"
 
 #include <doctest/doctest.h>
 
@@ -25,7 +25,6 @@
 constexpr std::size_t Count = 80;
 constexpr std::size_t Chosen = 40; ///< The stream whose standby sets off what concerns all streams.
 constexpr std::size_t ChosenRefused = 39;
-inline const std::string End = "0\r\n\r\n";
 
 /// When something happens, from when the standby of a stream receives its request.
 struct Moment {
@@ -72,9 +71,7 @@
     void configure(const std::function<void(nlohmann::json &)> &change)
     {
         this->world.configure([&](nlohmann::json &config) {
-            for (auto &route : config["routes"]) {
-                route["max_attempts"] = this->attempts;
-            }
+            updateRoutes(config, {{"max_attempts", this->attempts}});
             change(config);
         });
     }
@@ -192,9 +189,9 @@
             return {streamHead(request) + this->eventsFrom(next, next), breaks, StandbyWork};
         }
         if (stream % 2 == 0) {
-            return {streamHead(request) + this->eventsFrom(next) + End, Then::Keep, StandbyWork};
+            return {streamHead(request) + this->eventsFrom(next) + StreamEnd, Then::Keep, StandbyWork};
         }
-        return {streamHead(request), Then::Hang, {}, StandbyWork, this->eventsFrom(next) + End};
+        return {streamHead(request), Then::Hang, {}, StandbyWork, this->eventsFrom(next) + StreamEnd};
     }
 
     int attempts;
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -733,6 +733,13 @@
     return this->answers[call];
 }
 
+void updateRoutes(json &config, const json &fields)
+{
+    for (auto &route : config["routes"]) {
+        route.update(fields);
+    }
+}
+
 int statusWithKey(World &world, const std::string &key, std::size_t host)
 {
     return world.answer(world.askHost(host, "/again/", {{"api-key", key}})).status;
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -280,6 +280,9 @@
     std::vector<std::unique_ptr<HttpPending>> calls;
 };
 
+/// Gives all routes of a configuration these @p fields.
+void updateRoutes(nlohmann::json &config, const nlohmann::json &fields);
+
 /// Sends a repeatable request with @p key to a host. @returns the status of the answer.
 int statusWithKey(World &world, const std::string &key, std::size_t host = 0);
 
--- a/tests/process/half_closed_callers.cpp
+++ b/tests/process/half_closed_callers.cpp
@@ -1,72 +1,45 @@
 #include "host_process.h"
+#include "raw_socket.h"
 #include "service_cluster.h"
 
-#include <arpa/inet.h>
 #include <doctest/doctest.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 
-#include <array>
 #include <string>
-#include <unistd.h>
 
 using namespace endivespan;
 using namespace endivespan::harness;
 
 namespace {
 
-/// A caller that sends one request and then closes its sending direction.
+/// A caller that sends one request and may then close its sending direction.
 class HalfClosedCaller
 {
 public:
     explicit HalfClosedCaller(const HttpCall &wanted)
-        : socket(::socket(AF_INET, SOCK_STREAM, 0))
+        : socket(std::stoi(wanted.address.substr(wanted.address.find(':') + 1)))
     {
-        const auto colon = wanted.address.find(':');
-        sockaddr_in place {};
-        place.sin_family = AF_INET;
-        place.sin_port = htons(static_cast<std::uint16_t>(std::stoi(wanted.address.substr(colon + 1))));
-        inet_pton(AF_INET, wanted.address.substr(0, colon).c_str(), &place.sin_addr);
-        REQUIRE(connect(this->socket, reinterpret_cast<const sockaddr *>(&place), sizeof(place)) == 0);
-        const timeval patience {std::chrono::seconds(WaitLimit).count(), 0};
-        setsockopt(this->socket, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+        REQUIRE(this->socket.isConnected());
         std::string bytes = wanted.method + " " + wanted.target + " HTTP/1.1\r\nHost: a\r\n";
         for (const auto &[name, value] : wanted.headers) {
             bytes.append(name).append(": ").append(value).append("\r\n");
         }
-        bytes += "Content-Length: " + std::to_string(wanted.body.size()) + "\r\n\r\n" + wanted.body;
-        REQUIRE(send(this->socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+        this->socket.send(bytes + "Content-Length: " + std::to_string(wanted.body.size()) + "\r\n\r\n" + wanted.body);
     }
 
-    ~HalfClosedCaller()
-    {
-        close(this->socket);
-    }
-
-    HalfClosedCaller(const HalfClosedCaller &) = delete;
-    HalfClosedCaller &operator=(const HalfClosedCaller &) = delete;
-
     void endSending() const
     {
-        shutdown(this->socket, SHUT_WR);
+        this->socket.endSending();
     }
 
-    /// @returns all bytes until the host closes the connection; an empty text if it does not within WaitLimit.
-    [[nodiscard]] std::string readAll() const
+    /// @returns all bytes until the host closes the connection in order; an empty text if it does not within WaitLimit.
+    [[nodiscard]] std::string readAll()
     {
-        std::string all;
-        std::array<char, 4096> part {};
-        for (;;) {
-            const ssize_t count = recv(this->socket, part.data(), part.size(), 0);
-            if (count <= 0) {
-                return count == 0 ? all : "";
-            }
-            all.append(part.data(), static_cast<std::size_t>(count));
-        }
+        const bool isWhole = this->socket.isClosed(WaitLimit) && !this->socket.isReset();
+        return isWhole ? this->socket.readUntil("never") : "";
     }
 
 private:
-    int socket;
+    tests::RawSocket socket;
 };
 
 bool has(const std::string &text, const std::string &part)
@@ -124,7 +97,7 @@
     Fixture fixture;
     for (const bool atOnce : {true, false}) {
         CAPTURE(atOnce);
-        const HalfClosedCaller caller(fixture.promptCall(60, true));
+        HalfClosedCaller caller(fixture.promptCall(60, true));
         if (!atOnce) {
             REQUIRE(eventually([&] { return fixture.standins.sum("running") == 1; }));
         }
@@ -140,7 +113,7 @@
     Fixture fixture;
     for (const bool isLong : {false, true}) {
         CAPTURE(isLong);
-        const HalfClosedCaller caller(fixture.promptCall(isLong ? 2000 : 2, false));
+        HalfClosedCaller caller(fixture.promptCall(isLong ? 2000 : 2, false));
         caller.endSending();
         const std::string answer = caller.readAll();
         CHECK_MESSAGE(answer.starts_with(isLong ? "HTTP/1.1 504" : "HTTP/1.1 200"), answer);
@@ -164,7 +137,7 @@
     ServiceCluster cluster(1);
     cluster.controlServers({{"run_ms", 800}});
     const std::uint64_t before = cluster.runs();
-    const HalfClosedCaller caller(cluster.order(0, "half"));
+    HalfClosedCaller caller(cluster.order(0, "half"));
     REQUIRE(eventually([&] { return runningOrders(cluster) == 1; }));
     caller.endSending();
     const std::string answer = caller.readAll();
@@ -177,7 +150,7 @@
 {
     ServiceCluster cluster(1);
     const std::uint64_t before = cluster.runs();
-    const HalfClosedCaller caller(cluster.order(0, "at-once"));
+    HalfClosedCaller caller(cluster.order(0, "at-once"));
     caller.endSending();
     const std::string answer = caller.readAll();
     CHECK_MESSAGE(answer.starts_with("HTTP/1.1 200"), answer);
@@ -190,7 +163,7 @@
     REQUIRE(call(cluster.order(0, "before")).status == 200);
     const std::uint64_t before = cluster.runs();
     cluster.standins.control("log", {{"outage", "silent"}});
-    const HalfClosedCaller caller(cluster.order(0, "waits"));
+    HalfClosedCaller caller(cluster.order(0, "waits"));
     caller.endSending();
     const std::string answer = caller.readAll();
     CHECK_MESSAGE(answer.starts_with("HTTP/1.1 503"), answer);
@@ -206,7 +179,7 @@
     for (const bool isLong : {false, true}) {
         CAPTURE(isLong);
         cluster.controlServers({{"run_ms", isLong ? 5000 : 20}});
-        const HalfClosedCaller caller(cluster.serviceCall(0, "POST", "/quote", "{}"));
+        HalfClosedCaller caller(cluster.serviceCall(0, "POST", "/quote", "{}"));
         caller.endSending();
         const std::string answer = caller.readAll();
         CHECK_MESSAGE(answer.starts_with(isLong ? "HTTP/1.1 504" : "HTTP/1.1 200"), answer);
