--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -160,8 +160,10 @@
     } else if (request.path == "/v1/log-read") {
         const auto wait = std::chrono::milliseconds(std::stol(request.query.at("wait_ms")));
         this->read(exchange, name, this->loop.now() + wait);
-    } else {
+    } else if (request.path == "/v1/log-append") {
         this->append(*exchange, name);
+    } else {
+        this->reply(*exchange, 404);
     }
 }
 
