Search for parts of replaced weights often while a store is nearly full

Cause: a host that starts after a rollout sees no engine with replaced weights and searches for their parts every 10 s. Ruled out: a longer delay before freeing; the parts are free to go 3.7 s after the start. Conclusion: freeing no longer depends on having seen the rollout.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -350,6 +350,8 @@
 /// For which a view of a store is used. Less than a store takes to restart.
 constexpr std::chrono::milliseconds StoreViewTime = 1200ms;
 constexpr double StoreFillShare = 0.97; ///< Part of a store's capacity; the rest covers parts that are being written.
+/// Part of a store's capacity in use from which parts of replaced weights are searched for often.
+constexpr double StoreNearlyFullShare = 0.9;
 constexpr std::chrono::milliseconds StoreSaveAgain = 4000ms; ///< After a save that no event has confirmed.
 /// That a store holds a request for events. Stores count shorter waits as probes.
 constexpr std::chrono::milliseconds StoreEventsWait = 250ms;
--- a/packages/core/include/endivespan/shared_store.h
+++ b/packages/core/include/endivespan/shared_store.h
@@ -163,6 +163,9 @@
     /// Sets the prefill rate of the engines, in tokens per millisecond.
     void setReadingRate(double rate);
 
+    /// @returns whether the store at @p address has little or no room left, as far as this host knows.
+    [[nodiscard]] bool isNearlyFull(const std::string &address) const;
+
     /// @returns the epoch of the store at @p address and the parts that it should free, at most @p limit.
     /// @param isOld Returns true for parts that no host fetches any more.
     [[nodiscard]] std::pair<std::uint64_t, std::vector<ScopedPart>> toFree(
--- a/packages/core/src/shared_store.cpp
+++ b/packages/core/src/shared_store.cpp
@@ -270,6 +270,14 @@
     return plan;
 }
 
+bool SharedStores::isNearlyFull(const std::string &address) const
+{
+    const auto found = this->views.find(address);
+    return found != this->views.end()
+        && static_cast<double>(found->second.usedTokens)
+        >= config::StoreNearlyFullShare * static_cast<double>(found->second.store.capacityTokens);
+}
+
 std::pair<std::uint64_t, std::vector<ScopedPart>> SharedStores::toFree(
     const std::string &address, const std::function<bool(const ScopedPart &part)> &isOld, std::size_t limit) const
 {
--- a/packages/node/src/store_task.cpp
+++ b/packages/node/src/store_task.cpp
@@ -63,7 +63,10 @@
             this->ask(address, next);
         }
         if (now >= poll.freeAt) {
-            poll.freeAt = now + (this->progress.isUnderWay() ? config::OwnershipPeriod : config::StoreIdleFreePeriod);
+            // A host that started after a rollout sees no engine with replaced weights, although a store may still be
+            // full of their parts.
+            const bool isUrgent = this->progress.isUnderWay() || this->stores.isNearlyFull(address);
+            poll.freeAt = now + (isUrgent ? config::OwnershipPeriod : config::StoreIdleFreePeriod);
             this->freeOld(address, now);
         }
     }
--- a/tests/core/shared_store.cpp
+++ b/tests/core/shared_store.cpp
@@ -101,6 +101,23 @@
 }
 
 // New weights are named for a pool whose stores are full of parts made by the old ones, which most engines still run.
+// Guards against stores that stay full of parts of replaced weights after a restart of all hosts: these see no engine
+// with replaced weights, and would search for such parts once in ten seconds only.
+TEST_CASE("a store full of parts of replaced weights counts as nearly full until they are freed")
+{
+    SharedStores stores = freshStores();
+    CHECK_FALSE(stores.isNearlyFull("10.0.0.1:1"));
+    (void)stores.applyAnswer("10.0.0.1:1", stored(1, 0, {"m/1/", "p"}, 5'000), Start);
+    CHECK_FALSE(stores.isNearlyFull("10.0.0.1:1"));
+    (void)stores.applyAnswer("10.0.0.1:1", stored(1, 1, {"m/1/", "q"}, 4'500), Start);
+    CHECK(stores.isNearlyFull("10.0.0.1:1"));
+    CHECK_FALSE(stores.isNearlyFull("10.0.0.2:1"));
+    const auto [epoch, parts] = stores.toFree(
+        "10.0.0.1:1", [](const ScopedPart &part) { return part.scope == "m/1/"; }, config::StoreFreeParts);
+    stores.removeFreed("10.0.0.1:1", parts);
+    CHECK_FALSE(stores.isNearlyFull("10.0.0.1:1"));
+}
+
 TEST_CASE("parts of old weights are given up as engines load new ones, and freed only when no host may fetch them")
 {
     SharedStores stores = freshStores();
