Fail a pooled call whose answer has an invalid status

Seen by callers: a server's answer with status 000 reached them as "HTTP/1.1 0 <unknown-status>", which no client can read, and status 600 as it is. With X-Endivespan-Not-Executed such an answer was believed: a request on /once/ ran twice. Control calls took status 000 to 999 for an answer: an order was "refused", an append "not written", and Server-Leaving and Store-Era of such an answer were used.

Cause: the parser accepts any three digits, and neither Connection nor those who use it looked at the range. All of 100 to 199 was skipped as interim, also 101, which ends HTTP on its connection.

Change: 100, 102 to 199 are interim and skipped (RFC 9110 has clients ignore interim answers that they do not expect), 200 to 599 are answers; everything else fails the call as a protocol error, before the check of whose answer it is, and closes the connection. A protocol error, and a failure behind the header of an answer, always count as sent: such a call may have run. ControlCalls then reports OutcomeUnknown, and ForwardRun repeats or ends the request as for bytes that are no answer; both are unchanged.

--- a/packages/net/src/http_head.cpp
+++ b/packages/net/src/http_head.cpp
@@ -2,6 +2,16 @@
 
 namespace endivespan {
 
+StatusMeaning meaningOf(int status)
+{
+    constexpr int SwitchingProtocols = 101;
+    if (status >= 200 && status <= 599) {
+        return StatusMeaning::Final;
+    }
+    const bool isInterim = status >= 100 && status <= 199 && status != SwitchingProtocols;
+    return isInterim ? StatusMeaning::Interim : StatusMeaning::Invalid;
+}
+
 std::optional<std::string_view> headBytesProblem(std::string_view bytes)
 {
     for (std::size_t i = 0; i < bytes.size(); ++i) {
--- a/packages/net/src/http_head_p.h
+++ b/packages/net/src/http_head_p.h
@@ -3,9 +3,18 @@
 #include <optional>
 #include <string_view>
 
-/// Checks against request smuggling that go beyond those of the parser.
+/// Checks of messages that go beyond those of the parsers.
 namespace endivespan {
 
+/// What the status of an answer says of the answer.
+enum class StatusMeaning {
+    Interim, ///< 1xx except 101: the answer to the request follows.
+    Final, ///< 200 to 599.
+    Invalid, ///< No server may send it; 101 only answers requests for another protocol, which no client here sends.
+};
+
+StatusMeaning meaningOf(int status);
+
 /// Checks a request head for bytes that HTTP parsers interpret differently: a CR or LF on its own, NUL, folded lines.
 /// @param bytes The part of the head received so far, starting with the request line.
 /// @returns a description of the problem, or nothing.
--- a/packages/net/src/http_pool.cpp
+++ b/packages/net/src/http_pool.cpp
@@ -1,3 +1,4 @@
+#include "http_head_p.h"
 #include "net_p.h"
 
 #include <endivespan/config.h>
@@ -432,14 +433,19 @@
     return used > 0;
 }
 
-// Handles the head of an answer. Returns false when the owner has cancelled the call.
+// Handles the head of an answer. Returns false when the answer is invalid or the owner has cancelled the call.
 bool Connection::handleHead()
 {
     this->headHandled = true;
     this->headers = headersOf(*this->parser);
     const int status = this->parser->get().result_int();
     const std::shared_ptr<Call> current = this->call;
-    const bool interim = status >= 100 && status < 200;
+    const StatusMeaning meaning = meaningOf(status);
+    if (meaning == StatusMeaning::Invalid) {
+        this->fail(ErrorKind::ProtocolError, "invalid status " + std::to_string(status));
+        return false;
+    }
+    const bool interim = meaning == StatusMeaning::Interim;
     this->stray = interim || (current->call.belongs && !current->call.belongs(status, this->headers));
     if (this->stray) {
         this->pool.counters.strayAnswers += interim ? 0 : 1;
@@ -478,7 +484,9 @@
 {
     const std::shared_ptr<Call> failed = this->call;
     const std::size_t unsent = this->stream == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(this->stream));
-    const bool sent = this->connected && failed && unsent < failed->requestSize;
+    // Whoever has begun to answer may have run the request, whatever the answer is worth.
+    const bool answered = kind == ErrorKind::ProtocolError || (this->headHandled && !this->stray);
+    const bool sent = this->connected && failed && (answered || unsent < failed->requestSize);
     this->close();
     this->reportReached(false);
     if (failed) {
