Take an answer that ends with its connection for complete only once the request has arrived

Seen by callers: 200 for a request of which the server had received only a part. A process that ends while it reads a request closes its connections in order, and what it has sent until then, without a length, looked like a whole answer. On streams the end was a regular end; a release of cached parts or an append to the log that was cut in the same way succeeded.

Cause: Connection::onDisconnected asked only whether the connection was reset. Whether the library had written the request would not do either: the kernel takes some megabytes before the server reads anything (3 MB in the test).

Change: such an answer is complete if nothing of the request is left in the output buffer, nor unacknowledged in the kernel (SIOCOUTQ). The segment that ends the connection acknowledges all that the server's kernel has by then, so that a server that has read the whole request first is never taken for one that has not. Everything else is a cut answer that may have run. Answers with a length or chunks mark their end themselves and are complete as before, at whatever time.

--- a/packages/net/src/http_head.cpp
+++ b/packages/net/src/http_head.cpp
@@ -1,5 +1,8 @@
 #include "http_head_p.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 namespace endivespan {
 
 StatusMeaning meaningOf(int status)
@@ -12,6 +15,12 @@
     return isInterim ? StatusMeaning::Interim : StatusMeaning::Invalid;
 }
 
+std::size_t unacknowledgedBytes(int socket)
+{
+    int bytes = 0;
+    return ioctl(socket, SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 std::optional<std::string_view> headBytesProblem(std::string_view bytes)
 {
     for (std::size_t i = 0; i < bytes.size(); ++i) {
--- a/packages/net/src/http_head_p.h
+++ b/packages/net/src/http_head_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string_view>
 
@@ -15,6 +16,9 @@
 
 StatusMeaning meaningOf(int status);
 
+/// @returns how many of the bytes written to a connected socket the peer has not acknowledged, or 0 if this is unknown.
+std::size_t unacknowledgedBytes(int socket);
+
 /// Checks a request head for bytes that HTTP parsers interpret differently: a CR or LF on its own, NUL, folded lines.
 /// @param bytes The part of the head received so far, starting with the request line.
 /// @returns a description of the problem, or nothing.
--- a/packages/net/src/http_pool.cpp
+++ b/packages/net/src/http_pool.cpp
@@ -162,6 +162,7 @@
     void read();
     bool parse();
     bool handleHead();
+    [[nodiscard]] bool isRequestReceived() const;
     void complete();
     void fail(ErrorKind kind, std::string detail);
     /// @param error Error of the socket; 0 when the server closed the connection in order.
@@ -498,6 +499,14 @@
     }
 }
 
+// Returns whether the kernel of the server has the whole request. It acknowledges all that it has when it reports the
+// end of the connection, so that what is unacknowledged then arrived later or never.
+bool Connection::isRequestReceived() const
+{
+    return evbuffer_get_length(bufferevent_get_output(this->stream)) == 0
+        && unacknowledgedBytes(bufferevent_getfd(this->stream)) == 0;
+}
+
 void Connection::onDisconnected(int error)
 {
     if (this->call == nullptr) {
@@ -510,8 +519,9 @@
         return;
     }
     // An answer without a length is complete when the server closes its connection, but not when the connection is
-    // reset.
-    if (error == 0 && this->headHandled && !this->stray && this->parser != nullptr && this->parser->need_eof()) {
+    // reset or the server did not receive the whole request: a process that ends closes its connections in order, too.
+    if (error == 0 && this->isRequestReceived() && this->headHandled && !this->stray && this->parser != nullptr
+        && this->parser->need_eof()) {
         boost::beast::error_code problem;
         this->parser->put_eof(problem);
         if (!problem && this->parser->is_done()) {
