Fail a call with its own connection when the status of its answer is invalid

Seen by callers: an engine's answer with a status such as 001, 600 or 2x0 and "ran": false was a refusal that promises that the request has not run, so that it was sent to another engine; by reading, plain services' answers reached callers with such a status. The header fields of a 100 Continue were those of the answer behind it. 101, 102 and 103 were whole answers.

Cause: evhttp converts the status by atoi() and refuses only 0; of the interim answers it skips 100 alone, and reads the next header into the same list.

Change: the first bytes of an answer must be a status line with three digits, which is looked at in the input buffer, since evhttp does not keep the text; a status outside 200 to 599 fails the call from the header callback, before any of the body is passed on. It is a protocol error of a call that was sent. 100 is skipped with its fields. 102 to 199 fail the call, since evhttp cannot skip them; the engines, stores and logs that this client calls have no use for them.

Evidence: net_tests -sf="*invalid_answers.cpp", four cases failed on: "CHECK( 1 == 0 ) HTTP/1.1 001 X", "CHECK( refusals == 0 ) values: CHECK( 1 == 0 ) HTTP/1.1 001 X", "CHECK( succeeded == 0 ) values: CHECK( 8 == 0 ) status := 200x" and the one of interim answers; also the case of 101.

--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -1,3 +1,4 @@
+#include "http_head_p.h"
 #include "net_p.h"
 
 #include <endivespan/http_client.h>
@@ -10,6 +11,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace endivespan {
@@ -69,6 +71,8 @@
         if (this->callbacks.onChunk) {
             evhttp_request_set_chunked_cb(request, &Pending::chunkReceived);
         }
+        evbuffer_add_cb(
+            bufferevent_get_input(evhttp_connection_get_bufferevent(this->connection)), &Pending::inputChanged, this);
         evkeyvalq *headers = evhttp_request_get_output_headers(request);
         evhttp_add_header(headers, "Host", call.address.c_str());
         evhttp_add_header(headers, "Connection", "close");
@@ -107,12 +111,44 @@
         return socket >= 0 && getpeername(socket, reinterpret_cast<sockaddr *>(&address), &size) == 0;
     }
 
+    // evhttp converts the status by atoi(), which turns "200x" or "4294967496" into 200, and does not keep its text.
+    static void inputChanged(evbuffer *input, const evbuffer_cb_info *, void *context)
+    {
+        static_cast<Pending *>(context)->checkStatusLine(input);
+    }
+
+    void checkStatusLine(evbuffer *input)
+    {
+        std::array<char, StatusLineBytes> bytes {};
+        if (this->statusLine == StatusLine::Awaited
+            && evbuffer_copyout(input, bytes.data(), bytes.size()) == static_cast<ev_ssize_t>(bytes.size())) {
+            const bool valid = hasThreeDigitStatus({bytes.data(), bytes.size()});
+            this->statusLine = valid ? StatusLine::Valid : StatusLine::Invalid;
+        }
+    }
+
+    // A negative return value makes evhttp fail the call and close its connection.
     static int headReceived(evhttp_request *request, void *context)
     {
+        constexpr int Continue = 100;
         auto *self = static_cast<Pending *>(context);
         self->connectTimer.reset();
         self->watchSilence();
-        self->answer.status = evhttp_request_get_response_code(request);
+        const int status = evhttp_request_get_response_code(request);
+        const bool validLine = self->statusLine == StatusLine::Valid;
+        if (validLine && status == Continue) {
+            // evhttp reads the answer that follows into the same request.
+            evhttp_clear_headers(evhttp_request_get_input_headers(request));
+            self->statusLine = StatusLine::Awaited;
+            self->checkStatusLine(bufferevent_get_input(evhttp_connection_get_bufferevent(self->connection)));
+            return 0;
+        }
+        // evhttp takes any other interim answer for the answer itself, and cannot skip it.
+        if (!validLine || meaningOf(status) != StatusMeaning::Final) {
+            self->reason = ErrorKind::ProtocolError;
+            return -1;
+        }
+        self->answer.status = status;
         self->answer.headers = readHeaders(evhttp_request_get_input_headers(request));
         return 0;
     }
@@ -142,7 +178,9 @@
     static void failed(evhttp_request_error reason, void *context)
     {
         auto *self = static_cast<Pending *>(context);
-        self->reason = reason == EVREQ_HTTP_TIMEOUT ? ErrorKind::Timeout : ErrorKind::StreamCut;
+        if (self->reason != ErrorKind::ProtocolError) {
+            self->reason = reason == EVREQ_HTTP_TIMEOUT ? ErrorKind::Timeout : ErrorKind::StreamCut;
+        }
         self->errorSeen = true;
     }
 
@@ -168,10 +206,18 @@
     void settleLater(ErrorKind kind, bool sent)
     {
         this->settleTimer = this->loop.after(Duration::zero(), [this, kind, sent] {
-            this->fail({kind, sent ? "connection closed before the answer was complete" : "connection refused"}, sent);
+            this->fail({kind, failureDetail(kind, sent)}, sent);
         });
     }
 
+    static std::string failureDetail(ErrorKind kind, bool sent)
+    {
+        if (kind == ErrorKind::ProtocolError) {
+            return "the status of the answer is invalid";
+        }
+        return sent ? "connection closed before the answer was complete" : "connection refused";
+    }
+
     void succeed()
     {
         const auto callback = this->callbacks.onDone;
@@ -205,6 +251,12 @@
         }
     }
 
+    enum class StatusLine {
+        Awaited,
+        Valid,
+        Invalid,
+    };
+
     Loop &loop;
     HttpCallbacks callbacks;
     std::chrono::milliseconds silenceTimeout;
@@ -212,6 +264,7 @@
     std::string undelivered;
     bool deliveryPosted = false;
     bool errorSeen = false;
+    StatusLine statusLine = StatusLine::Awaited;
     ErrorKind reason = ErrorKind::StreamCut;
     evhttp_connection *connection = nullptr;
     std::unique_ptr<Timer> connectTimer;
--- a/packages/net/src/http_head.cpp
+++ b/packages/net/src/http_head.cpp
@@ -3,6 +3,8 @@
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 
+#include <algorithm>
+
 namespace endivespan {
 
 StatusMeaning meaningOf(int status)
@@ -15,6 +17,15 @@
     return isInterim ? StatusMeaning::Interim : StatusMeaning::Invalid;
 }
 
+bool hasThreeDigitStatus(std::string_view bytes)
+{
+    constexpr std::size_t Start = std::string_view("HTTP/1.1 ").size();
+    const std::string_view status = bytes.substr(Start, 3);
+    const char after = bytes[StatusLineBytes - 1];
+    return bytes[Start - 1] == ' ' && (after == ' ' || after == '\r' || after == '\n')
+        && std::all_of(status.begin(), status.end(), [](char byte) { return byte >= '0' && byte <= '9'; });
+}
+
 std::size_t unacknowledgedBytes(int socket)
 {
     int bytes = 0;
--- a/packages/net/src/http_head_p.h
+++ b/packages/net/src/http_head_p.h
@@ -16,6 +16,12 @@
 
 StatusMeaning meaningOf(int status);
 
+constexpr std::size_t StatusLineBytes = 13; ///< Bytes of a status line up to the one that follows the status.
+
+/// Checks that the status of an answer consists of exactly three digits.
+/// @param bytes The first bytes of the answer, at least StatusLineBytes.
+bool hasThreeDigitStatus(std::string_view bytes);
+
 /// @returns how many of the bytes written to a connected socket the peer has not acknowledged, or 0 if this is unknown.
 std::size_t unacknowledgedBytes(int socket);
 
--- a/tests/net/invalid_answers.cpp
+++ b/tests/net/invalid_answers.cpp
@@ -1,8 +1,11 @@
 #include "byte_server.h"
 #include "received.h"
 
+#include <endivespan/engine_client.h>
 #include <endivespan/http_pool.h>
+#include <endivespan/log_client.h>
 #include <endivespan/loop.h>
+#include <endivespan/store_client.h>
 
 #include <doctest/doctest.h>
 
@@ -171,4 +174,119 @@
     callPooled(*pool, pooled, server.address);
     pooled.checkFailed();
     CHECK(pooled.heads.empty());
+    Received own(loop);
+    callOnce(loop, own, server.address, false);
+    own.checkFailed();
+}
+
+TEST_CASE("a call with its own connection fails as one that may have run when the status of its answer is invalid")
+{
+    Loop loop;
+    ByteServer server(loop);
+    for (const bool streamed : {false, true}) {
+        CAPTURE(streamed);
+        forEachInvalid("ok", [&](const Sending &sending) {
+            server.script = [&sending](const std::string &) -> const Sending & { return sending; };
+            Received received(loop);
+            callOnce(loop, received, server.address, streamed);
+            received.checkFailed();
+            CHECK(received.heads.empty());
+            CHECK(received.body.empty());
+        });
+    }
+}
+
+// evhttp skips status 100 only; a call whose server sends another interim answer fails.
+TEST_CASE("an interim answer is not the answer of a call with its own connection")
+{
+    Loop loop;
+    ByteServer server(loop);
+    for (const std::string &status : InterimStatuses) {
+        for (const bool streamed : {false, true}) {
+            CAPTURE(status);
+            CAPTURE(streamed);
+            const std::string interim = "HTTP/1.1 " + status + " X\r\nX-Interim: 1\r\n\r\n";
+            server.script = [&](const std::string &) { return Sending {interim + Success}; };
+            Received received(loop);
+            callOnce(loop, received, server.address, streamed);
+            if (status != "100") {
+                received.checkFailed();
+                continue;
+            }
+            CHECK(received.done == 1);
+            CHECK(received.body == "ok");
+            CHECK(!received.headers.contains("x-interim"));
+        }
+    }
+}
+
+TEST_CASE("an engine's answer with an invalid status is neither a stream nor a promise that the request has not run")
+{
+    Loop loop;
+    ByteServer server(loop);
+    const auto client = EngineClient::create(loop);
+    for (const std::string body :
+         {"{\"error\":\"cold\",\"ran\":false}", "data: {\"request_id\":\"a\",\"done\":true,\"count\":0}\n\n"}) {
+        forEachInvalid(body, [&](const Sending &sending) {
+            server.script = [&sending](const std::string &) -> const Sending & { return sending; };
+            EngineRequest request;
+            request.address = server.address;
+            request.attemptId = "a";
+            Received received(loop);
+            int refusals = 0;
+            const auto run = client->run(request,
+                                         {{},
+                                          [&received](const EngineSummary &) { received.end(received.done); },
+                                          [&](EngineRefusal, const std::string &) { received.end(refusals); },
+                                          [&received](const Error &error, bool sent) {
+                                              received.fail({error, sent});
+                                          }});
+            const auto patience = loop.after(5s, [&loop] { loop.stop(); });
+            loop.run();
+            CHECK(refusals == 0);
+            received.checkFailed();
+        });
+    }
+}
+
+// Cache events, load reports, orders and appends of the same invalid answers.
+TEST_CASE("events, reports and orders fail when the status of their answer is invalid")
+{
+    Loop loop;
+    ByteServer server(loop);
+    const auto engines = EngineClient::create(loop);
+    const auto stores = StoreClient::create(loop);
+    const auto log = LogClient::create(loop, server.address);
+    const std::string body
+        = R"({"incarnation":"i","next":1,"events":[],"pieces":[],"generation":1,"first":1,"at_ms":1,)"
+          R"("oldest":0,"end":1,"records":[]})";
+    for (const std::string &status : InvalidStatuses) {
+        CAPTURE(status);
+        server.script = [&](const std::string &) { return answersWith(status, body).front(); };
+        int ended = 0;
+        int succeeded = 0;
+        const auto count = [&](const auto &result) {
+            ++ended;
+            succeeded += result ? 1 : 0;
+            if (ended == 8) {
+                loop.stop();
+            }
+        };
+        engines->events(server.address, 0, count);
+        engines->load(server.address, count);
+        engines->exportPiece(server.address, {}, "s", 1, count);
+        engines->loadVersion(server.address, "v", 1, count);
+        stores->list(server.address, "", 10, count);
+        stores->load(server.address, count);
+        log->read("s", 0, 10, 0ms, count);
+        // A failed append may be in the log, so that it is not written again as another record.
+        log->append("s", {"r"}, [&](const Result<LogAppendAck> &result) {
+            CHECK((!result && result.error().kind == ErrorKind::OutcomeUnknown));
+            count(result);
+        });
+        const auto patience = loop.after(5s, [&loop] { loop.stop(); });
+        loop.run();
+        CHECK(ended == 8);
+        CHECK(succeeded == 0);
+    }
 }
