Take an answer that ends with its own connection for complete only once the request has arrived

Seen by callers: as with the pool's calls, 200 without a length for a request of which the server had received only a part.

Cause: evhttp reads an answer only once it has written the request, but its bytes may still be in the kernel of the client when the server ends the connection. With 16 MB, more than the kernel takes, the call failed before, too.

Change: the callback before evhttp closes the connection, which it does before it reports an answer as complete, notes how much of the request is unacknowledged. If anything is, an answer without a length and without chunks is cut. 204 and 304 have no body to cut.

Evidence: net_tests -sf="*early_answers.cpp", "an answer that ends with its own connection before the request was sent is not complete", failed on ("CHECK( 1 == 0 ) logged: sending direction ended, request of 100000 bytes") and passes now, as do broken_answers.cpp and the case of large requests that were read.

--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -65,6 +65,7 @@
         const auto [host, port] = splitAddress(call.address);
         this->connection
             = evhttp_connection_base_new(this->loop.base(), nullptr, host.c_str(), static_cast<ev_uint16_t>(port));
+        evhttp_connection_set_closecb(this->connection, &Pending::closing, this);
         evhttp_request *request = evhttp_request_new(&Pending::done, this);
         evhttp_request_set_error_cb(request, &Pending::failed);
         evhttp_request_set_header_cb(request, &Pending::headReceived);
@@ -153,6 +154,25 @@
         return 0;
     }
 
+    // Called before evhttp closes the connection, which it does before it reports that the answer is complete.
+    static void closing(evhttp_connection *connection, void *context)
+    {
+        const int socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+        static_cast<Pending *>(context)->unacknowledged = unacknowledgedBytes(socket);
+    }
+
+    // Returns whether the end of the connection marked the end of the answer, and came before the server had received
+    // the whole request: a process that ends closes its connections in order, too.
+    [[nodiscard]] bool endedEarly() const
+    {
+        constexpr int NoContent = 204;
+        constexpr int NotModified = 304;
+        const HttpHeaders &fields = this->answer.headers;
+        const bool framed = fields.contains("content-length") || fields.contains("transfer-encoding")
+            || this->answer.status == NoContent || this->answer.status == NotModified;
+        return !framed && this->unacknowledged > 0;
+    }
+
     static void chunkReceived(evhttp_request *request, void *context)
     {
         auto *self = static_cast<Pending *>(context);
@@ -189,7 +209,7 @@
         auto *self = static_cast<Pending *>(context);
         self->silenceTimer.reset();
         self->connectTimer.reset();
-        const bool whole = request != nullptr && !self->errorSeen && evhttp_request_get_response_code(request) != 0;
+        const bool whole = request != nullptr && !self->errorSeen && self->answer.status != 0 && !self->endedEarly();
         if (!whole) {
             // evhttp calls the error callback only after the connection was established.
             const bool sent = self->errorSeen || self->answer.status != 0;
@@ -264,6 +284,7 @@
     std::string undelivered;
     bool deliveryPosted = false;
     bool errorSeen = false;
+    std::size_t unacknowledged = 0; ///< Bytes of the request that the server had not received at the end.
     StatusLine statusLine = StatusLine::Awaited;
     ErrorKind reason = ErrorKind::StreamCut;
     evhttp_connection *connection = nullptr;
--- a/tests/net/early_answers.cpp
+++ b/tests/net/early_answers.cpp
@@ -59,6 +59,21 @@
     }
 }
 
+TEST_CASE("an answer that ends with its own connection before the request was sent is not complete")
+{
+    for (const Early &early : EarlyEnds) {
+        for (const bool streamed : {false, true}) {
+            INFO(early.describe());
+            CAPTURE(streamed);
+            Loop loop;
+            EarlyServer server(loop, "HTTP/1.1 200 OK\r\n\r\nok", early.end);
+            Received received(loop);
+            callOnce(loop, received, server.address, streamed, std::string(early.size, 'x'));
+            received.checkFailed();
+        }
+    }
+}
+
 TEST_CASE("an answer that ends with its connection after a large request was read is complete")
 {
     Loop loop;
