--- a/packages/net/src/http_pool.cpp
+++ b/packages/net/src/http_pool.cpp
@@ -1,3 +1,4 @@
+#include "http_head_p.h"
 #include "net_p.h"
 
 #include <endivespan/config.h>
@@ -161,6 +162,7 @@
     void read();
     bool parse();
     bool handleHead();
+    [[nodiscard]] bool isRequestReceived() const;
     void complete();
     void fail(ErrorKind kind, std::string detail);
     /// @param error Error of the socket; 0 when the server closed the connection in order.
@@ -432,14 +434,19 @@
     return used > 0;
 }
 
-// Handles the head of an answer. Returns false when the owner has cancelled the call.
+// Handles the head of an answer. Returns false when the answer is invalid or the owner has cancelled the call.
 bool Connection::handleHead()
 {
     this->headHandled = true;
     this->headers = headersOf(*this->parser);
     const int status = this->parser->get().result_int();
     const std::shared_ptr<Call> current = this->call;
-    const bool interim = status >= 100 && status < 200;
+    const StatusMeaning meaning = meaningOf(status);
+    if (meaning == StatusMeaning::Invalid) {
+        this->fail(ErrorKind::ProtocolError, "invalid status " + std::to_string(status));
+        return false;
+    }
+    const bool interim = meaning == StatusMeaning::Interim;
     this->stray = interim || (current->call.belongs && !current->call.belongs(status, this->headers));
     if (this->stray) {
         this->pool.counters.strayAnswers += interim ? 0 : 1;
@@ -478,7 +485,9 @@
 {
     const std::shared_ptr<Call> failed = this->call;
     const std::size_t unsent = this->stream == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(this->stream));
-    const bool sent = this->connected && failed && unsent < failed->requestSize;
+    // Whoever has begun to answer may have run the request, whatever the answer is worth.
+    const bool answered = kind == ErrorKind::ProtocolError || (this->headHandled && !this->stray);
+    const bool sent = this->connected && failed && (answered || unsent < failed->requestSize);
     this->close();
     this->reportReached(false);
     if (failed) {
@@ -490,6 +499,14 @@
     }
 }
 
+// Returns whether the kernel of the server has the whole request. It acknowledges all that it has when it reports the
+// end of the connection, so that what is unacknowledged then arrived later or never.
+bool Connection::isRequestReceived() const
+{
+    return evbuffer_get_length(bufferevent_get_output(this->stream)) == 0
+        && unacknowledgedBytes(bufferevent_getfd(this->stream)) == 0;
+}
+
 void Connection::onDisconnected(int error)
 {
     if (this->call == nullptr) {
@@ -502,8 +519,9 @@
         return;
     }
     // An answer without a length is complete when the server closes its connection, but not when the connection is
-    // reset.
-    if (error == 0 && this->headHandled && !this->stray && this->parser != nullptr && this->parser->need_eof()) {
+    // reset or the server did not receive the whole request: a process that ends closes its connections in order, too.
+    if (error == 0 && this->isRequestReceived() && this->headHandled && !this->stray && this->parser != nullptr
+        && this->parser->need_eof()) {
         boost::beast::error_code problem;
         this->parser->put_eof(problem);
         if (!problem && this->parser->is_done()) {
