Read load reports with a fourth figure, the pace

Cause: servers of some deployments report `running,waiting,slots,pace`. The codec accepted exactly three figures and discarded the whole header, so that no engine ever counted as full there (docs/design/contended-services.md: `full` is 0 in all placements).

Ruled out: discarding a report whose fourth figure is bad. The first three are valid without it and are what placement needs first.

ServerLoadReport::pace is the fourth divided by 100; one that is not a number or is outside 1 to 10,000 percent is ignored. Five figures are no report, as before. Nothing uses the pace yet.

Figures: "a load report has three or four figures, and a bad fourth one is ignored" is new.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -525,6 +525,10 @@
 constexpr double PlacementSampleLeast = 3;
 /// Age up to which a load report is used: about two runs.
 constexpr std::chrono::milliseconds LoadReportUsableTime = 2000ms;
+// Pace of servers that report it
+constexpr double PaceLeastPercent = 1.0; ///< Smallest pace that a server may report; less is taken for a mistake.
+constexpr double PaceMostPercent = 10'000.0; ///< Largest such pace.
+
 constexpr double FirstByteSmoothing = 0.05; ///< Share of a new sample.
 /// A second attempt is sent this multiple of the average time to the first byte before the route's aim, so that its
 /// answer still arrives in time.
--- a/packages/core/include/endivespan/server_table.h
+++ b/packages/core/include/endivespan/server_table.h
@@ -33,6 +33,9 @@
     std::uint32_t running = 0; ///< Requests that run.
     std::uint32_t waiting = 0; ///< Requests that wait for a slot.
     std::uint32_t slots = 1; ///< Requests that can run at the same time.
+    /// How long work takes at the server at this moment: 1 is usual, 2.5 takes 2.5 times as long. Absent when the
+    /// server does not report it.
+    std::optional<double> pace {};
 };
 
 /// How an attempt ended, as far as this says something about its server.
--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -130,6 +130,37 @@
     CHECK(codec.encodeRetryAfter(1250ms) == "1.250");
 }
 
+// Guards against the loss of the whole load report at servers that report their pace as a fourth figure: then no engine
+// ever counts as full.
+TEST_CASE("a load report has three or four figures, and a bad fourth one is ignored")
+{
+    const platform::RequestCodec codec;
+    const auto load = [&codec](const std::string &text) {
+        return codec.decodeAnswer(200, {{"x-endivespan-server-load", text}}).load;
+    };
+    REQUIRE(load("3,1,8,250"));
+    CHECK(load("3,1,8,250")->running == 3);
+    CHECK(load("3,1,8,250")->waiting == 1);
+    CHECK(load("3,1,8,250")->slots == 8);
+    CHECK(load("3,1,8,250")->pace == 2.5);
+    CHECK(load("3, 1, 8, 87.5")->pace == 0.875);
+    CHECK(load("3,1,8,1")->pace == 0.01);
+    CHECK(load("3,1,8,10000")->pace == 100);
+    for (const char *pace : {"", "x", "0", "0.9", "-100", "10001", "nan", "inf", "1e999", "100%"}) {
+        CAPTURE(pace);
+        const auto report = load(std::string("3,1,8,") + pace);
+        REQUIRE(report);
+        CHECK(report->slots == 8);
+        CHECK_FALSE(report->pace);
+    }
+    REQUIRE(load("3,1,8"));
+    CHECK_FALSE(load("3,1,8")->pace);
+    for (const char *text : {"3,1", "3,1,8,100,5", "3,x,8,100", "-3,1,8,100", ",1,8,100", "3,1,,100"}) {
+        CAPTURE(text);
+        CHECK_FALSE(load(text));
+    }
+}
+
 TEST_CASE("the cold time in an answer is read only if it is a number, and is capped")
 {
     const platform::RequestCodec codec;
