Learn the pace of servers and expect it from reports and answers

Cause: where servers report a pace, it changes about every 600 ms, and some servers are slower all the time. A report says much for some tenths of a second and nothing after 1.5 s.

Ruled out: one time for all kinds of request as the usual one, since a route with long prompts takes longer on every server; a mean of the times themselves, which one answer of several seconds would dominate.

Change: ServerPace keeps the reported pace with its time and a long-term pace learned from answers, relative to the usual times of the pool by route (time to the first event, time per token). The expected pace moves from the reported to the long-term one with the probability that the pace has changed. ServerTable keeps it for each server and drops it when the server restarts; ForwardRun records the times of complete answers that were not repeated. Placement does not use it yet.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -528,6 +528,21 @@
 // Pace of servers that report it
 constexpr double PaceLeastPercent = 1.0; ///< Smallest pace that a server may report; less is taken for a mistake.
 constexpr double PaceMostPercent = 10'000.0; ///< Largest such pace.
+/// Mean time between two changes of a server's pace.
+constexpr std::chrono::milliseconds PaceChangeTime = 600ms;
+/// Age up to which a reported pace is used: by then the pace has changed with a probability of 0.92.
+constexpr std::chrono::milliseconds PaceReportUsableTime = 1500ms;
+/// Bounds of the pace that is expected. A server that reports less must not attract the requests of all hosts.
+constexpr double PaceExpectedLeast = 0.25;
+constexpr double PaceExpectedMost = 10.0;
+constexpr double PaceRatioMost = 4.0; ///< Of one answer to the usual one, in either direction; more is an outlier.
+/// Of the time to the first event relative to the time per token, which depends less on queues and cached parts.
+constexpr double PaceFirstEventWeight = 0.5;
+constexpr double PacePrior = 3.0; ///< Usual answers that each server starts with.
+/// Weight of all answers in the long-term pace. A host of a large fleet gets an answer of one server each 7 s.
+constexpr double PaceMemorySamples = 30.0;
+constexpr double UsualTimeSmoothing = 0.01; ///< Share of a new answer in the usual times of its kind.
+constexpr std::uint32_t UsualTimeLeastSamples = 20; ///< Answers of a kind before others are compared with them.
 
 constexpr double FirstByteSmoothing = 0.05; ///< Share of a new sample.
 /// A second attempt is sent this multiple of the average time to the first byte before the route's aim, so that its
--- a/packages/core/include/endivespan/server_table.h
+++ b/packages/core/include/endivespan/server_table.h
@@ -2,6 +2,7 @@
 
 #include <endivespan/clock.h>
 #include <endivespan/host_roster.h>
+#include <endivespan/server_pace.h>
 
 #include <cstdint>
 #include <map>
@@ -66,6 +67,7 @@
     TimePoint loadAt; ///< When the server made the report.
     TimePoint loadLearnedAt; ///< When this host received the report, from the server or from another host.
     bool loadIsOwn = false; ///< True when the report came in an answer to this host.
+    ServerPace pace;
     std::uint32_t sentSinceLoad = 0; ///< Own attempts started since the report.
     TimePoint lastSentAt; ///< When the latest own attempt started.
     double answered = 0; ///< Decaying count of answered attempts, as of countsAt.
@@ -168,6 +170,14 @@
     void reportedLoadToOtherHost(
         std::uint32_t server, std::uint32_t running, std::uint32_t waiting, TimePoint at, TimePoint now);
 
+    /// Records how long a complete answer took, from which the long-term pace of the server is learned. Ignored unless
+    /// the known start of the server is @p born.
+    /// @param kind Name of the route; only answers of one kind are compared.
+    void answeredIn(const std::string &id, std::uint64_t born, const std::string &kind, const AnswerTimes &times);
+
+    /// @returns whether any server of @p service has reported its pace since its start.
+    [[nodiscard]] bool reportsPace(const std::string &service) const;
+
     /// @returns the mean number of running and waiting requests at those servers of @p service whose load report is
     ///     recent; 0 when there is none.
     [[nodiscard]] double meanRequests(const std::string &service, TimePoint now) const;
@@ -215,6 +225,7 @@
     std::map<std::string, ServerView> views;
     std::unordered_map<std::uint32_t, std::string> shortIds; ///< Server ids by short id.
     std::set<std::string> evacuatedDomains;
+    std::map<std::string, UsualTimes> usualTimes; ///< Of answers, by service.
     /// By server id, the latest start at which the server has reported that it is leaving.
     std::map<std::string, std::uint64_t> leavingStarts;
     /// Start and heartbeat of the last entry of servers whose entries have been removed, by id.
--- a/packages/core/src/server_table.cpp
+++ b/packages/core/src/server_table.cpp
@@ -281,6 +281,9 @@
         found->second.loadLearnedAt = now;
         found->second.loadIsOwn = true;
         found->second.sentSinceLoad = 0;
+        if (load.pace) {
+            found->second.pace.report(*load.pace, now);
+        }
     }
 }
 
@@ -302,6 +305,27 @@
     view.sentSinceLoad = view.lastSentAt > at ? std::min<std::uint32_t>(view.sentSinceLoad, 1) : 0;
 }
 
+void ServerTable::answeredIn(const std::string &id,
+                             std::uint64_t born,
+                             const std::string &kind,
+                             const AnswerTimes &times)
+{
+    const auto found = this->views.find(id);
+    if (found == this->views.end() || found->second.entry.born != born) {
+        return;
+    }
+    if (const auto ratios = this->usualTimes[found->second.entry.service].add(kind, times)) {
+        found->second.pace.observe(*ratios);
+    }
+}
+
+bool ServerTable::reportsPace(const std::string &service) const
+{
+    return std::any_of(this->views.begin(), this->views.end(), [&service](const auto &entry) {
+        return entry.second.entry.service == service && entry.second.pace.isReported();
+    });
+}
+
 double ServerTable::meanRequests(const std::string &service, TimePoint now) const
 {
     double requests = 0;
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -403,6 +403,7 @@
 // Records that a server has run the request without a crash. The end of a connection does not show that.
 void ForwardRun::recordAnswer(TimePoint now)
 {
+    this->recordAnswerTimes(now);
     if (framingOf(this->active.headers) != FramedByClose) {
         this->task.parts.suspicions.recordAnswer(this->work.service, this->work.keys, this->active.headAt, now);
     }
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -103,6 +103,7 @@
     [[nodiscard]] bool repeatFailed(std::string_view why);
     void replyAnswer(int status, const HttpHeaders &headers, std::string_view body);
     void recordAnswer(TimePoint now);
+    void recordAnswerTimes(TimePoint now);
     void onFailure(std::uint32_t number, const HttpFailure &failure);
     void onActiveFailure(const HttpFailure &failure);
     void onServerSilent();
--- a/packages/node/src/forward_send.cpp
+++ b/packages/node/src/forward_send.cpp
@@ -181,6 +181,21 @@
          [this, number = attempt.number] { this->markSent(this->attemptOf(number)); }});
 }
 
+// The times of a repeated request say little of its server: a resumed stream has only the rest of its events.
+void ForwardRun::recordAnswerTimes(TimePoint now)
+{
+    if (!this->ranAt.empty()) {
+        return;
+    }
+    AnswerTimes times;
+    times.firstEvent = this->active.headAt - this->active.startedAt;
+    if (const std::uint32_t tokens = this->work.request.answerTokens; this->work.route->isStream && tokens > 0) {
+        times.perToken = (now - this->active.headAt) / tokens;
+    }
+    this->task.parts.servers.answeredIn(
+        this->active.life.server, this->active.life.born, this->work.route->name, times);
+}
+
 void ForwardRun::logColdSend(const ServerView &view, TimePoint now)
 {
     const ForwardService *service = this->task.parts.operators.state().config->service(this->work.service);
