Add the queue of forwarded requests with a forecast

Cause: a forwarded request that finds no server with room waits an eighth of its route's aim, at least 30 ms, whatever is known of the servers.

Ruled out: a forecast from the time until a server has room alone. Many hosts wait for the same servers, so that room always seems near while others take it; the forecast is at least the learned gap between two starts of this host, times the place in the queue. A gap that is reset whenever the queue empties: with a few requests on each host it would never be known; it is forgotten with a time constant of 2 s instead, while no request waits.

PlacementChoice gets the field roomIn, which placement is to fill. Two refusal causes are added. Nothing uses the queue yet.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -492,6 +492,24 @@
 constexpr std::chrono::milliseconds ForwardRetryAfterLeast = 40ms; ///< Shortest wait that a refused caller is told.
 /// A refused caller returns within this fraction (1/n) of the time that it has left.
 constexpr int ForwardRetryAfterPart = 4;
+/// Servers report their load some ten times a second. A request is sent this long before its server is expected to have
+/// room, so that the server does not wait for the next report.
+constexpr std::chrono::milliseconds QueueStartLead = 50ms;
+/// Part of a route's aim that its requests may wait before they count as started late. Together with the usual time to
+/// the first event of a busy engine, about two thirds of the aim, this still meets the aim.
+constexpr double QueueDelayTarget = 0.25;
+/// Time for which starts must be late, as a multiple of the route's aim, until the queue counts as standing. A burst
+/// that is over by then is served in full.
+constexpr double QueueDelayInterval = 1.0;
+constexpr double QueueGapSmoothing = 0.2; ///< Share of a new gap between two starts; a host sees a few per second.
+constexpr std::chrono::seconds QueueGapDecay = 2s; ///< Time constant by which the gap is forgotten while none waits.
+/// Time constant of the recent use of organisations: some waits, so that one burst is balanced by the next turns.
+constexpr std::chrono::seconds QueueUseDecay = 10s;
+constexpr std::size_t QueueUsesKept
+    = 1024; ///< Organisations with a recent use; beyond it those with least are dropped.
+constexpr double AnswerTimeQuantile = 0.75; ///< Of the times of answers, which stands for the usual time.
+constexpr double AnswerTimeStep = 0.05; ///< Of one sample towards the quantile, relative to its value.
+constexpr std::uint32_t AnswerTimeMeanSamples = 8; ///< First samples of a route, which are averaged with its aim.
 constexpr std::size_t ForwardCrashesUntilRefused = 3; ///< Server crashes under one request; then it is refused.
 /// Server crashes under one request after which it is not repeated here; only its caller can send it again.
 constexpr std::size_t ForwardCrashesUntilNotRepeated = 2;
--- a/packages/core/include/endivespan/log_cause.h
+++ b/packages/core/include/endivespan/log_cause.h
@@ -28,6 +28,8 @@
     NotRunAnswers,
     NoServer,
     InputEnded, ///< The caller closed its sending direction while the request waited for a server.
+    NoPlaceExpected, ///< No server was expected to have room early enough for an answer within the deadline.
+    StandingQueue, ///< Requests had started late for a while, and this one was the last in order.
     Count,
 };
 
--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -42,6 +42,7 @@
 struct PlacementChoice {
     std::string server; ///< Id of the server; empty when there is none.
     Duration expected {}; ///< Expected time to the first byte of the answer.
+    std::optional<Duration> roomIn; ///< Expected time until the best server could start this request; zero when one can now, absent when unknown.
     std::string likelyHolder; ///< Address of another engine that most likely caches the shared parts; may be empty.
     std::uint32_t known = 0; ///< Servers of the service in the list.
     std::uint32_t leaving = 0; ///< Those of the known ones that are leaving.
--- a/packages/core/src/log_cause.cpp
+++ b/packages/core/src/log_cause.cpp
@@ -52,6 +52,14 @@
      "input_ended",
      ErrorKind::Overloaded,
      "no place was free when the caller closed its sending direction"},
+    {RefusalCause::NoPlaceExpected,
+     "no_place_expected",
+     ErrorKind::Overloaded,
+     "no place is expected early enough for an answer"},
+    {RefusalCause::StandingQueue,
+     "standing_queue",
+     ErrorKind::Overloaded,
+     "requests have waited too long for a while, and others come first"},
 }};
 
 constexpr bool tableFollowsEnumeration()
@@ -303,6 +311,8 @@
     case RefusalCause::TooLittleTime:
     case RefusalCause::NotRunAnswers:
     case RefusalCause::NoServer:
+    case RefusalCause::NoPlaceExpected:
+    case RefusalCause::StandingQueue:
         return this->causeOfNoPlace(last);
     case RefusalCause::None:
     case RefusalCause::Count:
