--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -532,6 +532,23 @@
 constexpr double HedgeDelayShareLeast = 0.5; ///< Part of a route's aim before which no second attempt is made.
 /// Part of a route's aim within which another server must be expected to answer, for a second attempt to be made.
 constexpr double HedgeShare = 0.5;
+/// Time after which a sample of the time to the first event counts half. A host has about two essay requests a second;
+/// with less time a kind has too few samples, with more the delay stays long for minutes after a slow phase.
+constexpr std::chrono::seconds FirstEventHalfLife = 10s;
+/// Samples, by their decayed count, below which the times of a kind of request are not used.
+constexpr double FirstEventLeastSamples = 6.0;
+/// Decayed count of longer times below which an attempt that has taken as long counts as stalled: a lone long time
+/// counts for one half-life.
+constexpr double FirstEventLongerLeast = 0.5;
+/// Quantile of the times to the first event before which no second attempt is made: one request in 20 may have one.
+constexpr double FirstEventQuantile = 0.95;
+constexpr double FirstEventMedian = 0.5; ///< Quantile of the longer times that a slow attempt is expected to take.
+constexpr unsigned FirstEventBins = 280; ///< Between the next two times; each bin is wider by 4 % than the one before.
+constexpr double FirstEventBinPart = 0.99; ///< Of a bin, up to which a quantile may lie in it.
+constexpr std::chrono::milliseconds FirstEventLeast = 1ms;
+constexpr std::chrono::milliseconds FirstEventMost = 60000ms;
+/// Between checks whether a server whose answer is not overdue yet has stopped sending to all requests.
+constexpr std::chrono::milliseconds SecondAttemptCheckPeriod = 100ms;
 /// Part of an engine's slots that the attempts of one host may take, beside those of other hosts.
 constexpr double EngineInFlightShare = 0.375;
 /// Multiple of an equal share of an engine's slots that each host may take, where this is more: in a small fleet.
