Leave samples from engines with queues out of the speed of stores

Cause: the time to the first token after a fetch holds the wait in the engine's queue, so that sound stores count as slow and their parts are read again. Ruled out: the links; the stores' links are used to a sixth. Change: where engines report a pace, only samples of engines without a queue count.

--- a/packages/core/include/endivespan/shared_store.h
+++ b/packages/core/include/endivespan/shared_store.h
@@ -2,6 +2,7 @@
 
 #include <endivespan/clock.h>
 #include <endivespan/config.h>
+#include <endivespan/server_table.h>
 
 #include <cstdint>
 #include <functional>
@@ -80,6 +81,11 @@
     Duration excess {};
 };
 
+/// @returns whether the time to the first token at an engine says something about the store that it fetched from.
+///     Exists for a pool with queues at some engines: there that time is mostly the wait, and a sound store seems slow.
+/// @param load Load that the engine reported with the first token. Without a pace its waiting requests are not used.
+bool isStoreSample(const std::optional<ServerLoadReport> &load);
+
 /// Estimated speed of one store.
 struct StoreSpeed {
     std::string address;
--- a/packages/core/src/shared_store.cpp
+++ b/packages/core/src/shared_store.cpp
@@ -20,6 +20,11 @@
 
 } // namespace
 
+bool isStoreSample(const std::optional<ServerLoadReport> &load)
+{
+    return !load || !load->pace || load->waiting == 0;
+}
+
 void SharedStores::setStores(const std::vector<ForwardStore> &stores)
 {
     std::set<std::string> present;
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -264,7 +264,7 @@
         this->task.engines.observeFirstToken(
             parts.empty() ? 0 : parts.back().tokens, this->active.tokens, now - this->active.startedAt);
     }
-    if (!this->active.fetchedFrom.empty()) {
+    if (!this->active.fetchedFrom.empty() && isStoreSample(answer.load)) {
         const std::uint64_t own = this->work.request.parts.back().tokens;
         const std::chrono::duration<double, std::milli> reading(
             static_cast<double>(own) / this->task.engines.rates().prefillTokensPerMillisecond);
--- a/tests/core/shared_store.cpp
+++ b/tests/core/shared_store.cpp
@@ -203,6 +203,28 @@
 
 // Hosts hold views of different age, and the store restarts again and again, each time after it was down for longer
 // than views are used.
+// Guards against parts that are read again because the queue of an engine was taken for slowness of a store.
+TEST_CASE("a part is fetched from a store whose samples come from engines with queues")
+{
+    SharedStores stores = freshStores();
+    (void)stores.applyAnswer("10.0.0.1:1", stored(1, 0, {"s", "p"}, 500), Start);
+    ServerLoadReport queued {20, 12, 64};
+    queued.pace = 1.0;
+    ServerLoadReport idle {3, 0, 64};
+    idle.pace = 1.0;
+    for (int i = 0; i < 20; ++i) {
+        if (isStoreSample(queued)) {
+            stores.addSample("10.0.0.1:1", 900ms, Start);
+        }
+        if (isStoreSample(idle)) {
+            stores.addSample("10.0.0.2:1", 20ms, Start);
+        }
+    }
+    CHECK(stores.plan("s", {{"p", 500}}, "z1", {}, Start + 100ms).fetch[0] == "10.0.0.1:1");
+    CHECK(isStoreSample(std::nullopt));
+    CHECK(isStoreSample(ServerLoadReport {20, 12, 64}));
+}
+
 TEST_CASE("no fetch whose result is used reads a part that is being written again")
 {
     CHECK(rc::check([] {
