--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -27,6 +27,28 @@
 constexpr std::chrono::milliseconds CallerResetCheckPeriod = 100ms;
 constexpr std::size_t PipelinedBytes = 64 * 1024; ///< Input buffered from a connection while its request is answered.
 constexpr std::chrono::milliseconds AcceptPause = 100ms; ///< After accept() failed for lack of file descriptors.
+/// Of requests that a host holds for all callers, unless the settings name the memory of its machine.
+constexpr std::size_t RequestBytes = 64 * 1024 * 1024;
+/// Part of the machine's memory for requests. One that is sent to a server is held up to three times: as received, as
+/// sent, and in the output buffer.
+constexpr double RequestBytesShare = 0.25;
+constexpr std::size_t SideRequestBytes = 4 * 1024 * 1024; ///< The same for readiness checks and reads of metrics.
+/// Counted for a connection beside its request: its object, its buffers and the parser.
+constexpr std::size_t CallerConnectionBytes = 4096;
+/// Parts (1/n) of the process's file descriptors that connections with an incomplete request may use, and those that
+/// have been refused and not yet closed. The rest is for other callers and for servers.
+constexpr std::size_t IncompleteDescriptorsPart = 2;
+constexpr std::size_t RefusedDescriptorsPart = 8;
+constexpr std::size_t BodyBlockBytes = 64 * 1024; ///< Largest block that a body is received into.
+constexpr std::size_t BodyBlockLeast = 1024; ///< Smallest one.
+/// Up to this size the unparsed input of a connection is moved to a buffer of its size, which costs less than the
+/// buffer of a whole read.
+constexpr std::size_t ShortInputBytes = 512;
+/// For which a refused caller may go on sending before its connection is closed.
+constexpr std::chrono::seconds RefusedSendTime = 10s;
+/// Named to callers that are refused for lack of memory, in seconds; from the least one up to the sum of both.
+constexpr std::uint64_t RefusedRetryLeast = 1;
+constexpr std::uint64_t RefusedRetrySpread = 2;
 constexpr int CallerBacklog = 1024; ///< listen() backlog: connections that wait to be accepted.
 constexpr std::chrono::seconds DefaultDeadline = 30s; ///< Of a request, unless the settings or its caller name another.
 constexpr std::uint32_t DefaultRequestsInFlight = 4096; ///< Limit of one host, unless the settings name another.
