Bound what callers' requests hold, in bytes and in descriptors

Cause: bodies were kept without a bound on their sum, rejected ones until their callers closed, and connections with incomplete requests until no descriptor was left.

Ruled out: one text per body that grows. Doubling holds up to twice the content, and many that grow at once leave gaps in the heap; bodies are received in blocks of at most 64 KiB and joined once.

Change: the server reports to ByteBudget after each read. Who has to give way gets 503 with Retry-After and was not passed to the handler; one that has not sent a byte is closed. A rejected request is freed at once and may go on sending for 10 s at most.

Existing cases were not run.

Conclusion: memory and descriptors no longer grow with the number of callers. Unread answers are still bounded per stream only.

--- a/packages/net/include/endivespan/http_server.h
+++ b/packages/net/include/endivespan/http_server.h
@@ -87,6 +87,14 @@
     std::set<std::string> singleFields {}; ///< Lower-case names of header fields that must not repeat,
                                            ///< besides those that HTTP itself restricts.
     std::chrono::milliseconds writeTimeout = config::CallerReadTimeout; ///< For which a caller may read nothing.
+    std::size_t requestBytes = config::RequestBytes; ///< Of the requests of all callers together, complete or not.
+};
+
+/// What a server holds of the requests of its callers, and what it has refused for that reason.
+struct HttpRequestStats {
+    std::size_t bytes = 0; ///< Held now.
+    std::size_t incomplete = 0; ///< Connections on which a request, or the first byte of one, is awaited now.
+    std::uint64_t refused = 0; ///< Incomplete requests refused for lack of memory or connections, ever.
 };
 
 /// Listens on one address and passes each complete request to a handler.
@@ -120,6 +128,8 @@
     /// @returns the number of exchanges whose answer is not complete.
     [[nodiscard]] virtual std::size_t openExchanges() const = 0;
 
+    [[nodiscard]] virtual HttpRequestStats requestStats() const = 0;
+
     /// @param loop Runs the callbacks; must outlive the server.
     /// @param address "a.b.c.d:port"; port 0 selects a free port.
     /// @param limits Limits on requests and connections.
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -1,6 +1,8 @@
 #include "http_head_p.h"
 #include "net_p.h"
+#include "request_body_p.h"
 
+#include <endivespan/byte_budget.h>
 #include <endivespan/config.h>
 #include <endivespan/http_server.h>
 #include <endivespan/log.h>
@@ -8,7 +10,6 @@
 
 #include <arpa/inet.h>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -18,9 +19,11 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <cerrno>
 #include <cstring>
@@ -35,7 +38,7 @@
 
 namespace http = boost::beast::http;
 
-using Parser = http::request_parser<http::string_body>;
+using Parser = http::request_parser<RequestBody>;
 
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -46,6 +49,7 @@
     BodyTooLarge = 413,
     HeadTooLarge = 431,
     NotImplemented = 501,
+    Unavailable = 503,
     VersionNotSupported = 505,
 };
 
@@ -95,6 +99,15 @@
     }
 }
 
+ByteBudgetLimits budgetLimits(const HttpServerLimits &limits)
+{
+    rlimit descriptors {};
+    getrlimit(RLIMIT_NOFILE, &descriptors);
+    return {limits.requestBytes,
+            descriptors.rlim_cur / config::IncompleteDescriptorsPart,
+            descriptors.rlim_cur / config::RefusedDescriptorsPart};
+}
+
 class Server;
 class Connection;
 
@@ -194,6 +207,10 @@
     void restartIdleTimer();
     [[nodiscard]] bool isAnswering() const;
     [[nodiscard]] std::size_t backlogBytes() const;
+    /// Reports what the connection holds to the budget of the server.
+    void account();
+    /// Gives way to others while the request is incomplete. The connection may be destroyed.
+    void giveWay();
 
 private:
     enum class State {
@@ -209,8 +226,11 @@
     bool parseHead();
     bool acceptHead();
     bool parseBody();
-    void reject(int status, std::string_view reason);
+    void reject(int status, std::string_view reason, const HttpHeaders &headers = {});
     void dispatch();
+    void compactInput();
+    [[nodiscard]] ByteBudget::Phase phase() const;
+    [[nodiscard]] std::size_t requestBytes() const;
     [[nodiscard]] bool collectHeaders(HttpRequest &request, std::string_view &problem) const;
     void setState(State next);
     void updateTimeouts();
@@ -233,6 +253,10 @@
     std::unique_ptr<Parser> parser;
     bool headComplete = false;
     bool readingRequest = false; ///< Bytes of the next request were received.
+    bool isFresh = true; ///< No byte was received yet.
+    bool isRefused = false; ///< A request was rejected before it was passed to the handler.
+    std::size_t headBytes = 0; ///< Of the request that is being received or answered.
+    TimePoint refusedAt;
     bool keepOpen = true;
     bool closeAnnounced = false; ///< The header of an answer has said that the connection is closed after it.
     bool parsing = false;
@@ -248,6 +272,7 @@
 public:
     Server(Loop &loop, HttpServerLimits limits, HttpHandler handler)
         : loop(loop)
+        , budget(budgetLimits(limits))
         , handler(std::move(handler))
         , bounds(std::move(limits))
     {
@@ -309,6 +334,7 @@
             this->earlierIdleUntil = this->loop.now() + before;
         }
         this->bounds = limits;
+        this->budget.setLimits(budgetLimits(limits));
         if (this->idleTimeout() > before) {
             for (const auto &[id, connection] : this->open) {
                 connection->restartIdleTimer();
@@ -350,6 +376,23 @@
             this->open.begin(), this->open.end(), [](const auto &entry) { return entry.second->isAnswering(); }));
     }
 
+    HttpRequestStats requestStats() const override
+    {
+        return {this->budget.held(), this->budget.incomplete(), this->refused};
+    }
+
+    /// Makes connections give way until the requests of all callers are within the limits. Destroys connections.
+    void enforceBudget()
+    {
+        while (const auto id = this->budget.toRefuse()) {
+            ++this->refused;
+            this->open.at(*id)->giveWay();
+        }
+        while (const auto id = this->budget.toClose()) {
+            this->remove(*id);
+        }
+    }
+
     [[nodiscard]] const HttpServerLimits &limits() const
     {
         return this->bounds;
@@ -376,6 +419,7 @@
     }
 
     Loop &loop;
+    ByteBudget budget;
 
 private:
     static void accepted(evconnlistener *, evutil_socket_t socket, sockaddr *address, int, void *context)
@@ -387,6 +431,7 @@
         setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         const std::uint64_t id = server->nextId++;
         server->open.emplace(id, std::make_unique<Connection>(*server, id, socket, text));
+        server->enforceBudget();
     }
 
     // Closing the listening socket resets the connections that wait to be accepted, whose callers may have sent a
@@ -441,6 +486,7 @@
     bool closing = false;
     bool silent = false;
     std::uint64_t nextId = 1;
+    std::uint64_t refused = 0; ///< Connections that gave way.
     std::map<std::uint64_t, std::unique_ptr<Connection>> open;
 };
 
@@ -525,10 +571,17 @@
     bufferevent_setcb(this->stream, &Connection::onRead, &Connection::onWritten, &Connection::onEvent, this);
     this->updateTimeouts();
     bufferevent_enable(this->stream, EV_READ | EV_WRITE);
+    this->account();
 }
 
 Connection::~Connection()
 {
+    this->server.budget.remove(this->id);
+    // libevent closes the socket of a freed bufferevent only after the current callbacks. While many connections are
+    // accepted, descriptors would run out meanwhile.
+    const evutil_socket_t socket = bufferevent_getfd(this->stream);
+    bufferevent_setfd(this->stream, -1);
+    evutil_closesocket(socket);
     bufferevent_free(this->stream);
     if (this->exchange) {
         this->exchange->onConnectionLost(this->loss, this->server.isSilent());
@@ -610,6 +663,7 @@
         this->drain();
         return;
     }
+    this->headBytes = 0;
     this->setState(State::Reading);
     // A pipelined request is parsed once the current callbacks have returned.
     if (!this->parsing && (this->inputEnded || evbuffer_get_length(bufferevent_get_input(this->stream)) > 0)) {
@@ -639,6 +693,51 @@
 {
     this->state = next;
     this->updateTimeouts();
+    this->account();
+}
+
+ByteBudget::Phase Connection::phase() const
+{
+    if (this->state == State::Reading) {
+        return ByteBudget::Phase::Incomplete;
+    }
+    // After the end of the input no request can become complete.
+    const bool hasLeft = this->state == State::Draining && this->inputEnded && this->backlogBytes() == 0;
+    return this->isRefused || hasLeft ? ByteBudget::Phase::Refused : ByteBudget::Phase::Complete;
+}
+
+std::size_t Connection::requestBytes() const
+{
+    std::size_t bytes = this->headBytes + evbuffer_get_length(bufferevent_get_input(this->stream));
+    if (this->parser) {
+        bytes += this->parser->get().body().capacity();
+    }
+    if (this->exchange) {
+        bytes += this->exchange->request().body.capacity();
+    }
+    return bytes;
+}
+
+void Connection::account()
+{
+    // Between two requests a connection may stay open for as long as the idle timeout says. It has been told so, and a
+    // request may be on its way.
+    if (this->state == State::Reading && !this->readingRequest && !this->isFresh) {
+        this->server.budget.remove(this->id);
+        return;
+    }
+    this->server.budget.record(this->id, this->phase(), config::CallerConnectionBytes + this->requestBytes());
+}
+
+void Connection::giveWay()
+{
+    if (!this->readingRequest) {
+        this->remove();
+        return;
+    }
+    const std::uint64_t wait = config::RefusedRetryLeast + this->id % (config::RefusedRetrySpread + 1);
+    this->reject(
+        Unavailable, "too many incomplete requests; this one has not run", {{"Retry-After", std::to_string(wait)}});
 }
 
 void Connection::updateTimeouts()
@@ -663,10 +762,31 @@
     auto *self = static_cast<Connection *>(context);
     if (self->state == State::Reading) {
         self->parse();
+        self->compactInput();
     } else if (self->state == State::Draining) {
         evbuffer *input = bufferevent_get_input(self->stream);
         evbuffer_drain(input, evbuffer_get_length(input));
+        if (self->isRefused && self->server.loop.now() - self->refusedAt > config::RefusedSendTime) {
+            self->remove();
+            return;
+        }
+    }
+    self->account();
+    self->server.enforceBudget(); // May destroy this connection.
+}
+
+// The rest of a chunk's size would otherwise keep the memory of a whole read.
+void Connection::compactInput()
+{
+    evbuffer *input = bufferevent_get_input(this->stream);
+    const std::size_t size = evbuffer_get_length(input);
+    if (this->state != State::Reading || size == 0 || size > config::ShortInputBytes) {
+        return;
     }
+    std::array<char, config::ShortInputBytes> rest {};
+    evbuffer_remove(input, rest.data(), size);
+    // A bufferevent lets no one but itself add to the end of its input.
+    evbuffer_prepend(input, rest.data(), size);
 }
 
 void Connection::onWritten(bufferevent *, void *context)
@@ -776,6 +896,7 @@
     while (this->state == State::Reading && evbuffer_get_length(input) > 0) {
         if (!this->readingRequest) {
             this->readingRequest = true;
+            this->isFresh = false;
             this->requestBegan = this->server.loop.now();
             this->parser.reset();
             this->headComplete = false;
@@ -834,6 +955,7 @@
         return false;
     }
     evbuffer_drain(input, used);
+    this->headBytes = used;
     this->headComplete = true;
     return this->acceptHead();
 }
@@ -936,7 +1058,7 @@
         return;
     }
     this->keepOpen = this->keepOpen && message.keep_alive();
-    request.body = std::move(this->parser->get().body());
+    request.body = this->parser->get().body().take();
     this->parser.reset();
     this->exchange = std::make_shared<Exchange>(*this, std::move(request));
     this->setState(State::Answering);
@@ -949,13 +1071,22 @@
 
 // Rejects a request and closes the connection. The request was not passed to a handler, so that it certainly was not
 // executed.
-void Connection::reject(int status, std::string_view reason)
+void Connection::reject(int status, std::string_view reason, const HttpHeaders &headers)
 {
     std::string out;
-    appendHead(out, status, {{"Content-Type", "text/plain"}});
+    HttpHeaders fields = headers;
+    fields["Content-Type"] = "text/plain";
+    appendHead(out, status, fields);
     out += "Content-Length: " + std::to_string(reason.size()) + "\r\nConnection: close\r\n\r\n";
     out += reason;
     this->write(out);
+    // The connection stays open until the caller has read the refusal; what was received is freed now.
+    this->parser.reset();
+    this->headBytes = 0;
+    evbuffer *input = bufferevent_get_input(this->stream);
+    evbuffer_drain(input, evbuffer_get_length(input));
+    this->isRefused = true;
+    this->refusedAt = this->server.loop.now();
     this->drain();
 }
 
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -216,7 +216,7 @@
         const bool boundsChanged = next.bounds != this->settings.bounds;
         this->events.line("settings_reloaded", LogRank::Failure)
             .with("bounds", boundsChanged ? "changed" : "unchanged")
-            .with("ignored", kept == this->settings ? "none" : "listen addresses or names of the host");
+            .with("ignored", kept == this->settings ? "none" : "listen addresses, names or memory of the host");
         this->settings.bounds = next.bounds;
     }
 
@@ -224,6 +224,8 @@
     Result<void> listen()
     {
         const HttpServerLimits limits = this->callerLimits();
+        HttpServerLimits sideLimits = limits;
+        sideLimits.requestBytes = config::SideRequestBytes;
         // After a failed start, those that listen already would take their addresses from themselves.
         this->callers.reset();
         this->readiness.reset();
@@ -237,7 +239,7 @@
         }
         this->callers = std::move(callersListening.value());
         auto readinessListening
-            = HttpServer::listen(this->loop, this->settings.listenReadiness, limits, [this](const auto &exchange) {
+            = HttpServer::listen(this->loop, this->settings.listenReadiness, sideLimits, [this](const auto &exchange) {
                   this->answerReadiness(*exchange);
               });
         if (!readinessListening) {
@@ -245,7 +247,7 @@
         }
         this->readiness = std::move(readinessListening.value());
         auto metricsListening
-            = HttpServer::listen(this->loop, this->settings.listenMetrics, limits, [this](const auto &exchange) {
+            = HttpServer::listen(this->loop, this->settings.listenMetrics, sideLimits, [this](const auto &exchange) {
                   this->answerMetrics(*exchange);
               });
         if (!metricsListening) {
@@ -262,6 +264,10 @@
         HttpServerLimits bounds {limits.maxBodyBytes, limits.maxHeaderBytes, limits.headerTimeout};
         bounds.idleTimeout = limits.idleTimeout;
         bounds.singleFields = this->adapters.codec.singleFields();
+        if (this->settings.memory) {
+            bounds.requestBytes
+                = static_cast<std::size_t>(static_cast<double>(*this->settings.memory) * config::RequestBytesShare);
+        }
         return bounds;
     }
 
@@ -285,6 +291,10 @@
         const HttpPoolStats pool = this->forward.pool->stats();
         this->metrics.gauge("requests_under_way", "", static_cast<double>(this->forward.inFlight()));
         this->metrics.gauge("caller_connections", "", static_cast<double>(this->callers->connections()));
+        const HttpRequestStats requests = this->callers->requestStats();
+        this->metrics.gauge("request_bytes_held", "", static_cast<double>(requests.bytes));
+        this->metrics.gauge("incomplete_requests", "", static_cast<double>(requests.incomplete));
+        this->metrics.gauge("incomplete_requests_refused", "", static_cast<double>(requests.refused));
         this->metrics.gauge("server_connections_opened", "", static_cast<double>(pool.opened));
         this->metrics.gauge("server_connections_reused", "", static_cast<double>(pool.reused));
         this->metrics.gauge("stray_answers", "", static_cast<double>(pool.strayAnswers));
--- a/packages/wire/include/endivespan/forward_settings.h
+++ b/packages/wire/include/endivespan/forward_settings.h
@@ -3,6 +3,8 @@
 #include <endivespan/problem.h>
 
 #include <chrono>
+#include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -48,6 +50,7 @@
     std::string logAddress;
     bool firstStart = false; ///< True when no host of the system has served before.
     ForwardBounds bounds;
+    std::optional<std::size_t> memory; ///< Of the machine, in bytes; limits what is held for callers.
 
     bool operator==(const ForwardSettings &) const = default;
 };
--- a/packages/wire/src/forward_settings.cpp
+++ b/packages/wire/src/forward_settings.cpp
@@ -10,6 +10,8 @@
 
 constexpr double MostRatio = 10.0;
 constexpr double MostSlack = 1e6;
+constexpr std::uint64_t LeastMemory = 16 * 1024 * 1024;
+constexpr std::uint64_t MostMemory = 1024ULL * 1024 * 1024 * 1024;
 
 void listenSettings(YamlDocument &document, YamlMap &top, ForwardSettings &settings)
 {
@@ -62,6 +64,17 @@
     return bounds;
 }
 
+std::optional<std::size_t> memorySetting(YamlDocument &document, const YamlMap &top)
+{
+    if (const auto node = top.find("limits")) {
+        YamlMap map(document, *node, "'limits'", {"memory"});
+        if (const std::uint64_t memory = map.size("memory", 0, LeastMemory, MostMemory); memory > 0) {
+            return memory;
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 Checked<ForwardSettings> parseForwardSettings(std::string_view yaml, const std::string &file)
@@ -72,7 +85,7 @@
         YamlMap top(document,
                     *document.root(),
                     "the settings",
-                    {"host", "region", "failure_domain", "listen", "log", "first_start", "bounds"});
+                    {"host", "region", "failure_domain", "listen", "log", "first_start", "bounds", "limits"});
         settings.host = top.name("host");
         settings.region = top.name("region");
         settings.failureDomain = top.name("failure_domain");
@@ -82,6 +95,7 @@
         }
         settings.firstStart = top.flag("first_start", false);
         settings.bounds = boundSettings(document, top);
+        settings.memory = memorySetting(document, top);
     }
     if (document.hasProblems()) {
         return document.problems();
