Multiply the expected times of a server by its pace

Cause: where a third of the engines are 1.3 times slower and the pace changes many times a second, placement compared all servers as if they were equal.

Ruled out: leaving the saving by cached parts as it is. At a slow engine the parts that it caches save more time, and prompts would leave engines that hold their parts for a smaller gain than there is.

Change: for services whose servers report a pace (PlacementNeed::loadControl) the times for prefill, for waiting prompts, the saving by cached parts and the cost of a run at a plain server are multiplied by the expected pace. Penalties and the cost of each running request are not. For all other services the factor is 1.

Figures: three cases are new in tests/core/server_pace.cpp. Of 200 prompts over 8 engines, 4 of which report a pace of 2.5, none goes to the slow ones 100 ms after the report; 60 to 140 do once the report is too old, and without load control more than 60.

Conclusion: a pace counts while its report is recent.

--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -28,6 +28,8 @@
     ColdBound coldBound; ///< Limit for cold servers.
     std::shared_ptr<const RolloutQueue> weightLoadQueue; ///< Engines that are to load weights; null when none are.
     std::size_t urgency = 0; ///< 0 is the most urgent.
+    /// Whether the servers of the service report their pace, so that it counts in the choice.
+    bool loadControl = false;
     std::uint32_t maxInFlight = 0; ///< Maximum number of this host's attempts at one server; 0 for no limit.
     double maxWaiting = 0; ///< Maximum number of requests that wait at one server; 0 for no limit.
     double memoryTokens = 0; ///< Memory of one engine that requests of this urgency may fill; 0 for no limit.
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -41,6 +41,13 @@
                       std::min(hosts, config::MaxHostsPerOwnRequest));
 }
 
+// How long work takes at a server, by which its expected times are multiplied. Pools that do not report a pace are
+// served as if all of their servers were equal.
+double paceOf(const ServerView &view, const PlacementNeed &need, TimePoint now)
+{
+    return need.loadControl ? view.pace.expected(now) : 1;
+}
+
 // Whether the server is cold and limited, so that only the few hosts that hold rights to it send to it now.
 bool isLimitedByRights(const ServerView &view, const PlacementNeed &need, TimePoint now)
 {
@@ -174,7 +181,7 @@
         for (std::size_t place = 0; place < withRoom.candidates.size(); ++place) {
             Candidate candidate = withRoom.candidates.at(place);
             if (candidate.view != nullptr) {
-                candidate.cost -= expectedHitSaving(need, place);
+                candidate.cost -= paceOf(*candidate.view, need, now) * expectedHitSaving(need, place);
                 best = candidate.cost < best.cost ? candidate : best;
             }
         }
@@ -235,8 +242,8 @@
         return {};
     }
 
-    // Expected saving in milliseconds at a place of the rendezvous order: the time to prefill the shared prefix, times
-    // the probability that it is cached there.
+    // Expected saving in milliseconds at a place of the rendezvous order and a server of usual pace: the time to
+    // prefill the shared prefix, times the probability that it is cached there.
     static double expectedHitSaving(const PlacementNeed &need, std::size_t place)
     {
         const bool isEngine = !need.model.empty();
@@ -249,7 +256,7 @@
     static double costOf(const ServerView &view, const PlacementNeed &need, double requests, TimePoint now)
     {
         const bool isEngine = !need.model.empty();
-        double cost = isEngine ? engineCost(view, need, requests, now) : plainCost(view, now);
+        double cost = isEngine ? engineCost(view, need, requests, now) : paceOf(view, need, now) * plainCost(view, now);
         const double failures = view.failureShare(now);
         cost += failures * failures * Milliseconds(config::FailureCost).count();
         if (view.isSilent(config::SilentAvoidAfter, now)) {
@@ -267,11 +274,12 @@
     static double engineCost(const ServerView &view, const PlacementNeed &need, double requests, TimePoint now)
     {
         const auto tokens = static_cast<double>(need.ownTokens + need.sharedTokens + view.prefillTokens);
-        double cost = tokens / need.rates.prefillTokensPerMillisecond;
+        const double pace = paceOf(view, need, now);
+        double cost = pace * tokens / need.rates.prefillTokensPerMillisecond;
         if (view.load) {
             const double waitingPromptTime
                 = config::WaitingReadShare * need.rates.promptTokens / need.rates.prefillTokensPerMillisecond;
-            cost += reportWeight(view, now) * view.load->waiting * waitingPromptTime;
+            cost += pace * reportWeight(view, now) * view.load->waiting * waitingPromptTime;
         }
         cost += requests * Milliseconds(config::RunningCost).count();
         const auto weights = view.entry.weights.find(need.model);
--- a/packages/node/src/forward_send.cpp
+++ b/packages/node/src/forward_send.cpp
@@ -18,6 +18,7 @@
     need.tried = this->tried;
     need.only = this->allowedServers();
     need.answerTokens = this->work.request.answerTokens;
+    need.loadControl = this->task.parts.servers.reportsPace(need.service);
     need.urgency = static_cast<std::size_t>(std::max(this->work.route->priority, 0));
     const auto &parts = this->work.request.parts;
     for (std::size_t i = 0; i < parts.size(); ++i) {
--- a/tests/core/server_pace.cpp
+++ b/tests/core/server_pace.cpp
@@ -1,6 +1,7 @@
 #include "engine_pool.h"
 
 #include <endivespan/config.h>
+#include <endivespan/placement.h>
 #include <endivespan/server_pace.h>
 
 #include <doctest/doctest.h>
@@ -113,3 +114,63 @@
     CHECK(table.find("e0")->pace.longTerm() == 1);
     CHECK_FALSE(table.reportsPace("llm"));
 }
+
+// Replays a pool whose servers have different paces at the moment, with long prompts of which no part is cached.
+TEST_CASE("placement: prompts avoid engines that are slow at the moment, as long as their report is recent")
+{
+    const auto placement = makeExpectedStartPlacement();
+    ServerTable table = enginePool(8);
+    for (int i = 0; i < 8; ++i) {
+        table.reportedLoad("e" + std::to_string(i), {4, 0, 64, i < 4 ? 2.5 : 1.0}, Start);
+    }
+    const auto sentToSlow = [&](bool loadControl, TimePoint now) {
+        int count = 0;
+        for (std::uint64_t prefix = 0; prefix < 200; ++prefix) {
+            PlacementNeed need = promptNeed(prefix);
+            need.sharedTokens = 0;
+            need.ownTokens = 3000;
+            need.loadControl = loadControl;
+            count += placement->choose(table, need, prefix, now).server < "e4" ? 1 : 0;
+        }
+        return count;
+    };
+    CHECK(sentToSlow(true, Start + 100ms) == 0);
+    const int afterwards = sentToSlow(true, Start + config::PaceReportUsableTime + 100ms);
+    CHECK(afterwards > 60);
+    CHECK(afterwards < 140);
+    // Without load control the pace has no influence.
+    CHECK(sentToSlow(false, Start + 100ms) > 60);
+}
+
+// The saving by cached parts is larger at a slow engine, as far as its prefill takes longer.
+TEST_CASE("placement: an engine that is somewhat slow still gets the prompts that it caches, a very slow one does not")
+{
+    const auto placement = makeExpectedStartPlacement();
+    ServerTable table = enginePool(8);
+    PlacementNeed need = promptNeed(7);
+    need.loadControl = true;
+    need.ownTokens = 800;
+    const std::string preferred = placement->choose(table, need, 0, Start).server;
+    table.reportedLoad(preferred, {0, 0, 64, 1.3}, Start);
+    CHECK(placement->choose(table, need, 0, Start).server == preferred);
+    table.reportedLoad(preferred, {0, 0, 64, 6.0}, Start);
+    CHECK(placement->choose(table, need, 0, Start).server != preferred);
+}
+
+TEST_CASE("placement: requests to plain services avoid slow servers until the others are busier")
+{
+    const auto placement = makeExpectedStartPlacement();
+    ServerTable table = enginePool(2);
+    PlacementNeed need;
+    need.service = "llm";
+    need.domain = "z";
+    need.loadControl = true;
+    table.reportedLoad("e0", {8, 0, 64, 3.0}, Start);
+    table.reportedLoad("e1", {16, 0, 64, 1.0}, Start);
+    CHECK(placement->choose(table, need, 0, Start).server == "e1");
+    table.reportedLoad("e1", {32, 0, 64, 1.0}, Start);
+    CHECK(placement->choose(table, need, 0, Start).server == "e0");
+    need.loadControl = false;
+    table.reportedLoad("e1", {16, 0, 64, 1.0}, Start);
+    CHECK(placement->choose(table, need, 0, Start).server == "e0");
+}
