Wait for the usual time before a second attempt under load control

Where servers report their pace, a second attempt takes room that other requests wait for.

Ruled out: a longer timer alone.

Change: for services under load control (ForwardTask::hasLoadControl, false for all until load reports have a pace) the delay is the longer one of today's and the 95th percentile, unless the server sends nothing on all its streams, and the other server must be expected to be first. Each attempt keeps its expected prompt work.

--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -250,6 +250,7 @@
         this->callerTimer.reset();
         this->cancelStandby();
     }
+    this->observeFirstEvent(now);
     if (!this->work.route->isStream || !isSuccess(answerStatus)) {
         return;
     }
@@ -279,6 +280,15 @@
     this->watchSilence();
 }
 
+// The header stands for the first event: servers send it with that, and second attempts are timed up to it.
+void ForwardRun::observeFirstEvent(TimePoint now)
+{
+    if (!this->streaming && isSuccess(this->active.status)) {
+        const Duration time = this->active.headAt - this->active.startedAt;
+        this->task.firstEvents.observe(this->kindOf(this->active), time, now);
+    }
+}
+
 // Restarts the silence timer of a request that may be repeated.
 void ForwardRun::watchSilence()
 {
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -35,6 +35,7 @@
     std::string address;
     ServerIncarnation life; ///< Server and start time of the server; kept when the attempt has ended.
     std::uint64_t tokens = 0; ///< Prompt tokens that the engine must process before the answer begins.
+    std::uint64_t work = 0; ///< Those of them that are expected not to be cached or fetched.
     std::uint64_t weights = 0; ///< Version of the weights that the attempt requires; 0 for none.
     std::string fetchedFrom; ///< Store that the last fetched part comes from; empty for none.
     TimePoint startedAt;
@@ -125,6 +126,8 @@
     void markSent(ForwardAttempt &attempt);
     void markPrefilled(ForwardAttempt &attempt);
     void watchAnswer();
+    /// Records the time until the answer of the active attempt began.
+    void observeFirstEvent(TimePoint now);
     void watchSilence();
     [[nodiscard]] ForwardAttempt &attemptOf(std::uint32_t number);
 
@@ -146,12 +149,23 @@
                        const std::string &likelyHolder,
                        TimePoint now);
 
+    /// @returns the prompt tokens that the server of @p choice is expected to process itself.
+    [[nodiscard]] std::uint64_t expectedWork(const ForwardDispatch &dispatch, const PlacementChoice &choice) const;
     void logColdSend(const ServerView &view, TimePoint now);
 
     // In forward_standby.cpp.
 
     /// @returns a server that is expected to answer an attempt standing by for the silent one.
     [[nodiscard]] PlacementChoice placeStandby(TimePoint now);
+    /// @returns true, with the timer set, when requests such as this one usually take longer than the latest attempt
+    /// has
+    ///     taken until its answer begins, so that it is too early for another one.
+    [[nodiscard]] bool awaitUsualTime(TimePoint now);
+    /// @returns whether the server of @p attempt sends nothing to any request.
+    [[nodiscard]] bool isServerGone(const ForwardAttempt &attempt, TimePoint now) const;
+    /// @returns whether @p other is expected to answer soon enough to be worth a second attempt.
+    [[nodiscard]] bool isWorthStandby(const PlacementChoice &other, TimePoint now) const;
+    [[nodiscard]] FirstEventKind kindOf(const ForwardAttempt &attempt) const;
     /// Sends an attempt that stands by, if a server has room for it, in the place of an earlier one that is silent too.
     void startStandby(TimePoint now);
     /// Ends the attempt that stands by, since the active one goes on or the run ends.
--- a/packages/node/src/forward_send.cpp
+++ b/packages/node/src/forward_send.cpp
@@ -121,6 +121,19 @@
     }
 }
 
+// Shared parts are expected in the memory of the first engine in their rendezvous order, which has no likelier holder.
+std::uint64_t ForwardRun::expectedWork(const ForwardDispatch &dispatch, const PlacementChoice &choice) const
+{
+    const auto &parts = this->work.request.parts;
+    const std::vector<std::string> &fetch = dispatch.transfers.fetch;
+    std::uint64_t tokens = parts.empty() ? 0 : parts.back().tokens;
+    for (std::size_t i = 0; i + 1 < parts.size() && !choice.likelyHolder.empty(); ++i) {
+        const bool isFetched = i < fetch.size() && !fetch[i].empty() && fetch[i] != choice.likelyHolder;
+        tokens += isFetched ? 0 : parts[i].tokens;
+    }
+    return tokens;
+}
+
 void ForwardRun::sendActive(const PlacementChoice &choice, TimePoint now)
 {
     this->waitTimer.reset();
@@ -154,6 +167,7 @@
     }
     dispatch.lastEvent = this->lastEvent ? this->lastEvent : this->work.request.lastEvent;
     attempt.weights = dispatch.weights.value_or(0);
+    attempt.work = this->expectedWork(dispatch, choice);
 
     const HttpRequest &received = this->work.exchange->request();
     PooledCall call;
--- a/packages/node/src/forward_standby.cpp
+++ b/packages/node/src/forward_standby.cpp
@@ -3,6 +3,7 @@
 
 #include <endivespan/config.h>
 
+#include <algorithm>
 #include <utility>
 
 // The part of ForwardRun that keeps a second attempt ready while a server is silent. A sound server may send nothing
@@ -15,20 +16,58 @@
 
 } // namespace
 
+FirstEventKind ForwardRun::kindOf(const ForwardAttempt &attempt) const
+{
+    return {this->work.route->name, attempt.work};
+}
+
+// Where servers report their pace, a second attempt takes room that other requests wait for. It waits for the usual
+// time of such requests then, unless the server sends nothing to any request.
+bool ForwardRun::awaitUsualTime(TimePoint now)
+{
+    if (this->streaming || this->active.status != 0 || this->standby.headAt != TimePoint {}
+        || !this->task.hasLoadControl(this->work.service)) {
+        return false;
+    }
+    const ForwardAttempt &latest = this->standby.isUnderWay() ? this->standby : this->active;
+    const Duration left = this->task.firstEvents.waitLeft(
+        this->kindOf(latest), now - latest.startedAt, this->isServerGone(latest, now), now);
+    if (left <= Duration::zero()) {
+        return false;
+    }
+    this->waitTimer = this->task.parts.loop.after(std::min<Duration>(left, config::SecondAttemptCheckPeriod),
+                                                  [this] { this->onServerSilent(); });
+    return true;
+}
+
+bool ForwardRun::isServerGone(const ForwardAttempt &attempt, TimePoint now) const
+{
+    const ServerView *asked = this->task.parts.servers.find(attempt.server);
+    return asked == nullptr || asked->isSilent(config::ForwardStreamSilence - config::SilenceMargin, now);
+}
+
 // When all servers are slow, a second attempt would only add load, so that another server must be expected to answer
-// soon. This does not apply to a server that sends nothing for any request: it may never answer.
+// soon.
+bool ForwardRun::isWorthStandby(const PlacementChoice &other, TimePoint now) const
+{
+    const auto soon = this->work.route->aim * config::HedgeShare;
+    if (other.expected > soon || (!this->work.request.model.empty() && this->task.firstByteTime() > soon)) {
+        return false;
+    }
+    return this->streaming || !this->task.hasLoadControl(this->work.service)
+        || this->task.firstEvents.isSecondFirst(
+            this->kindOf(this->active), now - this->active.startedAt, other.expected, now);
+}
+
+// A server that sends nothing for any request may never answer, so that any other one is better.
 PlacementChoice ForwardRun::placeStandby(TimePoint now)
 {
     PlacementChoice other = this->task.place(this->need(), now);
-    const auto soon = this->work.route->aim * config::HedgeShare;
-    const bool isSoon
-        = other.expected <= soon && (this->work.request.model.empty() || this->task.firstByteTime() <= soon);
-    const ServerView *asked = this->task.parts.servers.find(this->active.server);
-    const bool isGone = asked == nullptr || asked->isSilent(config::ForwardStreamSilence - config::SilenceMargin, now);
+    const bool isGone = this->isServerGone(this->active, now);
     if (isGone) {
         this->reportLostAttempt(this->active, LossKind::Silent, now);
     }
-    if (!isSoon && !isGone) {
+    if (!isGone && !this->isWorthStandby(other, now)) {
         other.server.clear();
     }
     return other;
@@ -38,6 +77,9 @@
 void ForwardRun::onServerSilent()
 {
     const TimePoint now = this->task.parts.loop.now();
+    if (this->awaitUsualTime(now)) {
+        return;
+    }
     this->task.pool->closeIdle(this->active.address);
     if (!this->streaming && this->active.status != 0) {
         return;
@@ -134,6 +176,9 @@
 void ForwardRun::takeOver()
 {
     const TimePoint now = this->task.parts.loop.now();
+    if (this->active.status == 0) {
+        this->task.firstEvents.observeGivenUp(this->kindOf(this->active), now - this->active.startedAt, now);
+    }
     this->logFailedAttempt(this->active, SilentServer);
     this->waitTimer.reset();
     this->endAttempt(this->active, AttemptOutcome::Failed);
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -19,6 +19,12 @@
     return {bounds.retryRatio, bounds.retrySlack, bounds.retryWindow};
 }
 
+// Load reports have no pace yet.
+bool reportsPace(const ServerTable & /*servers*/, const std::string & /*service*/)
+{
+    return false;
+}
+
 } // namespace
 
 ForwardTask::ForwardTask(ForwardParts parts)
@@ -369,6 +375,11 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(this->firstByte.mean()));
 }
 
+bool ForwardTask::hasLoadControl(const std::string &service) const
+{
+    return this->parts.settings.bounds.loadControl || reportsPace(this->parts.servers, service);
+}
+
 bool ForwardTask::wait(ForwardRun &run)
 {
     if (this->waiting.size() >= config::ForwardQueueBound) {
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -10,6 +10,7 @@
 #include <endivespan/crash_watch.h>
 #include <endivespan/engine_model.h>
 #include <endivespan/event_log.h>
+#include <endivespan/first_event_times.h>
 #include <endivespan/forward_codec.h>
 #include <endivespan/forward_settings.h>
 #include <endivespan/host_roster.h>
@@ -110,6 +111,9 @@
     /// @returns the smoothed mean of these times.
     [[nodiscard]] Duration firstByteTime() const;
 
+    /// @returns whether the rules for services whose servers report their pace apply to @p service.
+    [[nodiscard]] bool hasLoadControl(const std::string &service) const;
+
     /// @returns when endAll() will be called; nothing until the host stops.
     [[nodiscard]] std::optional<TimePoint> endOfStop() const;
 
@@ -160,6 +164,7 @@
     std::unique_ptr<HttpPool> pool;
     RetryShare retries;
     EngineModel engines;
+    FirstEventTimes firstEvents;
     CrashWatch crashes;
     std::mt19937_64 random;
 
--- a/packages/wire/include/endivespan/forward_settings.h
+++ b/packages/wire/include/endivespan/forward_settings.h
@@ -32,6 +32,8 @@
     std::chrono::milliseconds retryWindow {10000};
     double coldFactor = 1.0; ///< Multiplies the request rate that a cold server states.
     double coldSlack = 0; ///< Requests per second allowed in addition.
+    /// Applies the rules for servers that report their pace to all servers. Not a setting yet; for tests.
+    bool loadControl = false;
 
     bool operator==(const ForwardBounds &) const = default;
 };
