Apply the rule for second attempts where servers report a pace

The function that stood for the reports while they were built apart is replaced by ServerTable::reportsPace().

--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -19,12 +19,6 @@
     return {bounds.retryRatio, bounds.retrySlack, bounds.retryWindow};
 }
 
-// Load reports have no pace yet.
-bool reportsPace(const ServerTable & /*servers*/, const std::string & /*service*/)
-{
-    return false;
-}
-
 } // namespace
 
 ForwardTask::ForwardTask(ForwardParts parts)
@@ -377,7 +371,7 @@
 
 bool ForwardTask::hasLoadControl(const std::string &service) const
 {
-    return this->parts.settings.bounds.loadControl || reportsPace(this->parts.servers, service);
+    return this->parts.settings.bounds.loadControl || this->parts.servers.reportsPace(service);
 }
 
 bool ForwardTask::wait(ForwardRun &run)
