Add the setting load_control

Cause: the queue with a forecast is for contended services only; a deployment needs a way to force it or to keep it off.

Ruled out: a setting per service. The configuration of services comes from operators and has no place for it.

Change: `load_control: auto|always|never`, default auto. It is read at startup.

Figures: the new case of core_tests passes (default, three values, one wrong value).

--- a/packages/wire/include/endivespan/forward_settings.h
+++ b/packages/wire/include/endivespan/forward_settings.h
@@ -36,6 +36,13 @@
     bool operator==(const ForwardBounds &) const = default;
 };
 
+/// For which services requests wait in a queue with a forecast, see ForwardQueue.
+enum class LoadControl {
+    Auto, ///< For those whose servers report a pace.
+    Always,
+    Never,
+};
+
 /// Settings that a host reads at startup.
 struct ForwardSettings {
     std::string host;
@@ -48,6 +55,7 @@
     std::string logAddress;
     bool firstStart = false; ///< True when no host of the system has served before.
     ForwardBounds bounds;
+    LoadControl loadControl = LoadControl::Auto;
 
     bool operator==(const ForwardSettings &) const = default;
 };
--- a/packages/wire/src/forward_settings.cpp
+++ b/packages/wire/src/forward_settings.cpp
@@ -72,7 +72,7 @@
         YamlMap top(document,
                     *document.root(),
                     "the settings",
-                    {"host", "region", "failure_domain", "listen", "log", "first_start", "bounds"});
+                    {"host", "region", "failure_domain", "listen", "log", "first_start", "bounds", "load_control"});
         settings.host = top.name("host");
         settings.region = top.name("region");
         settings.failureDomain = top.name("failure_domain");
@@ -82,6 +82,10 @@
         }
         settings.firstStart = top.flag("first_start", false);
         settings.bounds = boundSettings(document, top);
+        settings.loadControl = top.choice<LoadControl>(
+            "load_control",
+            settings.loadControl,
+            {{"auto", LoadControl::Auto}, {"always", LoadControl::Always}, {"never", LoadControl::Never}});
     }
     if (document.hasProblems()) {
         return document.problems();
--- a/tests/core/settings.cpp
+++ b/tests/core/settings.cpp
@@ -1,3 +1,4 @@
+#include <endivespan/forward_settings.h>
 #include <endivespan/settings.h>
 
 #include <doctest/doctest.h>
@@ -136,3 +137,21 @@
         = parseSettings(std::string(CompleteSettings) + "---\n" + std::string(CompleteSettings), "host.yaml");
     CHECK(two.error().front().reason == "a second document begins here; one is allowed");
 }
+
+// Guards against a mistake in the value that silently leaves the default in force.
+TEST_CASE("settings of a forwarding host: load control is automatic unless the file says otherwise")
+{
+    const std::string base = "host: h\nregion: r\nfailure_domain: z\nlog: {address: 127.0.0.1:9000}\n"
+                             "listen: {callers: 127.0.0.1:1, readiness: 127.0.0.1:2, peers: 127.0.0.1:3,"
+                             " metrics: 127.0.0.1:4}\n";
+    const auto parse = [&base](const std::string &line) { return parseForwardSettings(base + line, "host.yaml"); };
+    REQUIRE(parse(""));
+    CHECK(parse("").value().loadControl == LoadControl::Auto);
+    CHECK(parse("load_control: auto\n").value().loadControl == LoadControl::Auto);
+    CHECK(parse("load_control: always\n").value().loadControl == LoadControl::Always);
+    CHECK(parse("load_control: never\n").value().loadControl == LoadControl::Never);
+    const auto wrong = parse("load_control: yes\n");
+    REQUIRE(!wrong);
+    CHECK(wrong.error().front().reason
+          == "'load_control' in the settings is 'yes', must be one of: auto, always, never");
+}
