Let requests of services under load control wait in the queue with a forecast

The queue of the core was not used by any task.

Ruled out: a search for a server before the request is queued. It would let a less urgent request take a place that a more urgent one waits for, so that each request goes through the queue, which starts it at once when none precedes it. A timer for each request: the queue is reviewed on load reports of this host's answers, ends of its attempts, changes of the list and the 100 ms tick; one timer is left for the wait without a forecast, which may be shorter than a tick.

Change: ForwardTask offers room in rounds and refuses what the queue gives up; ForwardRun counts the times of answers, and sends a queued request only when its server is expected to have room within 50 ms. Retry-After follows the forecast. New: metrics queue_refusals_total{cause}, queue_wait_seconds, queued_requests; log field room_in_ms; waited_ms also for refusals by the queue. A start in a round that began before the request came no longer counts a negative gap. Services without load control take the same path as before; with `auto` no service has it until load reports carry a pace.

Conclusion: works with a placement that gives no forecast, by the earlier rule for the wait. The forecast itself is shown by the replays of core_tests only, until placement fills roomIn.

--- a/packages/core/include/endivespan/forward_queue.h
+++ b/packages/core/include/endivespan/forward_queue.h
@@ -128,9 +128,6 @@
     /// @returns the requests that wait no longer, which are removed.
     std::vector<QueueRefusal> finishRound();
 
-    /// Records the start of a request that was not added, since no request of its service waited.
-    void startedAtOnce(const QueuedRequest &request, TimePoint now);
-
     /// @returns the recent use of an organisation, in tokens.
     [[nodiscard]] double recentUse(const std::string &organisation, TimePoint now) const;
 
--- a/packages/core/src/forward_queue.cpp
+++ b/packages/core/src/forward_queue.cpp
@@ -232,7 +232,7 @@
     if (entry == this->entries.end()) {
         return Duration::zero();
     }
-    const Duration waited = this->roundAt - entry->second.since;
+    const Duration waited = std::max(this->roundAt - entry->second.since, Duration::zero());
     this->noteUse(entry->second.request, this->roundAt);
     this->noteStart(entry->second);
     this->noteDelay(entry->second);
@@ -241,11 +241,6 @@
     return waited;
 }
 
-void ForwardQueue::startedAtOnce(const QueuedRequest &request, TimePoint now)
-{
-    this->noteUse(request, now);
-}
-
 void ForwardQueue::noteUse(const QueuedRequest &request, TimePoint now)
 {
     const double used = this->recentUse(request.organisation, now);
@@ -270,7 +265,7 @@
 {
     for (auto &[level, flow] : this->flows) {
         if (isAtMostAsUrgent(waiting.request, level)) {
-            const double gap = Milliseconds(this->roundAt - flow.countsFrom).count();
+            const double gap = std::max(Milliseconds(this->roundAt - flow.countsFrom).count(), 0.0);
             flow.gap += config::QueueGapSmoothing * (gap - flow.gap);
             flow.countsFrom = this->roundAt;
         }
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -58,6 +58,9 @@
 void ForwardRun::attempt()
 {
     const TimePoint now = this->task.parts.loop.now();
+    if (this->task.hasLoadControl(this->work.service)) {
+        return this->attemptInTurn(now);
+    }
     if (this->tryPlace(now)) {
         return;
     }
@@ -69,15 +72,63 @@
         return;
     }
     if (this->task.wait(*this)) {
-        const auto longest = std::max<std::chrono::milliseconds>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(this->work.route->aim * config::ForwardWaitShare),
-            config::ForwardLeastWait);
+        const Duration longest = waitWithoutForecast(this->work.route->aim);
         this->waitTimer = this->task.parts.loop.after(longest, [this] { this->refuse(RefusalCause::NoPlaceInTime); });
         return;
     }
     this->refuse(RefusalCause::QueueFull);
 }
 
+// Sends the first attempt in the order of the queue, also when a server has room: a more urgent request may wait for
+// it.
+void ForwardRun::attemptInTurn(TimePoint now)
+{
+    this->isQueued = true;
+    this->task.startInTurn(*this, this->queuedRequest());
+    if (this->ended || this->active.isUnderWay()) {
+        return;
+    }
+    if (this->task.parts.servers.restEndsAt(this->work.service, now)) {
+        return this->refuse(RefusalCause::ServersRest);
+    }
+    // The queue is reviewed at each tick, which is too late for the shorter wait without a forecast.
+    this->waitTimer
+        = this->task.parts.loop.after(waitWithoutForecast(this->work.route->aim), [this] { this->task.retryQueued(); });
+}
+
+QueuedRequest ForwardRun::queuedRequest() const
+{
+    QueuedRequest request;
+    request.service = this->work.service;
+    request.model = this->work.request.model;
+    request.route = this->work.route->name;
+    request.aim = this->work.route->aim;
+    request.deadline = this->work.deadline;
+    int priority = this->work.route->priority;
+    if (this->work.organisation != nullptr) {
+        request.organisation = this->work.organisation->name;
+        priority = this->work.organisation->priority.value_or(priority);
+    }
+    request.urgency = static_cast<std::size_t>(std::max(priority, 0));
+    if (!request.model.empty()) {
+        request.tokens = this->work.request.answerTokens;
+        for (const PromptPart &part : this->work.request.parts) {
+            request.tokens += part.tokens;
+        }
+    }
+    return request;
+}
+
+void ForwardRun::refuseQueued(const QueueRefusal &refusal)
+{
+    this->refuse(refusal.cause, refusal.roomIn);
+}
+
+std::optional<Duration> ForwardRun::roomIn() const
+{
+    return this->lastChoice.roomIn;
+}
+
 bool ForwardRun::retryPlace(TimePoint now)
 {
     if (this->ended) {
@@ -115,7 +166,9 @@
         this->refuse(RefusalCause::StopBeforeAnswer);
         return false;
     }
-    if (!choice.server.empty()) {
+    // A queued request waits here rather than at a server that cannot start it soon. Repeats are not queued.
+    if (!choice.server.empty() && (!this->isQueued || isRoomNear(choice.roomIn))) {
+        this->isQueued = false;
         this->sendActive(choice, now);
         return true;
     }
@@ -199,6 +252,7 @@
     ServerAnswer answer = this->task.parts.codec.decodeAnswer(answerStatus, fields);
     if (answer.load) {
         this->task.parts.servers.reportedLoad(attempt.server, *answer.load, now);
+        this->task.retryQueued();
     }
     if (answer.weights && !this->work.request.model.empty()) {
         this->task.parts.servers.reportedWeights(attempt.server, this->work.request.model, *answer.weights);
@@ -368,6 +422,7 @@
     }
     if (isSuccess(this->active.status)) {
         this->recordAnswer(this->task.parts.loop.now());
+        this->recordAnswerTime(this->task.parts.loop.now());
     }
     this->replyAnswer(this->active.status, this->active.headers, this->active.body);
 }
@@ -408,6 +463,14 @@
     }
 }
 
+void ForwardRun::recordAnswerTime(TimePoint now)
+{
+    this->task.queue.answerTimes.observe(this->work.route->name,
+                                         this->work.route->aim,
+                                         this->active.headAt - this->active.startedAt,
+                                         now - this->active.headAt);
+}
+
 void ForwardRun::onStreamEnd()
 {
     const TimePoint now = this->task.parts.loop.now();
@@ -429,6 +492,7 @@
     this->cancelStandby();
     this->endAttempt(this->active, AttemptOutcome::Answered);
     this->recordAnswer(now);
+    this->recordAnswerTime(now);
     this->work.exchange->endStream();
     this->finish(StatusOk, outcome::Answered, "", LogRank::Routine);
 }
@@ -556,6 +620,8 @@
 {
     this->cancelStandby();
     if (this->active.isUnderWay()) {
+        this->task.queue.answerTimes.observeIncomplete(
+            this->work.route->name, this->work.route->aim, this->task.parts.loop.now() - this->active.startedAt);
         this->abandonAttempt(this->active, AttemptOutcome::Failed);
         this->ranAt.insert(this->active.life.server);
     }
@@ -613,7 +679,7 @@
 }
 
 // Refuses a request that has certainly not run. If an attempt may have run after all, cut() answers the caller.
-void ForwardRun::refuse(RefusalCause cause)
+void ForwardRun::refuse(RefusalCause cause, std::optional<Duration> roomIn)
 {
     if (this->ended) {
         return;
@@ -629,11 +695,16 @@
     const bool loaded = kind == ErrorKind::Overloaded;
     const auto restEndsAt
         = loaded ? this->task.parts.servers.restEndsAt(this->work.service, now) : std::optional<TimePoint>();
-    this->task.replyRefusal(*this->work.exchange,
-                            this->work.request.id,
-                            {kind, std::string(why)},
-                            toMilliseconds(this->work.deadline - now),
-                            restEndsAt ? std::optional(*restEndsAt - now) : std::nullopt);
+    RefusalTimes times {toMilliseconds(this->work.deadline - now)};
+    if (restEndsAt) {
+        times.restIn = *restEndsAt - now;
+    } else if (loaded && this->task.hasLoadControl(this->work.service)) {
+        times.roomIn = roomIn ? roomIn : this->lastChoice.roomIn;
+    }
+    if (this->isQueued) {
+        this->waited = now - this->work.arrivedAt;
+    }
+    this->task.replyRefusal(*this->work.exchange, this->work.request.id, {kind, std::string(why)}, times);
     this->finish(errorAnswer(kind).httpStatus, errorAnswer(kind).name, why, LogRank::Failure);
 }
 
@@ -689,8 +760,8 @@
         servers += servers.empty() ? id : "," + id;
     }
     const auto age = this->task.parts.confirmation.statement(this->task.parts.membership, now).confirmedAge;
-    this->task.parts.events.line("request", rank)
-        .with("request", this->work.request.id)
+    LogLine line = this->task.parts.events.line("request", rank);
+    line.with("request", this->work.request.id)
         .with("alike", fingerprintText(this->work.keys.request))
         .with("outcome", result)
         .with("status", static_cast<std::uint64_t>(finalStatus))
@@ -720,6 +791,9 @@
         .with("first_ms",
               this->firstByteAt == TimePoint {} ? Duration::zero() : this->firstByteAt - this->work.arrivedAt)
         .with("total_ms", now - this->work.arrivedAt);
+    if (this->lastChoice.roomIn) {
+        line.with("room_in_ms", *this->lastChoice.roomIn);
+    }
     this->task.parts.metrics.count("outcomes_total", "outcome=\"" + std::string(result) + "\"");
     this->task.parts.metrics.observe("request_seconds", now - this->work.arrivedAt);
     if (this->firstByteAt != TimePoint {}) {
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -78,6 +78,12 @@
     /// @returns whether the run no longer waits: it has sent an attempt or has ended.
     bool retryPlace(TimePoint now);
 
+    /// Refuses a run that waited in the queue.
+    void refuseQueued(const QueueRefusal &refusal);
+
+    /// @returns the time until a server is expected to have room, by the latest search.
+    [[nodiscard]] std::optional<Duration> roomIn() const;
+
     /// Ends the run because this host stops.
     void stop();
 
@@ -88,6 +94,8 @@
 
 private:
     void attempt();
+    void attemptInTurn(TimePoint now);
+    [[nodiscard]] QueuedRequest queuedRequest() const;
     bool tryPlace(TimePoint now);
 
     void onHead(std::uint32_t number, int status, const HttpHeaders &headers);
@@ -103,6 +111,7 @@
     [[nodiscard]] bool repeatFailed(std::string_view why);
     void replyAnswer(int status, const HttpHeaders &headers, std::string_view body);
     void recordAnswer(TimePoint now);
+    void recordAnswerTime(TimePoint now);
     void onFailure(std::uint32_t number, const HttpFailure &failure);
     void onActiveFailure(const HttpFailure &failure);
     void onServerSilent();
@@ -168,7 +177,8 @@
     /// Makes the attempt that stands by the active one, which has ended.
     void promoteStandby();
 
-    void refuse(RefusalCause cause);
+    /// @param roomIn Time until a server is expected to have room, if known.
+    void refuse(RefusalCause cause, std::optional<Duration> roomIn = std::nullopt);
     /// Ends the answer to the caller with what is known, in the place of an answer of a server.
     void cut(std::string_view why);
     void cut(ErrorKind kind, std::string_view why);
@@ -195,6 +205,7 @@
     std::uint64_t partsSought = 0; ///< Parts that engines were told to fetch from another engine, over all attempts.
     std::optional<ForwardAnswer> failedAnswer; ///< The latest complete failure of a server, unless a success follows.
     PlacementChoice lastChoice; ///< Result of the latest search for a server.
+    bool isQueued = false; ///< It waits in the queue of services under load control.
     bool streaming = false; ///< The header of a streamed answer was sent to the caller.
     std::uint64_t bytesInsideEvent = 0; ///< Bytes after the last complete event of a stream that ended.
     std::optional<std::uint64_t> lastEvent; ///< Last event that was sent to the caller completely.
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -109,14 +109,14 @@
 std::chrono::milliseconds ForwardTask::replyRefusal(HttpExchange &exchange,
                                                     const std::string &requestId,
                                                     const Error &error,
-                                                    std::chrono::milliseconds timeLeft,
-                                                    std::optional<Duration> roomIn)
+                                                    const RefusalTimes &times)
 {
     ErrorContext context {this->parts.settings.host, requestId, {}};
     if (errorAnswer(error.kind).retryable) {
-        context.retryAfter = this->retryAfter(error.kind, timeLeft);
-        if (roomIn) {
-            context.retryAfter += std::chrono::ceil<std::chrono::milliseconds>(*roomIn);
+        context.retryAfter = times.roomIn ? retryAfterRoom(*times.roomIn, times.left, this->random())
+                                          : this->retryAfter(error.kind, times.left);
+        if (times.restIn) {
+            context.retryAfter += std::chrono::ceil<std::chrono::milliseconds>(*times.restIn);
         }
     }
     HttpHeaders headers = errorHeaders(error, context);
@@ -131,7 +131,7 @@
 {
     const ErrorAnswer &answer = errorAnswer(error.kind);
     const auto retryAfter
-        = this->replyRefusal(exchange, request.id, error, request.deadline.value_or(config::ForwardDefaultDeadline));
+        = this->replyRefusal(exchange, request.id, error, {request.deadline.value_or(config::ForwardDefaultDeadline)});
     const OperatorState &state = this->parts.operators.state();
     this->parts.events.line("request_refused", LogRank::Failure)
         .with("request", request.id)
@@ -369,6 +369,12 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(this->firstByte.mean()));
 }
 
+bool ForwardTask::hasLoadControl(const std::string & /*service*/) const
+{
+    // Automatic control looks for a pace in the load reports of the servers of the service, which have none yet.
+    return this->parts.settings.loadControl == LoadControl::Always;
+}
+
 bool ForwardTask::wait(ForwardRun &run)
 {
     if (this->waiting.size() >= config::ForwardQueueBound) {
@@ -381,10 +387,65 @@
 void ForwardTask::stopWaiting(const ForwardRun &run)
 {
     std::erase(this->waiting, &run);
+    const auto found
+        = std::find_if(this->queued.begin(), this->queued.end(), [&run](auto &entry) { return entry.second == &run; });
+    if (found != this->queued.end()) {
+        this->queue.remove(found->first, this->parts.loop.now());
+        this->queued.erase(found);
+    }
+}
+
+void ForwardTask::startInTurn(ForwardRun &run, QueuedRequest request)
+{
+    this->queued[this->queue.add(std::move(request), this->parts.loop.now())] = &run;
+    this->offerRoom();
+}
+
+void ForwardTask::retryQueued()
+{
+    if (!this->queued.empty() && this->queueWakeup == nullptr) {
+        this->queueWakeup = this->parts.loop.after(Duration::zero(), [this] {
+            this->queueWakeup.reset();
+            this->offerRoom();
+        });
+    }
+}
+
+void ForwardTask::offerRoom()
+{
+    // The answer to a refused caller may bring its next request, which gets a round of its own.
+    if (this->isOfferingRoom) {
+        return this->retryQueued();
+    }
+    this->isOfferingRoom = true;
+    const TimePoint now = this->parts.loop.now();
+    this->queue.startRound(now);
+    while (const auto key = this->queue.next()) {
+        this->offerRoom(*key, now);
+    }
+    for (const QueueRefusal &refusal : this->queue.finishRound()) {
+        this->parts.metrics.count("queue_refusals_total",
+                                  "cause=\"" + std::string(refusalAnswer(refusal.cause).name) + "\"");
+        if (const auto run = this->queued.find(refusal.key); run != this->queued.end()) {
+            run->second->refuseQueued(refusal);
+        }
+    }
+    this->isOfferingRoom = false;
+}
+
+void ForwardTask::offerRoom(QueueKey key, TimePoint now)
+{
+    ForwardRun &run = *this->queued.at(key);
+    if (!run.retryPlace(now)) {
+        this->queue.noRoom(key, run.roomIn());
+    } else if (this->queued.erase(key) > 0) {
+        this->parts.metrics.observe("queue_wait_seconds", this->queue.started(key));
+    }
 }
 
 void ForwardTask::retryWaiting()
 {
+    this->retryQueued();
     if (!this->waiting.empty() && this->wakeup == nullptr) {
         this->wakeup = this->parts.loop.after(Duration::zero(), [this] {
             this->wakeup.reset();
@@ -423,6 +484,7 @@
         this->weightLoadQueues[model]
             = rolloutQueue(this->parts.servers, model, newest, rolloutPace(this->parts.settings.bounds));
     }
+    this->parts.metrics.gauge("queued_requests", "", static_cast<double>(this->queue.size()));
     this->retryWaiting();
 }
 
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -11,6 +11,7 @@
 #include <endivespan/engine_model.h>
 #include <endivespan/event_log.h>
 #include <endivespan/forward_codec.h>
+#include <endivespan/forward_queue.h>
 #include <endivespan/forward_settings.h>
 #include <endivespan/host_roster.h>
 #include <endivespan/http_pool.h>
@@ -55,6 +56,14 @@
     EventLog &events;
 };
 
+/// Times that say when a refused caller may return.
+struct RefusalTimes {
+    std::chrono::milliseconds left {}; ///< Until the request's deadline.
+    std::optional<Duration>
+        restIn {}; ///< Until servers that have asked for a rest accept requests again, if they have.
+    std::optional<Duration> roomIn {}; ///< Until a server is expected to have room, if known.
+};
+
 /// Owns the runs of all requests under way and the connections to servers.
 class ForwardTask
 {
@@ -113,27 +122,32 @@
     /// @returns when endAll() will be called; nothing until the host stops.
     [[nodiscard]] std::optional<TimePoint> endOfStop() const;
 
-    /// Queues a run until a server may have room.
-    /// @returns false when the queue is full.
+    /// @returns whether the requests of @p service wait in the queue with a forecast.
+    [[nodiscard]] bool hasLoadControl(const std::string &service) const;
+
+    /// Lets a run wait until a server may have room, for a service without load control.
+    /// @returns false when too many wait.
     bool wait(ForwardRun &run);
-    /// Removes a run from the queue.
+
+    /// Lets a run of a service under load control start in its turn, which may be at once, or refuses it.
+    void startInTurn(ForwardRun &run, QueuedRequest request);
+
+    /// Removes a run from those that wait.
     void stopWaiting(const ForwardRun &run);
 
-    /// Lets the queued runs try again, after the current event.
+    /// Lets all runs that wait try again, after the current event.
     void retryWaiting();
 
+    /// Lets those of services under load control try again, after the current event.
+    void retryQueued();
+
     /// Ends a run; it is destroyed once the current callbacks have returned.
     void finish(ForwardRun &run);
 
     /// Refuses a request that has certainly not run.
-    /// @param timeLeft Until the request's deadline.
-    /// @param roomIn Time until servers accept requests again, if known.
     /// @returns the time after which the caller is told to retry; 0 when the error is not retryable.
-    std::chrono::milliseconds replyRefusal(HttpExchange &exchange,
-                                           const std::string &requestId,
-                                           const Error &error,
-                                           std::chrono::milliseconds timeLeft,
-                                           std::optional<Duration> roomIn = std::nullopt);
+    std::chrono::milliseconds
+    replyRefusal(HttpExchange &exchange, const std::string &requestId, const Error &error, const RefusalTimes &times);
 
     /// Records that an attempt was lost: it got no complete answer and its server gave no reason, so that the server
     /// may have crashed.
@@ -161,6 +175,7 @@
     RetryShare retries;
     EngineModel engines;
     CrashWatch crashes;
+    ForwardQueue queue; ///< The runs of services under load control that wait.
     std::mt19937_64 random;
 
 private:
@@ -168,6 +183,8 @@
     void watchCrashes(TimePoint now);
     void applyFinding(const CrashFinding &finding, TimePoint now);
     void sampleMemory();
+    void offerRoom();
+    void offerRoom(QueueKey key, TimePoint now);
     [[nodiscard]] std::chrono::milliseconds retryAfter(ErrorKind kind, std::chrono::milliseconds timeLeft);
 
     std::unique_ptr<Placement> placement;
@@ -179,7 +196,10 @@
     std::vector<std::unique_ptr<ForwardRun>> ended; ///< Destroyed after the current callbacks.
     std::unique_ptr<Timer> cleanup;
     std::unique_ptr<Timer> wakeup;
-    std::vector<ForwardRun *> waiting;
+    std::unique_ptr<Timer> queueWakeup;
+    std::vector<ForwardRun *> waiting; ///< Of services without load control.
+    std::map<QueueKey, ForwardRun *> queued;
+    bool isOfferingRoom = false;
     SmoothedMean firstByte {0, config::FirstByteSmoothing}; ///< Of engines, in milliseconds.
     bool refusing = false;
     std::optional<TimePoint> end; ///< When endAll() will be called; unset until the host stops.
--- a/tests/core/forward_queue.cpp
+++ b/tests/core/forward_queue.cpp
@@ -43,6 +43,14 @@
     return order;
 }
 
+void startAtOnce(ForwardQueue &queue, const QueuedRequest &request, TimePoint now)
+{
+    const QueueKey key = queue.add(request, now);
+    queue.startRound(now);
+    CHECK(queue.next() == key);
+    CHECK(queue.started(key) == Duration::zero());
+}
+
 /// What became of one request of a replayed load.
 struct Fate {
     QueuedRequest request;
@@ -343,7 +351,7 @@
 TEST_CASE("forward queue: order is by urgency, then least recent use, then least time left for a start")
 {
     ForwardQueue queue;
-    queue.startedAtOnce(request(0, "niitty"), Start);
+    startAtOnce(queue, request(0, "niitty"), Start);
     const QueueKey least = queue.add(request(2, "suo", 1s), Start);
     const QueueKey used = queue.add(request(1, "niitty", 1s), Start);
     const QueueKey late = queue.add(request(1, "lehto", 3s), Start);
@@ -373,11 +381,11 @@
 TEST_CASE("forward queue: recent use is forgotten, and the number of organisations is bounded")
 {
     ForwardQueue queue;
-    queue.startedAtOnce(request(1, "lehto"), Start);
+    startAtOnce(queue, request(1, "lehto"), Start);
     CHECK(queue.recentUse("lehto", Start) == 1000);
     CHECK(queue.recentUse("lehto", Start + 10 * Duration(config::QueueUseDecay)) < 1);
     for (std::size_t i = 0; i < config::QueueUsesKept; ++i) {
-        queue.startedAtOnce(request(1, "small" + std::to_string(i)), Start + 1s);
+        startAtOnce(queue, request(1, "small" + std::to_string(i)), Start + 1s);
     }
     CHECK(queue.recentUse("lehto", Start + 1s) == 0);
 }
