--- a/packages/core/include/endivespan/forward_queue.h
+++ b/packages/core/include/endivespan/forward_queue.h
@@ -17,7 +17,7 @@
 
 /// Estimates how long an answer takes on each route, from the start of its attempt. An upper quantile stands for the
 /// usual time. The first estimate of a route is its aim.
-class AnswerTimes
+class RouteTimes
 {
 public:
     /// Records a complete answer.
@@ -128,13 +128,10 @@
     /// @returns the requests that wait no longer, which are removed.
     std::vector<QueueRefusal> finishRound();
 
-    /// Records the start of a request that was not added, since no request of its service waited.
-    void startedAtOnce(const QueuedRequest &request, TimePoint now);
-
     /// @returns the recent use of an organisation, in tokens.
     [[nodiscard]] double recentUse(const std::string &organisation, TimePoint now) const;
 
-    AnswerTimes answerTimes;
+    RouteTimes routeTimes;
 
 private:
     struct Waiting {
--- a/packages/core/src/forward_queue.cpp
+++ b/packages/core/src/forward_queue.cpp
@@ -32,7 +32,7 @@
 
 // The first samples are averaged, so that a route whose answers are far from its aim is known after a few answers. Then
 // each sample moves the value by a small step, up or down in the proportion that holds it at the quantile.
-void AnswerTimes::Quantile::add(double sample)
+void RouteTimes::Quantile::add(double sample)
 {
     const double difference = sample - this->value;
     if (this->samples < config::AnswerTimeMeanSamples) {
@@ -47,13 +47,13 @@
 
 // The aim of a stream is the time to its first event and that of other answers the whole time. One aim for all of the
 // answer is too little for a slow stream, but half of each part leaves callers with short deadlines time to wait.
-AnswerTimes::Times &AnswerTimes::timesOf(const std::string &route, std::chrono::milliseconds aim)
+RouteTimes::Times &RouteTimes::timesOf(const std::string &route, std::chrono::milliseconds aim)
 {
     const double half = Milliseconds(aim).count() / 2;
     return this->routes.try_emplace(route, Times {{half, 0}, {half, 0}}).first->second;
 }
 
-void AnswerTimes::observe(const std::string &route, std::chrono::milliseconds aim, Duration firstEvent, Duration rest)
+void RouteTimes::observe(const std::string &route, std::chrono::milliseconds aim, Duration firstEvent, Duration rest)
 {
     Times &times = this->timesOf(route, aim);
     times.firstEvent.add(Milliseconds(firstEvent).count());
@@ -62,7 +62,7 @@
 
 // A time that was cut off shows only that the answer takes longer. Without these samples the estimate would cover just
 // the answers that were fast enough, and keep too little time under overload.
-void AnswerTimes::observeIncomplete(const std::string &route, std::chrono::milliseconds aim, Duration atLeast)
+void RouteTimes::observeIncomplete(const std::string &route, std::chrono::milliseconds aim, Duration atLeast)
 {
     Times &times = this->timesOf(route, aim);
     if (const double excess = Milliseconds(atLeast).count() - times.firstEvent.value - times.rest.value; excess > 0) {
@@ -70,7 +70,7 @@
     }
 }
 
-Duration AnswerTimes::usual(const std::string &route, std::chrono::milliseconds aim) const
+Duration RouteTimes::usual(const std::string &route, std::chrono::milliseconds aim) const
 {
     const auto found = this->routes.find(route);
     return found == this->routes.end() ? Duration(aim)
@@ -176,7 +176,7 @@
 
 TimePoint ForwardQueue::latestStart(const QueuedRequest &request) const
 {
-    return request.deadline - this->answerTimes.usual(request.route, request.aim);
+    return request.deadline - this->routeTimes.usual(request.route, request.aim);
 }
 
 void ForwardQueue::sortTurns()
@@ -232,7 +232,7 @@
     if (entry == this->entries.end()) {
         return Duration::zero();
     }
-    const Duration waited = this->roundAt - entry->second.since;
+    const Duration waited = std::max(this->roundAt - entry->second.since, Duration::zero());
     this->noteUse(entry->second.request, this->roundAt);
     this->noteStart(entry->second);
     this->noteDelay(entry->second);
@@ -241,11 +241,6 @@
     return waited;
 }
 
-void ForwardQueue::startedAtOnce(const QueuedRequest &request, TimePoint now)
-{
-    this->noteUse(request, now);
-}
-
 void ForwardQueue::noteUse(const QueuedRequest &request, TimePoint now)
 {
     const double used = this->recentUse(request.organisation, now);
@@ -270,7 +265,7 @@
 {
     for (auto &[level, flow] : this->flows) {
         if (isAtMostAsUrgent(waiting.request, level)) {
-            const double gap = Milliseconds(this->roundAt - flow.countsFrom).count();
+            const double gap = std::max(Milliseconds(this->roundAt - flow.countsFrom).count(), 0.0);
             flow.gap += config::QueueGapSmoothing * (gap - flow.gap);
             flow.countsFrom = this->roundAt;
         }
--- a/packages/wire/include/endivespan/forward_settings.h
+++ b/packages/wire/include/endivespan/forward_settings.h
@@ -34,12 +34,17 @@
     std::chrono::milliseconds retryWindow {10000};
     double coldFactor = 1.0; ///< Multiplies the request rate that a cold server states.
     double coldSlack = 0; ///< Requests per second allowed in addition.
-    /// Applies the rules for servers that report their pace to all servers. Not a setting yet; for tests.
-    bool loadControl = false;
 
     bool operator==(const ForwardBounds &) const = default;
 };
 
+/// For which services requests wait in a queue with a forecast, see ForwardQueue.
+enum class LoadControl {
+    Auto, ///< For those whose servers report a pace.
+    Always,
+    Never,
+};
+
 /// Settings that a host reads at startup.
 struct ForwardSettings {
     std::string host;
@@ -53,6 +58,7 @@
     bool firstStart = false; ///< True when no host of the system has served before.
     ForwardBounds bounds;
     std::optional<std::size_t> memory; ///< Of the machine, in bytes; limits what is held for callers.
+    LoadControl loadControl = LoadControl::Auto;
 
     bool operator==(const ForwardSettings &) const = default;
 };
--- a/packages/wire/src/forward_settings.cpp
+++ b/packages/wire/src/forward_settings.cpp
@@ -82,10 +82,11 @@
     YamlDocument document(yaml, file);
     ForwardSettings settings;
     if (document.root()) {
-        YamlMap top(document,
-                    *document.root(),
-                    "the settings",
-                    {"host", "region", "failure_domain", "listen", "log", "first_start", "bounds", "limits"});
+        YamlMap top(
+            document,
+            *document.root(),
+            "the settings",
+            {"host", "region", "failure_domain", "listen", "log", "first_start", "bounds", "limits", "load_control"});
         settings.host = top.name("host");
         settings.region = top.name("region");
         settings.failureDomain = top.name("failure_domain");
@@ -96,6 +97,10 @@
         settings.firstStart = top.flag("first_start", false);
         settings.bounds = boundSettings(document, top);
         settings.memory = memorySetting(document, top);
+        settings.loadControl = top.choice<LoadControl>(
+            "load_control",
+            settings.loadControl,
+            {{"auto", LoadControl::Auto}, {"always", LoadControl::Always}, {"never", LoadControl::Never}});
     }
     if (document.hasProblems()) {
         return document.problems();
--- a/tests/platform/second_attempts.cpp
+++ b/tests/platform/second_attempts.cpp
@@ -21,11 +21,11 @@
 {
 public:
     explicit Pool(bool loadControl)
-        : world(3, 1, [loadControl](ForwardBounds &bounds) {
-            bounds.retrySlack = 1000;
-            bounds.loadControl = loadControl;
-        })
+        : world(3, 1, [](ForwardBounds &bounds) { bounds.retrySlack = 1000; })
     {
+        for (auto &host : this->world.hosts) {
+            host.settings.loadControl = loadControl ? LoadControl::Always : LoadControl::Never;
+        }
         this->answerAfter(UsualTime, UsualTime);
         for (int i = 0; i < 20; ++i) {
             (void)this->world.ask("/resume/", Patient, "POST", "usual " + std::to_string(i));
