Send no call on an idle connection on which something has arrived

Seen by callers: an answer that no request had asked for was given to the next call on its connection, a stray 200 as that call's success and the 408 of a server that closes an idle connection as its status. A call without a check of whose answer it is (control calls), or an answer without a request id, had no other guard. When the server had only closed the connection, the call failed.

Cause: the pool closes an idle connection on which bytes arrive, but only when the loop reads them. A call that starts before, in the same turn or after the loop was held up, was sent there, and the waiting bytes were parsed as its answer.

Change: before an idle connection is used again, its socket is looked at without taking anything; with bytes, an end or an error waiting it is closed, and the next connection is tried. What arrives after the request was sent cannot be told apart so and is as before.

--- a/packages/net/src/http_pool.cpp
+++ b/packages/net/src/http_pool.cpp
@@ -110,6 +110,14 @@
     setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 }
 
+// Returns whether bytes, an end or an error wait to be read from a connection. On an idle connection the loop may not
+// have read them yet; once another call is sent there, they would be taken for its answer.
+bool hasInput(int socket)
+{
+    char byte = 0;
+    return recv(socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 class Pool;
 
 /// One call and its state, shared between its HttpPending and its connection.
@@ -152,7 +160,8 @@
 
     bool isUsable(TimePoint now) const
     {
-        return this->stream != nullptr && this->call == nullptr && now < this->usableUntil;
+        return this->stream != nullptr && this->call == nullptr && now < this->usableUntil
+            && !hasInput(bufferevent_getfd(this->stream));
     }
 
 private:
