Report what requests hold in the metrics of endivespand too

Change: three gauges, written with the others on each tick.

Conclusion: both programs report the same gauges. No test starts endivespand under a crowd yet.

--- a/packages/node/src/front.cpp
+++ b/packages/node/src/front.cpp
@@ -66,6 +66,14 @@
     return this->server->openExchanges();
 }
 
+void Front::report(Metrics &metrics) const
+{
+    const HttpRequestStats requests = this->server->requestStats();
+    metrics.gauge("request_bytes_held", "", static_cast<double>(requests.bytes));
+    metrics.gauge("incomplete_requests", "", static_cast<double>(requests.incomplete));
+    metrics.gauge("incomplete_requests_refused", "", static_cast<double>(requests.refused));
+}
+
 bool Front::isRefusing() const
 {
     return this->refusing;
--- a/packages/node/src/front.h
+++ b/packages/node/src/front.h
@@ -45,6 +45,9 @@
     [[nodiscard]] std::size_t openExchanges() const;
     [[nodiscard]] bool isRefusing() const;
 
+    /// Writes what the requests of callers hold to the metrics.
+    void report(Metrics &metrics) const;
+
 private:
     struct CallerPath {
         std::string method;
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -137,6 +137,7 @@
     this->services->tick();
     this->claims->tick(this->membership.eligibleOwners().size());
     this->claims->report(this->metrics);
+    this->front->report(this->metrics);
     if (this->stopping) {
         this->continueStop(now);
     }
--- a/tests/net/request_bytes.cpp
+++ b/tests/net/request_bytes.cpp
@@ -30,7 +30,7 @@
     explicit CountingServer(const HttpServerLimits &limits = smallBudget())
         : server(std::move(HttpServer::listen(this->loop, "127.0.0.1:0", limits, [](const auto &exchange) {
                                const std::string &body = exchange->request().body;
-                               const bool sound = body.find_first_not_of("x") == std::string::npos;
+                               const bool sound = body.find_first_not_of('x') == std::string::npos;
                                exchange->reply(200, {}, sound ? std::to_string(body.size()) : "bad");
                            }).value()))
     {
--- a/tests/platform/caller_crowds.cpp
+++ b/tests/platform/caller_crowds.cpp
@@ -264,11 +264,10 @@
     return bytes;
 }
 
-/// Lets the crowd send until its bytes no longer move, and checks the host meanwhile and afterwards.
-void withstand(HostUnderCrowd &host, const CrowdPlan &plan, std::size_t memoryBound = MemoryBound)
+/// Lets the crowd send until its bytes no longer move.
+/// @returns the most descriptors that the host had open meanwhile.
+std::size_t sendAll(HostUnderCrowd &host, Crowd &crowd)
 {
-    INFO(plan.what);
-    Crowd crowd(host.port(), plan);
     std::size_t most = 0;
     // What the sockets have accepted is not yet read by the host. It has read everything once it no longer computes.
     for (bool isOver = false; !isOver && host.isAlive();) {
@@ -281,6 +280,15 @@
         }
         isOver = isOver && host.computed() - before < BusyTicks;
     }
+    return most;
+}
+
+/// Checks the host in the middle of the crowd and behind it.
+void withstand(HostUnderCrowd &host, const CrowdPlan &plan, std::size_t memoryBound = MemoryBound)
+{
+    INFO(plan.what);
+    Crowd crowd(host.port(), plan);
+    const std::size_t most = sendAll(host, crowd);
     CHECK(host.isAlive());
     CHECK(host.answersRequest());
     CHECK(host.isAlive());
