Estimate engine memory by kind of request

Cause: one mean for all kinds of request stood for each run's memory, with the longest answer allowed. Essays use 12,000 tokens, hints 860, and both answer with far less than they may.

Ruled out: the tokens of each request at an engine. Load reports have only the number of requests, and a host of a large fleet sends to one engine every 7 s, so that its own ones say little.

Change: EngineModel learns the answer length by route (EventSplitter counts the events). Under load control a request needs its prompt plus that length (PlacementNeed::requestTokens), and the mean run is sampled with the same estimate while it runs, so that long runs count more. Other services keep their estimates.

Figures: two cases are new.

Conclusion: servers are compared by tokens as far as reports allow.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -514,6 +514,7 @@
 constexpr double StartRunTokens = 5000;
 /// Share of a new sample. Some 20 runs are sampled ten times a second.
 constexpr double RunTokensSmoothing = 0.005;
+constexpr double AnswerLengthSmoothing = 0.05; ///< Share of a new answer in the usual length of its kind.
 constexpr std::chrono::milliseconds StartEngineRunTime = 1000ms; ///< Of a run, before any has ended.
 constexpr double RunTimeSmoothing = 0.02; ///< Share of a new sample.
 /// Hosts up to which each own request to a server stands for one of every host. In larger fleets a host sends so seldom
--- a/packages/core/include/endivespan/engine_model.h
+++ b/packages/core/include/endivespan/engine_model.h
@@ -6,6 +6,8 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
+#include <string>
 
 /// Estimates engine performance from observed answers: prefill rate, duration of runs, and engine memory used by runs.
 namespace endivespan {
@@ -15,6 +17,8 @@
     double prefillTokensPerMillisecond = config::StartPrefillTokensPerMillisecond;
     double promptTokens = config::StartPromptTokens; ///< Mean length of a prompt.
     double tokensPerRun = config::StartRunTokens; ///< Mean engine memory used by a run, in tokens.
+    /// The same with the answer lengths learned by kind of request instead of the longest ones allowed.
+    double learnedTokensPerRun = config::StartRunTokens;
     Duration runTime = config::StartEngineRunTime; ///< Mean duration of a run.
     /// Mean duration of the answer after its first token, divided by the maximum number of tokens of the answer.
     Duration answerTokenTime = config::StartAnswerTokenTime;
@@ -42,8 +46,18 @@
 
     /// Records how much engine memory one running request uses.
     /// Call it for all running requests at regular intervals, so that each run is weighted by its duration.
-    /// @param tokens Memory used, in tokens.
-    void observeMemoryUse(std::uint64_t tokens);
+    /// @param tokens Memory that it may use at most, in tokens.
+    /// @param learnedTokens Memory that it is expected to use, see requestTokens().
+    void observeMemoryUse(std::uint64_t tokens, double learnedTokens);
+
+    /// Records the length of a complete answer.
+    /// @param kind Name of the route.
+    void observeAnswerLength(const std::string &kind, std::uint64_t tokens);
+
+    /// @returns the engine memory that a request is expected to use, in tokens: its prompt and the usual answer of its
+    ///     kind, or the longest answer while none is known.
+    [[nodiscard]] double
+    requestTokens(const std::string &kind, std::uint64_t promptTokens, std::uint64_t mostAnswerTokens) const;
 
     [[nodiscard]] EngineRates rates() const;
 
@@ -61,6 +75,8 @@
     double prefill = config::StartPrefillTokensPerMillisecond;
     SmoothedMean prompt {config::StartPromptTokens, config::RunTimeSmoothing};
     SmoothedMean runTokens {config::StartRunTokens, config::RunTokensSmoothing};
+    SmoothedMean learnedRunTokens {config::StartRunTokens, config::RunTokensSmoothing};
+    std::map<std::string, SmoothedMean> answerTokens; ///< By kind of request.
     SmoothedMean runTime; ///< In milliseconds.
     SmoothedMean tokenTime; ///< In milliseconds.
 };
--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -22,6 +22,7 @@
     std::uint64_t sharedTokens = 0; ///< Number of tokens in those parts.
     std::uint64_t ownTokens = 0; ///< Number of the other prompt tokens.
     std::uint64_t answerTokens = 0; ///< Maximum length of the answer.
+    double requestTokens = 0; ///< Engine memory that the request is expected to use; 0 for all of these tokens.
     std::string domain; ///< Failure domain of this host.
     std::uint64_t newestWeights = 0; ///< Newest weight version that operators have named for the model.
     std::uint64_t oldestWeights = 0; ///< Servers with an older weight version must not be used; 0 for no limit.
--- a/packages/core/src/engine_model.cpp
+++ b/packages/core/src/engine_model.cpp
@@ -87,9 +87,25 @@
     }
 }
 
-void EngineModel::observeMemoryUse(std::uint64_t tokens)
+void EngineModel::observeMemoryUse(std::uint64_t tokens, double learnedTokens)
 {
     this->runTokens.add(static_cast<double>(tokens));
+    this->learnedRunTokens.add(learnedTokens);
+}
+
+void EngineModel::observeAnswerLength(const std::string &kind, std::uint64_t tokens)
+{
+    const auto length = static_cast<double>(tokens);
+    this->answerTokens.try_emplace(kind, length, config::AnswerLengthSmoothing).first->second.add(length);
+}
+
+double
+EngineModel::requestTokens(const std::string &kind, std::uint64_t promptTokens, std::uint64_t mostAnswerTokens) const
+{
+    const auto most = static_cast<double>(mostAnswerTokens);
+    const auto learned = this->answerTokens.find(kind);
+    return static_cast<double>(promptTokens)
+        + (learned == this->answerTokens.end() ? most : std::min(learned->second.mean(), most));
 }
 
 EngineRates EngineModel::rates() const
@@ -97,6 +113,7 @@
     return {this->prefill,
             this->prompt.mean(),
             this->runTokens.mean(),
+            this->learnedRunTokens.mean(),
             fromMilliseconds(this->runTime.mean()),
             fromMilliseconds(this->tokenTime.mean())};
 }
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -79,6 +79,13 @@
     return std::max(estimate, static_cast<double>(view.inFlight));
 }
 
+// Engine memory that the request will use.
+double tokensOf(const PlacementNeed &need)
+{
+    return need.requestTokens > 0 ? need.requestTokens
+                                  : static_cast<double>(need.sharedTokens + need.ownTokens + need.answerTokens);
+}
+
 bool isCrowded(const ServerView &view, const PlacementNeed &need, double requests, TimePoint now)
 {
     if (need.maxWaiting > 0 && view.load && reportWeight(view, now) * view.load->waiting > need.maxWaiting) {
@@ -91,8 +98,7 @@
     if (need.maxWaiting > 0 && requests >= view.entry.slots + need.maxWaiting) {
         return true;
     }
-    const double own = static_cast<double>(need.sharedTokens + need.ownTokens + need.answerTokens);
-    return need.memoryTokens > 0 && requests * need.rates.tokensPerRun + own > need.memoryTokens;
+    return need.memoryTokens > 0 && requests * need.rates.tokensPerRun + tokensOf(need) > need.memoryTokens;
 }
 
 /// Calls @p visit for each server that accepts new work and may run the request, whether or not it has room now.
--- a/packages/node/src/event_splitter.cpp
+++ b/packages/node/src/event_splitter.cpp
@@ -48,6 +48,21 @@
     return ids;
 }
 
+// Counts the events of a text that ends with the end of an event. Comments alone are no event.
+std::uint64_t countEvents(std::string_view text)
+{
+    std::uint64_t count = 0;
+    bool isInside = false;
+    while (!text.empty()) {
+        const std::string_view line = text.substr(0, text.find('\n'));
+        const bool isBlank = line.empty() || line == "\r";
+        count += isBlank && isInside ? 1 : 0;
+        isInside = !isBlank && (isInside || !line.starts_with(':'));
+        text.remove_prefix(std::min(line.size() + 1, text.size()));
+    }
+    return count;
+}
+
 } // namespace
 
 std::optional<std::uint64_t> firstEventId(std::string_view events)
@@ -86,6 +101,7 @@
     }
     std::string complete = this->held.substr(0, end);
     this->held.erase(0, end);
+    this->events += countEvents(complete);
     if (const auto ids = idsOf(complete); !ids.empty()) {
         this->id = ids.back();
     }
@@ -102,4 +118,9 @@
     return this->id;
 }
 
+std::uint64_t EventSplitter::count() const
+{
+    return this->events;
+}
+
 } // namespace endivespan
--- a/packages/node/src/event_splitter.h
+++ b/packages/node/src/event_splitter.h
@@ -32,9 +32,13 @@
     /// @returns the last numeric id among the complete events, or nothing when none had one.
     [[nodiscard]] std::optional<std::uint64_t> lastId() const;
 
+    /// @returns the number of complete events so far.
+    [[nodiscard]] std::uint64_t count() const;
+
 private:
     std::string held;
     std::optional<std::uint64_t> id;
+    std::uint64_t events = 0;
 };
 
 } // namespace endivespan
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -86,6 +86,9 @@
     /// @returns the tokens that its attempt may occupy in an engine's memory; 0 when no attempt is under way.
     [[nodiscard]] std::uint64_t tokensHeld() const;
 
+    /// @returns the engine memory that the request is expected to use, in tokens.
+    [[nodiscard]] double tokensExpected() const;
+
 private:
     void attempt();
     bool tryPlace(TimePoint now);
--- a/packages/node/src/forward_send.cpp
+++ b/packages/node/src/forward_send.cpp
@@ -30,9 +30,21 @@
             need.ownTokens = parts[i].tokens;
         }
     }
+    if (need.loadControl) {
+        need.requestTokens = this->tokensExpected();
+    }
     return need;
 }
 
+double ForwardRun::tokensExpected() const
+{
+    std::uint64_t prompt = 0;
+    for (const PromptPart &part : this->work.request.parts) {
+        prompt += part.tokens;
+    }
+    return this->task.engines.requestTokens(this->work.route->name, prompt, this->work.request.answerTokens);
+}
+
 // A route limits the number of servers. One whose attempt stood by and was cancelled counts as one of them, and may be
 // sent the request again.
 std::optional<std::set<std::string>> ForwardRun::allowedServers() const
@@ -192,6 +204,7 @@
     times.firstEvent = this->active.headAt - this->active.startedAt;
     if (const std::uint32_t tokens = this->work.request.answerTokens; this->work.route->isStream && tokens > 0) {
         times.perToken = (now - this->active.headAt) / tokens;
+        this->task.engines.observeAnswerLength(this->work.route->name, this->active.events.count());
     }
     this->task.parts.servers.answeredIn(
         this->active.life.server, this->active.life.born, this->work.route->name, times);
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -330,6 +330,9 @@
             need.maxWaiting = service->slots
                 * config::EngineWaitingShares[std::min(need.urgency, config::EngineWaitingShares.size() - 1)];
             need.rates = this->engines.rates();
+            if (need.loadControl) {
+                need.rates.tokensPerRun = need.rates.learnedTokensPerRun;
+            }
             if (const auto mean = this->meanRequests.find(need.service); mean != this->meanRequests.end()) {
                 need.meanRequests = mean->second;
             }
@@ -359,7 +362,7 @@
 {
     for (const auto &[run, owned] : this->runs) {
         if (const std::uint64_t tokens = run->tokensHeld(); tokens > 0) {
-            this->engines.observeMemoryUse(tokens);
+            this->engines.observeMemoryUse(tokens, run->tokensExpected());
         }
     }
 }
--- a/tests/core/engine_pools.cpp
+++ b/tests/core/engine_pools.cpp
@@ -224,3 +224,30 @@
     CHECK(choosesOther(125));
     CHECK_FALSE(choosesOther(20));
 }
+
+// Replays a service whose requests differ in length: essays of 11,992 prompt tokens that run for 1.2 s and hints of 827
+// tokens that run for 0.3 s, both with answers far below the allowed length. Guards against engines that count as full
+// of requests of a mean size.
+TEST_CASE("engine model: memory is estimated by kind of request, and by duration over all kinds")
+{
+    EngineModel model;
+    CHECK(model.requestTokens("essay", 11'992, 400) == 12'392);
+    for (int i = 0; i < 200; ++i) {
+        model.observeAnswerLength("essay", 40 + i % 5);
+        model.observeAnswerLength("hint", 32);
+    }
+    const double essay = model.requestTokens("essay", 11'992, 400);
+    const double hint = model.requestTokens("hint", 827, 400);
+    CHECK(essay > 12'031);
+    CHECK(essay < 12'037);
+    CHECK(hint == doctest::Approx(859));
+    CHECK(model.requestTokens("essay", 11'992, 10) == 12'002);
+    CHECK(model.requestTokens("check", 2000, 10) == 2010);
+    // An essay is sampled four times as often as a hint, since it runs four times as long.
+    for (int i = 0; i < 5000; ++i) {
+        const bool isEssay = i % 5 != 0;
+        model.observeMemoryUse(isEssay ? 12'392 : 1227, isEssay ? essay : hint);
+    }
+    CHECK(model.rates().learnedTokensPerRun == doctest::Approx(0.8 * essay + 0.2 * hint).epsilon(0.03));
+    CHECK(model.rates().tokensPerRun > model.rates().learnedTokensPerRun);
+}
--- a/tests/core/server_pace.cpp
+++ b/tests/core/server_pace.cpp
@@ -174,3 +174,23 @@
     table.reportedLoad("e1", {16, 0, 64, 1.0}, Start);
     CHECK(placement->choose(table, need, 0, Start).server == "e0");
 }
+
+// Replays an engine that holds long and short requests. Its memory has room for a short request, not for a long one.
+TEST_CASE("placement: an engine's room is compared with what a request will use, not with the longest answer")
+{
+    const auto placement = makeExpectedStartPlacement();
+    ServerTable table = enginePool(1);
+    table.reportedLoad("e0", {10, 0, 64, 1.0}, Start);
+    PlacementNeed need = promptNeed(3);
+    need.loadControl = true;
+    need.rates.tokensPerRun = 12'000;
+    need.memoryTokens = 122'000;
+    need.meanRequests = 12;
+    need.answerTokens = 400;
+    CHECK(placement->choose(table, need, 0, Start).server.empty());
+    need.sharedTokens = 1400;
+    need.requestTokens = 1932;
+    CHECK(placement->choose(table, need, 0, Start).server == "e0");
+    need.requestTokens = 0;
+    CHECK(placement->choose(table, need, 0, Start).server.empty());
+}
