Relay the pace of servers with their load

Cause: a host of a large fleet hears from one server every few seconds, and a reported pace holds for some tenths of a second.

Ruled out: a new message. The relayed load reports already go where the pace is needed.

Change: optional field 5 of RelayedLoadRecord, in ten-thousandths; 7 bytes for each load. Hosts of the earlier version skip it. A value that no server may report is ignored. ServerTable::reportedLoadToOtherHost() takes the pace with the time of the report.

Figures: the cases of relay.cpp for relayed loads and for encoding cover the pace.

Conclusion: followers expect the pace that any host nearby has read, by its age.

--- a/packages/core/include/endivespan/relay.h
+++ b/packages/core/include/endivespan/relay.h
@@ -76,6 +76,7 @@
     std::uint32_t running = 0; ///< Requests.
     std::uint32_t waiting = 0; ///< Requests.
     Duration age {}; ///< Since the server reported it.
+    std::optional<double> pace {}; ///< See ServerLoadReport; older hosts do not relay it.
 
     bool operator==(const RelayedLoad &) const = default;
 };
--- a/packages/core/include/endivespan/server_table.h
+++ b/packages/core/include/endivespan/server_table.h
@@ -167,8 +167,13 @@
 
     /// Records the load that a server reported to another host at @p at. A report older than the known one is ignored.
     /// @param server Short id of the server, see shortIdOf().
-    void reportedLoadToOtherHost(
-        std::uint32_t server, std::uint32_t running, std::uint32_t waiting, TimePoint at, TimePoint now);
+    /// @param pace Pace in the report, if any.
+    void reportedLoadToOtherHost(std::uint32_t server,
+                                 std::uint32_t running,
+                                 std::uint32_t waiting,
+                                 std::optional<double> pace,
+                                 TimePoint at,
+                                 TimePoint now);
 
     /// Records how long a complete answer took, from which the long-term pace of the server is learned. Ignored unless
     /// the known start of the server is @p born.
--- a/packages/core/src/relay.cpp
+++ b/packages/core/src/relay.cpp
@@ -61,7 +61,8 @@
     for (const auto &[id, view] : servers.servers()) {
         const bool isSelected = view.load && view.loadLearnedAt >= since && (view.loadIsOwn || !ownOnly);
         if (isSelected && now - view.loadAt <= config::LoadReportUsableTime) {
-            loads.push_back({shortIdOf(view), view.load->running, view.load->waiting, now - view.loadAt});
+            loads.push_back(
+                {shortIdOf(view), view.load->running, view.load->waiting, now - view.loadAt, view.load->pace});
         }
     }
     return loads;
--- a/packages/core/src/server_table.cpp
+++ b/packages/core/src/server_table.cpp
@@ -287,8 +287,12 @@
     }
 }
 
-void ServerTable::reportedLoadToOtherHost(
-    std::uint32_t server, std::uint32_t running, std::uint32_t waiting, TimePoint at, TimePoint now)
+void ServerTable::reportedLoadToOtherHost(std::uint32_t server,
+                                          std::uint32_t running,
+                                          std::uint32_t waiting,
+                                          std::optional<double> pace,
+                                          TimePoint at,
+                                          TimePoint now)
 {
     const auto id = this->shortIds.find(server);
     const auto found = id == this->shortIds.end() ? this->views.end() : this->views.find(id->second);
@@ -296,7 +300,10 @@
         return;
     }
     ServerView &view = found->second;
-    view.load = {running, waiting, view.entry.slots};
+    view.load = {running, waiting, view.entry.slots, pace};
+    if (pace) {
+        view.pace.report(*pace, at);
+    }
     view.loadAt = at;
     view.loadLearnedAt = now;
     view.loadIsOwn = false;
--- a/packages/node/src/relay_task.cpp
+++ b/packages/node/src/relay_task.cpp
@@ -157,7 +157,8 @@
 {
     const TimePoint now = this->parts.loop.now();
     for (const RelayedLoad &load : loads) {
-        this->parts.servers.reportedLoadToOtherHost(load.server, load.running, load.waiting, toldAt - load.age, now);
+        this->parts.servers.reportedLoadToOtherHost(
+            load.server, load.running, load.waiting, load.pace, toldAt - load.age, now);
     }
 }
 
--- a/packages/wire/gen-cpp/peer_types.cpp
+++ b/packages/wire/gen-cpp/peer_types.cpp
@@ -2745,6 +2745,11 @@
 void RelayedLoadRecord::__set_ageMicroseconds(const int64_t val) {
   this->ageMicroseconds = val;
 }
+
+void RelayedLoadRecord::__set_paceTenThousandths(const int32_t val) {
+  this->paceTenThousandths = val;
+__isset.paceTenThousandths = true;
+}
 std::ostream& operator<<(std::ostream& out, const RelayedLoadRecord& obj)
 {
   obj.printTo(out);
@@ -2805,6 +2810,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->paceTenThousandths);
+          this->__isset.paceTenThousandths = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2838,6 +2851,11 @@
   xfer += oprot->writeI64(this->ageMicroseconds);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.paceTenThousandths) {
+    xfer += oprot->writeFieldBegin("paceTenThousandths", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->paceTenThousandths);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2849,6 +2867,7 @@
   swap(a.running, b.running);
   swap(a.waiting, b.waiting);
   swap(a.ageMicroseconds, b.ageMicroseconds);
+  swap(a.paceTenThousandths, b.paceTenThousandths);
   swap(a.__isset, b.__isset);
 }
 
@@ -2857,6 +2876,7 @@
   running = other76.running;
   waiting = other76.waiting;
   ageMicroseconds = other76.ageMicroseconds;
+  paceTenThousandths = other76.paceTenThousandths;
   __isset = other76.__isset;
 }
 RelayedLoadRecord& RelayedLoadRecord::operator=(const RelayedLoadRecord& other77) noexcept {
@@ -2864,6 +2884,7 @@
   running = other77.running;
   waiting = other77.waiting;
   ageMicroseconds = other77.ageMicroseconds;
+  paceTenThousandths = other77.paceTenThousandths;
   __isset = other77.__isset;
   return *this;
 }
@@ -2874,6 +2895,7 @@
   out << ", " << "running=" << to_string(running);
   out << ", " << "waiting=" << to_string(waiting);
   out << ", " << "ageMicroseconds=" << to_string(ageMicroseconds);
+  out << ", " << "paceTenThousandths="; (__isset.paceTenThousandths ? (out << to_string(paceTenThousandths)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen-cpp/peer_types.h
+++ b/packages/wire/gen-cpp/peer_types.h
@@ -1153,11 +1153,12 @@
 std::ostream& operator<<(std::ostream& out, const StoreCursorRecord& obj);
 
 typedef struct _RelayedLoadRecord__isset {
-  _RelayedLoadRecord__isset() : server(false), running(false), waiting(false), ageMicroseconds(false) {}
+  _RelayedLoadRecord__isset() : server(false), running(false), waiting(false), ageMicroseconds(false), paceTenThousandths(false) {}
   bool server :1;
   bool running :1;
   bool waiting :1;
   bool ageMicroseconds :1;
+  bool paceTenThousandths :1;
 } _RelayedLoadRecord__isset;
 
 class RelayedLoadRecord : public virtual ::apache::thrift::TBase {
@@ -1169,7 +1170,8 @@
                     : server(0),
                       running(0),
                       waiting(0),
-                      ageMicroseconds(0) {
+                      ageMicroseconds(0),
+                      paceTenThousandths(0) {
   }
 
   virtual ~RelayedLoadRecord() noexcept;
@@ -1177,6 +1179,7 @@
   int32_t running;
   int32_t waiting;
   int64_t ageMicroseconds;
+  int32_t paceTenThousandths;
 
   _RelayedLoadRecord__isset __isset;
 
@@ -1188,6 +1191,8 @@
 
   void __set_ageMicroseconds(const int64_t val);
 
+  void __set_paceTenThousandths(const int32_t val);
+
   bool operator == (const RelayedLoadRecord & rhs) const
   {
     if (!(server == rhs.server))
@@ -1198,6 +1203,10 @@
       return false;
     if (!(ageMicroseconds == rhs.ageMicroseconds))
       return false;
+    if (__isset.paceTenThousandths != rhs.__isset.paceTenThousandths)
+      return false;
+    else if (__isset.paceTenThousandths && !(paceTenThousandths == rhs.paceTenThousandths))
+      return false;
     return true;
   }
   bool operator != (const RelayedLoadRecord &rhs) const {
--- a/packages/wire/idl/peer.thrift
+++ b/packages/wire/idl/peer.thrift
@@ -126,6 +126,7 @@
   2: i32 running,
   3: i32 waiting,
   4: i64 ageMicroseconds,
+  5: optional i32 paceTenThousandths,
 }
 
 struct RelayedSpeedRecord {
--- a/packages/wire/src/relay_codec.cpp
+++ b/packages/wire/src/relay_codec.cpp
@@ -1,7 +1,10 @@
 #include "gossip_codec_p.h"
 #include "relay_codec_p.h"
 
+#include <endivespan/config.h>
+
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <utility>
 
@@ -58,6 +61,8 @@
     return store;
 }
 
+constexpr double PaceUnit = 10'000.0; ///< Of the pace in a record, for the usual pace.
+
 std::vector<gen::RelayedLoadRecord> packLoads(const std::vector<RelayedLoad> &loads)
 {
     std::vector<gen::RelayedLoadRecord> records;
@@ -68,11 +73,23 @@
         record.running = static_cast<std::int32_t>(load.running);
         record.waiting = static_cast<std::int32_t>(load.waiting);
         record.ageMicroseconds = load.age.count();
+        if (load.pace) {
+            record.__set_paceTenThousandths(static_cast<std::int32_t>(std::lround(*load.pace * PaceUnit)));
+        }
         records.push_back(record);
     }
     return records;
 }
 
+// Returns nothing for a pace that no server may report, since a faulty host must not make a server seem idle.
+std::optional<double> unpackPace(const gen::RelayedLoadRecord &record)
+{
+    const double pace = record.paceTenThousandths / PaceUnit;
+    const bool isPlausible = record.__isset.paceTenThousandths && pace * 100 >= config::PaceLeastPercent
+        && pace * 100 <= config::PaceMostPercent;
+    return isPlausible ? std::optional(pace) : std::nullopt;
+}
+
 std::vector<RelayedLoad> unpackLoads(const std::vector<gen::RelayedLoadRecord> &records)
 {
     std::vector<RelayedLoad> loads;
@@ -81,7 +98,8 @@
         loads.push_back({static_cast<std::uint32_t>(record.server),
                          static_cast<std::uint32_t>(std::max(record.running, 0)),
                          static_cast<std::uint32_t>(std::max(record.waiting, 0)),
-                         unpackAge(record.ageMicroseconds)});
+                         unpackAge(record.ageMicroseconds),
+                         unpackPace(record)});
     }
     return loads;
 }
--- a/tests/core/relay.cpp
+++ b/tests/core/relay.cpp
@@ -308,15 +308,18 @@
     entry.born = 1;
     asked.update(entry, Start);
     other.update(entry, Start);
-    asked.reportedLoad("e", {12, 3, 16}, Start);
+    asked.reportedLoad("e", {12, 3, 16, 2.5}, Start);
     const auto loads = loadsSince(asked, Start, true, Start + 100ms);
     REQUIRE(loads.size() == 1);
     CHECK(loads[0].age == 100ms);
     const auto applyLoad = [&](const RelayedLoad &load, TimePoint receivedAt) {
-        other.reportedLoadToOtherHost(load.server, load.running, load.waiting, receivedAt - load.age, receivedAt);
+        other.reportedLoadToOtherHost(
+            load.server, load.running, load.waiting, load.pace, receivedAt - load.age, receivedAt);
     };
     applyLoad(loads[0], Start + 100ms);
     CHECK(other.meanRequests("llm", Start + 200ms) == 15);
+    CHECK(other.find("e")->pace.expected(Start) == 2.5);
+    CHECK(other.find("e")->pace.expected(Start + 500ms) < 2.5);
     CHECK(loadsSince(other, Start, true, Start + 200ms).empty());
     CHECK(loadsSince(other, Start, false, Start + 200ms).size() == 1);
     other.reportedLoad("e", {2, 0, 16}, Start + 300ms);
@@ -331,7 +334,7 @@
     ask.unconfirmed = {"a"};
     ask.stores = {{4'000'000'000U, 5, 6}};
     ask.sinceLast = 300ms;
-    ask.loads = {{4'000'000'001U, 3, 4, 20ms}};
+    ask.loads = {{4'000'000'001U, 3, 4, 20ms, std::nullopt}, {4, 3, 4, 20ms, 2.5}, {5, 3, 4, 20ms, 0.01}};
     const auto askFrame = decodePeerFrame(encodePeerFrame({1, false, ask}));
     REQUIRE(askFrame.has_value());
     CHECK(std::get<RelayAsk>(askFrame.value().message) == ask);
