Forecast the room of engines that report a pace

Cause: hard limits by share of memory and waiting moved requests off the engines that hold their parts.

Change, for services whose servers report a pace: urgency is the organisation's priority before the route's. A waiting request costs the time in which a run ends at its engine.

Conclusion: the limits are wide in calm and bind when the pool is full.

--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -29,7 +29,8 @@
     ColdBound coldBound; ///< Limit for cold servers.
     std::shared_ptr<const RolloutQueue> weightLoadQueue; ///< Engines that are to load weights; null when none are.
     std::size_t urgency = 0; ///< 0 is the most urgent.
-    /// Whether the servers of the service report their pace, so that it counts in the choice.
+    /// Whether the servers of the service report their pace. It then counts in the choice, waiting requests count with
+    /// the time until there is room, and the limits on memory and waiting requests depend on the load of the pool.
     bool loadControl = false;
     std::uint32_t maxInFlight = 0; ///< Maximum number of this host's attempts at one server; 0 for no limit.
     double maxWaiting = 0; ///< Maximum number of requests that wait at one server; 0 for no limit.
@@ -45,6 +46,9 @@
 struct PlacementChoice {
     std::string server; ///< Id of the server; empty when there is none.
     Duration expected {}; ///< Expected time to the first byte of the answer.
+    /// Expected time until the best server could start the request; zero when one can now. Absent when no recent report
+    /// says anything, and without load control.
+    std::optional<Duration> roomIn;
     std::string likelyHolder; ///< Address of another engine that most likely caches the shared parts; may be empty.
     std::uint32_t known = 0; ///< Servers of the service in the list.
     std::uint32_t leaving = 0; ///< Those of the known ones that are leaving.
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -86,19 +86,80 @@
                                   : static_cast<double>(need.sharedTokens + need.ownTokens + need.answerTokens);
 }
 
-bool isCrowded(const ServerView &view, const PlacementNeed &need, double requests, TimePoint now)
+/// Limits of one server for a request.
+struct Limits {
+    double waiting = 0; ///< Requests that may wait; 0 for no limit.
+    double memory = 0; ///< Tokens; 0 for no limit.
+    double pressure = 0; ///< How full the pool is: 0 in calm, 1 when it has no memory left on average.
+};
+
+// Without load control the limits are those of the need. With it they are wide while the pool has room, so that
+// requests stay at the engines that cache their parts, and narrow when it is full: then engines that accept too much
+// drop runs for lack of memory.
+Limits limitsOf(const PlacementNeed &need)
+{
+    Limits limits {need.maxWaiting, need.memoryTokens, 0};
+    if (!need.loadControl || need.memoryTokens <= 0) {
+        return limits;
+    }
+    const double fill = need.meanRequests * need.rates.tokensPerRun / need.memoryTokens;
+    limits.pressure
+        = std::clamp((fill - config::PacedCalmFill) / (config::PacedFullFill - config::PacedCalmFill), 0.0, 1.0);
+    limits.waiting *= std::lerp(config::PacedCalmWaiting, config::PacedFullWaiting, limits.pressure);
+    limits.memory *= std::lerp(config::PacedCalmMemory, config::PacedFullMemory, limits.pressure);
+    return limits;
+}
+
+bool isCrowded(const ServerView &view, const PlacementNeed &need, const Limits &limits, double requests, TimePoint now)
 {
-    if (need.maxWaiting > 0 && view.load && reportWeight(view, now) * view.load->waiting > need.maxWaiting) {
+    if (limits.waiting > 0 && view.load && reportWeight(view, now) * view.load->waiting > limits.waiting) {
         return true;
     }
     // An empty engine is sent a request of any size; the engine itself rejects one that is too large.
     if (requests < 1) {
         return false;
     }
-    if (need.maxWaiting > 0 && requests >= view.entry.slots + need.maxWaiting) {
+    if (limits.waiting > 0 && requests >= view.entry.slots + limits.waiting) {
         return true;
     }
-    return need.memoryTokens > 0 && requests * need.rates.tokensPerRun + tokensOf(need) > need.memoryTokens;
+    return limits.memory > 0 && requests * need.rates.tokensPerRun + tokensOf(need) > limits.memory;
+}
+
+// Mean time in milliseconds between the ends of two runs at an engine with this many requests.
+double timeBetweenEnds(const ServerView &view, const PlacementNeed &need, double requests, TimePoint now)
+{
+    const double runs = std::clamp(requests, 1.0, std::max(1.0, static_cast<double>(view.entry.slots)));
+    return paceOf(view, need, now) * Milliseconds(need.rates.runTime).count() / runs;
+}
+
+// Requests by which the memory of an engine exceeds @p memory tokens once it has this one too.
+double memoryExcess(const PlacementNeed &need, double memory, double requests)
+{
+    const double excess = requests * need.rates.tokensPerRun + tokensOf(need) - memory;
+    return memory > 0 ? std::max(excess / std::max(need.rates.tokensPerRun, 1.0), 0.0) : 0;
+}
+
+// Expected time in milliseconds until an engine without room has room for this request: until as many runs have ended
+// as it has requests above its limits, and one at the least.
+double
+timeUntilRoom(const ServerView &view, const PlacementNeed &need, const Limits &limits, double requests, TimePoint now)
+{
+    double excess = std::max(memoryExcess(need, limits.memory, requests), 1.0);
+    if (limits.waiting > 0) {
+        excess = std::max({excess,
+                           requests - view.entry.slots - limits.waiting,
+                           reportWeight(view, now) * view.load->waiting - limits.waiting});
+    }
+    return excess * timeBetweenEnds(view, need, requests, now);
+}
+
+// Adds what one server says about the time until one has room. A cold server without a right says nothing.
+void addRoom(PlacementChoice &choice, const PlacementNeed &need, bool hasRoom, std::optional<double> untilRoom)
+{
+    if (need.loadControl && (hasRoom || untilRoom)) {
+        const auto time = hasRoom ? Duration::zero() : std::chrono::duration_cast<Duration>(Milliseconds(*untilRoom));
+        choice.roomIn = std::min(choice.roomIn.value_or(time), time);
+    }
 }
 
 /// Calls @p visit for each server that accepts new work and may run the request, whether or not it has room now.
@@ -108,6 +169,7 @@
 {
     PlacementChoice choice;
     const double hostsPerRequest = hostsPerOwnRequest(need);
+    const Limits limits = limitsOf(need);
     for (const auto &[id, view] : table.servers()) {
         if (view.entry.service != need.service) {
             continue;
@@ -126,8 +188,14 @@
         const double requests = estimateRequests(view, need, hostsPerRequest, now);
         const std::uint32_t maxInFlight = need.model.empty() ? view.entry.slots : need.maxInFlight;
         const bool hasColdRoom = ServerTable::hasColdRoom(view, need.coldBound, now);
-        const bool hasRoom
-            = hasColdRoom && !isCrowded(view, need, requests, now) && (maxInFlight == 0 || view.inFlight < maxInFlight);
+        const bool hasRoom = hasColdRoom && !isCrowded(view, need, limits, requests, now)
+            && (maxInFlight == 0 || view.inFlight < maxInFlight);
+        const bool isKnown
+            = !need.model.empty() && hasColdRoom && view.load && now - view.loadAt <= config::LoadReportUsableTime;
+        addRoom(choice,
+                need,
+                hasRoom,
+                isKnown ? std::optional(timeUntilRoom(view, need, limits, requests, now)) : std::nullopt);
         choice.full += hasRoom ? 0 : 1;
         choice.cold += hasColdRoom ? 0 : 1;
         visit(view, hasRoom, requests);
@@ -283,9 +351,7 @@
         const double pace = paceOf(view, need, now);
         double cost = pace * tokens / need.rates.prefillTokensPerMillisecond;
         if (view.load) {
-            const double waitingPromptTime
-                = config::WaitingReadShare * need.rates.promptTokens / need.rates.prefillTokensPerMillisecond;
-            cost += pace * reportWeight(view, now) * view.load->waiting * waitingPromptTime;
+            cost += waitingCost(view, need, requests, now);
         }
         cost += requests * Milliseconds(config::RunningCost).count();
         const auto weights = view.entry.weights.find(need.model);
@@ -295,6 +361,21 @@
         return cost + weightLoadCost(view, need);
     }
 
+    // Time in milliseconds that the request waits behind others. Where engines report their pace, each request before
+    // it needs the room of a run that ends: those that wait, or those for which the memory does not suffice as far as
+    // the pool is full.
+    static double waitingCost(const ServerView &view, const PlacementNeed &need, double requests, TimePoint now)
+    {
+        const double waiting = reportWeight(view, now) * view.load->waiting;
+        if (need.loadControl) {
+            const double excess = limitsOf(need).pressure * memoryExcess(need, need.memoryTokens, requests);
+            return std::max(waiting, excess) * timeBetweenEnds(view, need, requests, now);
+        }
+        const double waitingPromptTime
+            = config::WaitingReadShare * need.rates.promptTokens / need.rates.prefillTokensPerMillisecond;
+        return waiting * waitingPromptTime;
+    }
+
     // A run that is still in progress when its engine has to load weights delays the load, and thus the whole rollout.
     static double weightLoadCost(const ServerView &view, const PlacementNeed &need)
     {
--- a/packages/node/src/forward_send.cpp
+++ b/packages/node/src/forward_send.cpp
@@ -31,6 +31,8 @@
         }
     }
     if (need.loadControl) {
+        const auto own = this->work.organisation == nullptr ? std::nullopt : this->work.organisation->priority;
+        need.urgency = static_cast<std::size_t>(std::max(own.value_or(this->work.route->priority), 0));
         need.requestTokens = this->tokensExpected();
     }
     return need;
--- a/tests/core/server_pace.cpp
+++ b/tests/core/server_pace.cpp
@@ -194,3 +194,161 @@
     need.requestTokens = 0;
     CHECK(placement->choose(table, need, 0, Start).server.empty());
 }
+
+namespace {
+
+/// @returns what a request needs of a pool of engines with memory for 149,685 tokens each, at which runs of 12,000
+///     tokens take 900 ms.
+PlacementNeed essayNeed(std::uint64_t prefix, double meanRequests)
+{
+    PlacementNeed need = promptNeed(prefix);
+    need.loadControl = true;
+    need.sharedTokens = 9122;
+    need.ownTokens = 2870;
+    need.requestTokens = 12'034;
+    need.rates.tokensPerRun = 12'000;
+    need.rates.prefillTokensPerMillisecond = 112;
+    need.rates.runTime = 900ms;
+    need.memoryTokens = 0.8 * 149'685;
+    need.maxWaiting = 4;
+    need.meanRequests = meanRequests;
+    return need;
+}
+
+} // namespace
+
+// Replays a calm pool in which one engine has more essays than by the estimate fit into its memory, and a full pool.
+// Guards against limits that push requests off the engines that hold their parts, and against engines that accept more
+// than fits when all are full.
+TEST_CASE("placement: the memory limit leaves requests with their cached parts in calm and binds when the pool is full")
+{
+    const auto placement = makeExpectedStartPlacement();
+    ServerTable table = enginePool(6);
+    for (int i = 0; i < 6; ++i) {
+        table.reportedLoad("e" + std::to_string(i), {2, 0, 64, 1.0}, Start);
+    }
+    const std::string preferred = placement->choose(table, essayNeed(7, 3), 0, Start).server;
+    table.reportedLoad(preferred, {11, 0, 64, 1.0}, Start);
+    CHECK(placement->choose(table, essayNeed(7, 3), 0, Start).server == preferred);
+    PlacementNeed uncontrolled = essayNeed(7, 3);
+    uncontrolled.loadControl = false;
+    CHECK(placement->choose(table, uncontrolled, 0, Start).server != preferred);
+    for (int i = 0; i < 6; ++i) {
+        table.reportedLoad("e" + std::to_string(i), {11, 0, 64, 1.0}, Start);
+    }
+    CHECK(placement->choose(table, essayNeed(7, 11), 0, Start).server.empty());
+}
+
+// Replays the peak of a demand wave. Guards against refusals and second attempts on a wrong idea of when there is room.
+TEST_CASE("placement: the time until there is room follows the ends of runs, the excess and the pace")
+{
+    const auto placement = makeExpectedStartPlacement();
+    ServerTable table = enginePool(2);
+    const PlacementNeed need = essayNeed(7, 12);
+    CHECK(placement->choose(table, need, 0, Start).roomIn == Duration::zero());
+    table.reportedLoad("e0", {10, 2, 64, 1.0}, Start);
+    table.reportedLoad("e1", {14, 6, 64, 1.0}, Start);
+    const PlacementChoice full = placement->choose(table, need, 0, Start);
+    CHECK(full.server.empty());
+    REQUIRE(full.roomIn);
+    // At e0 the 12 requests exceed the limit by 3 with this one, and one of them ends each 75 ms.
+    CHECK(*full.roomIn > 200ms);
+    CHECK(*full.roomIn < 300ms);
+    table.reportedLoad("e0", {10, 2, 64, 3.0}, Start);
+    const PlacementChoice slow = placement->choose(table, need, 0, Start);
+    REQUIRE(slow.roomIn);
+    CHECK(*slow.roomIn > *full.roomIn);
+    table.reportedLoad("e0", {2, 0, 64, 1.0}, Start);
+    CHECK(placement->choose(table, need, 0, Start).roomIn == Duration::zero());
+    PlacementNeed uncontrolled = need;
+    uncontrolled.loadControl = false;
+    CHECK_FALSE(placement->choose(table, uncontrolled, 0, Start).roomIn);
+    CHECK_FALSE(placement->choose(ServerTable(), need, 0, Start).roomIn);
+}
+
+// With many runs a waiting request soon gets the room of one that ends; with few it waits for long.
+TEST_CASE("placement: a waiting request costs the time until a run ends at its engine")
+{
+    const auto placement = makeExpectedStartPlacement();
+    ServerTable table = enginePool(2);
+    PlacementNeed need = essayNeed(7, 4);
+    need.sharedTokens = 0;
+    need.memoryTokens = 0;
+    table.reportedLoad("e0", {3, 2, 64, 1.0}, Start);
+    table.reportedLoad("e1", {20, 3, 64, 1.0}, Start);
+    CHECK(placement->choose(table, need, 0, Start).server == "e1");
+}
+
+namespace {
+
+/// Draws random pools and requests without a pace, the same ones on every platform.
+class UnpacedPools
+{
+public:
+    ServerTable pool()
+    {
+        const std::size_t servers = 2 + this->upTo(30);
+        ServerTable table = enginePool(servers);
+        for (std::size_t i = 0; i < servers; ++i) {
+            const std::string id = "e" + std::to_string(i);
+            const ServerLoadReport load {this->upTo(40), this->upTo(12), 64};
+            const std::chrono::milliseconds at(this->upTo(300));
+            if (this->upTo(3) > 0) {
+                table.reportedLoad(id, load, Start + at);
+            }
+            for (std::uint32_t sent = this->upTo(3); sent > 0; --sent) {
+                table.started(id, this->upTo(12'000), Start);
+            }
+            if (this->upTo(5) == 0) {
+                table.ended(id, AttemptOutcome::Failed, Start);
+            }
+        }
+        return table;
+    }
+
+    PlacementNeed need()
+    {
+        PlacementNeed need = promptNeed(this->random());
+        need.sharedTokens = this->upTo(9000);
+        need.ownTokens = this->upTo(3000);
+        need.answerTokens = this->upTo(400);
+        need.model = this->upTo(4) == 0 ? "" : "m";
+        need.maxWaiting = this->upTo(14);
+        need.memoryTokens = this->upTo(300'000);
+        need.rates.tokensPerRun = 1000 + this->upTo(11'000);
+        need.hosts = 1 + this->upTo(100);
+        need.meanRequests = this->upTo(20);
+        need.maxInFlight = this->upTo(24);
+        return need;
+    }
+
+    std::uint32_t upTo(std::uint32_t most)
+    {
+        return static_cast<std::uint32_t>(this->random() % (most + 1));
+    }
+
+private:
+    std::mt19937 random {20261206};
+};
+
+} // namespace
+
+// Guards against any change of the choices in pools whose servers report no pace. The digest of 4,000 choices is that
+// of commit fa98de3, before load control.
+TEST_CASE("placement: choices for services without a pace are those of the version before load control")
+{
+    const auto placement = makeExpectedStartPlacement();
+    UnpacedPools pools;
+    std::uint64_t digest = 0;
+    for (int round = 0; round < 400; ++round) {
+        const ServerTable table = pools.pool();
+        for (int request = 0; request < 10; ++request) {
+            const PlacementNeed need = pools.need();
+            const std::uint32_t random = pools.upTo(1'000'000);
+            const TimePoint now = Start + std::chrono::milliseconds(300 + pools.upTo(2500));
+            const PlacementChoice choice = placement->choose(table, need, random, now);
+            digest = hashPrefix(digest, choice.server + "," + std::to_string(choice.full) + "," + choice.likelyHolder);
+        }
+    }
+    CHECK(digest == 15671143532013273676ULL);
+}
