--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -22,13 +22,15 @@
     std::uint64_t sharedTokens = 0; ///< Number of tokens in those parts.
     std::uint64_t ownTokens = 0; ///< Number of the other prompt tokens.
     std::uint64_t answerTokens = 0; ///< Maximum length of the answer.
+    double requestTokens = 0; ///< Engine memory that the request is expected to use; 0 for all of these tokens.
     std::string domain; ///< Failure domain of this host.
     std::uint64_t newestWeights = 0; ///< Newest weight version that operators have named for the model.
     std::uint64_t oldestWeights = 0; ///< Servers with an older weight version must not be used; 0 for no limit.
     ColdBound coldBound; ///< Limit for cold servers.
     std::shared_ptr<const RolloutQueue> weightLoadQueue; ///< Engines that are to load weights; null when none are.
     std::size_t urgency = 0; ///< 0 is the most urgent.
-    /// Whether the servers of the service report their pace, so that it counts in the choice.
+    /// Whether the servers of the service report their pace. It then counts in the choice, waiting requests count with
+    /// the time until there is room, and the limits on memory and waiting requests depend on the load of the pool.
     bool loadControl = false;
     std::uint32_t maxInFlight = 0; ///< Maximum number of this host's attempts at one server; 0 for no limit.
     double maxWaiting = 0; ///< Maximum number of requests that wait at one server; 0 for no limit.
@@ -44,8 +46,9 @@
 struct PlacementChoice {
     std::string server; ///< Id of the server; empty when there is none.
     Duration expected {}; ///< Expected time to the first byte of the answer.
-    std::optional<Duration> roomIn; ///< Expected time until the best server could start this request; zero when one can
-                                    ///< now, absent when unknown.
+    /// Expected time until the best server could start the request; zero when one can now. Absent when no recent report
+    /// says anything, and without load control.
+    std::optional<Duration> roomIn;
     std::string likelyHolder; ///< Address of another engine that most likely caches the shared parts; may be empty.
     std::uint32_t known = 0; ///< Servers of the service in the list.
     std::uint32_t leaving = 0; ///< Those of the known ones that are leaving.
