Compare the time of a second attempt's server without ranking penalties

Ruled out: no comparison while an answer is under way, which would bring more second attempts where all servers are slow.

Change: the penalties of the chosen server are taken off before the comparison, for all services. Without failed attempts and silent servers they are zero, so that in calm the decision is as before; otherwise max_attempts and the retry budget bound it. The formula is that of placement.cpp a second time, since the choice does not say it; PlacementChoice::penalties would replace it.

What second attempts it adds in a crash of many servers was not measured.

--- a/packages/node/src/forward_standby.cpp
+++ b/packages/node/src/forward_standby.cpp
@@ -14,6 +14,18 @@
 
 constexpr std::string_view SilentServer = "the server sent nothing for too long";
 
+// Returns what placement adds to the expected time of a server only to rank it after others. Takeovers raise it, so
+// that streams which fall silent one after another would find no server that is expected to answer soon.
+Duration rankingPenalties(const ServerView *view, TimePoint now)
+{
+    if (view == nullptr) {
+        return {};
+    }
+    const double failures = view->failureShare(now);
+    const Duration silence = view->isSilent(config::SilentAvoidAfter, now) ? config::SilentCost : Duration::zero();
+    return silence + std::chrono::duration_cast<Duration>(failures * failures * config::FailureCost);
+}
+
 } // namespace
 
 FirstEventKind ForwardRun::kindOf(const ForwardAttempt &attempt) const
@@ -51,12 +63,13 @@
 bool ForwardRun::isWorthStandby(const PlacementChoice &other, TimePoint now) const
 {
     const auto soon = this->work.route->aim * config::HedgeShare;
-    if (other.expected > soon || (!this->work.request.model.empty() && this->task.firstByteTime() > soon)) {
+    const Duration expected = other.expected - rankingPenalties(this->task.parts.servers.find(other.server), now);
+    if (expected > soon || (!this->work.request.model.empty() && this->task.firstByteTime() > soon)) {
         return false;
     }
     return this->streaming || !this->task.hasLoadControl(this->work.service)
         || this->task.firstEvents.isSecondFirst(
-            this->kindOf(this->active), now - this->active.startedAt, other.expected, now);
+            this->kindOf(this->active), now - this->active.startedAt, expected, now);
 }
 
 // A server that sends nothing for any request may never answer, so that any other one is better.
