Narrow the limits of paced engines in a full pool, and name what the budget refuses plainly

Cause: with limits that stay wide in a full pool, engines hold queues of 20 and requests end at their deadlines. Change: 2 and 4.5 times the shares in calm, 1.1 and 1.5 when full.

--- a/packages/core/include/endivespan/byte_budget.h
+++ b/packages/core/include/endivespan/byte_budget.h
@@ -15,7 +15,7 @@
     std::size_t refused; ///< Refused connections that wait for their caller to read the refusal.
 };
 
-/// Accounts the bytes of requests by connection, and chooses the connections that have to give way.
+/// Accounts the bytes of requests by connection, and chooses the connections to be refused.
 ///
 /// Exists for the load in which many callers outside the control of the operator send large bodies, do not end them and
 /// keep their connections open.
@@ -24,7 +24,7 @@
 public:
     using Connection = std::uint64_t;
 
-    /// Part of a connection's life that decides whether it can give way.
+    /// Decides whether a connection may be refused.
     enum class Phase {
         Incomplete, ///< Its request has not been received to its end, so that it has certainly not run.
         Complete, ///< Its request may be running.
--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -589,16 +589,16 @@
 
 /// Part of the engine memory for requests of an urgency that a pool uses on average, up to which it is calm, and from
 /// which it is full. Between them the limits below move from the calm to the full value.
-constexpr double PacedCalmFill = 0.6;
-constexpr double PacedFullFill = 0.95;
+constexpr double PacedCalmFill = 0.7;
+constexpr double PacedFullFill = 1.1;
 /// Multiples of EngineMemoryShares at one engine. The mean memory of a run overestimates that of short prompts, and a
 /// limit that pushes requests off the engines that hold their parts costs more than waiting there.
 constexpr double PacedCalmMemory = 2.0;
-constexpr double PacedFullMemory = 1.6;
+constexpr double PacedFullMemory = 1.1;
 /// Multiples of EngineWaitingShares. Engines start what waits by urgency over all hosts, which queues of single hosts
-/// cannot.
+/// cannot; in a full pool long queues there only delay all requests.
 constexpr double PacedCalmWaiting = 4.5;
-constexpr double PacedFullWaiting = 4.5;
+constexpr double PacedFullWaiting = 1.5;
 
 constexpr double FirstByteSmoothing = 0.05; ///< Share of a new sample.
 /// A second attempt is sent this multiple of the average time to the first byte before the route's aim, so that its
@@ -607,8 +607,9 @@
 constexpr double HedgeDelayShareLeast = 0.5; ///< Part of a route's aim before which no second attempt is made.
 /// Part of a route's aim within which another server must be expected to answer, for a second attempt to be made.
 constexpr double HedgeShare = 0.5;
-/// Time after which a sample of the time to the first event counts half. A host has about two essay requests a second;
-/// with less time a kind has too few samples, with more the delay stays long for minutes after a slow phase.
+/// Time after which a sample of the time to the first event counts half. A host of a large fleet sees a few requests
+/// of a kind each second; with less time a kind has too few samples, with more the delay stays long for minutes after a
+/// slow phase.
 constexpr std::chrono::seconds FirstEventHalfLife = 10s;
 /// Samples, by their decayed count, below which the times of a kind of request are not used.
 constexpr double FirstEventLeastSamples = 6.0;
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -209,8 +209,8 @@
     [[nodiscard]] std::size_t backlogBytes() const;
     /// Reports what the connection holds to the budget of the server.
     void account();
-    /// Gives way to others while the request is incomplete. The connection may be destroyed.
-    void giveWay();
+    /// Refuses the request, which is incomplete, to free its memory. The connection may be destroyed.
+    void refuseIncomplete();
 
 private:
     enum class State {
@@ -381,12 +381,12 @@
         return {this->budget.held(), this->budget.incomplete(), this->refused};
     }
 
-    /// Makes connections give way until the requests of all callers are within the limits. Destroys connections.
+    /// Refuses incomplete requests until those of all callers are within the limits. Destroys connections.
     void enforceBudget()
     {
         while (const auto id = this->budget.toRefuse()) {
             ++this->refused;
-            this->open.at(*id)->giveWay();
+            this->open.at(*id)->refuseIncomplete();
         }
         while (const auto id = this->budget.toClose()) {
             this->remove(*id);
@@ -486,7 +486,7 @@
     bool closing = false;
     bool silent = false;
     std::uint64_t nextId = 1;
-    std::uint64_t refused = 0; ///< Connections that gave way.
+    std::uint64_t refused = 0; ///< Incomplete requests refused by the budget.
     std::map<std::uint64_t, std::unique_ptr<Connection>> open;
 };
 
@@ -729,7 +729,7 @@
     this->server.budget.record(this->id, this->phase(), config::CallerConnectionBytes + this->requestBytes());
 }
 
-void Connection::giveWay()
+void Connection::refuseIncomplete()
 {
     if (!this->readingRequest) {
         this->remove();
--- a/tests/core/byte_budget.cpp
+++ b/tests/core/byte_budget.cpp
@@ -49,7 +49,7 @@
 }
 
 // Guards against an ordinary request that is refused in place of those that no longer move.
-TEST_CASE("the incomplete request with the least recent progress gives way, and no complete one does")
+TEST_CASE("the incomplete request with the least recent progress is refused, and no complete one is")
 {
     ByteBudget budget(Limits);
     budget.record(1, Phase::Complete, 10 * MiB);
