--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -589,16 +589,16 @@
 
 /// Part of the engine memory for requests of an urgency that a pool uses on average, up to which it is calm, and from
 /// which it is full. Between them the limits below move from the calm to the full value.
-constexpr double PacedCalmFill = 0.7;
-constexpr double PacedFullFill = 1.1;
+constexpr double PacedCalmFill = 0.6;
+constexpr double PacedFullFill = 0.95;
 /// Multiples of EngineMemoryShares at one engine. The mean memory of a run overestimates that of short prompts, and a
 /// limit that pushes requests off the engines that hold their parts costs more than waiting there.
 constexpr double PacedCalmMemory = 2.0;
-constexpr double PacedFullMemory = 1.1;
+constexpr double PacedFullMemory = 1.6;
 /// Multiples of EngineWaitingShares. Engines start what waits by urgency over all hosts, which queues of single hosts
-/// cannot; in a full pool long queues there only delay all requests.
+/// cannot.
 constexpr double PacedCalmWaiting = 4.5;
-constexpr double PacedFullWaiting = 1.5;
+constexpr double PacedFullWaiting = 4.5;
 
 constexpr double FirstByteSmoothing = 0.05; ///< Share of a new sample.
 /// A second attempt is sent this multiple of the average time to the first byte before the route's aim, so that its
