Set load control of a test's hosts before they start

Cause: a host that starts again has no slack of retries yet, so that the second attempt that the test waits for is not allowed; with the setting changed after the start it had no effect. Change: World takes the setting.

--- a/tests/platform/second_attempts.cpp
+++ b/tests/platform/second_attempts.cpp
@@ -21,14 +21,12 @@
 {
 public:
     explicit Pool(bool loadControl)
-        : world(3, 1, [](ForwardBounds &bounds) { bounds.retrySlack = 1000; })
+        : world(
+            3,
+            1,
+            [](ForwardBounds &bounds) { bounds.retrySlack = 1000; },
+            loadControl ? LoadControl::Always : LoadControl::Never)
     {
-        // Hosts read the setting when they start.
-        this->world.endHost(0);
-        this->world.hosts[0].settings.loadControl = loadControl ? LoadControl::Always : LoadControl::Never;
-        this->world.replaceHost(0);
-        REQUIRE(this->world.node().start());
-        REQUIRE(this->world.until([this] { return this->world.isReady(); }));
         this->answerAfter(UsualTime, UsualTime);
         for (int i = 0; i < 20; ++i) {
             (void)this->world.ask("/resume/", Patient, "POST", "usual " + std::to_string(i));
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -450,8 +450,12 @@
     return std::string(size) + "\r\n" + event + "\r\n";
 }
 
-World::World(std::size_t count, std::size_t hostCount, const std::function<void(ForwardBounds &)> &change)
+World::World(std::size_t count,
+             std::size_t hostCount,
+             const std::function<void(ForwardBounds &)> &change,
+             LoadControl loadControl)
     : store(this->loop)
+    , loadControl(loadControl)
     , callers(HttpPool::create(this->loop, 5s))
 {
     this->watchedAt = this->loop.now();
@@ -513,6 +517,7 @@
     settings.logAddress = loopback(host.store->server->port());
     settings.firstStart = true;
     settings.bounds = this->bounds;
+    settings.loadControl = this->loadControl;
     host.settings = settings;
     this->makeHost(host);
     const auto started = host.node->start();
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -204,7 +204,11 @@
     /// @param runners Number of runners of the only service.
     /// @param hosts Number of hosts, all in one failure domain; functions without a host argument use the first one.
     /// @param change Changes the bounds of all hosts.
-    explicit World(std::size_t runners, std::size_t hosts = 1, const std::function<void(ForwardBounds &)> &change = {});
+    /// @param loadControl Setting of all hosts.
+    explicit World(std::size_t runners,
+                   std::size_t hosts = 1,
+                   const std::function<void(ForwardBounds &)> &change = {},
+                   LoadControl loadControl = LoadControl::Auto);
     ~World();
     World(const World &) = delete;
     World &operator=(const World &) = delete;
@@ -268,6 +272,7 @@
     void noteStandstill();
 
     ForwardBounds bounds;
+    LoadControl loadControl;
     std::unique_ptr<Timer> watch;
     TimePoint watchedAt;
     Duration watchedCpu {}; ///< Computing time of the process until watchedAt.
