--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,4 +1,4 @@
-#include "part_store.h"
+#include "../rig-2/part_store.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -46,9 +46,9 @@
         }
         const std::string until = request.field("x-endivespan-kv-until");
         const bool isDiscarded = !until.empty() && clockMs() > std::strtoll(until.c_str(), nullptr, 10);
-        if (found == PartStore::Found::Partial && isDiscarded) {
-            ++counts.discarded;
-        } else if (found == PartStore::Found::Partial) {
+        const bool isPartial = found == PartStore::Found::Partial;
+        counts.discarded += isPartial && isDiscarded ? 1 : 0;
+        if (isPartial && !isDiscarded) {
             ++counts.broken;
             record.line("BROKEN (MIXED): request " + requestId + " was told to fetch part " + part
                         + " from the store, where it was still being written");
@@ -98,6 +98,7 @@
     Counts counts;
     std::vector<Link> links(RunnerCount);
     std::vector<std::unique_ptr<Runner>> runners;
+    runners.reserve(RunnerCount);
     for (int i = 0; i < RunnerCount; ++i) {
         const auto handler = [&, &link = links[static_cast<std::size_t>(i)]](Channel &channel, const Message &request) {
             run(channel, request, link, parts, counts, record);
@@ -105,6 +106,7 @@
         runners.push_back(std::make_unique<Runner>(store, "i-" + std::to_string(i), "llm", "m1", handler));
     }
     std::vector<std::unique_ptr<Host>> hosts;
+    hosts.reserve(Hosts);
     for (int i = 0; i < Hosts; ++i) {
         hosts.push_back(std::make_unique<Host>(store, Host::Options {"host-" + std::to_string(i), "z1", 182}));
     }
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,5 +6,5 @@
 for source in review/{6,7,8,9,10}/case.cpp; do
     [ -f "$source" ] || continue
     name=$(basename "$(dirname "$source")")
-    g++ -std=c++20 -O1 -Wall -Wextra -Ireview/rig-2 "$source" review/rig-2/*.cpp -o "target/review-2/case-$name" -lpthread
+    g++ -std=c++20 -O1 -Wall -Wextra "$source" review/rig-2/*.cpp -o "target/review-2/case-$name" -lpthread
 done
