--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -35,8 +35,9 @@
 class Server
 {
 public:
-    Server(Store &store, int number)
+    Server(Store &store, std::atomic<int> &runs, int number)
         : store(store)
+        , runs(runs)
         , id("i-" + std::to_string(number))
     {
         this->start();
@@ -45,7 +46,8 @@
     void start()
     {
         this->runner = std::make_unique<Runner>(
-            this->store, this->id, "orders", "", [](Channel &channel, const Message &request) {
+            this->store, this->id, "orders", "", [&runs = this->runs](Channel &channel, const Message &request) {
+                ++runs;
                 std::this_thread::sleep_for(RunTime);
                 channel.send(sealed(request, 200, "stock"));
             });
@@ -58,6 +60,7 @@
 
 private:
     Store &store;
+    std::atomic<int> &runs;
     std::string id;
     std::unique_ptr<Runner> runner;
 };
@@ -100,7 +103,7 @@
         this->store.put("keyed.op", "config", config(1, {route}, {{"t1", "key-1"}}));
         this->servers.reserve(ServerCount);
         for (int i = 0; i < ServerCount; ++i) {
-            this->servers.push_back(std::make_unique<Server>(this->store, i));
+            this->servers.push_back(std::make_unique<Server>(this->store, this->runs, i));
         }
     }
 
@@ -170,9 +173,9 @@
             client.join();
         }
         this->hosts.clear();
-        this->record.line("before the final fault: " + textOf(this->before)
-                          + "; of these since the servers are back: " + textOf(this->back)
-                          + "; in recover_s after it: " + textOf(this->between) + "; later: " + textOf(this->after));
+        this->record.line("before the final fault: " + textOf(this->before) + "; of these since the servers are back: "
+                          + textOf(this->back) + "; in recover_s after it: " + textOf(this->between)
+                          + "; later: " + textOf(this->after) + "; run " + std::to_string(this->runs));
         const int asked = this->before.asked + this->back.asked;
         const int served = this->before.served + this->back.served;
         const bool broken = 4 * this->after.served < this->after.asked && 4 * served >= asked;
@@ -192,6 +195,7 @@
 
 private:
     Record record;
+    std::atomic<int> runs = 0;
     Store store;
     std::vector<std::unique_ptr<Server>> servers;
     std::vector<std::unique_ptr<Host>> hosts;
