Let no fetch meet a part that is saved to a store which is back at once

Callers saw: engines took memory of parts that were only being written, after a store of parts had restarted within 1.2 s. In the log such requests look like any other fetch; the answers were made from parts that were not whole.

Cause: a fetch counts for 1.2 s after the store's answer by which it was planned, and nothing bounded when the next start of the store is written. Three kinds of saves met such fetches: of hosts that knew of the restart already; of hosts that did not, and had not learned yet that the store held the part; and saves that were planned before the restart and begun after it. The old bound took 1.2 s to be less than a restart takes. Ruled out as a remedy: a shorter time for fetches (the window stays, and more of them are thrown away); names of parts that change with the start of a store (the third kind of save has the old name, too).

Change: nothing is saved to a start of a store that the host has known for less than the time of a fetch; saves are planned by views of at most 0.8 s; a part is fetched once the host has known it for that time plus twice the usual time (95th percentile) from sending a request with saves to its answer, which is learned. Neither depends on how long a store is away.

--- a/packages/core/include/endivespan/shared_store.h
+++ b/packages/core/include/endivespan/shared_store.h
@@ -2,6 +2,7 @@
 
 #include <endivespan/clock.h>
 #include <endivespan/config.h>
+#include <endivespan/first_event_times.h>
 #include <endivespan/server_table.h>
 
 #include <cstdint>
@@ -93,21 +94,31 @@
     Duration age {}; ///< Of the latest sample.
 };
 
+/// A part that a store has reported as stored.
+struct HeldPart {
+    std::uint64_t tokens = 0;
+    TimePoint knownSince; ///< When this host first had it in its view of the store's present start.
+};
+
 /// This host's view of one store, to be relayed to other hosts.
 struct SharedStoreView {
     std::uint64_t epoch = 0; ///< As in StoreEvents, as are the next and the clock.
     std::uint64_t next = 0;
     Duration age {}; ///< Since the request whose answer the view is from.
     std::optional<std::chrono::milliseconds> clock;
-    const std::map<ScopedPart, std::uint64_t> *held = nullptr; ///< Tokens by part; valid until the view next changes.
+    const std::map<ScopedPart, HeldPart> *held = nullptr; ///< Valid until the view next changes.
 };
 
 /// This host's view of the shared stores. Made for a load of many long prefixes that return within seconds and that do
 /// not fit into the engines' memory.
 ///
-/// A store that restarts is empty, and parts are then saved to it again. A fetch that was planned before must not read
-/// a part that is still being written. Hence a view is only used for config::StoreViewTime, which is less than a store
-/// takes to restart, and each fetch must end by then on the engines' clock.
+/// A store that restarts is empty, and parts are then saved to it again. A fetch that was planned before the restart
+/// must not read a part that is being written after it, however soon the store is back:
+/// - A fetch must end within config::StoreViewTime of the answer that showed the part, on the engines' clock.
+/// - Nothing is saved to a start of a store that this host has known for less than that, since other hosts may not know
+///   of the restart yet.
+/// - A part is fetched once it has been known for settleTime(). By then every host that saves knows that the store has
+///   it, and saves that were planned before have begun.
 class SharedStores
 {
 public:
@@ -120,13 +131,14 @@
     /// Applies the events that the store at @p address answered to a request sent at @p askedAt.
     /// @returns false when the store has restarted. Its view is then empty, and it must be asked from its first event
     ///     on.
-    [[nodiscard]] bool applyAnswer(const std::string &address, const StoreEvents &events, TimePoint askedAt);
+    [[nodiscard]] bool
+    applyAnswer(const std::string &address, const StoreEvents &events, TimePoint askedAt, TimePoint now);
 
     /// Applies events or a listing of a store that another host has passed on; ignored unless newer than the own view.
     /// @param whole Whether @p events list everything that the store held.
     /// @param asOf When the answer was current.
     /// @returns whether it was applied.
-    bool applyRelayed(const std::string &address, const StoreEvents &events, bool whole, TimePoint asOf);
+    bool applyRelayed(const std::string &address, const StoreEvents &events, bool whole, TimePoint asOf, TimePoint now);
 
     /// @returns the address of the store whose storeIdOf() is @p id, or nothing.
     [[nodiscard]] std::optional<std::string> addressOf(std::uint32_t id) const;
@@ -138,11 +150,11 @@
     [[nodiscard]] std::uint64_t epochOf(const std::string &address) const;
 
     /// Replaces the view of a store by a listing of all its parts.
-    void replaceByListing(const std::string &address, const StoreEvents &all, TimePoint askedAt);
+    void replaceByListing(const std::string &address, const StoreEvents &all, TimePoint askedAt, TimePoint now);
 
     /// Plans the transfers of the parts that a prompt shares with others, and records the saves. A part that a store
-    /// holds is fetched unless that store is slow. Any other part is saved, once on this host until
-    /// config::StoreSaveAgain has passed without the store reporting it.
+    /// holds is fetched once it has settled, unless that store is slow. A part that no store holds is saved, once on
+    /// this host until config::StoreSaveAgain has passed without the store reporting it.
     /// @param domain Failure domain of the engine.
     /// @param mayUse Set when newer weights than those of the scope have been named. Nothing is saved then, and only
     ///     the parts for which it returns true are fetched.
@@ -152,6 +164,12 @@
                                     const std::function<bool(const std::string &id)> &mayUse,
                                     TimePoint now);
 
+    /// Records how long after it was sent a request with saves has begun its answer: by then it has begun the saves.
+    void observeSaveStart(Duration time, TimePoint now);
+
+    /// @returns how long a part must have been known before it is fetched.
+    [[nodiscard]] Duration settleTime(TimePoint now) const;
+
     /// Records the sample of an attempt that fetched from @p address.
     /// @param excess As in StoreSample.
     void addSample(const std::string &address, Duration excess, TimePoint now);
@@ -193,7 +211,8 @@
         std::uint64_t next = 0;
         std::optional<TimePoint> asOf; ///< When the latest answer was asked for.
         std::optional<std::chrono::milliseconds> clock;
-        std::map<ScopedPart, std::uint64_t> held; ///< Tokens by part.
+        TimePoint epochKnownSince; ///< When this host first had an answer of the present epoch.
+        std::map<ScopedPart, HeldPart> held;
         std::uint64_t usedTokens = 0;
         Duration excess {}; ///< Smoothed over the samples.
         TimePoint excessAt; ///< Of the latest sample.
@@ -201,17 +220,24 @@
     };
 
     [[nodiscard]] static bool isFresh(const View &view, TimePoint now);
+    /// @returns whether a save may be planned that other hosts' fetches of older views cannot meet.
+    [[nodiscard]] static bool maySaveTo(const View &view, TimePoint now);
+    static void applyEvents(View &view, const StoreEvents &events, TimePoint askedAt, TimePoint now);
+    static void remove(View &view, const ScopedPart &part);
     void smooth(View &view, Duration excess, TimePoint now) const;
     /// @returns whether a fetch from the store is expected to take much longer than the prefill of @p tokens.
     [[nodiscard]] bool isSlowerThanReading(const View &view, std::uint64_t tokens, TimePoint now) const;
-    /// @returns a store to fetch the part from, in @p domain if possible, or null.
-    const View *storeToFetchFrom(const ScopedPart &part, const std::string &domain, TimePoint now) const;
+    /// @returns a store that holds the part, one in @p domain that may be fetched from if possible, or null.
+    const View *holderOf(const ScopedPart &part, const std::string &domain, TimePoint now) const;
+    /// @returns whether no save of the part that was planned before can still begin. The store must hold the part.
+    [[nodiscard]] bool isSettled(const View &view, const ScopedPart &part, TimePoint now) const;
     /// @returns the store to save the part to, or null when none has room.
     View *storeToSaveTo(const ScopedPart &part, std::uint64_t tokens, TimePoint now);
 
     std::map<std::string, View> views; ///< By address.
     std::map<std::uint32_t, std::string> ids; ///< Addresses by storeIdOf().
     std::vector<StoreSample> samples; ///< To be returned by takeSamples().
+    FirstEventTimes saveStarts; ///< Of requests with saves.
     /// Tokens per millisecond.
     double readingRate = config::StartPrefillTokensPerMillisecond;
 };
--- a/packages/core/src/relay.cpp
+++ b/packages/core/src/relay.cpp
@@ -218,8 +218,8 @@
         }
     } else {
         relayed.whole = true;
-        for (const auto &[part, tokens] : *view.held) {
-            relayed.events.events.push_back({part, true, tokens});
+        for (const auto &[part, held] : *view.held) {
+            relayed.events.events.push_back({part, true, held.tokens});
         }
     }
     const std::size_t size = relayed.events.events.size();
--- a/packages/core/src/shared_store.cpp
+++ b/packages/core/src/shared_store.cpp
@@ -50,7 +50,7 @@
     return list;
 }
 
-bool SharedStores::applyAnswer(const std::string &address, const StoreEvents &events, TimePoint askedAt)
+bool SharedStores::applyAnswer(const std::string &address, const StoreEvents &events, TimePoint askedAt, TimePoint now)
 {
     const auto found = this->views.find(address);
     if (found == this->views.end()) {
@@ -63,6 +63,13 @@
         view.store = store;
         return false;
     }
+    view.epochKnownSince = view.asOf ? view.epochKnownSince : now;
+    applyEvents(view, events, askedAt, now);
+    return true;
+}
+
+void SharedStores::applyEvents(View &view, const StoreEvents &events, TimePoint askedAt, TimePoint now)
+{
     view.epoch = events.epoch;
     view.next = events.next;
     view.asOf = askedAt;
@@ -70,28 +77,35 @@
     for (const StoreEvent &event : events.events) {
         view.saving.erase(event.part);
         if (event.stored) {
-            std::uint64_t &tokens = view.held[event.part];
-            view.usedTokens += event.tokens - std::min(tokens, event.tokens);
-            tokens = std::max(tokens, event.tokens);
-        } else if (const auto entry = view.held.find(event.part); entry != view.held.end()) {
-            view.usedTokens -= std::min(view.usedTokens, entry->second);
-            view.held.erase(entry);
+            HeldPart &part = view.held.try_emplace(event.part, HeldPart {0, now}).first->second;
+            view.usedTokens += event.tokens - std::min(part.tokens, event.tokens);
+            part.tokens = std::max(part.tokens, event.tokens);
+        } else {
+            remove(view, event.part);
         }
     }
-    return true;
 }
 
-bool SharedStores::applyRelayed(const std::string &address, const StoreEvents &events, bool whole, TimePoint asOf)
+void SharedStores::remove(View &view, const ScopedPart &part)
+{
+    if (const auto entry = view.held.find(part); entry != view.held.end()) {
+        view.usedTokens -= std::min(view.usedTokens, entry->second.tokens);
+        view.held.erase(entry);
+    }
+}
+
+bool SharedStores::applyRelayed(
+    const std::string &address, const StoreEvents &events, bool whole, TimePoint asOf, TimePoint now)
 {
     const auto found = this->views.find(address);
     if (found == this->views.end() || (found->second.asOf && *found->second.asOf >= asOf)) {
         return false;
     }
     if (whole) {
-        this->replaceByListing(address, events, asOf);
+        this->replaceByListing(address, events, asOf, now);
         return true;
     }
-    return events.epoch == found->second.epoch && this->applyAnswer(address, events, asOf);
+    return events.epoch == found->second.epoch && this->applyAnswer(address, events, asOf, now);
 }
 
 std::optional<std::string> SharedStores::addressOf(std::uint32_t id) const
@@ -119,17 +133,26 @@
     return found == this->views.end() ? 0 : found->second.epoch;
 }
 
-void SharedStores::replaceByListing(const std::string &address, const StoreEvents &all, TimePoint askedAt)
+void SharedStores::replaceByListing(const std::string &address,
+                                    const StoreEvents &all,
+                                    TimePoint askedAt,
+                                    TimePoint now)
 {
     const auto found = this->views.find(address);
     if (found == this->views.end()) {
         return;
     }
-    const ForwardStore store = found->second.store;
-    found->second = View {};
-    found->second.store = store;
-    found->second.epoch = all.epoch;
-    (void)this->applyAnswer(address, all, askedAt);
+    View &view = found->second;
+    const View before = std::exchange(view, View {});
+    view.store = before.store;
+    const bool isSameEpoch = before.asOf && before.epoch == all.epoch;
+    view.epochKnownSince = isSameEpoch ? before.epochKnownSince : now;
+    applyEvents(view, all, askedAt, now);
+    for (auto &[part, held] : view.held) {
+        if (const auto known = before.held.find(part); isSameEpoch && known != before.held.end()) {
+            held.knownSince = known->second.knownSince;
+        }
+    }
 }
 
 bool SharedStores::isFresh(const View &view, TimePoint now)
@@ -137,6 +160,30 @@
     return view.asOf && now - *view.asOf <= config::StoreViewTime;
 }
 
+bool SharedStores::maySaveTo(const View &view, TimePoint now)
+{
+    return view.asOf && now - *view.asOf <= config::StoreSaveViewTime
+        && now - view.epochKnownSince > config::StoreViewTime;
+}
+
+void SharedStores::observeSaveStart(Duration time, TimePoint now)
+{
+    this->saveStarts.observe({}, time, now);
+}
+
+// Hosts may know of the part later than this one, by the age of the views by which they plan saves. Such a save begins
+// once its engine has read the prompt, which takes longer in a busy pool.
+Duration SharedStores::settleTime(TimePoint now) const
+{
+    const Duration start = this->saveStarts.usualTime({}, now).value_or(config::StoreSaveStartGuess);
+    return config::StoreSaveViewTime + config::StoreSaveStarts * start;
+}
+
+bool SharedStores::isSettled(const View &view, const ScopedPart &part, TimePoint now) const
+{
+    return now - view.held.at(part).knownSince >= this->settleTime(now);
+}
+
 void SharedStores::addSample(const std::string &address, Duration excess, TimePoint now)
 {
     const auto found = this->views.find(address);
@@ -204,13 +251,18 @@
     return view.excess - fastest > std::max<Duration>(config::SlowStoreExcess, bound);
 }
 
-const SharedStores::View *
-SharedStores::storeToFetchFrom(const ScopedPart &part, const std::string &domain, TimePoint now) const
+const SharedStores::View *SharedStores::holderOf(const ScopedPart &part, const std::string &domain, TimePoint now) const
 {
     const View *best = nullptr;
+    std::pair<bool, bool> rank;
     for (const auto &[address, view] : this->views) {
-        if (isFresh(view, now) && view.held.contains(part) && (best == nullptr || view.store.domain == domain)) {
+        if (!isFresh(view, now) || !view.held.contains(part)) {
+            continue;
+        }
+        const std::pair found(this->isSettled(view, part, now), view.store.domain == domain);
+        if (best == nullptr || found > rank) {
             best = &view;
+            rank = found;
         }
     }
     return best;
@@ -223,7 +275,7 @@
     double most = -std::numeric_limits<double>::infinity();
     for (auto &[address, view] : this->views) {
         const double room = config::StoreFillShare * static_cast<double>(view.store.capacityTokens);
-        if (!isFresh(view, now) || static_cast<double>(view.usedTokens + tokens) > room) {
+        if (!maySaveTo(view, now) || static_cast<double>(view.usedTokens + tokens) > room) {
             continue;
         }
         const double place = rankOf(address, hashPrefix(0, part.id));
@@ -250,9 +302,9 @@
         if (mayUse && !mayUse(part.id)) {
             continue;
         }
-        if (const View *view = this->storeToFetchFrom(part, domain, now)) {
+        if (const View *view = this->holderOf(part, domain, now)) {
             // For a short part, prefill is faster than a slow fetch; a long part takes the engine longer.
-            if (this->isSlowerThanReading(*view, parts[i].tokens, now)) {
+            if (!this->isSettled(*view, part, now) || this->isSlowerThanReading(*view, parts[i].tokens, now)) {
                 continue;
             }
             plan.fetch[i] = view->store.address;
@@ -291,7 +343,7 @@
     if (found == this->views.end()) {
         return {0, parts};
     }
-    for (const auto &[part, tokens] : found->second.held) {
+    for (const auto &[part, held] : found->second.held) {
         if (parts.size() < limit && isOld(part)) {
             parts.push_back(part);
         }
@@ -306,10 +358,7 @@
         return;
     }
     for (const ScopedPart &part : parts) {
-        if (const auto entry = found->second.held.find(part); entry != found->second.held.end()) {
-            found->second.usedTokens -= std::min(found->second.usedTokens, entry->second);
-            found->second.held.erase(entry);
-        }
+        remove(found->second, part);
     }
 }
 
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -319,6 +319,9 @@
         this->task.engines.observeFirstToken(
             parts.empty() ? 0 : parts.back().tokens, this->active.tokens, now - this->active.startedAt);
     }
+    if (this->active.savesParts) {
+        this->task.parts.stores.observeSaveStart(now - this->active.startedAt, now);
+    }
     if (!this->active.fetchedFrom.empty() && isStoreSample(answer.load)) {
         const std::uint64_t own = this->work.request.parts.back().tokens;
         const std::chrono::duration<double, std::milli> reading(
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -38,6 +38,7 @@
     std::uint64_t work = 0; ///< Those of them that are expected not to be cached or fetched.
     std::uint64_t weights = 0; ///< Version of the weights that the attempt requires; 0 for none.
     std::string fetchedFrom; ///< Store that the last fetched part comes from; empty for none.
+    bool savesParts = false; ///< Its engine saves shared parts to a store.
     TimePoint startedAt;
     TimePoint lastByteAt; ///< When the latest byte of the answer arrived; the start before.
     TimePoint headAt; ///< When the header of the answer arrived; epoch before.
--- a/packages/node/src/forward_send.cpp
+++ b/packages/node/src/forward_send.cpp
@@ -126,6 +126,7 @@
     }
     for (const std::string &store : dispatch.transfers.save) {
         this->partsSaved += store.empty() ? 0 : 1;
+        attempt.savesParts = attempt.savesParts || !store.empty();
     }
     // A part that no store holds may be in another engine's memory. A fetch that does not find it there costs 1 ms.
     for (std::size_t i = 0; i < shared.size(); ++i) {
--- a/packages/node/src/store_task.cpp
+++ b/packages/node/src/store_task.cpp
@@ -96,7 +96,7 @@
         if (!address) {
             continue;
         }
-        if (this->stores.applyRelayed(*address, store.events, store.whole, askedAt - store.age)) {
+        if (this->stores.applyRelayed(*address, store.events, store.whole, askedAt - store.age, this->loop.now())) {
             this->relay.addStoreEvents(*address, store.events, store.whole);
         }
     }
@@ -156,7 +156,7 @@
     if (!answer) {
         return;
     }
-    if (!this->stores.applyAnswer(address, answer.value(), askedAt)) {
+    if (!this->stores.applyAnswer(address, answer.value(), askedAt, now)) {
         this->events.line("store_started_again").with("address", address).with("epoch", answer.value().epoch);
         poll.askAt = now;
         return;
@@ -179,7 +179,7 @@
                 .with("why", all.error().detail);
             return;
         }
-        this->stores.replaceByListing(address, all.value(), askedAt);
+        this->stores.replaceByListing(address, all.value(), askedAt, this->loop.now());
         this->relay.addStoreEvents(address, all.value(), true);
         this->events.line("store_listed").with("address", address).with("parts", all.value().events.size());
     });
