Give up the parts of replaced weights by the clock, from what each host knows of the naming

Callers saw: engines took memory of parts that were freed while they read them, during rollouts in which hosts were killed and engines came back with their old weights.

Cause: a part of replaced weights was given up with the share of engines that had left them, as each host had seen it. A host that was up had seen all running engines go over and freed all parts; one that started then counted the engines that had come back with old weights, took a smaller share, and used half of the parts. Ruled out: parts that were listed late (the host lists the stores after its start), and freeing by the host that starts (it waits for as long as a fetch may last).

Change: each part has a time after the naming, in an order that all hosts share. A host fetches by the earliest time at which the newer weights may have been named (WeightHistory, which a started host learns from its peers) and frees by the latest, that is by when it knew of them. A host that does not know when they were named uses none of their predecessors' parts, and frees only what no host can use. Shares of engines, their margin and the age of the list of servers no longer matter. Nothing is freed while the log is not read, since others may not have read of the naming. A search for parts to free begins with the rollout, not up to 10 s later.

Tests replaced: two cases of tests/core/shared_store.cpp described the share ("parts of old weights are given up as engines load new ones...", "a host frees nothing until..."). tests/core/old_parts.cpp asks the same of the new rule: all used at first, some at half, none at the end, nothing brought back, no freeing before the last fetch has ended. That parts are kept while a rollout stalls is no longer promised; docs/design/scale.md says so.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -389,10 +389,9 @@
 /// Age of the operators' records and of the list of servers up to which prompt parts are transferred and freed. Covers
 /// two waiting reads.
 constexpr std::chrono::milliseconds TransferFreshness = 2200ms;
-/// After this time no fetch that was planned by an older state is still under way, so a part may be freed.
-constexpr std::chrono::milliseconds OldPartsFreeDelay = TransferFreshness + StoreViewTime + 300ms;
-/// Share of the engines by which hosts may differ in their count of those that start or leave.
-constexpr double OldPartsMargin = 0.1;
+/// After its last use no fetch of a part is still under way, so that it may be freed.
+constexpr std::chrono::milliseconds FetchEndTime = StoreViewTime + 300ms;
+constexpr std::size_t OldPartsVersions = 64; ///< Weight versions of a model whose naming times are kept.
 /// Between two checks of which host frees the parts of a store.
 constexpr std::chrono::milliseconds StoreOwnerPeriod = 2000ms;
 /// Between two searches for parts to free while no weights change.
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -68,6 +68,7 @@
         , confirmation(
               true,
               std::chrono::duration_cast<Duration>(this->settings.bounds.revocation * config::StaleConfigurationShare))
+        , oldParts(rolloutPace(this->settings.bounds).span)
         , operators(loop,
                     adapters.log,
                     adapters.records,
@@ -116,8 +117,8 @@
                  this->sharedStores,
                  this->relaySource,
                  this->membership,
-                 this->progress,
-                 this->serverFeed)
+                 this->confirmation,
+                 this->oldParts)
         , relay(RelayTaskParts {loop,
                                 this->events,
                                 this->metrics,
@@ -137,7 +138,7 @@
                                 this->operators,
                                 this->servers,
                                 this->sharedStores,
-                                this->progress,
+                                this->oldParts,
                                 this->serverFeed,
                                 this->membership,
                                 this->roster,
@@ -473,7 +474,7 @@
     ServerTable servers;
     SharedStores sharedStores;
     RelayCache relaySource;
-    WeightProgress progress;
+    OldParts oldParts;
     OperatorFeed operators;
     ServerFeed serverFeed;
     HostRoster roster;
--- a/packages/node/src/forward_send.cpp
+++ b/packages/node/src/forward_send.cpp
@@ -115,8 +115,8 @@
     }
     std::function<bool(const std::string &)> mayUse;
     if (replacedAt) {
-        mayUse = [this, &model, version = weights->second](const std::string &part) {
-            return this->task.parts.progress.mayUse(model, version, part);
+        mayUse = [this, at = *replacedAt, now](const std::string &part) {
+            return this->task.parts.oldParts.mayUse(at, part, now);
         };
     }
     dispatch.transfers = this->task.parts.stores.plan(dispatch.cacheScope, shared, view.entry.domain, mayUse, now);
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -480,7 +480,7 @@
     this->watchCrashes(now);
     this->sampleMemory();
     this->parts.stores.setReadingRate(this->engines.rates().prefillTokensPerMillisecond);
-    this->parts.progress.observe(this->parts.servers, this->parts.operators.state().weights.newest(), now);
+    this->parts.oldParts.observe(this->parts.operators.state().weights.newest(), now);
     this->weightLoadQueues.clear();
     this->meanRequests.clear();
     if (const auto &config = this->parts.operators.state().config) {
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -19,11 +19,11 @@
 #include <endivespan/http_server.h>
 #include <endivespan/loop.h>
 #include <endivespan/membership.h>
+#include <endivespan/old_parts.h>
 #include <endivespan/placement.h>
 #include <endivespan/retry_share.h>
 #include <endivespan/server_table.h>
 #include <endivespan/suspect.h>
-#include <endivespan/weight_progress.h>
 
 #include <map>
 #include <memory>
@@ -46,7 +46,7 @@
     const OperatorFeed &operators;
     ServerTable &servers;
     SharedStores &stores;
-    WeightProgress &progress;
+    OldParts &oldParts;
     const ServerFeed &serverFeed;
     Membership &membership;
     const HostRoster &roster;
--- a/packages/node/src/store_task.cpp
+++ b/packages/node/src/store_task.cpp
@@ -34,16 +34,16 @@
                      SharedStores &stores,
                      RelayCache &relay,
                      const Membership &membership,
-                     const WeightProgress &progress,
-                     const ServerFeed &serverFeed)
+                     const ConfigConfirmation &confirmation,
+                     const OldParts &oldParts)
     : loop(loop)
     , control(control)
     , events(events)
     , stores(stores)
     , relay(relay)
     , membership(membership)
-    , progress(progress)
-    , serverFeed(serverFeed)
+    , confirmation(confirmation)
+    , oldParts(oldParts)
     , random(std::random_device {}())
 {
 }
@@ -62,11 +62,11 @@
             poll.asking = true;
             this->ask(address, next);
         }
-        if (now >= poll.freeAt) {
-            // A host that started after a rollout sees no engine with replaced weights, although a store may still be
-            // full of their parts.
-            const bool isUrgent = this->progress.isUnderWay() || this->stores.isNearlyFull(address);
-            poll.freeAt = now + (isUrgent ? config::OwnershipPeriod : config::StoreIdleFreePeriod);
+        // A store may be full of parts of replaced weights for other reasons than a rollout, such as a restart of all
+        // hosts.
+        const bool isUrgent = this->oldParts.isUnderWay(now) || this->stores.isNearlyFull(address);
+        if (now - poll.searchedAt >= (isUrgent ? config::OwnershipPeriod : config::StoreIdleFreePeriod)) {
+            poll.searchedAt = now;
             this->freeOld(address, now);
         }
     }
@@ -188,13 +188,13 @@
 bool StoreTask::isOld(const ScopedPart &part, TimePoint now) const
 {
     const auto made = parseCacheScope(part.scope);
-    return made && this->progress.mayFree(made->first, made->second, part.id, now);
+    return made && this->oldParts.mayFree(made->first, made->second, part.id, now);
 }
 
 void StoreTask::freeOld(const std::string &address, TimePoint now)
 {
-    // With an outdated list of servers this host may count engines in the weight progress that the other hosts do not.
-    if (const auto age = this->serverFeed.age(now); !age || *age > config::TransferFreshness) {
+    // While the log is down for all, hosts that have not read of the newest weights go on using the parts.
+    if (const auto read = this->confirmation.lastKnownNewest(); !read || now - *read > config::TransferFreshness) {
         return;
     }
     StorePoll &poll = this->polls[address];
--- a/packages/node/src/store_task.h
+++ b/packages/node/src/store_task.h
@@ -1,14 +1,13 @@
 #pragma once
 
-#include "server_feed.h"
-
+#include <endivespan/confirmation.h>
 #include <endivespan/event_log.h>
 #include <endivespan/forward_codec.h>
 #include <endivespan/loop.h>
 #include <endivespan/membership.h>
+#include <endivespan/old_parts.h>
 #include <endivespan/relay.h>
 #include <endivespan/shared_store.h>
-#include <endivespan/weight_progress.h>
 
 #include <map>
 #include <memory>
@@ -29,8 +28,8 @@
               SharedStores &stores,
               RelayCache &relay,
               const Membership &membership,
-              const WeightProgress &progress,
-              const ServerFeed &serverFeed);
+              const ConfigConfirmation &confirmation,
+              const OldParts &oldParts);
 
     void setStores(const std::vector<ForwardStore> &list);
     void tick(TimePoint now);
@@ -50,7 +49,7 @@
         bool asking = false;
         bool reachable = true;
         TimePoint askAt;
-        TimePoint freeAt;
+        TimePoint searchedAt; ///< When parts to free were last searched for.
         TimePoint ownerAt; ///< When to determine again which host frees parts there.
         bool isOwner = false;
     };
@@ -68,8 +67,8 @@
     SharedStores &stores;
     RelayCache &relay;
     const Membership &membership;
-    const WeightProgress &progress;
-    const ServerFeed &serverFeed;
+    const ConfigConfirmation &confirmation;
+    const OldParts &oldParts;
     std::mt19937_64 random;
     TimePoint logAt;
     bool reading = false; ///< Whether this host polls the stores; false until the reader is chosen.
