Let a request run again as a counted trial after its servers have crashed together

Callers saw: three plain servers crashed together and were back after 3 s; a sound read that many callers share, answered 2,961 times before, got 503 from all hosts from then on, for ten minutes and through a restart of all hosts.

Cause: a request under which three servers crashed was refused without any further run, and only an answer ends the refusal. Refusals had no half-open state, and the log keeps them through restarts. Ruled out by the causes in the hosts' logs: that the servers were not used again (they are listed within 0.2 s), and that the suspicion was cleared and came back (no request_excused, no attempt). That servers crash at the same moment excuses nothing: a request that crashes servers and is sent by many callers does the same.

Change: a refused request runs again as a trial 1 s after the latest crash, then 8 s and 64 s after the trial before; three over all hosts, counted by a record in the log that is written before each one on the condition that no other host has written. An answer, or heartbeats of the same start of the server after answers that prove nothing, ends the refusal everywhere. The same holds for parts of prompts. Without the log, or while no server is reached, there is no trial.

Cost: a request that does crash its servers ends up to three more of them; a read costs the log one reading and one writing call a trial, and other hosts one reading call by their rank.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -256,6 +256,14 @@
 constexpr std::size_t CrashesUntilArchived = 2;
 constexpr std::chrono::milliseconds SuspectArchivePause = 500ms; ///< After a failed read or write of suspicions.
 constexpr std::chrono::minutes SuspectSweepPeriod = 10min; ///< Between two removals of expired suspicions from the log.
+constexpr std::size_t TrialsMost = 3; ///< Trials of one refused request or part by all hosts, until one is answered.
+constexpr std::chrono::seconds TrialDelay = 1s; ///< From the latest crash until the first trial.
+constexpr int TrialDelayGrowth = 8; ///< Factor by which the delay of each further trial is longer.
+/// By which the hosts wait for each other, since only one of them gets the permit; grows with the logarithm of the
+/// rank.
+constexpr std::chrono::milliseconds TrialTurn = 300ms;
+constexpr std::chrono::seconds TrialAskTime = 6s; ///< In which a host that asks for a permit has an answer.
+constexpr std::size_t TrialAppends = 3; ///< Tries to write one permit while other hosts write permits too.
 constexpr std::size_t SuspectPartsPerRequest = 16; ///< Parts of one prompt that are suspected, from the first one on.
 constexpr std::size_t AnswersRemembered = 8192; ///< Requests and parts whose last complete answer is remembered.
 constexpr std::chrono::seconds SuspectPermitTtl = 2s; ///< In which a permit to run a suspect alone must be used.
--- a/packages/core/include/endivespan/suspect.h
+++ b/packages/core/include/endivespan/suspect.h
@@ -100,8 +100,11 @@
 
     /// @returns the index of the part of the request with most crashes of those that crash servers of @p service, or
     ///     nothing.
-    [[nodiscard]] std::optional<std::size_t>
-    findRefusedPart(const std::string &service, const SuspectKeys &keys, TimePoint now) const;
+    /// @param exempt Parts that are not refused.
+    [[nodiscard]] std::optional<std::size_t> findRefusedPart(const std::string &service,
+                                                             const SuspectKeys &keys,
+                                                             TimePoint now,
+                                                             const std::set<Fingerprint> &exempt = {}) const;
 
     /// Clears one crash of requests, after the server turned out to have kept running.
     void retractCrash(CrashId death, std::span<const Fingerprint> running, TimePoint now);
--- a/packages/core/src/suspect.cpp
+++ b/packages/core/src/suspect.cpp
@@ -156,13 +156,15 @@
     return this->entries.at(fingerprint).clearedAt > at || this->isAnsweredSince(fingerprint, at);
 }
 
-std::optional<std::size_t>
-SuspicionTable::findRefusedPart(const std::string &service, const SuspectKeys &keys, TimePoint now) const
+std::optional<std::size_t> SuspicionTable::findRefusedPart(const std::string &service,
+                                                           const SuspectKeys &keys,
+                                                           TimePoint now,
+                                                           const std::set<Fingerprint> &exempt) const
 {
     std::optional<std::size_t> found;
     std::size_t most = 0;
     for (std::size_t i = 0; i < keys.parts.size(); ++i) {
-        if (!this->candidates.contains(keys.parts[i])) {
+        if (!this->candidates.contains(keys.parts[i]) || exempt.contains(keys.parts[i])) {
             continue;
         }
         const Entry &entry = this->entries.at(keys.parts[i]);
--- a/packages/net/include/endivespan/keyed_log.h
+++ b/packages/net/include/endivespan/keyed_log.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 /// Client interface of a log service with two kinds of topics: keyed topics, which keep the newest record of each key,
-/// and plain topics, which support conditional appends. All offsets are positions, see log_position.h, since the
+/// and plain topics. Both support conditional appends. All offsets are positions, see log_position.h, since the
 /// service may be restored from a copy that lacks the latest records.
 namespace endivespan {
 
@@ -63,6 +63,14 @@
                      std::function<void(Result<void>)> done)
         = 0;
 
+    /// The same as put(), provided that the topic ends at position @p at.
+    virtual void putAt(const std::string &topic,
+                       std::uint64_t at,
+                       const std::string &key,
+                       const std::string &value,
+                       std::function<void(Result<ConditionalAppend>)> done)
+        = 0;
+
     /// Reads the last record of a plain topic.
     /// @param done Receives the record, with the end of the topic as next; no record when the topic is empty or its
     ///     records have expired.
--- a/packages/node/include/endivespan/forward_codec.h
+++ b/packages/node/include/endivespan/forward_codec.h
@@ -133,6 +133,7 @@
     [[nodiscard]] virtual std::string hostTopic() const = 0; ///< Topic in which the hosts list themselves.
     [[nodiscard]] virtual std::string leaseTopic() const = 0;
     [[nodiscard]] virtual std::string suspectTopic() const = 0; ///< Topic in which the hosts keep suspicions.
+    [[nodiscard]] virtual std::string trialTopic() const = 0; ///< Topic in which they permit trials of suspects.
 
     /// @param value Empty when the key was deleted.
     /// @returns the decoded record, std::monostate for keys that hosts do not use, or ProtocolError.
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -103,6 +103,13 @@
                                this->operators,
                                true})
         , suspectFeed(loop, adapters.log, adapters.records, this->events, this->membership, this->peers.suspicions)
+        , trials(loop,
+                 adapters.log,
+                 adapters.records,
+                 this->events,
+                 this->metrics,
+                 this->membership,
+                 this->peers.suspicions)
         , rollout(loop,
                   adapters.log,
                   adapters.records,
@@ -145,6 +152,7 @@
                                 this->confirmation,
                                 this->peers.suspicions,
                                 this->suspectFeed,
+                                this->trials,
                                 this->metrics,
                                 this->events})
     {
@@ -336,6 +344,7 @@
         const TimePoint now = this->loop.now();
         this->peers.tick(now);
         this->suspectFeed.tick(now);
+        this->trials.tick(now);
         this->rankHosts(now);
         this->logHosts(now);
         this->rollout.tick(now);
@@ -481,6 +490,7 @@
     HostFeed hostFeed;
     PeerTask peers;
     SuspectFeed suspectFeed;
+    TrialFeed trials;
     RolloutTask rollout;
     StoreTask stores;
     RelayTask relay;
--- a/packages/node/src/forward_run.cpp
+++ b/packages/node/src/forward_run.cpp
@@ -50,7 +50,43 @@
     this->work.exchange->onInputEnded([this] { this->onInputEnded(); });
     this->deadlineTimer
         = this->task.parts.loop.after(this->work.deadline - this->work.arrivedAt, [this] { this->onDeadline(); });
-    this->attempt();
+    this->admit();
+}
+
+void ForwardRun::admit()
+{
+    const TimePoint now = this->task.parts.loop.now();
+    const auto refusal = this->task.findCrashRefusal(this->work, this->trials, now);
+    if (!refusal) {
+        return this->attempt();
+    }
+    const ServerView *server = this->task.parts.servers.find(this->task.place(this->need(), now).server);
+    if (server == nullptr) {
+        return this->refuseForCrashes(*refusal);
+    }
+    const auto reach = [this, address = server->entry.address](std::function<void(bool)> done) {
+        this->task.pool->reach(address, config::ForwardConnectTimeout, std::move(done));
+    };
+    this->trialAsked = refusal->fingerprint;
+    this->waitTimer = this->task.parts.loop.after(waitWithoutForecast(this->work.route->aim),
+                                                  [this, refusal] { this->refuseForCrashes(*refusal); });
+    this->task.parts.trials.request(refusal->fingerprint, reach, [this, refusal](bool permitted) {
+        this->trialAsked.reset();
+        this->waitTimer.reset();
+        if (!permitted) {
+            return this->refuseForCrashes(*refusal);
+        }
+        this->trials.insert(refusal->fingerprint);
+        this->admit();
+    });
+}
+
+void ForwardRun::refuseForCrashes(const CrashRefusal &refusal)
+{
+    if (refusal.cause == RefusalCause::PartCrashes) {
+        this->task.reportRefusedPart(this->work, refusal.part);
+    }
+    this->refuse(refusal.cause);
 }
 
 // Sends the first attempt, or queues the run until a server has room. Repeats are never queued: they are sent at once
@@ -151,13 +187,8 @@
         this->refuse(RefusalCause::ConfigurationStale);
         return false;
     }
-    if (this->task.crashesDuring(this->work.keys.request, now) >= config::ForwardCrashesUntilRefused) {
-        this->refuse(RefusalCause::IdenticalCrashes);
-        return false;
-    }
-    if (const auto part = this->task.parts.suspicions.findRefusedPart(this->work.service, this->work.keys, now)) {
-        this->task.reportRefusedPart(this->work, *part);
-        this->refuse(RefusalCause::PartCrashes);
+    if (const auto refusal = this->task.findCrashRefusal(this->work, this->trials, now)) {
+        this->refuseForCrashes(*refusal);
         return false;
     }
     const PlacementChoice choice = this->task.place(this->need(), now);
@@ -244,6 +275,7 @@
     if (const TimePoint now = this->task.parts.loop.now(); now - attempt.lastByteAt >= config::ForwardStreamSilence) {
         this->reportLostAttempt(attempt, LossKind::Silent, now);
     }
+    this->recordTrialEnd(this->task.parts.loop.now());
     this->endAttempt(attempt, outcome);
 }
 
@@ -436,6 +468,8 @@
     if (isSuccess(this->active.status)) {
         this->recordAnswer(this->task.parts.loop.now());
         this->recordRouteTime(this->task.parts.loop.now());
+    } else {
+        this->recordTrialEnd(this->task.parts.loop.now());
     }
     this->replyAnswer(this->active.status, this->active.headers, this->active.body);
 }
@@ -474,6 +508,17 @@
     this->recordAnswerTimes(now);
     if (framingOf(this->active.headers) != FramedByClose) {
         this->task.parts.suspicions.recordAnswer(this->work.service, this->work.keys, this->active.headAt, now);
+        this->task.recordTrialAnswer(this->trialsSent, now);
+    } else {
+        this->recordTrialEnd(now);
+    }
+}
+
+// Records the end of a trial whose answer does not show by itself that its server goes on.
+void ForwardRun::recordTrialEnd(TimePoint now)
+{
+    if (!this->trialsSent.empty() && this->active.headAt != TimePoint {}) {
+        this->task.survivals.ended(this->active.life, this->trialsSent, now);
     }
 }
 
@@ -517,6 +562,7 @@
 {
     const TimePoint now = this->task.parts.loop.now();
     this->logRefusedAttempt(this->active);
+    this->trials.merge(this->trialsSent);
     this->waitTimer.reset();
     this->endAttempt(this->active,
                      answer.isFromOther(this->active.life.server) ? AttemptOutcome::Misdirected
@@ -571,6 +617,7 @@
     if (!failure.requestSent) {
         const std::string unreachable = this->active.server;
         this->active.requestSent = true;
+        this->trials.merge(this->trialsSent);
         this->task.parts.servers.notSent(unreachable);
         this->waitTimer.reset();
         this->endAttempt(this->active, AttemptOutcome::Unreachable);
@@ -757,12 +804,24 @@
     this->finish(errorAnswer(kind).httpStatus, result, why, rank);
 }
 
+// Permits under which no server can have run the request serve the next one like it.
+void ForwardRun::returnTrials()
+{
+    if (this->trialAsked) {
+        this->task.parts.trials.cancel(*this->trialAsked);
+    }
+    for (const Fingerprint &fingerprint : this->trials) {
+        this->task.parts.trials.giveBack(fingerprint);
+    }
+}
+
 void ForwardRun::finish(int finalStatus, std::string_view result, std::string_view why, LogRank rank)
 {
     if (this->ended) {
         return;
     }
     this->ended = true;
+    this->returnTrials();
     this->deadlineTimer.reset();
     this->waitTimer.reset();
     this->callerTimer.reset();
--- a/packages/node/src/forward_run.h
+++ b/packages/node/src/forward_run.h
@@ -98,6 +98,10 @@
     [[nodiscard]] double tokensExpected() const;
 
 private:
+    /// Sends the request to a server, as a trial if it is refused otherwise and a trial is due, or refuses it.
+    void admit();
+    void refuseForCrashes(const CrashRefusal &refusal);
+    void returnTrials();
     void attempt();
     void attemptInTurn(TimePoint now);
     [[nodiscard]] QueuedRequest queuedRequest() const;
@@ -116,6 +120,7 @@
     [[nodiscard]] bool repeatFailed(std::string_view why);
     void replyAnswer(int status, const HttpHeaders &headers, std::string_view body);
     void recordAnswer(TimePoint now);
+    void recordTrialEnd(TimePoint now);
     void recordAnswerTimes(TimePoint now);
     void recordRouteTime(TimePoint now);
     void onFailure(std::uint32_t number, const HttpFailure &failure);
@@ -230,6 +235,9 @@
     std::optional<std::uint64_t> lastEvent; ///< Last event that was sent to the caller completely.
     TimePoint firstByteAt;
     Duration waited {};
+    std::optional<Fingerprint> trialAsked; ///< The request or part for which a permit of a trial is awaited.
+    std::set<Fingerprint> trials; ///< The request and parts for which there is one.
+    std::set<Fingerprint> trialsSent; ///< Those of them under which a server may have run the request.
     RefusalCause refusal = RefusalCause::None;
     bool ended = false;
 };
--- a/packages/node/src/forward_send.cpp
+++ b/packages/node/src/forward_send.cpp
@@ -154,6 +154,13 @@
 {
     this->waitTimer.reset();
     this->send(choice, this->active, now);
+    if (!this->trials.empty()) {
+        this->trialsSent.merge(this->trials);
+        this->task.parts.events.line("trial_sent", LogRank::Failure)
+            .with("request", this->work.request.id)
+            .with("alike", fingerprintText(this->work.keys.request))
+            .with("server", choice.server);
+    }
     this->watchAnswer();
 }
 
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -209,6 +209,40 @@
     return this->parts.suspicions.openCrashes(fingerprint) + this->crashes.unsettled(fingerprint, now);
 }
 
+std::optional<CrashRefusal>
+ForwardTask::findCrashRefusal(const ForwardJob &job, const std::set<Fingerprint> &trials, TimePoint now) const
+{
+    if (!trials.contains(job.keys.request)
+        && this->crashesDuring(job.keys.request, now) >= config::ForwardCrashesUntilRefused) {
+        return CrashRefusal {RefusalCause::IdenticalCrashes, job.keys.request};
+    }
+    if (const auto part = this->parts.suspicions.findRefusedPart(job.service, job.keys, now, trials)) {
+        return CrashRefusal {RefusalCause::PartCrashes, job.keys.parts[*part], *part};
+    }
+    return std::nullopt;
+}
+
+void ForwardTask::recordTrialAnswer(const std::set<Fingerprint> &trials, TimePoint now)
+{
+    for (const Fingerprint &fingerprint : trials) {
+        this->parts.suspicions.clear(fingerprint, now);
+        this->parts.trials.answered(fingerprint);
+        this->parts.suspectFeed.cleared(fingerprint);
+    }
+}
+
+void ForwardTask::watchTrials(TimePoint now)
+{
+    for (const ServerIncarnation &life : this->survivals.watched()) {
+        const ServerView *view = this->parts.servers.find(life.server);
+        if (view == nullptr || view->entry.born > life.born) {
+            this->survivals.onServerGone(life);
+        } else {
+            this->recordTrialAnswer(this->survivals.heartbeat(life, view->entry.heartbeat, now), now);
+        }
+    }
+}
+
 void ForwardTask::watchCrashes(TimePoint now)
 {
     for (const ServerIncarnation &life : this->crashes.watched()) {
@@ -478,6 +512,7 @@
 {
     this->parts.servers.tick(now);
     this->watchCrashes(now);
+    this->watchTrials(now);
     this->sampleMemory();
     this->parts.stores.setReadingRate(this->engines.rates().prefillTokensPerMillisecond);
     this->parts.oldParts.observe(this->parts.operators.state().weights.newest(), now);
--- a/packages/node/src/forward_task.h
+++ b/packages/node/src/forward_task.h
@@ -4,6 +4,7 @@
 #include "operator_feed.h"
 #include "server_feed.h"
 #include "suspect_feed.h"
+#include "trial_feed.h"
 
 #include <endivespan/config.h>
 #include <endivespan/confirmation.h>
@@ -17,6 +18,7 @@
 #include <endivespan/host_roster.h>
 #include <endivespan/http_pool.h>
 #include <endivespan/http_server.h>
+#include <endivespan/log_cause.h>
 #include <endivespan/loop.h>
 #include <endivespan/membership.h>
 #include <endivespan/old_parts.h>
@@ -24,11 +26,13 @@
 #include <endivespan/retry_share.h>
 #include <endivespan/server_table.h>
 #include <endivespan/suspect.h>
+#include <endivespan/suspect_trial.h>
 
 #include <map>
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -53,6 +57,7 @@
     ConfigConfirmation &confirmation;
     SuspicionTable &suspicions;
     SuspectFeed &suspectFeed;
+    TrialFeed &trials;
     Metrics &metrics;
     EventLog &events;
 };
@@ -65,6 +70,13 @@
     std::optional<Duration> roomIn {}; ///< Until a server is expected to have room, if known.
 };
 
+/// A refusal of a request because servers have crashed under it.
+struct CrashRefusal {
+    RefusalCause cause = RefusalCause::IdenticalCrashes;
+    Fingerprint fingerprint; ///< Of the request or the part that the crashes count against.
+    std::size_t part = 0; ///< Index of the part; with RefusalCause::PartCrashes only.
+};
+
 /// Owns the runs of all requests under way and the connections to servers.
 class ForwardTask
 {
@@ -154,6 +166,14 @@
     /// may have crashed.
     void recordLostAttempt(const ServerIncarnation &life, LossKind kind, const ForwardJob &job, TimePoint now);
 
+    /// @returns why the request must not be sent to a server, if servers have crashed under it or under a part of it.
+    /// @param trials The request and the parts of it that may run all the same, as a trial.
+    [[nodiscard]] std::optional<CrashRefusal>
+    findCrashRefusal(const ForwardJob &job, const std::set<Fingerprint> &trials, TimePoint now) const;
+
+    /// Records that a trial has shown these to be sound.
+    void recordTrialAnswer(const std::set<Fingerprint> &trials, TimePoint now);
+
     /// Logs that a request is refused for the shared part of its prompt at index @p part.
     void reportRefusedPart(const ForwardJob &job, std::size_t part);
 
@@ -177,12 +197,14 @@
     EngineModel engines;
     FirstEventTimes firstEvents;
     CrashWatch crashes;
+    TrialSurvivals survivals;
     ForwardQueue queue; ///< The runs of services under load control that wait.
     std::mt19937_64 random;
 
 private:
     void refuse(HttpExchange &exchange, const ForwardRequest &request, const Error &error);
     void watchCrashes(TimePoint now);
+    void watchTrials(TimePoint now);
     void applyFinding(const CrashFinding &finding, TimePoint now);
     void sampleMemory();
     void offerRoom();
--- a/packages/node/src/suspect_feed.cpp
+++ b/packages/node/src/suspect_feed.cpp
@@ -1,5 +1,7 @@
 #include "suspect_feed.h"
 
+#include "wall_time_p.h"
+
 #include <endivespan/config.h>
 #include <endivespan/ownership.h>
 
@@ -12,17 +14,9 @@
 
 namespace {
 
-using std::chrono::milliseconds;
-
-// Hosts share no monotonic clock, so that records state the time of their last change by the wall clock.
-std::int64_t wallTime()
-{
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-}
-
 std::string encodeSuspicion(const Suspicion &suspicion)
 {
-    const auto age = std::chrono::duration_cast<milliseconds>(suspicion.age).count();
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(suspicion.age).count();
     return nlohmann::json {
         {"deaths", suspicion.deaths}, {"cleared", suspicion.cleared}, {"changed_ms", wallTime() - age}}
         .dump();
@@ -40,9 +34,7 @@
         suspicion.fingerprint = *fingerprint;
         suspicion.deaths = fields.at("deaths").get<std::vector<CrashId>>();
         suspicion.cleared = fields.at("cleared").get<std::vector<CrashId>>();
-        constexpr milliseconds Most = config::SuspectRetention;
-        const std::int64_t age = wallTime() - fields.at("changed_ms").get<std::int64_t>();
-        suspicion.age = milliseconds(std::clamp<std::int64_t>(age, 0, Most.count()));
+        suspicion.age = ageOf(fields.at("changed_ms").get<std::int64_t>(), config::SuspectRetention);
         for (auto *deaths : {&suspicion.deaths, &suspicion.cleared}) {
             std::sort(deaths->begin(), deaths->end());
             deaths->resize(std::min(deaths->size(), config::CrashesKept));
@@ -113,6 +105,13 @@
     this->archive.watch(fingerprint, least);
 }
 
+// Hosts that started after the crashes have not recorded any, so that they would leave the record as it is.
+void SuspectFeed::cleared(const Fingerprint &fingerprint)
+{
+    this->archive.watch(fingerprint, config::CrashesUntilArchived);
+    this->archive.stored(fingerprint, config::CrashesUntilArchived);
+}
+
 void SuspectFeed::tick(TimePoint now)
 {
     if (now >= this->nextSweep) {
--- a/packages/node/src/suspect_feed.h
+++ b/packages/node/src/suspect_feed.h
@@ -37,6 +37,9 @@
     /// @param least Number of crashes from which its suspicion is written.
     void watch(const Fingerprint &fingerprint, std::size_t least);
 
+    /// Handles that a refused request or part has been answered: its record, if there is one, is deleted.
+    void cleared(const Fingerprint &fingerprint);
+
     void tick(TimePoint now);
 
 private:
