--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -397,6 +397,9 @@
 constexpr std::chrono::milliseconds TransferFreshness = 2200ms;
 /// After its last use no fetch of a part is still under way, so that it may be freed.
 constexpr std::chrono::milliseconds FetchEndTime = StoreViewTime + 300ms;
+/// Part of the time for which older weights may be used, in which all of their parts are kept. A rollout may start
+/// late.
+constexpr double OldPartsKeptShare = 0.5;
 constexpr std::size_t OldPartsVersions = 64; ///< Weight versions of a model whose naming times are kept.
 /// Between two checks of which host frees the parts of a store.
 constexpr std::chrono::milliseconds StoreOwnerPeriod = 2000ms;
--- a/packages/core/include/endivespan/old_parts.h
+++ b/packages/core/include/endivespan/old_parts.h
@@ -19,7 +19,7 @@
 class OldParts
 {
 public:
-    /// @param time Over which the parts are given up after a naming.
+    /// @param time For which older weights may be used after a naming; their parts are given up in the last part of it.
     explicit OldParts(Duration time);
 
     /// Records since when this host has known of the versions that were named. To be called periodically.
--- a/packages/core/src/old_parts.cpp
+++ b/packages/core/src/old_parts.cpp
@@ -36,7 +36,8 @@
 
 Duration OldParts::timeOf(double rank) const
 {
-    return std::chrono::duration_cast<Duration>(rank * this->time);
+    const double share = config::OldPartsKeptShare + (1 - config::OldPartsKeptShare) * rank;
+    return std::chrono::duration_cast<Duration>(share * this->time);
 }
 
 bool OldParts::mayUse(TimePoint replacedAt, const std::string &id, TimePoint now) const
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -68,7 +68,7 @@
         , confirmation(
               true,
               std::chrono::duration_cast<Duration>(this->settings.bounds.revocation * config::StaleConfigurationShare))
-        , oldParts(rolloutPace(this->settings.bounds).span)
+        , oldParts(oldWeightsTime(this->settings.bounds))
         , operators(loop,
                     adapters.log,
                     adapters.records,
--- a/packages/node/src/forward_task.cpp
+++ b/packages/node/src/forward_task.cpp
@@ -351,7 +351,7 @@
         need.newestWeights = *newest;
         const auto places = this->weightLoadQueues.find(need.model);
         need.weightLoadQueue = places == this->weightLoadQueues.end() ? nullptr : places->second;
-        const Duration bound = this->parts.settings.bounds.weights - config::OldWeightsMargin;
+        const Duration bound = oldWeightsTime(this->parts.settings.bounds);
         need.oldestWeights = state.weights.oldestUsable(need.model, bound, now);
     }
     if (const ForwardService *service = state.config->service(need.service)) {
--- a/packages/node/src/rollout_task.cpp
+++ b/packages/node/src/rollout_task.cpp
@@ -2,6 +2,7 @@
 
 #include <endivespan/config.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace endivespan {
@@ -23,6 +24,11 @@
     return {std::chrono::duration_cast<Duration>(config::RolloutShare * bounds.weights), config::StartEngineAway};
 }
 
+Duration oldWeightsTime(const ForwardBounds &bounds)
+{
+    return std::max<Duration>(bounds.weights - config::OldWeightsMargin, Duration::zero());
+}
+
 RolloutTask::RolloutTask(Loop &loop,
                          KeyedLog &log,
                          const RecordCodec &codec,
--- a/packages/node/src/rollout_task.h
+++ b/packages/node/src/rollout_task.h
@@ -67,4 +67,7 @@
 /// @returns the pace of a rollout that meets the bound on weight changes in @p bounds.
 RolloutPace rolloutPace(const ForwardBounds &bounds);
 
+/// @returns for how long after a naming engines with older weights are sent requests.
+Duration oldWeightsTime(const ForwardBounds &bounds);
+
 } // namespace endivespan
