Compute the settle time once a prompt, and share the fraction of a hash and the reading host of tests

Cause: SharedStores::plan computed a percentile over 280 bins for each part and each store that holds it, twice for the chosen one, though it depends on the time alone. The conversion of a hash to a fraction stood in shared_store.cpp and old_parts.cpp, and ReadingHost in two test files. oldPartRank() was declared for no caller outside its source; the comment of TransferFreshness still named the list of servers for freeing. Change: once for each plan; hashFraction() beside hashPrefix(); tests/core/reading_host.h. Behaviour and assertions are the same.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -392,8 +392,8 @@
 /// Mean time between two such requests; spread out at random, since a store refuses hosts that all ask at once.
 constexpr std::chrono::milliseconds StoreEventsPause = 250ms;
 constexpr std::chrono::milliseconds StoreEventsTimeout = 600ms; ///< Beyond the wait.
-/// Age of the operators' records and of the list of servers up to which prompt parts are transferred and freed. Covers
-/// two waiting reads.
+/// Age of the operators' records up to which prompt parts are transferred and freed, and of the list of servers up to
+/// which they are transferred. Covers two waiting reads.
 constexpr std::chrono::milliseconds TransferFreshness = 2200ms;
 /// After its last use no fetch of a part is still under way, so that it may be freed.
 constexpr std::chrono::milliseconds FetchEndTime = StoreViewTime + 300ms;
--- a/packages/core/include/endivespan/old_parts.h
+++ b/packages/core/include/endivespan/old_parts.h
@@ -47,8 +47,4 @@
     std::map<std::string, std::map<std::uint64_t, TimePoint>> knownSince; ///< By model and version.
 };
 
-/// @returns the rank of the part @p id in the order in which parts are given up: at least 0, less than 1 and the same
-///     on all hosts.
-double oldPartRank(const std::string &id);
-
 } // namespace endivespan
--- a/packages/core/include/endivespan/placement.h
+++ b/packages/core/include/endivespan/placement.h
@@ -84,4 +84,7 @@
 /// @returns the hash of the sequence up to and including @p part.
 std::uint64_t hashPrefix(std::uint64_t before, std::string_view part);
 
+/// @returns a hash as a pseudorandom number of at least 0 and less than 1.
+double hashFraction(std::uint64_t hash);
+
 } // namespace endivespan
--- a/packages/core/include/endivespan/shared_store.h
+++ b/packages/core/include/endivespan/shared_store.h
@@ -228,9 +228,10 @@
     /// @returns whether a fetch from the store is expected to take much longer than the prefill of @p tokens.
     [[nodiscard]] bool isSlowerThanReading(const View &view, std::uint64_t tokens, TimePoint now) const;
     /// @returns a store that holds the part, one in @p domain that may be fetched from if possible, or null.
-    const View *holderOf(const ScopedPart &part, const std::string &domain, TimePoint now) const;
-    /// @returns whether no save of the part that was planned before can still begin. The store must hold the part.
-    [[nodiscard]] bool isSettled(const View &view, const ScopedPart &part, TimePoint now) const;
+    /// @param knownBy When a part that may be fetched must have been known.
+    const View *holderOf(const ScopedPart &part, const std::string &domain, TimePoint knownBy, TimePoint now) const;
+    /// @returns whether the part may be fetched from the store, which must hold it.
+    [[nodiscard]] static bool isSettled(const View &view, const ScopedPart &part, TimePoint knownBy);
     /// @returns the store to save the part to, or null when none has room.
     View *storeToSaveTo(const ScopedPart &part, std::uint64_t tokens, TimePoint now);
 
--- a/packages/core/src/old_parts.cpp
+++ b/packages/core/src/old_parts.cpp
@@ -10,13 +10,15 @@
 
 constexpr std::uint64_t OldPartSeed = 1; // Not 0, with which stores are chosen, so that the orders are independent.
 
-} // namespace
-
-double oldPartRank(const std::string &id)
+// Returns the rank of a part in the order in which parts are given up, which is the same on all hosts: at least 0 and
+// less than 1.
+double rankOf(const std::string &id)
 {
-    return static_cast<double>(hashPrefix(OldPartSeed, id) >> 11U) * 0x1.0p-53;
+    return hashFraction(hashPrefix(OldPartSeed, id));
 }
 
+} // namespace
+
 OldParts::OldParts(Duration time)
     : time(time)
 {
@@ -42,7 +44,7 @@
 
 bool OldParts::mayUse(TimePoint replacedAt, const std::string &id, TimePoint now) const
 {
-    return replacedAt != TimePoint::min() && now < replacedAt + this->timeOf(oldPartRank(id));
+    return replacedAt != TimePoint::min() && now < replacedAt + this->timeOf(rankOf(id));
 }
 
 // A host that has not read of the naming yet uses all parts, for as long as it may transfer by what it has read before.
@@ -56,7 +58,7 @@
     if (newer == found->second.end()) {
         return false;
     }
-    const Duration lastUse = std::max<Duration>(this->timeOf(oldPartRank(id)), config::TransferFreshness);
+    const Duration lastUse = std::max<Duration>(this->timeOf(rankOf(id)), config::TransferFreshness);
     return now >= newer->second + lastUse + config::FetchEndTime;
 }
 
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -425,4 +425,9 @@
     return mix(before ^ hashText(part));
 }
 
+double hashFraction(std::uint64_t hash)
+{
+    return static_cast<double>(hash >> 11U) * 0x1.0p-53;
+}
+
 } // namespace endivespan
--- a/packages/core/src/shared_store.cpp
+++ b/packages/core/src/shared_store.cpp
@@ -12,12 +12,6 @@
 
 namespace {
 
-// Pseudorandom number for an id, at least 0 and less than 1.
-double rankOf(std::string_view id, std::uint64_t seed)
-{
-    return static_cast<double>(hashPrefix(seed, id) >> 11U) * 0x1.0p-53;
-}
-
 } // namespace
 
 bool isStoreSample(const std::optional<ServerLoadReport> &load)
@@ -179,11 +173,6 @@
     return config::StoreSaveViewTime + start;
 }
 
-bool SharedStores::isSettled(const View &view, const ScopedPart &part, TimePoint now) const
-{
-    return now - view.held.at(part).knownSince >= this->settleTime(now);
-}
-
 void SharedStores::addSample(const std::string &address, Duration excess, TimePoint now)
 {
     const auto found = this->views.find(address);
@@ -251,7 +240,13 @@
     return view.excess - fastest > std::max<Duration>(config::SlowStoreExcess, bound);
 }
 
-const SharedStores::View *SharedStores::holderOf(const ScopedPart &part, const std::string &domain, TimePoint now) const
+bool SharedStores::isSettled(const View &view, const ScopedPart &part, TimePoint knownBy)
+{
+    return view.held.at(part).knownSince <= knownBy;
+}
+
+const SharedStores::View *
+SharedStores::holderOf(const ScopedPart &part, const std::string &domain, TimePoint knownBy, TimePoint now) const
 {
     const View *best = nullptr;
     std::pair<bool, bool> rank;
@@ -259,7 +254,7 @@
         if (!isFresh(view, now) || !view.held.contains(part)) {
             continue;
         }
-        const std::pair found(this->isSettled(view, part, now), view.store.domain == domain);
+        const std::pair found(isSettled(view, part, knownBy), view.store.domain == domain);
         if (best == nullptr || found > rank) {
             best = &view;
             rank = found;
@@ -278,7 +273,7 @@
         if (!maySaveTo(view, now) || static_cast<double>(view.usedTokens + tokens) > room) {
             continue;
         }
-        const double place = rankOf(address, hashPrefix(0, part.id));
+        const double place = hashFraction(hashPrefix(hashPrefix(0, part.id), address));
         const double score = std::log(std::max(place, 1e-300)) / static_cast<double>(view.store.capacityTokens);
         if (best == nullptr || score > most) {
             most = score;
@@ -297,14 +292,15 @@
     TransferPlan plan;
     plan.fetch.resize(parts.size());
     plan.save.resize(parts.size());
+    const TimePoint knownBy = now - this->settleTime(now);
     for (std::size_t i = 0; i < parts.size(); ++i) {
         const ScopedPart part {scope, parts[i].id};
         if (mayUse && !mayUse(part.id)) {
             continue;
         }
-        if (const View *view = this->holderOf(part, domain, now)) {
+        if (const View *view = this->holderOf(part, domain, knownBy, now)) {
             // For a short part, prefill is faster than a slow fetch; a long part takes the engine longer.
-            if (!this->isSettled(*view, part, now) || this->isSlowerThanReading(*view, parts[i].tokens, now)) {
+            if (!isSettled(*view, part, knownBy) || this->isSlowerThanReading(*view, parts[i].tokens, now)) {
                 continue;
             }
             plan.fetch[i] = view->store.address;
--- a/tests/core/old_parts.cpp
+++ b/tests/core/old_parts.cpp
@@ -1,3 +1,5 @@
+#include "reading_host.h"
+
 #include <endivespan/config.h>
 #include <endivespan/old_parts.h>
 #include <endivespan/shared_store.h>
@@ -6,11 +8,13 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
 #include <rapidcheck.h>
 #include <string>
 #include <vector>
 
 using namespace endivespan;
+using namespace endivespan::tests;
 using namespace std::chrono_literals;
 
 namespace {
@@ -24,25 +28,9 @@
     return "part" + std::to_string(number);
 }
 
-Duration upTo(Duration most)
-{
-    return Duration(*rc::gen::inRange<Duration::rep>(0, most.count() + 1));
-}
-
-/// A host that reads the newest version from the log. It may be cut off from it, or start again.
-struct ReadingHost {
-    WeightHistory history;
+/// A host that may be cut off from the log, or start again.
+struct PartsHost : ReadingHost {
     OldParts oldParts {Time};
-    std::optional<TimePoint> readAt;
-
-    void read(const std::vector<TimePoint> &namings, TimePoint now)
-    {
-        const auto version = std::count_if(namings.begin(), namings.end(), [now](TimePoint at) { return at <= now; });
-        if (version > 0) {
-            this->history.recordVersion("m", static_cast<std::uint64_t>(version), this->readAt);
-        }
-        this->readAt = now;
-    }
 
     /// @returns whether it lets an engine with @p version fetch a part.
     [[nodiscard]] bool fetches(std::uint64_t version, const std::string &part, TimePoint now) const
@@ -127,17 +115,17 @@
             namings.push_back(Start + upTo(20s));
         }
         std::sort(namings.begin(), namings.end());
-        std::vector<ReadingHost> hosts(3);
+        std::vector<PartsHost> hosts(3);
         std::map<std::pair<std::uint64_t, std::string>, TimePoint> fetchedUntil; ///< By version and part.
         TimePoint now = Start;
         for (int step = 0; step < 80; ++step) {
             now += upTo(600ms);
-            ReadingHost &host = hosts[*rc::gen::inRange<std::size_t>(0, hosts.size())];
+            PartsHost &host = hosts[*rc::gen::inRange<std::size_t>(0, hosts.size())];
             const int action = *rc::gen::inRange(0, 16);
             if (action == 0) {
-                host = {}; // Starts again.
+                host = PartsHost(); // Starts again.
             } else if (action < 4) {
-                const ReadingHost &peer = hosts[*rc::gen::inRange<std::size_t>(0, hosts.size())];
+                const PartsHost &peer = hosts[*rc::gen::inRange<std::size_t>(0, hosts.size())];
                 const TimePoint askedAt = now;
                 now += upTo(300ms);
                 host.history.adoptNamings(peer.history.namings(now), askedAt);
--- a/tests/core/weight_history.cpp
+++ b/tests/core/weight_history.cpp
@@ -1,3 +1,5 @@
+#include "reading_host.h"
+
 #include <endivespan/weight_history.h>
 
 #include <doctest/doctest.h>
@@ -7,32 +9,13 @@
 #include <vector>
 
 using namespace endivespan;
+using namespace endivespan::tests;
 using namespace std::chrono_literals;
 
 namespace {
 
 constexpr TimePoint Start {1000s};
 
-/// A host's record, which it extends by reading the newest version from the log.
-struct ReadingHost {
-    WeightHistory history;
-    std::optional<TimePoint> readAt; ///< Latest read, which found nothing newer.
-
-    void read(const std::vector<TimePoint> &namings, TimePoint now)
-    {
-        const auto version = std::count_if(namings.begin(), namings.end(), [now](TimePoint at) { return at <= now; });
-        if (version > 0) {
-            this->history.recordVersion("m", static_cast<std::uint64_t>(version), this->readAt);
-        }
-        this->readAt = now;
-    }
-};
-
-Duration upTo(Duration most)
-{
-    return Duration(*rc::gen::inRange<Duration::rep>(0, most.count() + 1));
-}
-
 } // namespace
 
 TEST_CASE("weights: a version of unknown time counts as named long ago until a peer states its age")
