--- a/review/rig-3/rig.py
+++ b/review/rig-3/rig.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -310,13 +311,23 @@
     return re.sub(r"\{\{([\w.]+)\}\}", text, section.sub(fill, template))
 
 
+PORTS_TAKEN = set()
+
+
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Ports below those that the system gives to outgoing connections, one of which could take a port meanwhile."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12000, 30000)
+        if port in PORTS_TAKEN:
+            continue
+        with socket.socket() as one:
+            try:
+                one.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        PORTS_TAKEN.add(port)
+        ports.append(port)
     return ports
 
 
