--- a/review/rig-3/rig.py
+++ b/review/rig-3/rig.py
@@ -65,6 +65,18 @@
     daemon_threads = True
     request_queue_size = 256
 
+    def __init__(self, *arguments):
+        self.open = set()  # Sockets of the connections.
+        super().__init__(*arguments)
+
+    def process_request(self, request, client_address):
+        self.open.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self.open.discard(request)
+        super().shutdown_request(request)
+
     def handle_error(self, request, client_address):
         pass  # A caller that has left is no fault of the stand-in.
 
@@ -252,6 +264,23 @@
             self.listed = False
             self.store.put("keyed.servers", self.name, None)
 
+    def crash(self):
+        """Ends all connections and listens no more; says nothing. Returns False when it has crashed already."""
+        with self.lock:
+            if self.stopped:
+                return False
+            self.stopped, self.listed = True, False
+        self.server.socket.close()
+        for one in list(self.server.open):
+            try:
+                one.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                one.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        threading.Thread(target=self.server.shutdown, daemon=True).start()
+        threading.Timer(3 * 1.2, self.store.put, ("keyed.servers", self.name, None)).start()  # Its entry expires.
+        return True
+
     def run(self, handler):
         fields = handler.headers
         request, tenant = fields.get("X-Endivespan-Request-Id"), fields.get("X-Endivespan-Tenant")
