Name all who share cached parts in their scope, so that isolation also covers earlier parts

Cause: the scope of organisations that are not isolated was MODEL/VERSION/, whoever they were. It named who shares from now on, not who had made what was in it. A second fault on the same path: an attempt took the isolation from the configuration with which its request had arrived.

A second attempt that starts after the change and uses the parts is a case of its own.

Fix: the common scope holds a digest of all organisations that share it. Whoever made a part in it may share it now, in any order of changes, and the digest follows from the newest configuration alone, so that hosts that start late agree. The scope of an attempt follows from the configuration in force when it is sent. Names are escaped. Parts of scopes out of use are freed from stores after 3.7 s; as a scope may come back, nothing is transferred for 2.8 s after a change.

A change of who shares costs every shared part one more prefill.

Weighed: a digest of the isolated organisations costs nothing when one is added, but gives the parts of one that is removed while isolated back to all.

--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -397,6 +397,9 @@
 constexpr std::chrono::milliseconds TransferFreshness = 2200ms;
 /// After its last use no fetch of a part is still under way, so that it may be freed.
 constexpr std::chrono::milliseconds FetchEndTime = StoreViewTime + 300ms;
+/// After a change of the organisations that share parts, no host fetches those of an earlier scope any more.
+constexpr std::chrono::milliseconds UnusedScopeTime = TransferFreshness + FetchEndTime;
+constexpr std::size_t UnusedScopesKept = 256; ///< Parts of further ones stay until weights are replaced.
 /// Part of the time for which older weights may be used, in which all of their parts are kept. A rollout may start
 /// late.
 constexpr double OldPartsKeptShare = 0.5;
--- a/packages/node/src/forward_node.cpp
+++ b/packages/node/src/forward_node.cpp
@@ -125,7 +125,8 @@
                  this->relaySource,
                  this->membership,
                  this->confirmation,
-                 this->oldParts)
+                 this->oldParts,
+                 this->operators.state().scopes)
         , relay(RelayTaskParts {loop,
                                 this->events,
                                 this->metrics,
--- a/packages/node/src/forward_send.cpp
+++ b/packages/node/src/forward_send.cpp
@@ -101,11 +101,11 @@
         return;
     }
     dispatch.weights = weights->second;
-    // All organisations that are not isolated share one cache scope.
-    const bool isolated = this->work.organisation != nullptr && this->work.organisation->isolated;
-    dispatch.cacheScope = cacheScope(model, weights->second, isolated ? this->work.organisation->name : "");
-    const auto replacedAt = this->task.parts.operators.state().weights.replacedAt(model, weights->second);
-    if (!this->task.mayTransfer(now)) {
+    // By the configuration in force now: the organisation may have been isolated while the request waited.
+    const OperatorState &state = this->task.parts.operators.state();
+    dispatch.cacheScope = CacheScope {model, weights->second, state.scopes.sharers(dispatch.organisation)}.text();
+    const auto replacedAt = state.weights.replacedAt(model, weights->second);
+    if (!this->task.mayTransfer(now) || !state.scopes.mayTransfer(now)) {
         return;
     }
     std::vector<PlannedPart> shared;
--- a/packages/node/src/operator_feed.cpp
+++ b/packages/node/src/operator_feed.cpp
@@ -323,7 +323,12 @@
         .with("before", this->current.config ? this->current.config->version : 0)
         .with("routes", config->routes.size())
         .with("keys", config->keys.size());
+    const std::string sharersBefore = this->current.scopes.sharers("");
     this->current.config = config;
+    this->current.scopes.setOrganisations(config->organisations, this->loop.now());
+    if (const std::string sharers = this->current.scopes.sharers(""); sharers != sharersBefore) {
+        this->events.line("cache_sharers").with("now", sharers).with("before", sharersBefore);
+    }
 }
 
 void OperatorFeed::dropMissing(const std::vector<KeyedRecord> &records)
--- a/packages/node/src/operator_feed.h
+++ b/packages/node/src/operator_feed.h
@@ -2,6 +2,7 @@
 
 #include "peer_task.h"
 
+#include <endivespan/cache_scopes.h>
 #include <endivespan/confirmation.h>
 #include <endivespan/event_log.h>
 #include <endivespan/forward_codec.h>
@@ -25,6 +26,7 @@
 struct OperatorState {
     std::shared_ptr<const ForwardConfig> config; ///< Null before the first one.
     std::set<std::string> evacuated; ///< Names of failure domains.
+    CacheScopes scopes;
     WeightHistory weights;
 };
 
--- a/packages/node/src/store_task.cpp
+++ b/packages/node/src/store_task.cpp
@@ -4,30 +4,9 @@
 #include <endivespan/ownership.h>
 
 #include <algorithm>
-#include <charconv>
 
 namespace endivespan {
 
-std::string cacheScope(const std::string &model, std::uint64_t version, const std::string &organisation)
-{
-    return model + "/" + std::to_string(version) + "/" + organisation;
-}
-
-std::optional<std::pair<std::string, std::uint64_t>> parseCacheScope(const std::string &scope)
-{
-    const std::size_t first = scope.find('/');
-    const std::size_t second = first == std::string::npos ? first : scope.find('/', first + 1);
-    if (second == std::string::npos) {
-        return std::nullopt;
-    }
-    std::uint64_t version = 0;
-    const char *end = scope.data() + second;
-    if (std::from_chars(scope.data() + first + 1, end, version).ptr != end) {
-        return std::nullopt;
-    }
-    return std::pair(scope.substr(0, first), version);
-}
-
 StoreTask::StoreTask(Loop &loop,
                      StoreControl &control,
                      EventLog &events,
@@ -35,7 +14,8 @@
                      RelayCache &relay,
                      const Membership &membership,
                      const ConfigConfirmation &confirmation,
-                     const OldParts &oldParts)
+                     const OldParts &oldParts,
+                     const CacheScopes &scopes)
     : loop(loop)
     , control(control)
     , events(events)
@@ -44,6 +24,7 @@
     , membership(membership)
     , confirmation(confirmation)
     , oldParts(oldParts)
+    , scopes(scopes)
     , random(std::random_device {}())
 {
 }
@@ -187,8 +168,10 @@
 
 bool StoreTask::isOld(const ScopedPart &part, TimePoint now) const
 {
-    const auto made = parseCacheScope(part.scope);
-    return made && this->oldParts.mayFree(made->first, made->second, part.id, now);
+    const auto made = CacheScope::parse(part.scope);
+    return made
+        && (this->oldParts.mayFree(made->model, made->version, part.id, now)
+            || this->scopes.mayFree(made->sharers, now));
 }
 
 void StoreTask::freeOld(const std::string &address, TimePoint now)
--- a/packages/node/src/store_task.h
+++ b/packages/node/src/store_task.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <endivespan/cache_scopes.h>
 #include <endivespan/confirmation.h>
 #include <endivespan/event_log.h>
 #include <endivespan/forward_codec.h>
@@ -29,7 +30,8 @@
               RelayCache &relay,
               const Membership &membership,
               const ConfigConfirmation &confirmation,
-              const OldParts &oldParts);
+              const OldParts &oldParts,
+              const CacheScopes &scopes);
 
     void setStores(const std::vector<ForwardStore> &list);
     void tick(TimePoint now);
@@ -69,17 +71,11 @@
     const Membership &membership;
     const ConfigConfirmation &confirmation;
     const OldParts &oldParts;
+    const CacheScopes &scopes;
     std::mt19937_64 random;
     TimePoint logAt;
     bool reading = false; ///< Whether this host polls the stores; false until the reader is chosen.
     std::map<std::string, StorePoll> polls; ///< By address.
 };
 
-/// @param organisation Empty for an organisation that shares its parts with others.
-/// @returns the scope of parts that were computed with weights @p version of @p model for @p organisation.
-std::string cacheScope(const std::string &model, std::uint64_t version, const std::string &organisation);
-
-/// @returns the model and the version of a scope in the format of cacheScope(), or nothing for any other text.
-std::optional<std::pair<std::string, std::uint64_t>> parseCacheScope(const std::string &scope);
-
 } // namespace endivespan
--- a/tests/platform/old_parts.cpp
+++ b/tests/platform/old_parts.cpp
@@ -1,5 +1,6 @@
 #include "world.h"
 
+#include <endivespan/cache_scopes.h>
 #include <endivespan/ownership.h>
 
 #include <doctest/doctest.h>
@@ -19,7 +20,12 @@
 
 constexpr std::chrono::milliseconds WeightsBound = 10000ms;
 constexpr int PartCount = 40;
-const std::string OldScope = "m/1/";
+/// Of the only organisation of the default configuration, and of callers without one.
+const std::string OldScope = [] {
+    CacheScopes scopes;
+    scopes.setOrganisations({{"org", {}, false}}, TimePoint {});
+    return CacheScope {"m", 1, scopes.sharers("org")}.text();
+}();
 
 std::string partId(int number)
 {
