Bound what complete requests and their copies hold, and keep ordinary callers

Bodies that stop short have been bounded since; complete bodies to slow servers, heads of many fields or prompt parts, and requests sent ahead still made a host exceed its machine, and a new connection could be closed without an answer in place of one that held 4 MiB.

Cause: the limit counted a request once, as received, while its connection was open. A body existed up to five times on its way, a head several times in forms that take many times its size. A request whose caller had left was not counted while it ran on. The next request of a connection was taken however much of the answers before was unread.

Fix: a body is one immutable text to which all attempts and their output refer. A request counts with the copies of its head until nothing refers to it, and is checked once more when it is complete, so that what is refused has not run. Small requests have a reserve beyond the limit and are not refused for what others hold; a caller whose bytes wait in the kernel is passed over. A request sent ahead waits until the answers before have been read. Freed blocks of bodies go back to the system.

--- a/packages/core/include/endivespan/byte_budget.h
+++ b/packages/core/include/endivespan/byte_budget.h
@@ -13,12 +13,14 @@
     std::size_t bytes; ///< Of all requests, complete or not.
     std::size_t incomplete; ///< Connections on which a request is incomplete.
     std::size_t refused; ///< Refused connections that wait for their caller to read the refusal.
+    std::size_t small = 0; ///< Of a request that counts as small.
+    std::size_t reserve = 0; ///< Beyond the limit of bytes, for small requests.
 };
 
 /// Accounts the bytes of requests by connection, and chooses the connections to be refused.
 ///
 /// Exists for the load in which many callers outside the control of the operator send large bodies, do not end them and
-/// keep their connections open.
+/// keep their connections open, while ordinary callers send small requests.
 class ByteBudget
 {
 public:
@@ -42,8 +44,9 @@
     void remove(Connection connection);
 
     /// @returns the connection to be refused next: of those with an incomplete request the one with the least recent
-    ///     progress. Nothing while all limits are kept, and nothing for the number of bytes if only one connection
-    ///     holds any, so that a single request is always admitted.
+    ///     progress, for the number of bytes only of those that hold much. Nothing while all limits are kept, and
+    ///     nothing for the number of bytes if only one connection holds any, so that a single request is always
+    ///     admitted.
     [[nodiscard]] std::optional<Connection> toRefuse() const;
 
     /// @returns the refused connection to be closed next without waiting for its caller, if there are too many.
@@ -63,11 +66,18 @@
     };
     using Order = std::map<std::uint64_t, Connection>; ///< By time of the last progress, or of the refusal.
 
+    [[nodiscard]] bool isSmall(const Entry &entry) const;
+    /// @returns the incomplete request with the least recent progress that holds at least @p least bytes.
+    [[nodiscard]] std::optional<Connection> oldestIncomplete(std::size_t least) const;
+    void count(const Entry &entry, bool isAdded);
+
     ByteBudgetLimits limits;
     std::map<Connection, Entry> entries;
     Order incompleteOrder;
     Order refusedOrder;
     std::size_t bytes = 0;
+    std::size_t smallBytes = 0; ///< Of small requests.
+    std::size_t incompleteBytes = 0; ///< Of incomplete requests.
     std::size_t holders = 0; ///< Connections that hold bytes.
     std::uint64_t nextTurn = 1;
 };
--- a/packages/core/include/endivespan/config.h
+++ b/packages/core/include/endivespan/config.h
@@ -26,12 +26,27 @@
 /// Between checks whether a caller that has closed its sending direction has reset its connection.
 constexpr std::chrono::milliseconds CallerResetCheckPeriod = 100ms;
 constexpr std::size_t PipelinedBytes = 64 * 1024; ///< Input buffered from a connection while its request is answered.
+constexpr std::size_t PipelinedBytesLeast = 4 * 1024; ///< The same while requests hold much memory.
+/// Bytes of answers that a caller has not read, beyond which its next request is not taken.
+constexpr std::size_t PipelinedAnswerBytes = 16 * 1024;
 constexpr std::chrono::milliseconds AcceptPause = 100ms; ///< After accept() failed for lack of file descriptors.
 /// Of requests that a host holds for all callers, unless the settings name the memory of its machine.
 constexpr std::size_t RequestBytes = 64 * 1024 * 1024;
-/// Part of the machine's memory for requests. One that is sent to a server is held up to three times: as received, as
-/// sent, and in the output buffer.
-constexpr double RequestBytesShare = 0.25;
+constexpr double RequestBytesShare = 0.25; ///< Part of the machine's memory for requests.
+/// Of a request that is not refused for what others hold, and the part (1/n) of the limit that such requests may use
+/// beyond it.
+constexpr std::size_t SmallRequestBytes = 64 * 1024;
+constexpr std::size_t SmallRequestsPart = 4;
+/// Part (1/n) of the limit from which little input is buffered behind a request.
+constexpr std::size_t CrowdedPart = 4;
+/// Requests passed over, in one search for those to refuse, since bytes of theirs wait to be read.
+constexpr std::size_t RefusalsPassedOver = 8;
+/// Counted for a request that is being answered, beside its head and body.
+constexpr std::size_t RequestRunBytes = 4096;
+/// Multiple of the size of a head that is counted for its copies and for the parts of a prompt that it names, and the
+/// bytes counted for each of its fields.
+constexpr std::size_t HeadCopies = 24;
+constexpr std::size_t HeaderFieldBytes = 512;
 constexpr std::size_t SideRequestBytes = 4 * 1024 * 1024; ///< The same for readiness checks and reads of metrics.
 /// Counted for a connection beside its request: its object, its buffers and the parser.
 constexpr std::size_t CallerConnectionBytes = 4096;
--- a/packages/core/src/byte_budget.cpp
+++ b/packages/core/src/byte_budget.cpp
@@ -10,6 +10,25 @@
 void ByteBudget::setLimits(ByteBudgetLimits limits)
 {
     this->limits = limits;
+    this->smallBytes = 0;
+    for (const auto &[connection, entry] : this->entries) {
+        this->smallBytes += this->isSmall(entry) ? entry.bytes : 0;
+    }
+}
+
+bool ByteBudget::isSmall(const Entry &entry) const
+{
+    return entry.bytes <= this->limits.small;
+}
+
+void ByteBudget::count(const Entry &entry, bool isAdded)
+{
+    const auto change
+        = [isAdded](std::size_t &sum, std::size_t amount) { sum = isAdded ? sum + amount : sum - amount; };
+    change(this->bytes, entry.bytes);
+    change(this->smallBytes, this->isSmall(entry) ? entry.bytes : 0);
+    change(this->incompleteBytes, entry.phase == Phase::Incomplete ? entry.bytes : 0);
+    change(this->holders, entry.bytes > 0 ? 1 : 0);
 }
 
 void ByteBudget::record(Connection connection, Phase phase, std::size_t bytes)
@@ -21,9 +40,9 @@
         turn = found->second.turn;
     }
     this->remove(connection);
-    this->entries.emplace(connection, Entry {phase, bytes, turn});
-    this->bytes += bytes;
-    this->holders += bytes > 0 ? 1 : 0;
+    const Entry entry {phase, bytes, turn};
+    this->entries.emplace(connection, entry);
+    this->count(entry, true);
     if (phase != Phase::Complete) {
         (phase == Phase::Incomplete ? this->incompleteOrder : this->refusedOrder).emplace(turn, connection);
     }
@@ -36,22 +55,40 @@
         return;
     }
     const Entry &entry = found->second;
-    this->bytes -= entry.bytes;
-    this->holders -= entry.bytes > 0 ? 1 : 0;
+    this->count(entry, false);
     if (entry.phase != Phase::Complete) {
         (entry.phase == Phase::Incomplete ? this->incompleteOrder : this->refusedOrder).erase(entry.turn);
     }
     this->entries.erase(found);
 }
 
+std::optional<ByteBudget::Connection> ByteBudget::oldestIncomplete(std::size_t least) const
+{
+    for (const auto &[turn, connection] : this->incompleteOrder) {
+        if (this->entries.at(connection).bytes >= least) {
+            return connection;
+        }
+    }
+    return std::nullopt;
+}
+
+// Callers that send little are not refused for what others hold: no small request is as long as all of them need no
+// more than their reserve, and beyond that none that holds less than half of the mean.
 std::optional<ByteBudget::Connection> ByteBudget::toRefuse() const
 {
-    const bool tooManyBytes = this->bytes > this->limits.bytes && this->holders > 1;
-    const bool tooMany = this->incompleteOrder.size() > this->limits.incomplete;
-    if (this->incompleteOrder.empty() || !(tooManyBytes || tooMany)) {
+    if (this->incompleteOrder.empty()) {
         return std::nullopt;
     }
-    return this->incompleteOrder.begin()->second;
+    if (this->incompleteOrder.size() > this->limits.incomplete) {
+        return this->incompleteOrder.begin()->second;
+    }
+    if (this->bytes <= this->limits.bytes || this->holders <= 1) {
+        return std::nullopt;
+    }
+    if (this->smallBytes <= this->limits.reserve) {
+        return this->oldestIncomplete(this->limits.small + 1);
+    }
+    return this->oldestIncomplete(this->incompleteBytes / this->incompleteOrder.size() / 2);
 }
 
 std::optional<ByteBudget::Connection> ByteBudget::toClose() const
--- a/packages/net/include/endivespan/http_pool.h
+++ b/packages/net/include/endivespan/http_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <endivespan/http_body.h>
 #include <endivespan/http_client.h>
 
 #include <cstdint>
@@ -17,7 +18,7 @@
     std::string method = "GET";
     std::string target; ///< Path and query, sent unchanged.
     HttpHeaders headers; ///< Must not contain Content-Length or Transfer-Encoding; Host defaults to the address.
-    std::string body;
+    HttpBody body;
     std::chrono::milliseconds connectTimeout {500};
     /// Returns whether an answer belongs to this call; other answers are discarded. When unset, every answer is
     /// accepted.
--- a/packages/net/src/http_pool.cpp
+++ b/packages/net/src/http_pool.cpp
@@ -66,7 +66,7 @@
     return std::chrono::seconds(seconds);
 }
 
-std::string requestBytes(const PooledCall &call)
+std::string requestHead(const PooledCall &call)
 {
     std::string out = call.method + " " + call.target + " HTTP/1.1\r\n";
     if (!call.headers.contains("host")) {
@@ -82,10 +82,25 @@
         out += "content-length: " + std::to_string(call.body.size()) + "\r\n";
     }
     out += "\r\n";
-    out += call.body;
     return out;
 }
 
+// Appends a body without a copy of it. The buffer keeps it until it was written.
+void appendBody(evbuffer *output, const HttpBody &body)
+{
+    const std::string_view bytes = body.view();
+    if (bytes.size() <= config::ShortRequestBytes) {
+        evbuffer_add(output, bytes.data(), bytes.size());
+        return;
+    }
+    evbuffer_add_reference(
+        output,
+        bytes.data(),
+        bytes.size(),
+        [](const void *, std::size_t, void *kept) { delete static_cast<HttpBody *>(kept); },
+        new HttpBody(body));
+}
+
 // Sets how long sent bytes may stay unacknowledged. The kernel counts the time in which the server reads nothing as
 // well, once its receive window is full, so that a request that may fill the window needs more time than a short one.
 void setUnacknowledgedTimeout(int socket, std::size_t requestBytes)
@@ -324,10 +339,16 @@
     this->parser.reset();
     this->headHandled = false;
     this->stray = false;
-    const std::string bytes = requestBytes(this->call->call);
-    this->call->requestSize = bytes.size();
-    setUnacknowledgedTimeout(bufferevent_getfd(this->stream), bytes.size());
-    bufferevent_write(this->stream, bytes.data(), bytes.size());
+    PooledCall &sent = this->call->call;
+    const std::string head = requestHead(sent);
+    this->call->requestSize = head.size() + sent.body.size();
+    setUnacknowledgedTimeout(bufferevent_getfd(this->stream), this->call->requestSize);
+    evbuffer *output = bufferevent_get_output(this->stream);
+    evbuffer_add(output, head.data(), head.size());
+    appendBody(output, sent.body);
+    // The output holds them for as long as they are needed.
+    sent.headers.clear();
+    sent.body = {};
 }
 
 void Connection::close()
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -105,18 +105,53 @@
     getrlimit(RLIMIT_NOFILE, &descriptors);
     return {limits.requestBytes,
             descriptors.rlim_cur / config::IncompleteDescriptorsPart,
-            descriptors.rlim_cur / config::RefusedDescriptorsPart};
+            descriptors.rlim_cur / config::RefusedDescriptorsPart,
+            config::SmallRequestBytes,
+            limits.requestBytes / config::SmallRequestsPart};
 }
 
+// Returns the memory that a head takes in all the forms in which it is held until its request is over. A field without
+// a value takes many times its size.
+std::size_t headMemory(std::size_t size, const Parser::value_type &head)
+{
+    const auto fields = static_cast<std::size_t>(std::distance(head.begin(), head.end()));
+    return size * config::HeadCopies + fields * config::HeaderFieldBytes;
+}
+
+/// Counts what a request holds until it is destroyed, which may be long after its connection was lost.
+class HeldRequest
+{
+public:
+    HeldRequest(std::shared_ptr<ByteBudget> budget, std::uint64_t id, std::size_t bytes)
+        : budget(std::move(budget))
+        , id(id)
+    {
+        this->budget->record(id, ByteBudget::Phase::Complete, bytes);
+    }
+
+    ~HeldRequest()
+    {
+        this->budget->remove(this->id);
+    }
+
+    HeldRequest(const HeldRequest &) = delete;
+    HeldRequest &operator=(const HeldRequest &) = delete;
+
+private:
+    std::shared_ptr<ByteBudget> budget;
+    std::uint64_t id;
+};
+
 class Server;
 class Connection;
 
 class Exchange : public HttpExchange
 {
 public:
-    Exchange(Connection &connection, HttpRequest request)
+    Exchange(Connection &connection, HttpRequest request, std::unique_ptr<HeldRequest> held)
         : connection(&connection)
         , received(std::move(request))
+        , held(std::move(held))
     {
     }
 
@@ -181,6 +216,7 @@
 
     Connection *connection;
     HttpRequest received;
+    std::unique_ptr<HeldRequest> held;
     std::function<void(CallerLoss)> closed;
     std::function<void()> inputEnded;
 };
@@ -211,6 +247,8 @@
     void account();
     /// Refuses the request, which is incomplete, to free its memory. The connection may be destroyed.
     void refuseIncomplete();
+    /// Returns whether bytes from the caller wait in the kernel.
+    [[nodiscard]] bool hasUnreadBytes() const;
 
 private:
     enum class State {
@@ -227,6 +265,7 @@
     bool acceptHead();
     bool parseBody();
     void reject(int status, std::string_view reason, const HttpHeaders &headers = {});
+    void rejectForBudget();
     void dispatch();
     void compactInput();
     [[nodiscard]] ByteBudget::Phase phase() const;
@@ -242,7 +281,8 @@
     void remove(CallerLoss how = CallerLoss::Disconnected);
     /// Returns whether bytes from the caller wait to be parsed, here or in the kernel.
     [[nodiscard]] bool hasInput() const;
-    [[nodiscard]] bool hasUnreadBytes() const;
+    /// Returns whether the next request waits until the caller has read more of the answers before.
+    [[nodiscard]] bool isHeldBack() const;
     [[nodiscard]] bool isReset() const;
 
     Server &server;
@@ -255,7 +295,7 @@
     bool readingRequest = false; ///< Bytes of the next request were received.
     bool isFresh = true; ///< No byte was received yet.
     bool isRefused = false; ///< A request was rejected before it was passed to the handler.
-    std::size_t headBytes = 0; ///< Of the request that is being received or answered.
+    std::size_t headBytes = 0; ///< As headMemory() returns, for the request that is being received.
     TimePoint refusedAt;
     bool keepOpen = true;
     bool closeAnnounced = false; ///< The header of an answer has said that the connection is closed after it.
@@ -272,7 +312,7 @@
 public:
     Server(Loop &loop, HttpServerLimits limits, HttpHandler handler)
         : loop(loop)
-        , budget(budgetLimits(limits))
+        , budget(std::make_shared<ByteBudget>(budgetLimits(limits)))
         , handler(std::move(handler))
         , bounds(std::move(limits))
     {
@@ -334,7 +374,7 @@
             this->earlierIdleUntil = this->loop.now() + before;
         }
         this->bounds = limits;
-        this->budget.setLimits(budgetLimits(limits));
+        this->budget->setLimits(budgetLimits(limits));
         if (this->idleTimeout() > before) {
             for (const auto &[id, connection] : this->open) {
                 connection->restartIdleTimer();
@@ -378,21 +418,55 @@
 
     HttpRequestStats requestStats() const override
     {
-        return {this->budget.held(), this->budget.incomplete(), this->refused};
+        return {this->budget->held(), this->budget->incomplete(), this->refused};
     }
 
     /// Refuses incomplete requests until those of all callers are within the limits. Destroys connections.
     void enforceBudget()
     {
-        while (const auto id = this->budget.toRefuse()) {
+        std::size_t passedOver = 0;
+        while (const auto id = this->budget->toRefuse()) {
+            Connection &connection = *this->open.at(*id);
+            // A caller whose bytes have not been read yet is no slower than this process.
+            if (passedOver < config::RefusalsPassedOver && connection.hasUnreadBytes()) {
+                ++passedOver;
+                connection.account();
+                continue;
+            }
             ++this->refused;
-            this->open.at(*id)->refuseIncomplete();
+            connection.refuseIncomplete();
         }
-        while (const auto id = this->budget.toClose()) {
+        while (const auto id = this->budget->toClose()) {
             this->remove(*id);
         }
     }
 
+    /// Makes room for a request that has been received and is counted as incomplete for the last time, by refusing
+    /// others. @returns false when it must be refused itself.
+    bool admit(std::uint64_t admitted)
+    {
+        while (const auto id = this->budget->toRefuse()) {
+            ++this->refused;
+            if (*id == admitted) {
+                return false;
+            }
+            this->open.at(*id)->refuseIncomplete();
+        }
+        return true;
+    }
+
+    /// Returns the account of a request that has been admitted.
+    std::unique_ptr<HeldRequest> hold(std::size_t bytes)
+    {
+        return std::make_unique<HeldRequest>(this->budget, this->nextId++, bytes);
+    }
+
+    /// Returns whether the requests of all callers hold much of what they may, so that none should be buffered ahead.
+    [[nodiscard]] bool isCrowded() const
+    {
+        return this->budget->held() > this->bounds.requestBytes / config::CrowdedPart;
+    }
+
     [[nodiscard]] const HttpServerLimits &limits() const
     {
         return this->bounds;
@@ -419,7 +493,7 @@
     }
 
     Loop &loop;
-    ByteBudget budget;
+    std::shared_ptr<ByteBudget> budget; ///< Shared with requests that outlive the server.
 
 private:
     static void accepted(evconnlistener *, evutil_socket_t socket, sockaddr *address, int, void *context)
@@ -576,7 +650,7 @@
 
 Connection::~Connection()
 {
-    this->server.budget.remove(this->id);
+    this->server.budget->remove(this->id);
     // libevent closes the socket of a freed bufferevent only after the current callbacks. While many connections are
     // accepted, descriptors would run out meanwhile.
     const evutil_socket_t socket = bufferevent_getfd(this->stream);
@@ -620,6 +694,12 @@
     return evbuffer_get_length(bufferevent_get_input(this->stream)) > 0 || this->hasUnreadBytes();
 }
 
+bool Connection::isHeldBack() const
+{
+    return this->state == State::Reading && !this->readingRequest && this->backlogBytes() > config::PipelinedAnswerBytes
+        && evbuffer_get_length(bufferevent_get_input(this->stream)) > 0;
+}
+
 bool Connection::hasUnreadBytes() const
 {
     int bytes = 0;
@@ -699,7 +779,7 @@
 ByteBudget::Phase Connection::phase() const
 {
     if (this->state == State::Reading) {
-        return ByteBudget::Phase::Incomplete;
+        return this->isHeldBack() ? ByteBudget::Phase::Complete : ByteBudget::Phase::Incomplete;
     }
     // After the end of the input no request can become complete.
     const bool hasLeft = this->state == State::Draining && this->inputEnded && this->backlogBytes() == 0;
@@ -712,9 +792,6 @@
     if (this->parser) {
         bytes += this->parser->get().body().capacity();
     }
-    if (this->exchange) {
-        bytes += this->exchange->request().body.capacity();
-    }
     return bytes;
 }
 
@@ -722,11 +799,11 @@
 {
     // Between two requests a connection may stay open for as long as the idle timeout says. It has been told so, and a
     // request may be on its way.
-    if (this->state == State::Reading && !this->readingRequest && !this->isFresh) {
-        this->server.budget.remove(this->id);
+    if (this->state == State::Reading && !this->readingRequest && !this->isFresh && !this->isHeldBack()) {
+        this->server.budget->remove(this->id);
         return;
     }
-    this->server.budget.record(this->id, this->phase(), config::CallerConnectionBytes + this->requestBytes());
+    this->server.budget->record(this->id, this->phase(), config::CallerConnectionBytes + this->requestBytes());
 }
 
 void Connection::refuseIncomplete()
@@ -735,16 +812,21 @@
         this->remove();
         return;
     }
+    this->rejectForBudget();
+}
+
+void Connection::rejectForBudget()
+{
     const std::uint64_t wait = config::RefusedRetryLeast + this->id % (config::RefusedRetrySpread + 1);
     this->reject(
-        Unavailable, "too many incomplete requests; this one has not run", {{"Retry-After", std::to_string(wait)}});
+        Unavailable, "too many requests at once; this one has not run", {{"Retry-After", std::to_string(wait)}});
 }
 
 void Connection::updateTimeouts()
 {
     const HttpServerLimits &limits = this->server.limits();
     std::chrono::milliseconds read = this->server.idleTimeout();
-    std::size_t most = config::PipelinedBytes;
+    std::size_t most = this->server.isCrowded() ? config::PipelinedBytesLeast : config::PipelinedBytes;
     if (this->state == State::Draining) {
         read = config::CallerLingerTime;
     } else if (this->readingRequest) {
@@ -792,6 +874,9 @@
 void Connection::onWritten(bufferevent *, void *context)
 {
     auto *self = static_cast<Connection *>(context);
+    if (self->state == State::Reading && evbuffer_get_length(bufferevent_get_input(self->stream)) > 0) {
+        bufferevent_trigger(self->stream, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+    }
     if (self->state != State::Draining) {
         return;
     }
@@ -855,7 +940,7 @@
         return;
     }
     // The caller is still reading its answer. If it stops reading, the write timeout closes the connection.
-    if (this->state == State::Draining && this->backlogBytes() > 0) {
+    if (this->state != State::Answering && this->backlogBytes() > 0) {
         bufferevent_enable(this->stream, EV_READ);
         return;
     }
@@ -893,7 +978,7 @@
     }
     this->parsing = true;
     evbuffer *input = bufferevent_get_input(this->stream);
-    while (this->state == State::Reading && evbuffer_get_length(input) > 0) {
+    while (this->state == State::Reading && evbuffer_get_length(input) > 0 && !this->isHeldBack()) {
         if (!this->readingRequest) {
             this->readingRequest = true;
             this->isFresh = false;
@@ -907,7 +992,7 @@
         }
     }
     this->parsing = false;
-    if (this->inputEnded && this->state == State::Reading) {
+    if (this->inputEnded && this->state == State::Reading && !this->isHeldBack()) {
         this->drain();
     }
 }
@@ -955,7 +1040,7 @@
         return false;
     }
     evbuffer_drain(input, used);
-    this->headBytes = used;
+    this->headBytes = headMemory(used, this->parser->get());
     this->headComplete = true;
     return this->acceptHead();
 }
@@ -1057,10 +1142,18 @@
         this->reject(BadRequest, problem);
         return;
     }
+    // Until it is over the request is counted on its own, with all that it will hold; it cannot be refused any more.
+    const std::size_t bytes = config::RequestRunBytes + this->headBytes + this->parser->get().body().capacity();
+    this->server.budget->record(this->id, ByteBudget::Phase::Incomplete, config::CallerConnectionBytes + bytes);
+    if (!this->server.admit(this->id)) {
+        this->rejectForBudget();
+        return;
+    }
     this->keepOpen = this->keepOpen && message.keep_alive();
     request.body = this->parser->get().body().take();
     this->parser.reset();
-    this->exchange = std::make_shared<Exchange>(*this, std::move(request));
+    this->headBytes = 0;
+    this->exchange = std::make_shared<Exchange>(*this, std::move(request), this->server.hold(bytes));
     this->setState(State::Answering);
     const std::shared_ptr<Exchange> held = this->exchange;
     this->server.handle(held);
--- a/packages/node/src/forward_send.cpp
+++ b/packages/node/src/forward_send.cpp
@@ -198,7 +198,7 @@
     call.method = received.method;
     call.target = received.target;
     call.headers = this->task.parts.codec.encodeDispatch(this->work.request, dispatch);
-    call.body = received.body;
+    call.body = HttpBody(std::shared_ptr<const std::string>(this->work.exchange, &received.body));
     call.connectTimeout = config::ForwardConnectTimeout;
     call.belongs = [codec = &this->task.parts.codec, id = this->work.request.id](int, const HttpHeaders &fields) {
         return codec->belongs(id, fields);
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -1,6 +1,7 @@
 #include "node.h"
 
 #include <endivespan/log.h>
+#include <endivespan/process_memory.h>
 #include <endivespan/standard_streams.h>
 #include <endivespan/text.h>
 
@@ -42,6 +43,7 @@
     if (const auto opened = endivespan::openStandardStreams(); !opened) {
         return ExitCannotStart;
     }
+    endivespan::returnFreedMemory();
     const auto text = endivespan::readFile(path);
     if (!text) {
         std::cerr << path << ": cannot be read\n";
--- a/tests/core/byte_budget.cpp
+++ b/tests/core/byte_budget.cpp
@@ -134,3 +134,55 @@
         RC_ASSERT(budget.held() <= Limits.bytes || budget.incomplete() <= 1);
     });
 }
+
+// Guards against ordinary requests that are refused in place of a crowd that holds the memory.
+TEST_CASE("small requests are admitted beside a crowd of large ones that takes all of the memory")
+{
+    constexpr std::size_t Small = 64 * 1024;
+    ByteBudget budget({24 * MiB, 1000, 10, Small, 4 * MiB});
+    for (ByteBudget::Connection caller = 1; caller <= 6; ++caller) {
+        budget.record(caller, caller % 2 == 0 ? Phase::Complete : Phase::Incomplete, 4 * MiB);
+    }
+    for (ByteBudget::Connection caller = 100; caller < 160; ++caller) {
+        budget.record(caller, Phase::Incomplete, Small);
+        // Whatever the order of progress.
+        budget.record(1, Phase::Incomplete, 4 * MiB);
+        while (const auto refused = budget.toRefuse()) {
+            CHECK(*refused < 100);
+            budget.record(*refused, Phase::Refused, 0);
+        }
+    }
+    CHECK(budget.incomplete() >= 60);
+    CHECK(budget.held() <= 28 * MiB);
+}
+
+// Guards against a new caller, whose few bytes are still on their way, that is refused for a crowd of middle-sized
+// requests.
+TEST_CASE("a request that has sent little is not the one refused beside many that hold more")
+{
+    ByteBudget budget({24 * MiB, 1000, 10, 64 * 1024, 4 * MiB});
+    budget.record(1, Phase::Incomplete, 4096);
+    for (ByteBudget::Connection caller = 2; caller <= 900; ++caller) {
+        budget.record(caller, Phase::Incomplete, 54 * 1024);
+        while (const auto refused = budget.toRefuse()) {
+            CHECK(*refused != 1);
+            budget.record(*refused, Phase::Refused, 0);
+        }
+        CHECK(budget.held() <= 28 * MiB);
+    }
+}
+
+// Guards against sums that drift away from the limits when these change.
+TEST_CASE("new limits of a budget hold for what is held already")
+{
+    ByteBudget budget({24 * MiB, 1000, 10, 0, 0});
+    budget.record(1, Phase::Incomplete, MiB);
+    budget.record(2, Phase::Incomplete, 100);
+    budget.setLimits({MiB / 2, 1000, 10, 1000, MiB});
+    CHECK(budget.toRefuse() == 1);
+    budget.remove(1);
+    budget.record(3, Phase::Complete, MiB);
+    CHECK_FALSE(budget.toRefuse());
+    budget.setLimits({MiB / 2, 1000, 10, 1000, 50});
+    CHECK(budget.toRefuse() == 2);
+}
--- a/tests/net/request_bytes.cpp
+++ b/tests/net/request_bytes.cpp
@@ -149,3 +149,85 @@
     CHECK(statusOf(caller.readAnswer()) == 413);
     CHECK(server.server->requestStats().bytes <= config::CallerConnectionBytes);
 }
+
+// Guards against a request that is complete at once, but held for its answer, and takes the place of others.
+TEST_CASE("a complete request beyond the budget is refused as not run")
+{
+    Loop loop;
+    std::vector<std::shared_ptr<HttpExchange>> running;
+    const auto listening = HttpServer::listen(
+        loop, "127.0.0.1:0", smallBudget(), [&running](const auto &exchange) { running.push_back(exchange); });
+    REQUIRE(listening);
+    HttpServer &server = *listening.value();
+    const auto settle = [&loop] {
+        const auto end = loop.after(100ms, [&loop] { loop.stop(); });
+        loop.run();
+    };
+    std::vector<std::unique_ptr<RawSocket>> callers;
+    for (int i = 0; i < 4; ++i) {
+        callers.push_back(std::make_unique<RawSocket>(server.port()));
+        callers.back()->send(lengthHead(Body) + std::string(Body, 'x'));
+        settle();
+    }
+    CHECK(running.size() == 2);
+    CHECK(statusOf(callers[2]->readAnswer()) == 503);
+    CHECK(statusOf(callers[3]->readAnswer()) == 503);
+    // A small one has room beside them.
+    callers.push_back(std::make_unique<RawSocket>(server.port()));
+    callers.back()->send(lengthHead(1) + "x");
+    settle();
+    CHECK(running.size() == 3);
+    // What a request holds counts until it is over, though its caller has left.
+    callers.clear();
+    settle();
+    CHECK(server.requestStats().bytes > 2 * Body);
+    running.clear();
+    CHECK(server.requestStats().bytes == 0);
+}
+
+// Guards against header fields that need many times their size in memory.
+TEST_CASE("each header field of a request counts for more than its bytes")
+{
+    CountingServer server;
+    RawSocket caller(server.server->port());
+    std::string fields;
+    for (int field = 0; field < 1000; ++field) {
+        fields += "a" + std::to_string(field) + ":\r\n";
+    }
+    caller.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n" + fields + "\r\nx");
+    server.settle();
+    CHECK(server.server->requestStats().bytes > 1000 * config::HeaderFieldBytes);
+}
+
+// Guards against answers that pile up for a caller which sends requests ahead and does not read.
+TEST_CASE("a request that was sent ahead waits until the answers before it have been read")
+{
+    constexpr int Requests = 10;
+    constexpr std::size_t Answer = 8 * 1024 * 1024; // More than the kernel buffers.
+    Loop loop;
+    int handled = 0;
+    const auto listening
+        = HttpServer::listen(loop, "127.0.0.1:0", defaultHttpServerLimits(), [&handled](const auto &exchange) {
+              ++handled;
+              exchange->reply(200, {}, std::string(Answer, 'x'));
+          });
+    REQUIRE(listening);
+    RawSocket caller(listening.value()->port());
+    for (int i = 0; i < Requests; ++i) {
+        caller.send(lengthHead(1) + "x");
+    }
+    const auto wait = loop.after(500ms, [&loop] { loop.stop(); });
+    loop.run();
+    CHECK(handled < Requests);
+    std::size_t received = 0;
+    const auto reader = loop.every(1ms, [&] {
+        received += caller.readUntil("no answer has this", 0ms).size();
+        if (received >= Requests * Answer) {
+            loop.stop();
+        }
+    });
+    const auto patience = loop.after(30s, [&loop] { loop.stop(); });
+    loop.run();
+    CHECK(handled == Requests);
+    CHECK(received > Requests * Answer);
+}
--- a/tests/platform/caller_crowds.cpp
+++ b/tests/platform/caller_crowds.cpp
@@ -31,10 +31,14 @@
 /// A quarter of it for requests, and as much for the copies of a request that is sent to a server and for the process.
 constexpr std::size_t SmallMemoryBound = MemoryBound / 2;
 constexpr std::size_t DescriptorLimit = 256;
+constexpr auto RouteTimeout = 3500ms; ///< Of the default configuration, with a margin.
 /// Of 10 to 20 in the time of one check.
 constexpr long BusyTicks = 3;
 /// Of the host in the middle of a crowd, so that it can still open connections to servers and accept callers.
 constexpr std::size_t DescriptorBound = 224;
+/// Of a host with the usual limit: each caller of the largest crowd with a connection to a server and one to another
+/// that stands by, and as many for all else.
+constexpr std::size_t CrowdDescriptorBound = 1200;
 
 /// Lowers the limit of open descriptors for the processes that are started during its lifetime.
 class LowDescriptorLimit
@@ -59,15 +63,14 @@
     rlimit before {};
 };
 
-/// One endivespan-platform as a process, in front of one runner that answers at once.
+/// One endivespan-platform as a process, in front of runners that answer at once.
 class HostUnderCrowd
 {
 public:
-    explicit HostUnderCrowd(const std::string &limits = "", bool fewDescriptors = false)
-        : world(1, 0)
+    explicit HostUnderCrowd(const std::string &limits = "", bool fewDescriptors = false, std::size_t runners = 1)
+        : world(runners, 0)
     {
-        this->world.runners[0]->script
-            = [](const ReceivedRequest &request) { return RunnerStandin::Reply {answerTo(request, 200, "done")}; };
+        this->answerWith("done");
         this->world.hosts.resize(1);
         WorldHost &host = this->world.hosts[0];
         host.name = "host-1";
@@ -140,6 +143,16 @@
         return false;
     }
 
+    /// Lets the runners answer all requests with @p body.
+    void answerWith(const std::string &body)
+    {
+        for (const auto &runner : this->world.runners) {
+            runner->script = [body](const ReceivedRequest &request) {
+                return RunnerStandin::Reply {answerTo(request, 200, body)};
+            };
+        }
+    }
+
     [[nodiscard]] int port()
     {
         return this->world.callerPort();
@@ -247,6 +260,13 @@
         + "\r\n\r\n";
 }
 
+/// A whole request with a body of @p size bytes.
+std::string complete(const std::string &path, std::size_t size)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Endivespan-Request-Id: crowd\r\nApi-Key: key\r\n"
+        + "Content-Length: " + std::to_string(size) + "\r\n\r\n" + std::string(size, 'x');
+}
+
 /// A body of @p size bytes without its last byte.
 std::string announced(std::size_t size)
 {
@@ -283,6 +303,18 @@
     return most;
 }
 
+/// Memory of the smallest machine, as the settings of its host name it.
+const std::string SmallMachine = "limits: {memory: 96MiB}\n";
+
+/// Checks the host beside a crowd that has sent all that it can.
+void checkBounds(HostUnderCrowd &host, const std::string &what, std::size_t mostDescriptors)
+{
+    CHECK(host.isAlive());
+    MESSAGE(what, ": peak of ", host.memoryPeak() / 1'000'000, " MB, ", mostDescriptors, " descriptors");
+    CHECK(host.memoryPeak() < MemoryBound);
+    CHECK(mostDescriptors < CrowdDescriptorBound);
+}
+
 /// Checks the host in the middle of the crowd and behind it.
 void withstand(HostUnderCrowd &host, const CrowdPlan &plan, std::size_t memoryBound = MemoryBound)
 {
@@ -351,3 +383,128 @@
     withstand(host, {"400 short bodies", 400, 4 * KiB, announced(2 * KiB)});
     withstand(host, {"400 heads without an end", 400, 4 * KiB, "POST /again/x HTTP/1.1\r\nHost: h.example\r\n"});
 }
+
+// Guards against copies of complete requests, which no caller's end frees, while servers read them slowly. Each
+// request is sent to a second server meanwhile.
+TEST_CASE("a crowd of callers with complete large bodies leaves a host within its memory while servers read slowly")
+{
+    HostUnderCrowd host(SmallMachine, false, 4);
+    for (const auto &runner : host.world.runners) {
+        runner->readSlowly();
+    }
+    CHECK(host.answersRequest());
+    const CrowdPlan plan {"4 times 24 complete bodies", 24, MiB, complete("/again/x", BodyLimit)};
+    std::vector<std::unique_ptr<Crowd>> crowds;
+    std::size_t most = 0;
+    for (int round = 0; round < 4; ++round) {
+        crowds.push_back(std::make_unique<Crowd>(host.port(), plan));
+        most = std::max(most, sendAll(host, *crowds.back()));
+    }
+    checkBounds(host, plan.what, most);
+    for (const auto &runner : host.world.runners) {
+        runner->readOn();
+    }
+    CHECK(host.answersRequest());
+    checkBounds(host, plan.what, most);
+}
+
+// Guards against requests that are no longer counted once their caller has left, although they still run.
+TEST_CASE("callers that leave behind complete large bodies leave a host within its memory while servers read slowly")
+{
+    HostUnderCrowd host(SmallMachine, false, 4);
+    for (const auto &runner : host.world.runners) {
+        runner->readSlowly();
+    }
+    std::size_t most = 0;
+    const CrowdPlan plan {"10 times 8 complete bodies", 8, MiB, complete("/once/x", BodyLimit)};
+    for (int round = 0; round < 10; ++round) {
+        Crowd crowd(host.port(), plan);
+        most = std::max(most, sendAll(host, crowd));
+    }
+    checkBounds(host, plan.what, most);
+    for (const auto &runner : host.world.runners) {
+        runner->readOn();
+    }
+    CHECK(host.answersRequest());
+    checkBounds(host, plan.what, most);
+}
+
+// Guards against header fields that need many times their size in memory.
+TEST_CASE("a crowd of callers with thousands of short header fields leaves a host within its memory")
+{
+    std::string fields = "Content-Length: 2";
+    for (int field = 0; fields.size() < 30 * KiB; ++field) {
+        fields += fmt::format("\r\n{:x}:", field + 0xa000);
+    }
+    HostUnderCrowd host(SmallMachine);
+    for (const bool isComplete : {false, true}) {
+        if (isComplete) {
+            host.world.runners[0]->script = [](const ReceivedRequest &) {
+                return RunnerStandin::Reply {"", RunnerStandin::Reply::Then::Hang};
+            };
+        }
+        const CrowdPlan plan {isComplete ? "300 complete requests with many fields" : "300 requests with many fields",
+                              300,
+                              64 * KiB,
+                              head(fields) + (isComplete ? "{}" : "{")};
+        Crowd crowd(host.port(), plan);
+        const std::size_t most = sendAll(host, crowd);
+        host.answerWith("done");
+        if (isComplete) {
+            host.world.runFor(RouteTimeout); // Those that no server answers are over then.
+        }
+        CHECK(host.answersRequest());
+        checkBounds(host, plan.what, most);
+    }
+}
+
+// Guards against a field that names thousands of prompt parts, each of which needs many times its size in memory.
+TEST_CASE("a crowd of callers with thousands of prompt parts leaves a host within its memory")
+{
+    std::string fields = "X-Endivespan-Model: m\r\nX-Endivespan-Token-Count: 700,20\r\nContent-Length: 2\r\n"
+                         "X-Endivespan-Prompt-Prefix: 1:1";
+    for (int part = 0; fields.size() < 30 * KiB; ++part) {
+        fields += fmt::format(",{:x}:1", part % 15 + 1);
+    }
+    HostUnderCrowd host(SmallMachine, false, 2);
+    for (const auto &runner : host.world.runners) {
+        runner->script = [](const ReceivedRequest &) {
+            return RunnerStandin::Reply {"", RunnerStandin::Reply::Then::Hang};
+        };
+    }
+    const CrowdPlan plan {"300 complete requests with many parts", 300, 64 * KiB, head(fields) + "{}"};
+    Crowd crowd(host.port(), plan);
+    const std::size_t most = sendAll(host, crowd);
+    host.answerWith("done");
+    host.world.runFor(RouteTimeout); // Those that no server answers are over then.
+    CHECK(host.answersRequest());
+    checkBounds(host, plan.what, most);
+}
+
+// Guards against answers to requests that were sent ahead, which pile up when their callers read nothing.
+TEST_CASE("a crowd of callers that send requests ahead and read nothing leaves a host within its memory")
+{
+    HostUnderCrowd host(SmallMachine);
+    host.answerWith(std::string(64 * KiB, 'x'));
+    std::string ahead;
+    for (int request = 0; request < 200; ++request) {
+        ahead += complete("/again/x", 0);
+    }
+    const CrowdPlan plan {"40 times 200 requests ahead", 40, 16 * KiB, ahead};
+    Crowd crowd(host.port(), plan);
+    const std::size_t most = sendAll(host, crowd);
+    CHECK(host.answersRequest());
+    checkBounds(host, plan.what, most);
+}
+
+// Guards against long answers that are held for callers that do not read them.
+TEST_CASE("a crowd of callers that do not read their long answers leaves a host within its memory")
+{
+    HostUnderCrowd host(SmallMachine);
+    host.answerWith(std::string(2 * MiB, 'x'));
+    const CrowdPlan plan {"100 unread answers of 2 MiB", 100, 16 * KiB, complete("/again/x", 0)};
+    Crowd crowd(host.port(), plan);
+    const std::size_t most = sendAll(host, crowd);
+    CHECK(host.answersRequest());
+    checkBounds(host, plan.what, most);
+}
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -354,6 +354,32 @@
     if (!self->silent) {
         self->serve(stream);
     }
+    const auto found = self->connections.find(stream);
+    if (self->slowReading && found != self->connections.end() && !found->second.input.empty()) {
+        bufferevent_disable(stream, EV_READ);
+    }
+}
+
+void RunnerStandin::readSlowly()
+{
+    constexpr auto Pause = 100ms; // For one read, of 16 KiB at most.
+    this->slowReading = this->loop.every(Pause, [this] { this->enableReading(); });
+    // Connections that are accepted have the buffer of the listener.
+    const int bytes = 4096;
+    setsockopt(evconnlistener_get_fd(this->listener), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+}
+
+void RunnerStandin::readOn()
+{
+    this->slowReading.reset();
+    this->enableReading();
+}
+
+void RunnerStandin::enableReading()
+{
+    for (const auto &[stream, connection] : this->connections) {
+        bufferevent_enable(stream, EV_READ);
+    }
 }
 
 void RunnerStandin::serve(bufferevent *stream)
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -130,6 +130,12 @@
     /// Listens and answers again, at the same address as before.
     void resume();
 
+    /// Reads little of each connection at a time, and lets the kernel take little more.
+    void readSlowly();
+
+    /// Reads as usual again.
+    void readOn();
+
     std::string id;
     Script script;
     std::vector<ReceivedRequest> received;
@@ -151,10 +157,12 @@
     void sendLater(bufferevent *stream, std::uint64_t number, std::chrono::milliseconds delay, const Reply &reply);
     void listen(int wantedPort);
     void stopListening();
+    void enableReading();
 
     Loop &loop;
     evconnlistener *listener = nullptr;
     bool silent = false;
+    std::unique_ptr<Timer> slowReading; ///< Set while it reads slowly; each time it reads once on each connection.
     int port = 0;
     std::map<bufferevent *, Connection> connections;
     std::uint64_t connectionCount = 0;
