Refuse requests in one place, and share the checks of the crowd tests

Reading the change again: enforceBudget() and admit() counted and refused a connection each in its own way, for which refuseIncomplete() had been split in two; both now call refuse(). The crowd tests repeated the scripts of their runners and the checks that withstand() makes; these are shared. The two crowds that stay below it are now held to the stricter bound of 224 descriptors instead of 1,200. A member that nothing set is gone.

--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -265,7 +265,6 @@
     bool acceptHead();
     bool parseBody();
     void reject(int status, std::string_view reason, const HttpHeaders &headers = {});
-    void rejectForBudget();
     void dispatch();
     void compactInput();
     [[nodiscard]] ByteBudget::Phase phase() const;
@@ -433,8 +432,7 @@
                 connection.account();
                 continue;
             }
-            ++this->refused;
-            connection.refuseIncomplete();
+            this->refuse(*id);
         }
         while (const auto id = this->budget->toClose()) {
             this->remove(*id);
@@ -442,15 +440,14 @@
     }
 
     /// Makes room for a request that has been received and is counted as incomplete for the last time, by refusing
-    /// others. @returns false when it must be refused itself.
+    /// others. @returns false when it was refused itself.
     bool admit(std::uint64_t admitted)
     {
         while (const auto id = this->budget->toRefuse()) {
-            ++this->refused;
+            this->refuse(*id);
             if (*id == admitted) {
                 return false;
             }
-            this->open.at(*id)->refuseIncomplete();
         }
         return true;
     }
@@ -496,6 +493,12 @@
     std::shared_ptr<ByteBudget> budget; ///< Shared with requests that outlive the server.
 
 private:
+    void refuse(std::uint64_t id)
+    {
+        ++this->refused;
+        this->open.at(id)->refuseIncomplete();
+    }
+
     static void accepted(evconnlistener *, evutil_socket_t socket, sockaddr *address, int, void *context)
     {
         auto *server = static_cast<Server *>(context);
@@ -812,11 +815,6 @@
         this->remove();
         return;
     }
-    this->rejectForBudget();
-}
-
-void Connection::rejectForBudget()
-{
     const std::uint64_t wait = config::RefusedRetryLeast + this->id % (config::RefusedRetrySpread + 1);
     this->reject(
         Unavailable, "too many requests at once; this one has not run", {{"Retry-After", std::to_string(wait)}});
@@ -1146,7 +1144,6 @@
     const std::size_t bytes = config::RequestRunBytes + this->headBytes + this->parser->get().body().capacity();
     this->server.budget->record(this->id, ByteBudget::Phase::Incomplete, config::CallerConnectionBytes + bytes);
     if (!this->server.admit(this->id)) {
-        this->rejectForBudget();
         return;
     }
     this->keepOpen = this->keepOpen && message.keep_alive();
--- a/tests/platform/caller_crowds.cpp
+++ b/tests/platform/caller_crowds.cpp
@@ -145,11 +145,24 @@
 
     /// Lets the runners answer all requests with @p body.
     void answerWith(const std::string &body)
+    {
+        this->setScript(
+            [body](const ReceivedRequest &request) { return RunnerStandin::Reply {answerTo(request, 200, body)}; });
+    }
+
+    /// Lets the runners answer no request.
+    void answerNothing()
+    {
+        this->setScript([](const ReceivedRequest &) {
+            return RunnerStandin::Reply {"", RunnerStandin::Reply::Then::Hang};
+        });
+    }
+
+    /// Lets the runners read slowly, or as usual again.
+    void setSlowReading(bool isSlow)
     {
         for (const auto &runner : this->world.runners) {
-            runner->script = [body](const ReceivedRequest &request) {
-                return RunnerStandin::Reply {answerTo(request, 200, body)};
-            };
+            isSlow ? runner->readSlowly() : runner->readOn();
         }
     }
 
@@ -161,6 +174,13 @@
     World world;
 
 private:
+    void setScript(const RunnerStandin::Script &script)
+    {
+        for (const auto &runner : this->world.runners) {
+            runner->script = script;
+        }
+    }
+
     std::string writeSettings(const std::string &limits)
     {
         const WorldHost &host = this->world.hosts[0];
@@ -307,12 +327,16 @@
 const std::string SmallMachine = "limits: {memory: 96MiB}\n";
 
 /// Checks the host beside a crowd that has sent all that it can.
-void checkBounds(HostUnderCrowd &host, const std::string &what, std::size_t mostDescriptors)
+void checkBounds(HostUnderCrowd &host,
+                 const std::string &what,
+                 std::size_t mostDescriptors,
+                 std::size_t memoryBound = MemoryBound,
+                 std::size_t descriptorBound = CrowdDescriptorBound)
 {
     CHECK(host.isAlive());
     MESSAGE(what, ": peak of ", host.memoryPeak() / 1'000'000, " MB, ", mostDescriptors, " descriptors");
-    CHECK(host.memoryPeak() < MemoryBound);
-    CHECK(mostDescriptors < CrowdDescriptorBound);
+    CHECK(host.memoryPeak() < memoryBound);
+    CHECK(mostDescriptors < descriptorBound);
 }
 
 /// Checks the host in the middle of the crowd and behind it.
@@ -323,10 +347,7 @@
     const std::size_t most = sendAll(host, crowd);
     CHECK(host.isAlive());
     CHECK(host.answersRequest());
-    CHECK(host.isAlive());
-    MESSAGE(plan.what, ": peak of ", host.memoryPeak() / 1'000'000, " MB, ", most, " descriptors");
-    CHECK(host.memoryPeak() < memoryBound);
-    CHECK(most < DescriptorBound);
+    checkBounds(host, plan.what, most, memoryBound, DescriptorBound);
 }
 
 } // namespace
@@ -389,9 +410,7 @@
 TEST_CASE("a crowd of callers with complete large bodies leaves a host within its memory while servers read slowly")
 {
     HostUnderCrowd host(SmallMachine, false, 4);
-    for (const auto &runner : host.world.runners) {
-        runner->readSlowly();
-    }
+    host.setSlowReading(true);
     CHECK(host.answersRequest());
     const CrowdPlan plan {"4 times 24 complete bodies", 24, MiB, complete("/again/x", BodyLimit)};
     std::vector<std::unique_ptr<Crowd>> crowds;
@@ -401,9 +420,7 @@
         most = std::max(most, sendAll(host, *crowds.back()));
     }
     checkBounds(host, plan.what, most);
-    for (const auto &runner : host.world.runners) {
-        runner->readOn();
-    }
+    host.setSlowReading(false);
     CHECK(host.answersRequest());
     checkBounds(host, plan.what, most);
 }
@@ -412,9 +429,7 @@
 TEST_CASE("callers that leave behind complete large bodies leave a host within its memory while servers read slowly")
 {
     HostUnderCrowd host(SmallMachine, false, 4);
-    for (const auto &runner : host.world.runners) {
-        runner->readSlowly();
-    }
+    host.setSlowReading(true);
     std::size_t most = 0;
     const CrowdPlan plan {"10 times 8 complete bodies", 8, MiB, complete("/once/x", BodyLimit)};
     for (int round = 0; round < 10; ++round) {
@@ -422,9 +437,7 @@
         most = std::max(most, sendAll(host, crowd));
     }
     checkBounds(host, plan.what, most);
-    for (const auto &runner : host.world.runners) {
-        runner->readOn();
-    }
+    host.setSlowReading(false);
     CHECK(host.answersRequest());
     checkBounds(host, plan.what, most);
 }
@@ -439,9 +452,7 @@
     HostUnderCrowd host(SmallMachine);
     for (const bool isComplete : {false, true}) {
         if (isComplete) {
-            host.world.runners[0]->script = [](const ReceivedRequest &) {
-                return RunnerStandin::Reply {"", RunnerStandin::Reply::Then::Hang};
-            };
+            host.answerNothing();
         }
         const CrowdPlan plan {isComplete ? "300 complete requests with many fields" : "300 requests with many fields",
                               300,
@@ -467,11 +478,7 @@
         fields += fmt::format(",{:x}:1", part % 15 + 1);
     }
     HostUnderCrowd host(SmallMachine, false, 2);
-    for (const auto &runner : host.world.runners) {
-        runner->script = [](const ReceivedRequest &) {
-            return RunnerStandin::Reply {"", RunnerStandin::Reply::Then::Hang};
-        };
-    }
+    host.answerNothing();
     const CrowdPlan plan {"300 complete requests with many parts", 300, 64 * KiB, head(fields) + "{}"};
     Crowd crowd(host.port(), plan);
     const std::size_t most = sendAll(host, crowd);
@@ -490,11 +497,7 @@
     for (int request = 0; request < 200; ++request) {
         ahead += complete("/again/x", 0);
     }
-    const CrowdPlan plan {"40 times 200 requests ahead", 40, 16 * KiB, ahead};
-    Crowd crowd(host.port(), plan);
-    const std::size_t most = sendAll(host, crowd);
-    CHECK(host.answersRequest());
-    checkBounds(host, plan.what, most);
+    withstand(host, {"40 times 200 requests ahead", 40, 16 * KiB, ahead});
 }
 
 // Guards against long answers that are held for callers that do not read them.
@@ -502,9 +505,5 @@
 {
     HostUnderCrowd host(SmallMachine);
     host.answerWith(std::string(2 * MiB, 'x'));
-    const CrowdPlan plan {"100 unread answers of 2 MiB", 100, 16 * KiB, complete("/again/x", 0)};
-    Crowd crowd(host.port(), plan);
-    const std::size_t most = sendAll(host, crowd);
-    CHECK(host.answersRequest());
-    checkBounds(host, plan.what, most);
+    withstand(host, {"100 unread answers of 2 MiB", 100, 16 * KiB, complete("/again/x", 0)});
 }
--- a/tests/platform/isolated_parts.cpp
+++ b/tests/platform/isolated_parts.cpp
@@ -87,7 +87,6 @@
     std::set<std::string> present {Organisations.begin(), Organisations.end()};
     std::set<std::string> isolated; ///< As last configured, also of organisations that have been removed since.
     bool isJudged = true; ///< Whether requests count that use parts of others across an isolation.
-    std::chrono::milliseconds delay {}; ///< That runners take.
     std::vector<std::string> walled; ///< What these requests used.
     std::size_t shared = 0; ///< Requests that used a part of another organisation.
 
@@ -102,7 +101,7 @@
         if (this->isJudged && maker != user && (this->isolated.contains(user) || this->isolated.contains(maker))) {
             this->walled.push_back(user + " used a part of " + maker + " in " + scope);
         }
-        return {answerTo(request, 200, "done"), RunnerStandin::Reply::Then::Keep, this->delay};
+        return {answerTo(request, 200, "done")};
     }
 
     std::map<std::string, std::string> makers; ///< Who made the shared part, by the text that it is kept under.
